--- /dev/null
+++ b/Makefile
@@ -0,0 +1,46 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+PROFILE ?= taller
+PACKAGES := core entry agent standins
+INSTALLED := $(VENV)/.installed
+
+.PHONY: demo test up down generate format lint bench
+
+$(INSTALLED): requirements.lock $(wildcard packages/*/pyproject.toml)
+	test -d $(VENV) || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q --disable-pip-version-check -r requirements.lock
+	$(BIN)/pip install -q --disable-pip-version-check --no-deps \
+	    --no-build-isolation \
+	    $(foreach p,$(PACKAGES),-e packages/gentianpoint-$(p))
+	touch $@
+
+demo: $(INSTALLED)
+	$(BIN)/python -m gentianpoint_standins.demo
+
+up: $(INSTALLED)
+	$(BIN)/python -m gentianpoint_standins.deployment up --profile $(PROFILE)
+
+down: $(INSTALLED)
+	$(BIN)/python -m gentianpoint_standins.deployment down
+
+generate: $(INSTALLED)
+	$(BIN)/python tools/generate.py
+
+format: $(INSTALLED)
+	$(BIN)/ruff check -q --select I --fix .
+	$(BIN)/ruff format -q .
+
+lint: $(INSTALLED)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/flake8 packages tools bench spec features
+	$(BIN)/python tools/check_style.py
+	$(BIN)/mypy packages/*/src tools spec bench
+	$(BIN)/python tools/generate.py --check
+
+test: lint
+	$(BIN)/python tools/run_tests.py
+
+bench: $(INSTALLED)
+	$(BIN)/python bench/run_all.py
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; run_all.py runs each."""
--- /dev/null
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent package."""
--- /dev/null
+++ b/packages/gentianpoint-core/src/gentianpoint_core/http_engine.py
@@ -0,0 +1,228 @@
+"""Adapter to a model engine over HTTP, with streams of JSON lines."""
+
+from collections import abc
+import contextlib
+import typing
+
+import httpx
+import msgspec
+
+from gentianpoint_core import ports
+
+__all__ = ("HttpEngine",)
+
+_ANSWER_TIMEOUT_S: typing.Final = 5.0
+_REFUSALS: typing.Final = (404, 409, 429)
+
+
+class _Line(msgspec.Struct):
+    """One line of a stream."""
+
+    n: int = 0
+    text: str = ""
+    preempted: bool = False
+    end: str = ""
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+
+
+class _Load(msgspec.Struct):
+    """Answer of ``GET /load``."""
+
+    boot: str
+    age_ms: int
+    blocks: int
+    blocks_used: int
+    block_tokens: int
+    running: int
+    waiting: int
+    preemptions: int
+    redone_tokens: int
+    model: str
+    adapter: str
+    version: str
+    role: str
+    loading: bool
+    reclaim_in_ms: typing.Optional[int] = None
+
+
+_line_decoder: typing.Final = msgspec.json.Decoder(_Line)
+
+
+def _decode_line(line: bytes) -> ports.StreamEvent:
+    fields = _line_decoder.decode(line)
+    return ports.StreamEvent(
+        fields.n,
+        fields.text,
+        fields.preempted,
+        fields.end,
+        fields.prompt_tokens,
+        fields.completion_tokens,
+    )
+
+
+async def _iterate_events(
+    answer: httpx.Response, step: str, peer: str
+) -> abc.AsyncIterator[ports.StreamEvent]:
+    partial = b""
+    try:
+        async for chunk in answer.aiter_raw():
+            lines = (partial + chunk).split(b"\n")
+            partial = lines.pop()
+            for line in lines:
+                if line:
+                    yield _decode_line(line)
+    except (httpx.HTTPError, msgspec.DecodeError) as error:
+        raise ports.PortError(
+            step, peer, repr(error), took_effect=True
+        ) from error
+
+
+class HttpEngine(ports.Engine):
+    """The engine at a base URL."""
+
+    def __init__(
+        self, url: str, client: httpx.AsyncClient, silence_ms: int
+    ) -> None:
+        """Use ``client`` for the engine at ``url``.
+
+        A stream that brings nothing for ``silence_ms`` milliseconds fails,
+        since a link that went silent for good gives no other sign.
+        """
+        self._url: typing.Final = url
+        self._client: typing.Final = client
+        self._stream_timeout: typing.Final = httpx.Timeout(
+            _ANSWER_TIMEOUT_S, read=silence_ms / 1000
+        )
+
+    @contextlib.asynccontextmanager
+    async def _open(
+        self, step: str, request: httpx.Request
+    ) -> abc.AsyncIterator[abc.AsyncIterator[ports.StreamEvent]]:
+        try:
+            answer = await self._client.send(request, stream=True)
+        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+            raise ports.PortError(
+                step, self._url, repr(error), took_effect=False
+            ) from error
+        except httpx.HTTPError as error:
+            raise ports.PortError(
+                step, self._url, repr(error), took_effect=True
+            ) from error
+        try:
+            if answer.status_code != 200:
+                raise ports.PortError(
+                    step,
+                    self._url,
+                    f"status {answer.status_code}",
+                    took_effect=answer.status_code not in _REFUSALS,
+                )
+            yield _iterate_events(answer, step, self._url)
+        finally:
+            await answer.aclose()
+
+    def start_stream(
+        self, request: ports.StreamRequest
+    ) -> typing.AsyncContextManager[abc.AsyncIterator[ports.StreamEvent]]:
+        """Start a stream; see :meth:`ports.Engine.start_stream`."""
+        body = request._asdict()
+        body["id"] = body.pop("identifier")
+        return self._open(
+            "start stream",
+            self._client.build_request(
+                "POST",
+                f"{self._url}/streams",
+                json=body,
+                timeout=self._stream_timeout,
+            ),
+        )
+
+    def resume_stream(
+        self, identifier: str, after: int
+    ) -> typing.AsyncContextManager[abc.AsyncIterator[ports.StreamEvent]]:
+        """Resume a stream; see :meth:`ports.Engine.resume_stream`."""
+        return self._open(
+            "resume stream",
+            self._client.build_request(
+                "GET",
+                f"{self._url}/streams/{identifier}",
+                params={"after": after},
+                timeout=self._stream_timeout,
+            ),
+        )
+
+    async def _ask(
+        self, step: str, method: str, path: str, **more: typing.Any
+    ) -> bytes:
+        try:
+            answer = await self._client.request(
+                method,
+                self._url + path,
+                timeout=more.pop("timeout", _ANSWER_TIMEOUT_S),
+                **more,
+            )
+        except httpx.HTTPError as error:
+            raise ports.PortError(
+                step,
+                self._url,
+                repr(error),
+                took_effect=not isinstance(error, httpx.ConnectError),
+            ) from error
+        if answer.status_code not in (200, 202):
+            raise ports.PortError(
+                step,
+                self._url,
+                f"status {answer.status_code}: {answer.text[:200]}",
+                took_effect=answer.status_code not in _REFUSALS,
+            )
+        return answer.content
+
+    async def cancel_stream(self, identifier: str) -> bool:
+        """Cancel; see :meth:`ports.Engine.cancel_stream`."""
+        body = await self._ask(
+            "cancel stream", "DELETE", f"/streams/{identifier}"
+        )
+        return bool(msgspec.json.decode(body)["known"])
+
+    async def list_streams(self) -> abc.Sequence[str]:
+        """List streams; see :meth:`ports.Engine.list_streams`."""
+        body = await self._ask("list streams", "GET", "/streams")
+        return [row["id"] for row in msgspec.json.decode(body)["streams"]]
+
+    async def read_load(self) -> ports.EngineLoad:
+        """Read the load; see :meth:`ports.Engine.read_load`."""
+        step = "read load"
+        body = await self._ask(step, "GET", "/load")
+        try:
+            load = msgspec.json.decode(body, type=_Load)
+        except msgspec.DecodeError as error:
+            raise ports.PortError(
+                step, self._url, str(error), took_effect=False
+            ) from error
+        return ports.EngineLoad(**msgspec.structs.asdict(load))
+
+    async def read_cache_events(
+        self, after: int, wait_ms: int
+    ) -> ports.CacheEvents:
+        """Read events; see :meth:`ports.Engine.read_cache_events`."""
+        body = await self._ask(
+            "read cache events",
+            "GET",
+            "/cache-events",
+            params={"after": after, "wait_ms": wait_ms},
+            timeout=_ANSWER_TIMEOUT_S + wait_ms / 1000,
+        )
+        decoded = msgspec.json.decode(body)
+        return ports.CacheEvents(
+            tuple(
+                ports.CacheEvent(
+                    row["sequence"], tuple(row["added"]), tuple(row["removed"])
+                )
+                for row in decoded["events"]
+            ),
+            decoded["last"],
+        )
+
+    async def send_order(self, order: ports.EngineOrder) -> None:
+        """Send an order; see :meth:`ports.Engine.send_order`."""
+        await self._ask("send order", "POST", "/orders", json=order._asdict())
--- /dev/null
+++ b/packages/gentianpoint-core/src/gentianpoint_core/http_host_list.py
@@ -0,0 +1,42 @@
+"""Adapter to the platform's host list over HTTP."""
+
+from collections import abc
+import typing
+
+import httpx
+import msgspec
+
+from gentianpoint_core import ports
+
+__all__ = ("HttpHostList",)
+
+_ANSWER_TIMEOUT_S: typing.Final = 3.0
+
+
+class HttpHostList(ports.HostList):
+    """The host list at a base URL."""
+
+    def __init__(self, url: str, client: httpx.AsyncClient) -> None:
+        """Use ``client`` for requests to the list at ``url``."""
+        self._url: typing.Final = url
+        self._client: typing.Final = client
+
+    async def read_hosts(self) -> abc.Sequence[ports.Host]:
+        """Read the list; see :meth:`ports.HostList.read_hosts`."""
+        try:
+            answer = await self._client.get(
+                f"{self._url}/hosts", timeout=_ANSWER_TIMEOUT_S
+            )
+            answer.raise_for_status()
+            body = msgspec.json.decode(answer.content)
+            return msgspec.convert(
+                [
+                    [row[field] for field in ports.Host._fields]
+                    for row in body["hosts"]
+                ],
+                list[ports.Host],
+            )
+        except (httpx.HTTPError, ValueError, KeyError, TypeError) as error:
+            raise ports.PortError(
+                "read hosts", self._url, repr(error), took_effect=False
+            ) from error
--- /dev/null
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry package."""
--- /dev/null
+++ b/packages/gentianpoint-standins/src/gentianpoint_standins/__init__.py
@@ -0,0 +1,1 @@
+"""The standins package."""
--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""Small specifications of the protocols, for the model checker."""
