Add the stand-in engine

Admission and resuming can only be tried against an engine whose memory runs out in the middle of decoding, so this one batches in steps, counts blocks, preempts the last stream of lowest priority and computes its work again. The witness counts starts apart from what the system reads. Ruled out: one task a stream, since each step would then switch tasks for every token; the steps are one task and readers only copy lines.

--- /dev/null
+++ b/packages/gentianpoint-standins/src/gentianpoint_standins/engine_service.py
@@ -0,0 +1,447 @@
+"""The calls of the stand-in engine, and its steps."""
+
+from collections import abc
+import itertools
+import os
+import typing
+import uuid
+
+import msgspec
+import quart
+import quart_trio
+import trio
+
+from gentianpoint_standins import engine_lengths
+from gentianpoint_standins import engine_orders
+from gentianpoint_standins import engine_reports
+from gentianpoint_standins import engine_scheduler
+from gentianpoint_standins import engine_streams
+from gentianpoint_standins import engine_witness
+from gentianpoint_standins import faults
+from gentianpoint_standins import serving
+
+__all__ = ("EngineFaults", "EngineReports", "EngineService")
+
+_ANY: typing.Final = "*"
+_STREAM_TYPE: typing.Final = "application/x-ndjson"
+
+
+class EngineFaults(typing.NamedTuple):
+    """Faults of an engine; ``*`` stands for all streams."""
+
+    freeze: bool = False
+    """True when no step is made; calls are still answered."""
+    slow_factor: float = 1.0
+    """Factor on the time of each step."""
+    slow_ms: int = 0
+    """Delay before each call is looked at, milliseconds."""
+    die: bool = False
+    """True ends the process now."""
+    die_after_tokens: int = 0
+    """Tokens ever generated after which the process ends; 0 for never."""
+    drop: tuple[str, ...] = ()
+    """Streams whose connections of this moment are broken off."""
+    drop_after: dict[str, int] = {}
+    """Token after which a connection that delivers it is broken off."""
+    lose_start_replies: int = 0
+    """Number of starts to come that take effect without a good reply."""
+    lose_by: typing.Literal["status", "drop"] = "drop"
+    """Whether a lost reply is a 503 or a connection that breaks off."""
+    reclaim_in_ms: typing.Optional[int] = None
+    """Time until the platform takes the engine away, milliseconds."""
+    refuse_starts: bool = False
+    """True when each start is refused as if the engine were full."""
+    pause_output: tuple[str, ...] = ()
+    """Streams whose lines are held back; they run on."""
+
+
+class EngineReports(typing.NamedTuple):
+    """How late and how gappy an engine's reports are."""
+
+    load_lag_ms: int = 0
+    """Age of the load figures, milliseconds."""
+    cache_lag_ms: int = 0
+    """Delay of cache events, milliseconds."""
+    cache_gap_share: float = 0.0
+    """Share of cache events that are lost."""
+
+
+class EngineService:
+    """One engine."""
+
+    def __init__(
+        self,
+        limits: engine_scheduler.SchedulerLimits,
+        reports: engine_reports.LoadHistory,
+        cache_log: engine_reports.CacheEventLog,
+        lengths: engine_lengths.LengthTable,
+        kept: int,
+    ) -> None:
+        """Serve with these parts, and keep ``kept`` streams that ended."""
+        self._boot: typing.Final = uuid.uuid4().hex[:12]
+        self._limits: typing.Final = limits
+        self._scheduler: typing.Final = engine_scheduler.Scheduler(limits)
+        self._reports: typing.Final = reports
+        self._cache_log: typing.Final = cache_log
+        self._lengths: typing.Final = lengths
+        self._kept: typing.Final = kept
+        self._witness: typing.Final = engine_witness.EngineWitness()
+        self._streams: typing.Final[
+            dict[str, engine_streams.EngineStream]
+        ] = {}
+        self._ended: typing.Final[list[str]] = []
+        self._arrivals: typing.Final = itertools.count(1)
+        self._faults = EngineFaults()
+        self._drops = 0
+        self._dropped: tuple[str, ...] = ()
+        self._reclaim_at: typing.Optional[float] = None
+        self._changed = trio.Event()
+        self.orders: engine_orders.OrderBook
+        self._note_load()
+
+    def make_app(self) -> quart_trio.QuartTrio:
+        """Make the application."""
+        app = serving.make_app("engine")
+        one = "/streams/<identifier>"
+        for path, method, view in (
+            ("/streams", "POST", self.start),
+            ("/streams", "GET", self.list_streams),
+            (one, "GET", self.resume),
+            (one, "DELETE", self.cancel),
+            ("/load", "GET", self.show_load),
+            ("/cache-events", "GET", self.show_cache_events),
+            ("/orders", "POST", self.take_order),
+            ("/witness", "GET", self.show_witness),
+            ("/distributions", "POST", self.set_distributions),
+            ("/distributions", "GET", self.show_distributions),
+            ("/faults", "POST", self.change_faults),
+        ):
+            app.add_url_rule(
+                path,
+                endpoint=f"{method} {path}",
+                view_func=view,
+                methods=[method],
+            )
+        return app
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def _note_load(self) -> None:
+        self._reports.add(self._scheduler.figures())
+        if change := self._scheduler.memory.take_change():
+            self._cache_log.add(change)
+
+    # Steps.
+
+    async def run_steps(self) -> None:
+        """Make steps for ever, as long as there is work."""
+        next_at = trio.current_time()
+        while True:
+            await self._wait_for_work()
+            step_ms = self._scheduler.begin_step() * self._faults.slow_factor
+            self._note_load()
+            next_at = max(next_at, trio.current_time()) + step_ms / 1000
+            await trio.sleep_until(next_at)
+            while self._faults.freeze:
+                await self._changed.wait()
+            self._finish_step()
+
+    async def _wait_for_work(self) -> None:
+        while self._faults.freeze or not self._scheduler.has_work():
+            await self._changed.wait()
+
+    def _finish_step(self) -> None:
+        for stream in self._scheduler.finish_step():
+            self._bury(stream, stream.end)
+        self._note_load()
+        self._witness.set_tokens(self._scheduler.tokens)
+        limit = self._faults.die_after_tokens
+        if limit and self._scheduler.tokens >= limit:
+            os._exit(1)
+
+    def _bury(self, stream: engine_streams.EngineStream, why: str) -> None:
+        self._witness.count_end(why)
+        self._ended.append(stream.identifier)
+        while len(self._ended) > self._kept:
+            self._streams.pop(self._ended.pop(0), None)
+
+    # Streams.
+
+    async def _read_body(self) -> bytes:
+        body = await serving.read_body()
+        await trio.sleep(self._faults.slow_ms / 1000)
+        return body
+
+    async def start(self) -> quart.Response:
+        """Start a stream and send its lines."""
+        start = msgspec.json.decode(
+            await self._read_body(), type=engine_streams.StreamStart
+        )
+        if start["id"] in self._streams:
+            return serving.answer_refusal(409, "exists")
+        if not self._serves(start):
+            return serving.answer_refusal(409, "not_loaded")
+        if self._faults.refuse_starts or self._scheduler.is_full():
+            return serving.answer_refusal(429, "full")
+        stream = self._make_stream(start)
+        if not self._scheduler.fits(stream):
+            return serving.answer_refusal(409, "too_large")
+        self._streams[start["id"]] = stream
+        self._scheduler.add(stream)
+        self._witness.count_start(start)
+        self._note_load()
+        self._wake()
+        if self._faults.lose_start_replies > 0:
+            return self._lose_reply()
+        return self._answer_lines(stream, 0)
+
+    def _serves(self, start: engine_streams.StreamStart) -> bool:
+        loaded = self.orders.loaded
+        return bool(
+            loaded.model
+            and start["model"] in ("", loaded.model)
+            and start["adapter"] in ("", loaded.adapter)
+            and start["version"] in ("", loaded.version)
+        )
+
+    def _make_stream(
+        self, start: engine_streams.StreamStart
+    ) -> engine_streams.EngineStream:
+        length = self._lengths.draw(start["prompt"], trio.current_time())
+        return engine_streams.EngineStream(
+            start, next(self._arrivals), length, self._boot
+        )
+
+    def _lose_reply(self) -> quart.Response:
+        left = self._faults.lose_start_replies - 1
+        self._faults = self._faults._replace(lose_start_replies=left)
+        if self._faults.lose_by == "drop":
+            return serving.drop_reply()
+        return serving.answer_refusal(503, "out")
+
+    def _answer_lines(
+        self, stream: engine_streams.EngineStream, after: int
+    ) -> quart.Response:
+        return quart.Response(
+            self._iterate_lines(stream, after), content_type=_STREAM_TYPE
+        )
+
+    async def _iterate_lines(
+        self, stream: engine_streams.EngineStream, after: int
+    ) -> abc.AsyncIterator[bytes]:
+        index = stream.find_line_after(after)
+        drops = self._drops
+        while True:
+            if drops != self._drops and self._names(self._dropped, stream):
+                raise serving.DroppedConnectionError
+            drops = self._drops
+            if not self._names(self._faults.pause_output, stream):
+                stop = self._find_drop(stream, index)
+                lines = stream.lines[index:stop]
+                index += len(lines)
+                if lines:
+                    yield b"".join(lines)
+                if stop is not None and index >= stop:
+                    raise serving.DroppedConnectionError
+                if stream.is_over() and index == len(stream.lines):
+                    break
+                if index < len(stream.lines):
+                    continue
+            await stream.changed.wait()
+        if stream.died:
+            raise serving.DroppedConnectionError
+
+    def _names(
+        self, names: abc.Container[str], stream: engine_streams.EngineStream
+    ) -> bool:
+        return _ANY in names or stream.identifier in names
+
+    def _find_drop(
+        self, stream: engine_streams.EngineStream, index: int
+    ) -> typing.Optional[int]:
+        """Return the line after which this connection breaks off, if any.
+
+        A connection that begins after that line, as one that resumes does,
+        is left alone.
+        """
+        after = self._faults.drop_after
+        token = after.get(stream.identifier, after.get(_ANY, 0))
+        if not token or stream.generated < token:
+            return None
+        stop = stream.find_line_after(token)
+        return stop if index < stop else None
+
+    async def resume(self, identifier: str) -> quart.Response:
+        """Send the lines of a stream after a token."""
+        await trio.sleep(self._faults.slow_ms / 1000)
+        stream = self._streams.get(identifier)
+        if stream is None:
+            return serving.answer_refusal(404, "unknown")
+        self._witness.count_resume()
+        after = int(quart.request.args.get("after", "0"))
+        return self._answer_lines(stream, after)
+
+    async def cancel(self, identifier: str) -> quart.Response:
+        """End a stream, if it is known."""
+        await trio.sleep(self._faults.slow_ms / 1000)
+        stream = self._streams.get(identifier)
+        if stream is None:
+            return serving.answer_json({"known": False})
+        self._witness.count_cancel()
+        if not stream.is_over():
+            self._scheduler.remove(stream)
+            stream.add_end("cancelled")
+            self._bury(stream, "cancelled")
+            self._note_load()
+        return serving.answer_json({"known": True})
+
+    async def list_streams(self) -> quart.Response:
+        """List the streams that run or wait."""
+        await trio.sleep(self._faults.slow_ms / 1000)
+        rows = [
+            {"id": stream.identifier, "n": stream.generated}
+            for stream in self._scheduler.streams()
+        ]
+        return serving.answer_json({"streams": rows})
+
+    def swap_model(self) -> None:
+        """Let what belongs to the old model go."""
+        for stream in self._scheduler.streams():
+            self._scheduler.remove(stream)
+            stream.die()
+            self._bury(stream, "died")
+        self._scheduler.memory.forget_idle()
+        self._note_load()
+
+    # Reports and orders.
+
+    async def show_load(self) -> quart.Response:
+        """Show the load as it was a while ago."""
+        await trio.sleep(self._faults.slow_ms / 1000)
+        seen = self._reports.read()
+        left = None
+        if self._reclaim_at is not None:
+            left_s = self._reclaim_at - trio.current_time()
+            left = max(0, int(left_s * 1000))
+        return serving.answer_json(
+            {
+                "boot": self._boot,
+                "age_ms": self._reports.measure_age_ms(),
+                "blocks": self._limits.blocks,
+                "block_tokens": self._limits.block_tokens,
+                **seen.figures._asdict(),
+                **self.orders.loaded._asdict(),
+                "loading": self.orders.is_loading(),
+                "reclaim_in_ms": left,
+            }
+        )
+
+    async def show_cache_events(self) -> quart.Response:
+        """Show published events, and wait for one when there are none."""
+        after = int(quart.request.args.get("after", "0"))
+        wait_ms = int(quart.request.args.get("wait_ms", "0"))
+        await trio.sleep(self._faults.slow_ms / 1000)
+        with trio.move_on_after(wait_ms / 1000):
+            await self._cache_log.wait_past(after)
+        events, last = self._cache_log.read(after)
+        rows = [
+            {"sequence": event.sequence, **event.change._asdict()}
+            for event in events
+        ]
+        return serving.answer_json({"events": rows, "last": last})
+
+    async def take_order(self) -> quart.Response:
+        """Take an order, which is carried out later."""
+        order = msgspec.json.decode(
+            await self._read_body(), type=engine_orders.Order
+        )
+        if self.orders.take(order):
+            return serving.answer_json({}, 202)
+        return serving.answer_json(
+            {"error": "old_fence", "highest": self.orders.highest}, 409
+        )
+
+    # For tests and load tools.
+
+    async def show_witness(self) -> quart.Response:
+        """Show the counts, once each is at least as asked for.
+
+        ``GET /witness?wait_ms=5000&started=2`` waits up to 5 seconds for
+        the second start; ``ended``, ``cancels``, ``resumes`` and ``tokens``
+        can be waited for too.
+        """
+        wanted = {
+            name: int(value) for name, value in quart.request.args.items()
+        }
+        wait_ms = wanted.pop("wait_ms", 0)
+        if not engine_witness.COUNTS.issuperset(wanted):
+            return serving.answer_refusal(400, "no such count")
+        with trio.move_on_after(wait_ms / 1000):
+            await self._witness.wait_for(wanted)
+        orders = [
+            {**taken.order, "refused": taken.refused}
+            for taken in self.orders.history
+        ]
+        return serving.answer_json(
+            {
+                **self._witness.read(),
+                "boot": self._boot,
+                "now": self._scheduler.figures()._asdict(),
+                "orders": orders,
+            }
+        )
+
+    async def set_distributions(self) -> quart.Response:
+        """Set classes of output lengths."""
+        rows = msgspec.json.decode(
+            await serving.read_body(),
+            type=dict[str, dict[str, float]],
+        )
+        classes = {
+            name: msgspec.convert(
+                [row["mean"], row["spread"], row["cap"], row.get("drift", 0)],
+                engine_lengths.LengthClass,
+                strict=False,
+            )
+            for name, row in rows.items()
+        }
+        self._lengths.set_classes(classes, trio.current_time())
+        return await self.show_distributions()
+
+    async def show_distributions(self) -> quart.Response:
+        """Show the classes of output lengths."""
+        return serving.answer_json(
+            {
+                name: row._asdict()
+                for name, row in self._lengths.classes().items()
+            }
+        )
+
+    async def change_faults(self) -> quart.Response:
+        """Change the faults."""
+        body = await serving.read_body()
+        changed = faults.change_faults(self._faults, body)
+        if changed.die:
+            os._exit(1)
+        if changed.reclaim_in_ms is not None:
+            within_s = changed.reclaim_in_ms / 1000
+            self._reclaim_at = trio.current_time() + within_s
+        if changed.drop:
+            self._dropped = changed.drop
+            self._drops += 1
+        self._faults = changed._replace(drop=(), reclaim_in_ms=None)
+        for stream in self._scheduler.streams():
+            stream.wake_readers()
+        self._wake()
+        return serving.answer_json(self._faults._asdict())
+
+    async def await_reclaim(self) -> None:
+        """End the process when the platform takes the engine away."""
+        while True:
+            if self._reclaim_at is None:
+                await self._changed.wait()
+            else:
+                await trio.sleep_until(self._reclaim_at)
+                os._exit(0)
--- a/packages/gentianpoint-standins/src/gentianpoint_standins/hosts.py
+++ b/packages/gentianpoint-standins/src/gentianpoint_standins/hosts.py
@@ -99,7 +99,7 @@
 
     async def put(self, host: str) -> quart.Response:
         """Register a host, or change it."""
-        body = await quart.request.get_data(as_text=False)
+        body = await serving.read_body()
         row = msgspec.json.decode(body, type=HostRow)
         self._add_version({**self._versions[-1].hosts, host: row})
         return serving.answer_json({"host": host})
@@ -113,7 +113,7 @@
 
     async def change(self) -> quart.Response:
         """Change the faults."""
-        body = await quart.request.get_data(as_text=False)
+        body = await serving.read_body()
         self._faults = faults.change_faults(self._faults, body)
         return serving.answer_json(self._faults._asdict())
 
--- a/packages/gentianpoint-standins/src/gentianpoint_standins/log.py
+++ b/packages/gentianpoint-standins/src/gentianpoint_standins/log.py
@@ -65,7 +65,7 @@
 
     async def append(self, name: str) -> quart.Response:
         """Append the body to the stream ``name``."""
-        data = await quart.request.get_data(as_text=False)
+        data = await serving.read_body()
         await trio.sleep(self._faults.slow_ms / 1000)
         if refusal := self._refuse_while_out():
             return refusal
@@ -110,7 +110,7 @@
 
     async def change(self) -> quart.Response:
         """Change the faults."""
-        body = await quart.request.get_data(as_text=False)
+        body = await serving.read_body()
         changed = faults.change_faults(self._faults, body)
         for name, offset in changed.expire_before.items():
             self._store.expire_before(name, offset)
--- a/packages/gentianpoint-standins/src/gentianpoint_standins/serving.py
+++ b/packages/gentianpoint-standins/src/gentianpoint_standins/serving.py
@@ -32,6 +32,7 @@
     "answer_refusal",
     "drop_reply",
     "make_app",
+    "read_body",
     "serve_app",
 )
 
@@ -92,6 +93,11 @@
     return quart.Response(break_off(), headers={"Content-Length": "1000"})
 
 
+async def read_body() -> bytes:
+    """Return the body of the call being served."""
+    return typing.cast(bytes, await quart.request.get_data(as_text=False))
+
+
 def _parse_address(address: str) -> str:
     option_types.split_address(address)
     return address
