--- /dev/null
+++ b/features/__init__.py
@@ -0,0 +1,1 @@
+"""Features of the whole system, with real processes."""
--- /dev/null
+++ b/features/builders.py
@@ -0,0 +1,144 @@
+"""Builders of deployments, resources and requests for the features."""
+
+from collections import abc
+import typing
+
+import httpx
+
+from gentianpoint_entry import authentication
+from gentianpoint_standins import processes
+
+CUSTOMER_KEY: typing.Final = "key-of-rebobinados"
+OTHER_KEY: typing.Final = "key-of-another"
+MODEL: typing.Final = "modelo-taller"
+PLAIN: typing.Final = "app-banco"
+DATA_CENTRES: typing.Final = ("zona-norte", "zona-sur", "zona-oeste")
+CALL_TIMEOUT_S: typing.Final = 60.0
+
+
+class Target(typing.NamedTuple):
+    """An engine or plain service with its agent."""
+
+    target: processes.ProcessHandle
+    agent: processes.ProcessHandle
+
+
+class Fixture(typing.NamedTuple):
+    """The processes of one scenario."""
+
+    deployment: processes.LocalDeployment
+    log: processes.ProcessHandle
+    hosts: processes.ProcessHandle
+    entries: abc.Sequence[processes.ProcessHandle]
+    targets: abc.Sequence[Target]
+
+
+def make_headers(key: str = CUSTOMER_KEY, **more: str) -> dict[str, str]:
+    """Return headers of a caller; ``prepare="true"`` adds ours."""
+    headers = {"Authorization": f"Bearer {key}"}
+    for name, value in more.items():
+        words = [word.capitalize() for word in name.split("_")]
+        headers["-".join(["Gentianpoint", *words])] = value
+    return headers
+
+
+def make_customer(key: str, **more: typing.Any) -> dict[str, typing.Any]:
+    """Return the specification of a customer with one key."""
+    return {"key_hashes": [authentication.hash_key(key)], **more}
+
+
+def make_service(kind: str = "model", **more: typing.Any) -> dict[str, object]:
+    """Return the specification of a service for all customers."""
+    return {"kind": kind, "customers": ["*"], **more}
+
+
+def start_target(
+    deployment: processes.LocalDeployment,
+    number: int,
+    service: str = MODEL,
+    engine: abc.Mapping[str, processes.Option] = {},
+    **agent: processes.Option,
+) -> Target:
+    """Start an engine, or a plain service, with its agent."""
+    data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
+    if service == PLAIN:
+        target = deployment.start_plain(f"plain-{number}", **engine)
+        agent.setdefault("target_kind", "plain")
+    else:
+        target = deployment.start_engine(f"engine-{number}", **engine)
+    agent.setdefault("log_level", "debug")
+    handle = deployment.start_agent(
+        f"{service}-{number}", data_centre, service, target.url, **agent
+    )
+    deployment.register_host(handle, data_centre, service)
+    return Target(target, handle)
+
+
+def wait_for_link(entry: processes.ProcessHandle, target: Target) -> None:
+    """Wait until an entry has greeted a target's agent."""
+    entry.log.wait_for_event(
+        "connection_opened",
+        matches=lambda event: event["peer"] == target.agent.name,
+    )
+
+
+def start_fixture(
+    deployment: processes.LocalDeployment,
+    entries: int = 1,
+    targets: int = 1,
+    service: str = MODEL,
+    engine: abc.Mapping[str, processes.Option] = {},
+    spec: abc.Mapping[str, typing.Any] = {},
+    entry: abc.Mapping[str, processes.Option] = {},
+    **agent: processes.Option,
+) -> Fixture:
+    """Start a deployment, declare its service and wait until it serves."""
+    log = deployment.start_log()
+    hosts = deployment.start_hosts()
+    running = []
+    for number in range(entries):
+        data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
+        options = {"log_level": "debug", "hosts_poll_ms": 100, **entry}
+        handle = deployment.start_entry(
+            f"entry-{number}", data_centre, **options
+        )
+        deployment.register_host(handle, data_centre)
+        running.append(handle)
+    started = [
+        start_target(deployment, number, service, engine, **agent)
+        for number in range(targets)
+    ]
+    kind = "plain" if service == PLAIN else "model"
+    deployment.declare("customers", "rebobinados", make_customer(CUSTOMER_KEY))
+    deployment.declare("customers", "another", make_customer(OTHER_KEY))
+    revision = deployment.declare(
+        "services", service, {**make_service(kind), **spec}
+    )["revision"]
+    for handle in running:
+        handle.log.wait_for_event(
+            "configuration_applied",
+            matches=lambda event: event["offset"] >= revision,
+        )
+        for row in started:
+            wait_for_link(handle, row)
+    for row in started:
+        row.agent.log.wait_for_event(
+            "configuration_applied",
+            matches=lambda event: event["revision"] >= revision,
+        )
+    return Fixture(deployment, log, hosts, running, started)
+
+
+def complete(
+    entry: processes.ProcessHandle,
+    prompt: str,
+    headers: typing.Optional[abc.Mapping[str, str]] = None,
+    **body: typing.Any,
+) -> httpx.Response:
+    """Ask for a completion and return the whole answer."""
+    return httpx.post(
+        f"{entry.url}/v1/completions",
+        json={"model": MODEL, "prompt": prompt, **body},
+        headers=headers or make_headers(),
+        timeout=CALL_TIMEOUT_S,
+    )
--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,14 @@
+"""Starts and stops the processes of each scenario."""
+
+from gentianpoint_standins import processes
+
+
+def before_scenario(context, scenario):
+    context.deployment = processes.LocalDeployment()
+
+
+def after_scenario(context, scenario):
+    if scenario.status.name != "passed":
+        for handle in context.deployment.handles:
+            print(f"--- {handle.name}\n{handle.log.tail()}")
+    context.deployment.stop_all()
--- /dev/null
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/agent.py
@@ -0,0 +1,206 @@
+"""The agent's process: its tasks, from start to graceful shutdown."""
+
+import functools
+import hmac
+import http
+import signal
+import typing
+
+import httpx
+import trio
+import websockets.http11
+import websockets.trio.server
+
+from gentianpoint_agent import admission
+from gentianpoint_agent import agent_state
+from gentianpoint_agent import call_runner
+from gentianpoint_agent import engine_runner
+from gentianpoint_agent import entry_connections
+from gentianpoint_agent import plain_runner
+from gentianpoint_agent import service_in_force
+from gentianpoint_agent.generated import settings as agent_settings
+from gentianpoint_core import http_engine
+from gentianpoint_core import http_plain_service
+from gentianpoint_core import logs
+from gentianpoint_core import option_types
+from gentianpoint_core import peer_connections
+from gentianpoint_core import ports
+from gentianpoint_core import telemetry
+from gentianpoint_core.generated import events
+
+__all__ = ("run_agent",)
+
+_HOUSEKEEPING_S: typing.Final = 0.2
+_LOAD_POLL_S: typing.Final = 0.2
+_DRAIN_POLL_S: typing.Final = 0.05
+_PLAIN_SILENCE_MS: typing.Final = 60_000
+_CLOSE_TIMEOUT_S: typing.Final = 1
+
+
+def _check_peer_key(
+    key: str,
+    connection: websockets.trio.server.ServerConnection,
+    request: websockets.http11.Request,
+) -> typing.Optional[websockets.http11.Response]:
+    given = request.headers.get(peer_connections.PEER_KEY_HEADER, "")
+    if hmac.compare_digest(given.encode(), key.encode()):
+        return None
+    logs.log_event(
+        events.CONNECTION_REFUSED,
+        step="check peer key",
+        peer=str(connection.remote_address),
+        reason="the peer key is wrong",
+    )
+    return connection.respond(http.HTTPStatus.UNAUTHORIZED, "wrong peer key\n")
+
+
+async def _serve_connection(
+    state: agent_state.AgentState,
+    websocket: websockets.trio.server.ServerConnection,
+) -> None:
+    settings = state.settings
+    connection = peer_connections.PeerConnection(
+        websocket,
+        str(websocket.remote_address),
+        settings.heartbeat_ms,
+        settings.silence_ms,
+    )
+    try:
+        await entry_connections.EntryConnection(connection, state).serve()
+    except* peer_connections.PeerConnectionError as group:
+        error = group.exceptions[0]
+        assert isinstance(error, peer_connections.PeerConnectionError)
+        refused = error.step == "decode message"
+        logs.log_event(
+            events.MESSAGE_REFUSED if refused else events.CONNECTION_LOST,
+            step=error.step,
+            peer=connection.peer,
+            reason=error.reason,
+        )
+
+
+async def _listen(
+    state: agent_state.AgentState,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    settings = state.settings
+    address, port = option_types.split_address(settings.listen)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(
+            functools.partial(
+                websockets.trio.server.serve,
+                functools.partial(_serve_connection, state),
+                port,
+                host=address,
+                compression=None,
+                ping_interval=None,
+                close_timeout=_CLOSE_TIMEOUT_S,
+                max_size=settings.max_body_bytes * 2,
+                process_request=functools.partial(
+                    _check_peer_key, settings.peer_key
+                ),
+            )
+        )
+        logs.log_event(
+            events.AGENT_STARTED,
+            listen=settings.listen,
+            service=settings.service,
+            target=settings.target,
+            incarnation=state.table.incarnation,
+        )
+        task_status.started()
+
+
+async def _watch_engine(
+    state: agent_state.AgentState, engine: ports.Engine
+) -> None:
+    available = True
+    while True:
+        try:
+            load = await engine.read_load()
+        except ports.PortError as error:
+            if available:
+                logs.log_event(
+                    events.ENGINE_UNAVAILABLE,
+                    step=error.step,
+                    peer=error.peer,
+                    reason=error.reason,
+                )
+            available = False
+        else:
+            available = True
+            state.control.load = load
+            if load.reclaim_in_ms is not None:
+                state.lifecycle.start_leaving("the engine is reclaimed")
+        await trio.sleep(_LOAD_POLL_S)
+
+
+async def _keep_house(state: agent_state.AgentState) -> None:
+    while True:
+        await trio.sleep(_HOUSEKEEPING_S)
+        state.table.forget_expired()
+        state.abandon_orphans()
+
+
+async def _watch_signals(state: agent_state.AgentState) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        await state.lifecycle.watch_signals(signals, "told to stop")
+
+
+async def _wait_drained(state: agent_state.AgentState) -> None:
+    """Wait until no call runs and no ended one waits to be read."""
+    while state.table.list_running() or state.table.has_unread():
+        await trio.sleep(_DRAIN_POLL_S)
+
+
+async def run_agent(settings: agent_settings.AgentSettings) -> None:
+    """Run the agent until it is told to stop and its calls have ended."""
+    logs.configure_logs(settings.name, settings.log_level)
+    telemetry.configure_telemetry(
+        settings.name,
+        "gentianpoint-agent",
+        settings.otlp_url,
+        settings.trace_log,
+    )
+    limits = httpx.Limits(max_connections=None, max_keepalive_connections=64)
+    async with (
+        httpx.AsyncClient(limits=limits, trust_env=False) as client,
+        trio.open_nursery() as calls,
+        trio.open_nursery() as nursery,
+    ):
+        control = admission.AdmissionControl(None)
+        service = service_in_force.ServiceInForce(settings.service)
+        engine = http_engine.HttpEngine(
+            settings.target_url, client, settings.silence_ms
+        )
+        runner: call_runner.CallRunner
+        if settings.target_kind == "plain":
+            runner = plain_runner.PlainRunner(
+                control,
+                http_plain_service.HttpPlainService(
+                    settings.target_url, client, _PLAIN_SILENCE_MS
+                ),
+            )
+        else:
+            runner = engine_runner.EngineRunner(
+                control, engine, service, telemetry.GenerationInstruments()
+            )
+        state = agent_state.AgentState(
+            settings, calls, control, runner, service
+        )
+        await nursery.start(_listen, state)
+        nursery.start_soon(_watch_signals, state)
+        nursery.start_soon(_keep_house, state)
+        if settings.target_kind == "engine":
+            nursery.start_soon(_watch_engine, state, engine)
+        await state.lifecycle.wait_leaving()
+        with trio.move_on_after(settings.shutdown_within_ms / 1000) as scope:
+            await _wait_drained(state)
+        if scope.cancelled_caught:
+            logs.log_event(
+                events.SHUTDOWN_OVERDUE,
+                running=len(state.table.list_running()),
+            )
+        nursery.cancel_scope.cancel()
+        calls.cancel_scope.cancel()
+    logs.log_event(events.PROCESS_STOPPED)
--- /dev/null
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/agent_state.py
@@ -0,0 +1,92 @@
+"""What the tasks of one agent share."""
+
+import typing
+
+import trio
+
+from gentianpoint_agent import admission
+from gentianpoint_agent import call_runner
+from gentianpoint_agent import generation_table
+from gentianpoint_agent import generations
+from gentianpoint_agent import lifecycle
+from gentianpoint_agent import service_in_force
+from gentianpoint_agent.generated import settings as agent_settings
+from gentianpoint_core import logs
+from gentianpoint_core.generated import events
+from gentianpoint_core.generated import messages
+
+__all__ = ("AgentState",)
+
+
+class AgentState:
+    """The table of generations, the service in force and the calls."""
+
+    def __init__(
+        self,
+        settings: agent_settings.AgentSettings,
+        nursery: trio.Nursery,
+        control: admission.AdmissionControl,
+        runner: call_runner.CallRunner,
+        service: service_in_force.ServiceInForce,
+    ) -> None:
+        """Run calls in ``nursery`` by ``runner``."""
+        self.settings: typing.Final = settings
+        self.table: typing.Final = generation_table.GenerationTable(
+            settings.target, settings.retain_ms, settings.retain_bytes
+        )
+        self.lifecycle: typing.Final = lifecycle.Lifecycle()
+        self.service: typing.Final = service
+        self.control: typing.Final = control
+        self._nursery: typing.Final = nursery
+        self._runner: typing.Final = runner
+
+    def is_plain(self) -> bool:
+        """Tell whether the target is a plain service."""
+        return self.settings.target_kind == "plain"
+
+    def start_call(
+        self,
+        generation: generations.Generation,
+        order: call_runner.StartOrder,
+    ) -> None:
+        """Run a call in a task of its own."""
+        self._nursery.start_soon(self._run_call, generation, order)
+
+    async def _run_call(
+        self,
+        generation: generations.Generation,
+        order: call_runner.StartOrder,
+    ) -> None:
+        await self._runner.run(generation, order)
+        self.table.retire(generation)
+
+    def make_report(self) -> messages.Report:
+        """Return the load as entries are told it."""
+        load = self.control.load
+        used = load.blocks_used / load.blocks if load and load.blocks else 0.0
+        return {
+            "type": "report",
+            "running": self.control.count_running(),
+            "queued": self.control.count_queued(),
+            "memory_used": used,
+            "memory_predicted": used,
+            "pace_ms": 0.0,
+            "queue_wait_ms": 0.0,
+            "age_ms": load.age_ms if load else 0,
+            "prefixes": [],
+        }
+
+    def abandon_orphans(self) -> None:
+        """Cancel generations that nobody has read for too long.
+
+        A generation that may run only once goes on: its work is billed, and
+        its customer can still fetch it.
+        """
+        for generation in self.table.list_running():
+            if generation.abandon_at.is_past() and generation.repeatable:
+                logs.log_event(
+                    events.GENERATION_ABANDONED,
+                    generation=generation.identifier,
+                    repeatable=generation.repeatable,
+                )
+                generation.cancel()
--- /dev/null
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/entry_connections.py
@@ -0,0 +1,353 @@
+"""Serves the connections of entries.
+
+One task reads a connection straight down; beside it one sends heartbeats,
+one gathers items for a few milliseconds and sends them in one message, and
+one sends load reports.
+"""
+
+import math
+import typing
+
+import trio
+
+from gentianpoint_agent import agent_state
+from gentianpoint_agent import call_feeds
+from gentianpoint_agent import call_runner
+from gentianpoint_agent import generations
+from gentianpoint_core import codec
+from gentianpoint_core import deadlines
+from gentianpoint_core import errors
+from gentianpoint_core import logs
+from gentianpoint_core import peer_connections
+from gentianpoint_core.generated import events
+from gentianpoint_core.generated import messages
+
+__all__ = ("EntryConnection",)
+
+_MAX_WINDOW: typing.Final = 65536
+_LEAVING_RETRY_MS: typing.Final = 500
+
+
+class EntryConnection:
+    """One entry's connection and the calls on it."""
+
+    def __init__(
+        self,
+        connection: peer_connections.PeerConnection,
+        state: agent_state.AgentState,
+    ) -> None:
+        """Serve ``connection`` for the agent whose state is ``state``."""
+        self._connection: typing.Final = connection
+        self._state: typing.Final = state
+        self._feeds: typing.Final[dict[int, call_feeds.CallFeed]] = {}
+        self._dirty: set[call_feeds.CallFeed] = set()
+        self._wake = trio.Event()
+        self._window = 1
+
+    async def serve(self) -> None:
+        """Serve the entry until the connection is lost."""
+        try:
+            await self._greet()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._connection.keep_alive)
+                nursery.start_soon(self._send_items)
+                nursery.start_soon(self._send_reports)
+                nursery.start_soon(self._tell_leaving)
+                await self._read_messages()
+        finally:
+            for feed in self._feeds.values():
+                feed.close(self._state.settings.orphan_ms)
+
+    async def _greet(self) -> None:
+        hello = await self._connection.receive()
+        reason = ""
+        if hello["type"] != "hello":
+            reason = f"the first message is {hello['type']}, not hello"
+        elif hello["version"] != codec.PROTOCOL_VERSION:
+            reason = f"protocol version {hello['version']} is not spoken here"
+        if reason:
+            await self._connection.send({"type": "reject", "reason": reason})
+            raise peer_connections.PeerConnectionError(
+                "greet", self._connection.peer, reason
+            )
+        self._connection.peer = hello["peer"]
+        self._window = min(max(1, hello["window"]), _MAX_WINDOW)
+        await self._connection.send(self._make_welcome())
+        logs.log_event(
+            events.CONNECTION_OPENED,
+            peer=hello["peer"],
+            incarnation=hello["incarnation"],
+        )
+
+    def _make_welcome(self) -> messages.Welcome:
+        settings = self._state.settings
+        return {
+            "type": "welcome",
+            "version": codec.PROTOCOL_VERSION,
+            "peer": settings.name,
+            "incarnation": self._state.table.incarnation,
+            "data_centre": settings.data_centre,
+            "service": settings.service,
+            "target": settings.target,
+            "offset": self._state.service.offset,
+            "leaving": self._state.lifecycle.is_leaving(),
+        }
+
+    async def _read_messages(self) -> None:
+        while True:
+            message = await self._connection.receive()
+            try:
+                await self._handle(message)
+            except errors.CallError as error:
+                await self._refuse(
+                    message["call"],
+                    error.code,
+                    error.reason,
+                    error.retry_after_ms,
+                )
+
+    async def _handle(self, message: codec.MessageMap) -> None:
+        match message["type"]:
+            case "offer":
+                await self._take_offer(typing.cast(messages.Offer, message))
+            case "prepare":
+                await self._prepare(typing.cast(messages.Prepare, message))
+            case "resume":
+                await self._resume(typing.cast(messages.Resume, message))
+            case "retract":
+                self._retract(message["call"])
+            case "cancel":
+                await self._cancel(typing.cast(messages.Cancel, message))
+            case "release":
+                self._release(message["call"])
+            case "acknowledge":
+                feed = self._feeds.get(message["call"])
+                if feed is not None:
+                    feed.acknowledge(message["through"])
+            case "configure":
+                await self._configure(typing.cast(messages.Configure, message))
+            case other:
+                raise peer_connections.PeerConnectionError(
+                    "read message",
+                    self._connection.peer,
+                    f"an entry does not send {other}",
+                )
+
+    async def _take_offer(self, offer: messages.Offer) -> None:
+        if offer["call"] in self._feeds:
+            # A call number seen twice must not start a second generation.
+            return
+        generation, is_new = self._open_generation(offer)
+        self._attach(offer["call"], generation, 0)
+        await self._connection.send(
+            {
+                "type": "admitted",
+                "call": offer["call"],
+                "generation": generation.identifier,
+            }
+        )
+        logs.log_event(
+            events.CALL_ADMITTED,
+            generation=generation.identifier,
+            entry=self._connection.peer,
+            repeatable=generation.repeatable,
+            attached=not is_new,
+        )
+        if is_new:
+            self._state.start_call(generation, self._make_order(offer))
+
+    def _open_generation(
+        self, offer: messages.Offer
+    ) -> tuple[generations.Generation, bool]:
+        customer = offer["customer"]
+        is_plain = offer["request"]["kind"] == "plain"
+        identifier = offer.get("generation", "")
+        if identifier:
+            known = self._state.table.find(identifier, customer)
+            if known is not None:
+                return known, False
+        if self._state.lifecycle.is_leaving():
+            raise errors.CallError(
+                errors.NOT_RUN,
+                "the target is leaving",
+                step="take offer",
+                retry_after_ms=_LEAVING_RETRY_MS,
+            )
+        if is_plain != self._state.is_plain():
+            raise errors.CallError(
+                errors.INVALID_REQUEST,
+                "the service does not answer this kind of call",
+                step="take offer",
+            )
+        if identifier:
+            return self._state.table.start_prepared(
+                identifier, customer, is_plain, offer["repeatable"]
+            )
+        created = self._state.table.create(
+            customer, is_plain, offer["repeatable"]
+        )
+        return created, True
+
+    def _make_order(self, offer: messages.Offer) -> call_runner.StartOrder:
+        finish_ms = offer["finish_within_ms"] or math.inf
+        return call_runner.StartOrder(
+            offer,
+            self._connection.peer,
+            deadlines.make_deadline(offer["start_within_ms"]),
+            deadlines.make_deadline(finish_ms),
+        )
+
+    def _attach(
+        self, call: int, generation: generations.Generation, after: int
+    ) -> None:
+        feed = call_feeds.CallFeed(
+            call, generation, after, self._window, self._mark_dirty
+        )
+        self._feeds[call] = feed
+        feed.notify()
+
+    def _mark_dirty(self, feed: call_feeds.CallFeed) -> None:
+        self._dirty.add(feed)
+        self._wake.set()
+
+    async def _prepare(self, message: messages.Prepare) -> None:
+        if self._state.lifecycle.is_leaving():
+            raise errors.CallError(
+                errors.NOT_RUN,
+                "the target is leaving",
+                step="prepare generation",
+                retry_after_ms=_LEAVING_RETRY_MS,
+            )
+        prepared = self._state.table.prepare(message["customer"])
+        logs.log_event(
+            events.CALL_PREPARED,
+            generation=prepared.identifier,
+            entry=self._connection.peer,
+        )
+        await self._connection.send(
+            {
+                "type": "prepared",
+                "call": message["call"],
+                "generation": prepared.identifier,
+                "expires_ms": prepared.expires_at.remaining_ms(),
+            }
+        )
+
+    async def _resume(self, message: messages.Resume) -> None:
+        generation = self._state.table.find(
+            message["generation"], message["customer"]
+        )
+        if generation is None:
+            raise errors.CallError(
+                errors.UNKNOWN_GENERATION,
+                "no such generation is held here",
+                step="resume generation",
+            )
+        if message["after"] > generation.count_items():
+            raise errors.CallError(
+                errors.INVALID_REQUEST,
+                f"the generation has only {generation.count_items()} items",
+                step="resume generation",
+            )
+        self._attach(message["call"], generation, message["after"])
+        await self._connection.send(
+            {
+                "type": "admitted",
+                "call": message["call"],
+                "generation": generation.identifier,
+            }
+        )
+
+    def _retract(self, call: int) -> None:
+        feed = self._feeds.get(call)
+        if feed is not None:
+            feed.generation.retract()
+
+    async def _cancel(self, message: messages.Cancel) -> None:
+        generation = self._state.table.find(
+            message["generation"], message["customer"]
+        )
+        if generation is not None:
+            generation.cancel()
+        await self._connection.send(
+            {
+                "type": "cancelled",
+                "call": message["call"],
+                "known": generation is not None,
+            }
+        )
+
+    def _release(self, call: int) -> None:
+        feed = self._feeds.pop(call, None)
+        if feed is not None:
+            feed.close(self._state.settings.orphan_ms)
+
+    async def _configure(self, message: messages.Configure) -> None:
+        self._state.service.take(message)
+        await self._connection.send(
+            {
+                "type": "configured",
+                "offset": self._state.service.offset,
+                "revision": self._state.service.revision,
+            }
+        )
+
+    async def _refuse(
+        self, call: int, code: str, reason: str, retry_after_ms: int
+    ) -> None:
+        await self._connection.send(
+            {
+                "type": "refused",
+                "call": call,
+                "code": code,
+                "reason": reason,
+                "retry_after_ms": retry_after_ms,
+            }
+        )
+
+    async def _send_items(self) -> None:
+        batch_s = self._state.settings.batch_ms / 1000
+        while True:
+            await self._wake.wait()
+            await trio.sleep(batch_s)
+            self._wake = trio.Event()
+            dirty, self._dirty = self._dirty, set()
+            runs = [run for feed in dirty if (run := feed.take_run())]
+            if runs:
+                await self._connection.send({"type": "items", "runs": runs})
+            for feed in dirty:
+                if feed.is_drained() and feed.call in self._feeds:
+                    await self._send_end(feed)
+
+    async def _send_end(self, feed: call_feeds.CallFeed) -> None:
+        generation = feed.generation
+        end = generation.end
+        assert end is not None
+        self._release(feed.call)
+        if end.reason == generations.NOT_RUN:
+            await self._refuse(
+                feed.call, end.reason, end.detail, end.retry_after_ms
+            )
+            return
+        await self._connection.send(
+            {
+                "type": "ended",
+                "call": feed.call,
+                "reason": end.reason,
+                "count": generation.count_items(),
+                "prompt_tokens": end.prompt_tokens,
+                "completion_tokens": end.completion_tokens,
+                "detail": end.detail,
+            }
+        )
+
+    async def _send_reports(self) -> None:
+        while True:
+            await self._connection.send(self._state.make_report())
+            await trio.sleep(self._state.settings.report_ms / 1000)
+
+    async def _tell_leaving(self) -> None:
+        await self._state.lifecycle.wait_leaving()
+        await self._connection.send(
+            {"type": "leaving", "reason": self._state.lifecycle.reason}
+        )
--- /dev/null
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/generation_table.py
@@ -0,0 +1,203 @@
+"""The generations of one agent, by identifier.
+
+Only the run of the process that gave an identifier out may start it, and
+only once. Identifiers that were given out but are in no table any more may
+have run: nothing is ever started for them, and nobody is told that they did
+not run.
+"""
+
+from collections import abc
+import secrets
+import typing
+
+from gentianpoint_agent import generations
+from gentianpoint_core import deadlines
+from gentianpoint_core import errors
+from gentianpoint_core import generation_ids
+
+__all__ = ("GenerationTable", "PreparedGeneration")
+
+_INCARNATION_BYTES: typing.Final = 6
+_PREPARED_WITHIN_MS: typing.Final = 600_000
+_MOST_PREPARED: typing.Final = 10_000
+
+
+class PreparedGeneration(typing.NamedTuple):
+    """An identifier that may be started once."""
+
+    identifier: str
+    """The identifier."""
+    customer: str
+    """Customer it was given to."""
+    expires_at: deadlines.Deadline
+    """Until when it can be started."""
+
+
+class GenerationTable:
+    """Prepared, running and ended generations of one run of an agent."""
+
+    def __init__(self, target: str, retain_ms: int, retain_bytes: int) -> None:
+        """Make an empty table with a new incarnation."""
+        self.incarnation: typing.Final = secrets.token_hex(_INCARNATION_BYTES)
+        self._target: typing.Final = target
+        self._retain_ms: typing.Final = retain_ms
+        self._retain_bytes: typing.Final = retain_bytes
+        self._last_number = 0
+        self._ended_bytes = 0
+        self._prepared: dict[str, PreparedGeneration] = {}
+        self._refused: dict[str, PreparedGeneration] = {}
+        self._running: dict[str, generations.Generation] = {}
+        self._ended: dict[str, generations.Generation] = {}
+
+    def list_running(self) -> abc.Sequence[generations.Generation]:
+        """Return the generations that have not ended."""
+        return tuple(self._running.values())
+
+    def has_unread(self) -> bool:
+        """Tell whether an ended generation is still being read."""
+        return any(item.has_readers() for item in self._ended.values())
+
+    def _make_identifier(self) -> str:
+        self._last_number += 1
+        return generation_ids.format_generation_id(
+            generation_ids.make_generation_id(
+                self._target, self.incarnation, self._last_number
+            )
+        )
+
+    def prepare(self, customer: str) -> PreparedGeneration:
+        """Give out an identifier for one later start.
+
+        Raises :class:`errors.CallError` with ``not_run`` when too many wait
+        to be started, so that callers who never start any can't fill the
+        memory.
+        """
+        if len(self._prepared) >= _MOST_PREPARED:
+            raise errors.CallError(
+                errors.NOT_RUN,
+                "too many prepared generations wait to be started",
+                step="prepare generation",
+                peer=self._target,
+                retry_after_ms=_PREPARED_WITHIN_MS // 10,
+            )
+        prepared = PreparedGeneration(
+            self._make_identifier(),
+            customer,
+            deadlines.make_deadline(_PREPARED_WITHIN_MS),
+        )
+        self._prepared[prepared.identifier] = prepared
+        return prepared
+
+    def create(
+        self, customer: str, is_plain: bool, repeatable: bool
+    ) -> generations.Generation:
+        """Return a new generation with an identifier of its own."""
+        return self._add(
+            generations.Generation(
+                self._make_identifier(), customer, is_plain, repeatable
+            )
+        )
+
+    def start_prepared(
+        self, identifier: str, customer: str, is_plain: bool, repeatable: bool
+    ) -> tuple[generations.Generation, bool]:
+        """Return the generation of an identifier, and whether it is new.
+
+        A second start attaches to the first. Raises
+        :class:`errors.CallError` with ``outcome_unknown`` for an identifier
+        that this table does not hold: it may have run in an earlier life.
+        """
+        known = self.find(identifier, customer)
+        if known is not None:
+            return known, False
+        self._check_not_refused(identifier, customer)
+        prepared = self._prepared.get(identifier)
+        if prepared is None or prepared.customer != customer:
+            raise errors.CallError(
+                errors.OUTCOME_UNKNOWN,
+                "the identifier is not held here; it may have run",
+                step="start prepared generation",
+                peer=self._target,
+            )
+        del self._prepared[identifier]
+        if prepared.expires_at.is_past():
+            # The identifier never started and now never will, but a second
+            # request for it can't be told from one that did start.
+            raise errors.CallError(
+                errors.OUTCOME_UNKNOWN,
+                "the identifier has expired",
+                step="start prepared generation",
+                peer=self._target,
+            )
+        generation = generations.Generation(
+            identifier, customer, is_plain, repeatable
+        )
+        generation.prepared = True
+        return self._add(generation), True
+
+    def _check_not_refused(self, identifier: str, customer: str) -> None:
+        refused = self._refused.get(identifier)
+        if refused is not None and refused.customer == customer:
+            raise errors.CallError(
+                errors.NOT_RUN,
+                "the identifier was refused; prepare another one",
+                step="start prepared generation",
+                peer=self._target,
+                retry_after_ms=1,
+            )
+
+    def _add(
+        self, generation: generations.Generation
+    ) -> generations.Generation:
+        self._running[generation.identifier] = generation
+        return generation
+
+    def find(
+        self, identifier: str, customer: str
+    ) -> typing.Optional[generations.Generation]:
+        """Return a customer's generation, or None.
+
+        Another customer's generation is None too, so that an identifier
+        tells a stranger nothing.
+        """
+        found = self._running.get(identifier) or self._ended.get(identifier)
+        if found is None or found.customer != customer:
+            return None
+        return found
+
+    def retire(self, generation: generations.Generation) -> None:
+        """Move an ended generation to those kept for a while.
+
+        One that did not run is forgotten at once. A prepared identifier of
+        such a one never starts later either: a duplicate of the offer may
+        still be on the way, and would run what the customer was told did
+        not run and has perhaps had run elsewhere since.
+        """
+        self._running.pop(generation.identifier, None)
+        end = generation.end
+        if end is not None and end.reason == generations.NOT_RUN:
+            if generation.prepared:
+                self._refused[generation.identifier] = PreparedGeneration(
+                    generation.identifier,
+                    generation.customer,
+                    deadlines.make_deadline(_PREPARED_WITHIN_MS),
+                )
+            return
+        generation.forget_at = deadlines.make_deadline(self._retain_ms)
+        self._ended[generation.identifier] = generation
+        self._ended_bytes += generation.size_bytes
+
+    def forget_expired(self) -> None:
+        """Drop what is kept too long, and the oldest beyond the limit."""
+        for kept in (self._prepared, self._refused):
+            for identifier, prepared in tuple(kept.items()):
+                if not prepared.expires_at.is_past():
+                    break
+                del kept[identifier]
+        for identifier, generation in tuple(self._ended.items()):
+            too_much = self._ended_bytes > self._retain_bytes
+            if not too_much and not generation.forget_at.is_past():
+                break
+            if not generation.has_readers():
+                del self._ended[identifier]
+                self._ended_bytes -= generation.size_bytes
--- /dev/null
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/lifecycle.py
@@ -0,0 +1,42 @@
+"""Whether the agent takes new work."""
+
+from collections import abc
+import typing
+
+import trio
+
+from gentianpoint_core import logs
+from gentianpoint_core.generated import events
+
+__all__ = ("Lifecycle",)
+
+
+class Lifecycle:
+    """Live until told to leave, then leaving for good."""
+
+    def __init__(self) -> None:
+        """Start live."""
+        self.reason = ""
+        self._leaving: typing.Final = trio.Event()
+
+    def is_leaving(self) -> bool:
+        """Tell whether new work is refused."""
+        return self._leaving.is_set()
+
+    def start_leaving(self, reason: str) -> None:
+        """Refuse new work from now on; ``reason`` is for people."""
+        if not self._leaving.is_set():
+            self.reason = reason
+            logs.log_event(events.LEAVING_STARTED, reason=reason)
+            self._leaving.set()
+
+    async def wait_leaving(self) -> None:
+        """Wait until the process is told to leave."""
+        await self._leaving.wait()
+
+    async def watch_signals(
+        self, signals: abc.AsyncIterable[int], reason: str
+    ) -> None:
+        """Leave at the first of ``signals``."""
+        async for _ in signals:
+            self.start_leaving(reason)
--- /dev/null
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/plain_runner.py
@@ -0,0 +1,72 @@
+"""Runs calls on a plain service."""
+
+import typing
+
+from gentianpoint_agent import admission
+from gentianpoint_agent import call_runner
+from gentianpoint_agent import generations
+from gentianpoint_core import errors
+from gentianpoint_core import ports
+
+__all__ = ("PlainRunner",)
+
+_RETRY_AFTER_MS: typing.Final = 1000
+
+
+class PlainRunner(call_runner.CallRunner):
+    """Sends each call once and keeps its answer's head and chunks."""
+
+    def __init__(
+        self,
+        control: admission.AdmissionControl,
+        service: ports.PlainService,
+    ) -> None:
+        """Send calls to ``service``."""
+        super().__init__(control)
+        self._service: typing.Final = service
+
+    async def run_started(
+        self,
+        generation: generations.Generation,
+        order: call_runner.StartOrder,
+        slot: admission.Slot,
+    ) -> generations.GenerationEnd:
+        """Send the call; see :meth:`call_runner.CallRunner.run_started`."""
+        request = order.offer["request"]
+        headers = [(header[0], header[1]) for header in request["headers"]]
+        try:
+            async with self._service.send_call(
+                request["method"], request["path"], headers, request["body"]
+            ) as answer:
+                generation.add_chunk(
+                    generations.encode_plain_head(
+                        answer.status, answer.headers
+                    )
+                )
+                async for chunk in answer.chunks:
+                    generation.add_chunk(chunk)
+        except ports.PortError as error:
+            return self._describe_failure(generation, error)
+        return generations.GenerationEnd(generations.STOP)
+
+    def _describe_failure(
+        self, generation: generations.Generation, error: ports.PortError
+    ) -> generations.GenerationEnd:
+        if generation.count_items():
+            return generations.GenerationEnd(
+                generations.INCOMPLETE, error.reason
+            )
+        if error.took_effect:
+            return generations.GenerationEnd(
+                generations.OUTCOME_UNKNOWN, error.reason
+            )
+        raise errors.CallError(
+            errors.NOT_RUN,
+            error.reason,
+            step=error.step,
+            peer=error.peer,
+            retry_after_ms=_RETRY_AFTER_MS,
+        )
+
+    async def stop(self, generation: generations.Generation) -> None:
+        """Do nothing: closing the connection was all that can be done."""
--- /dev/null
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/service_in_force.py
@@ -0,0 +1,61 @@
+"""The service resource in force at this agent."""
+
+import typing
+
+import trio
+
+from gentianpoint_core import configuration
+from gentianpoint_core import logs
+from gentianpoint_core.generated import events
+from gentianpoint_core.generated import messages
+from gentianpoint_core.generated import resources
+
+__all__ = ("ServiceInForce",)
+
+_UNDECLARED: typing.Final[resources.ServiceSpec] = {
+    "kind": "model",
+    "customers": [],
+}
+
+
+class ServiceInForce:
+    """What entries told about the service, of which the newest counts.
+
+    Several entries tell, some later than others. An entry that was paused
+    wakes up with an old resource; an agent that took it would let an
+    accepted change revert. So only a higher configuration offset counts.
+    """
+
+    def __init__(self, name: str) -> None:
+        """Start with nothing declared for the service ``name``."""
+        self.name: typing.Final = name
+        self.offset = 0
+        self.revision = 0
+        self.spec: resources.ServiceSpec = _UNDECLARED
+        self._changed = trio.Event()
+
+    def take(self, message: messages.Configure) -> bool:
+        """Take the resource if it is newer; tell whether it was."""
+        if message["offset"] <= self.offset:
+            return False
+        self.offset = message["offset"]
+        if message["revision"] != self.revision:
+            self.revision = message["revision"]
+            self.spec = (
+                configuration.decode_service(message["service"])
+                if message["service"]
+                else _UNDECLARED
+            )
+            logs.log_event(
+                events.CONFIGURATION_APPLIED,
+                offset=self.offset,
+                revision=self.revision,
+                service=self.name,
+            )
+            self._changed.set()
+            self._changed = trio.Event()
+        return True
+
+    async def wait_changed(self) -> None:
+        """Wait until another revision is in force."""
+        await self._changed.wait()
--- /dev/null
+++ b/packages/gentianpoint-core/src/gentianpoint_core/configuration.py
@@ -0,0 +1,331 @@
+"""The configuration: a deterministic fold over the platform's log.
+
+Operators' writes are records of one stream. Every process folds them in the
+order of their offsets by the rule below, so that all agree which of two
+racing writes was accepted, with no leader and no lock: the log is the
+referee. The idea that first write wins and the loser learns it by reading is
+described in "Following the leader: leadership election in XTDB 2.2".
+
+The rule, in this order: bytes that are no change record are passed over; a
+change whose identifier was seen before changes nothing; a specification that
+breaks the schema is refused; a write whose base revision is not the
+resource's current one is refused; a bearer key that another customer has is
+refused; all else is accepted, and the record's offset becomes the revision.
+"""
+
+from collections import abc
+import hashlib
+import typing
+
+import expression
+import jsonschema
+import msgspec
+
+from gentianpoint_core import errors
+from gentianpoint_core.generated import resource_schema
+from gentianpoint_core.generated import resources
+
+__all__ = (
+    "ANY_REVISION",
+    "CONFIGURATION_STREAM",
+    "CUSTOMER",
+    "SERVICE",
+    "ChangeOutcome",
+    "Configuration",
+    "Resource",
+    "decode_customer",
+    "decode_service",
+    "digest_state",
+    "encode_change",
+    "validate_specification",
+)
+
+CONFIGURATION_STREAM: typing.Final = "configuration"
+"""Stream of the log that holds operators' writes."""
+SERVICE: typing.Final = "service"
+"""Kind of a service resource."""
+CUSTOMER: typing.Final = "customer"
+"""Kind of a customer resource."""
+ANY_REVISION: typing.Final = -1
+"""Base revision of a write that replaces whatever is there."""
+_ABSENT: typing.Final = 0
+_KEPT_OUTCOMES: typing.Final = 4096
+_RECORD_VERSION: typing.Final = 1
+
+
+class Resource(typing.NamedTuple):
+    """A declared resource."""
+
+    kind: str
+    """``service`` or ``customer``."""
+    name: str
+    """Name, unique within the kind."""
+    revision: int
+    """Offset of the record that was accepted last."""
+    spec: bytes
+    """Specification as JSON with sorted keys."""
+
+
+class ChangeOutcome(typing.NamedTuple):
+    """What became of one write."""
+
+    change: str
+    """Identifier of the change."""
+    offset: int
+    """Offset of its first record."""
+    kind: str
+    """Kind of the resource."""
+    name: str
+    """Name of the resource."""
+    action: str
+    """``put`` or ``delete``."""
+    accepted: bool
+    """True when it is in force from this offset on."""
+    reason: str
+    """Why it was refused; empty when accepted."""
+
+
+def _make_validator(definition: str) -> jsonschema.protocols.Validator:
+    schema = dict(resource_schema.RESOURCE_SCHEMA)
+    schema["$ref"] = f"#/$defs/{definition}"
+    return jsonschema.Draft202012Validator(schema)
+
+
+_VALIDATORS: typing.Final = {
+    SERVICE: _make_validator("ServiceSpec"),
+    CUSTOMER: _make_validator("CustomerSpec"),
+}
+_RECORD_VALIDATOR: typing.Final = _make_validator("ChangeRecord")
+
+
+def _describe_fault(
+    validator: jsonschema.protocols.Validator, value: typing.Any
+) -> str:
+    fault = jsonschema.exceptions.best_match(validator.iter_errors(value))
+    if fault is None:
+        return ""
+    path = fault.json_path.removeprefix("$").removeprefix(".")
+    return f"{path or 'spec'}: {fault.message}"
+
+
+def validate_specification(
+    kind: str, spec: typing.Any
+) -> expression.Result[bytes, errors.Failure]:
+    """Return ``spec`` as sorted JSON, or the field's path and the reason."""
+    validator = _VALIDATORS.get(kind)
+    if validator is None:
+        return expression.Error(
+            errors.Failure("validate resource", kind, "unknown kind")
+        )
+    fault = _describe_fault(validator, spec)
+    if fault:
+        return expression.Error(
+            errors.Failure("validate resource", kind, fault)
+        )
+    return expression.Ok(msgspec.json.encode(spec, order="sorted"))
+
+
+def encode_change(
+    change: str,
+    action: typing.Literal["put", "delete"],
+    kind: typing.Literal["service", "customer"],
+    name: str,
+    base: int,
+    spec: abc.Mapping[str, typing.Any],
+) -> bytes:
+    """Return the bytes of a change record."""
+    record: resources.ChangeRecord = {
+        "version": _RECORD_VERSION,
+        "change": change,
+        "action": action,
+        "kind": kind,
+        "name": name,
+        "base": base,
+        "spec": dict(spec),
+    }
+    return msgspec.json.encode(record, order="sorted")
+
+
+def decode_service(spec: bytes) -> resources.ServiceSpec:
+    """Return the specification of an accepted service resource."""
+    return msgspec.json.decode(spec, type=resources.ServiceSpec)
+
+
+def decode_customer(spec: bytes) -> resources.CustomerSpec:
+    """Return the specification of an accepted customer resource."""
+    return msgspec.json.decode(spec, type=resources.CustomerSpec)
+
+
+class Configuration:
+    """The state after all records up to an offset.
+
+    The offset only grows. Specifications are kept as JSON and decoded when
+    used, which keeps tens of thousands of customers small.
+    """
+
+    def __init__(self) -> None:
+        """Make the state before the first record."""
+        self.offset = 0
+        self._resources: typing.Final[dict[tuple[str, str], Resource]] = {}
+        self._outcomes: typing.Final[dict[str, ChangeOutcome]] = {}
+        self._customer_of_key: typing.Final[dict[str, str]] = {}
+
+    def find_resource(self, kind: str, name: str) -> typing.Optional[Resource]:
+        """Return a resource, or None when it is not declared."""
+        return self._resources.get((kind, name))
+
+    def list_resources(self, kind: str) -> abc.Sequence[Resource]:
+        """Return the resources of a kind in the order of their names."""
+        return sorted(
+            (item for item in self._resources.values() if item.kind == kind),
+            key=lambda item: item.name,
+        )
+
+    def find_outcome(self, change: str) -> typing.Optional[ChangeOutcome]:
+        """Return what became of a change, or None when it is not known."""
+        return self._outcomes.get(change)
+
+    def list_outcomes(self) -> abc.Sequence[ChangeOutcome]:
+        """Return the outcomes still kept, oldest first."""
+        return tuple(self._outcomes.values())
+
+    def find_customer(self, key_hash: str) -> typing.Optional[str]:
+        """Return the customer that a key's digest belongs to.
+
+        The digest is looked up, never the key: how long a look-up takes
+        tells nothing about keys, since digests can't be chosen.
+        """
+        return self._customer_of_key.get(key_hash)
+
+    def apply_record(
+        self, offset: int, data: bytes
+    ) -> typing.Optional[ChangeOutcome]:
+        """Fold one record and return its outcome, if it has one.
+
+        Records at or below the current offset change nothing, so that a
+        process which reads some of them again can't move backwards.
+        """
+        if offset <= self.offset:
+            return None
+        self.offset = offset
+        self._forget_old_outcomes()
+        record = self._decode_record(data)
+        if record is None or record["change"] in self._outcomes:
+            return None
+        reason = self._find_reason_to_refuse(record)
+        outcome = ChangeOutcome(
+            record["change"],
+            offset,
+            record["kind"],
+            record["name"],
+            record["action"],
+            not reason,
+            reason,
+        )
+        self._outcomes[outcome.change] = outcome
+        if outcome.accepted:
+            self._put_in_force(record, offset)
+        return outcome
+
+    def _decode_record(
+        self, data: bytes
+    ) -> typing.Optional[resources.ChangeRecord]:
+        try:
+            record = msgspec.json.decode(data)
+        except (msgspec.DecodeError, RecursionError):
+            return None
+        if _describe_fault(_RECORD_VALIDATOR, record):
+            return None
+        return typing.cast(resources.ChangeRecord, record)
+
+    def _forget_old_outcomes(self) -> None:
+        # The rule counts offsets, not entries or time, so that every process
+        # forgets a change at the same record and the fold stays the same.
+        limit = self.offset - _KEPT_OUTCOMES
+        while self._outcomes:
+            oldest = next(iter(self._outcomes.values()))
+            if oldest.offset > limit:
+                return
+            del self._outcomes[oldest.change]
+
+    def _find_reason_to_refuse(self, record: resources.ChangeRecord) -> str:
+        current = self.find_resource(record["kind"], record["name"])
+        revision = current.revision if current else _ABSENT
+        if record["base"] not in (ANY_REVISION, revision):
+            return f"revision is {revision}, the write is based on " + str(
+                record["base"]
+            )
+        if record["action"] == "delete":
+            return "" if current else "no such resource"
+        fault = _describe_fault(_VALIDATORS[record["kind"]], record["spec"])
+        if fault or record["kind"] != CUSTOMER:
+            return fault
+        for key_hash in record["spec"]["key_hashes"]:
+            owner = self._customer_of_key.get(key_hash, record["name"])
+            if owner != record["name"]:
+                return "key_hashes: another customer has one of the keys"
+        return ""
+
+    def _put_in_force(
+        self, record: resources.ChangeRecord, offset: int
+    ) -> None:
+        place = (record["kind"], record["name"])
+        self._forget_keys(self._resources.pop(place, None))
+        if record["action"] == "delete":
+            return
+        resource = Resource(
+            record["kind"],
+            record["name"],
+            offset,
+            msgspec.json.encode(record["spec"], order="sorted"),
+        )
+        self._add_resource(resource)
+
+    def _add_resource(self, resource: Resource) -> None:
+        self._resources[resource.kind, resource.name] = resource
+        if resource.kind == CUSTOMER:
+            for key_hash in decode_customer(resource.spec)["key_hashes"]:
+                self._customer_of_key[key_hash] = resource.name
+
+    def _forget_keys(self, resource: typing.Optional[Resource]) -> None:
+        if resource is None or resource.kind != CUSTOMER:
+            return
+        for key_hash in decode_customer(resource.spec)["key_hashes"]:
+            self._customer_of_key.pop(key_hash, None)
+
+    def encode_state(self) -> bytes:
+        """Return the whole state, the same bytes in every process."""
+        return msgspec.json.encode(
+            [
+                self.offset,
+                sorted(self._resources.values()),
+                list(self._outcomes.values()),
+            ]
+        )
+
+    @classmethod
+    def decode_state(
+        cls, data: bytes
+    ) -> expression.Result["Configuration", errors.Failure]:
+        """Return the state in ``data``, or why there is none."""
+        state = cls()
+        try:
+            offset, kept, outcomes = msgspec.json.decode(
+                data,
+                type=tuple[int, list[Resource], list[ChangeOutcome]],
+            )
+        except (msgspec.DecodeError, RecursionError) as error:
+            return expression.Error(
+                errors.Failure("decode configuration", "", str(error))
+            )
+        state.offset = offset
+        for resource in kept:
+            state._add_resource(resource)
+        for outcome in outcomes:
+            state._outcomes[outcome.change] = outcome
+        return expression.Ok(state)
+
+
+def digest_state(data: bytes) -> str:
+    """Return the SHA-256 digest in hex of an encoded state."""
+    return hashlib.sha256(data).hexdigest()
--- a/packages/gentianpoint-core/src/gentianpoint_core/logs.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/logs.py
@@ -42,6 +42,6 @@
         _LEVELS[event.level.upper()],
         event.name,
         number=event.number,
-        level=event.level,
+        severity=event.level,
         **fields,
     )
--- a/packages/gentianpoint-core/src/gentianpoint_core/option_types.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/option_types.py
@@ -5,12 +5,11 @@
 """
 
 import ipaddress
-import typing
 import urllib.parse
 
-import click
+import typer
 
-__all__ = ("AddressType", "UrlType", "split_address")
+__all__ = ("parse_address", "parse_url", "split_address")
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -28,44 +27,33 @@
     return host, number
 
 
-class AddressType(click.ParamType[str]):
-    """An IP number with a port, such as ``127.0.0.1:8080``."""
+def parse_address(value: str) -> str:
+    """Return an address, or tell the user what is wrong with it."""
+    try:
+        split_address(value)
+    except ValueError as error:
+        raise typer.BadParameter(
+            f"{value!r} is no IP number with port: {error}"
+        ) from error
+    return value
 
-    name = "address"
 
-    def convert(
-        self,
-        value: typing.Any,
-        param: typing.Optional[click.Parameter],
-        ctx: typing.Optional[click.Context],
-    ) -> str:
-        """Return the text, or fail with the reason."""
-        try:
-            split_address(value)
-        except ValueError as error:
-            self.fail(f"{value!r} is no IP number with port: {error}")
-        return str(value)
+def parse_url(value: str) -> str:
+    """Return an HTTP URL of an IP number without a closing slash.
 
-
-class UrlType(click.ParamType[str]):
-    """An HTTP URL whose host is an IP number; empty text is allowed."""
-
-    name = "url"
-
-    def convert(
-        self,
-        value: typing.Any,
-        param: typing.Optional[click.Parameter],
-        ctx: typing.Optional[click.Context],
-    ) -> str:
-        """Return the URL without a closing slash, or fail."""
-        if value == "":
-            return ""
-        parts = urllib.parse.urlsplit(value)
-        if parts.scheme not in ("http", "https"):
-            self.fail(f"{value!r} does not start with http:// or https://")
-        try:
-            ipaddress.ip_address(parts.hostname or "")
-        except ValueError as error:
-            self.fail(f"{value!r} names no IP number: {error}")
-        return str(value).rstrip("/")
+    Empty text stands for no URL.
+    """
+    if not value:
+        return value
+    parts = urllib.parse.urlsplit(value)
+    if parts.scheme not in ("http", "https"):
+        raise typer.BadParameter(
+            f"{value!r} does not start with http:// or https://"
+        )
+    try:
+        ipaddress.ip_address(parts.hostname or "")
+    except ValueError as error:
+        raise typer.BadParameter(
+            f"{value!r} names no IP number: {error}"
+        ) from error
+    return value.rstrip("/")
--- /dev/null
+++ b/packages/gentianpoint-core/src/gentianpoint_core/peer_connections.py
@@ -0,0 +1,120 @@
+"""Connections between processes: one websocket, CBOR, heartbeats.
+
+A connection can go silent for good while both ends believe that it lives,
+because something between them has lost track of it: nothing arrives and no
+error comes. Both ends therefore send heartbeats, and an end that received
+nothing during several of its own ticks gives the connection up. Ticks are
+counted instead of time, so that a process that was paused first gets to read
+what waits for it before it judges the other end.
+"""
+
+from collections import abc
+import typing
+
+import trio
+import websockets.exceptions
+import websockets.trio.connection
+
+from gentianpoint_core import codec
+
+__all__ = ("PEER_KEY_HEADER", "PeerConnection", "PeerConnectionError")
+
+PEER_KEY_HEADER: typing.Final = "Gentianpoint-Peer-Key"
+"""Header of the websocket handshake that carries the shared key."""
+
+
+class PeerConnectionError(Exception):
+    """The connection is closed, reset, silent, or brought no message."""
+
+    def __init__(self, step: str, peer: str, reason: str) -> None:
+        """Make the error for the step during which it was noticed."""
+        self.step: typing.Final = step
+        self.peer: typing.Final = peer
+        self.reason: typing.Final = reason
+        super().__init__(f"{step} with {peer}: {reason}")
+
+
+class PeerConnection:
+    """One connection to a peer, seen from either end."""
+
+    def __init__(
+        self,
+        websocket: websockets.trio.connection.Connection,
+        peer: str,
+        heartbeat_ms: int,
+        silence_ms: int,
+    ) -> None:
+        """Wrap ``websocket``.
+
+        ``silence_ms`` milliseconds without a message, counted in heartbeats
+        of ``heartbeat_ms``, make the connection lost.
+        """
+        self.peer = peer
+        self._websocket: typing.Final = websocket
+        self._heartbeat_s: typing.Final = heartbeat_ms / 1000
+        self._silence_s: typing.Final = silence_ms / 1000
+        self._allowed_ticks: typing.Final = max(2, silence_ms // heartbeat_ms)
+        self._quiet_ticks = 0
+        self._highest_received = 0
+
+    async def send(self, message: abc.Mapping[str, typing.Any]) -> None:
+        """Send a message; raises :class:`PeerConnectionError`.
+
+        A peer that reads nothing lets the send block; it is given up after
+        the silence time, since half a frame can't be taken back.
+        """
+        data = codec.encode_message(message)
+        with trio.move_on_after(self._silence_s) as scope:
+            try:
+                await self._websocket.send(data)
+            except websockets.exceptions.ConnectionClosed as error:
+                raise PeerConnectionError(
+                    "send message", self.peer, str(error)
+                ) from error
+        if scope.cancelled_caught:
+            raise PeerConnectionError(
+                "send message", self.peer, "the peer reads nothing"
+            )
+
+    async def receive(self) -> codec.MessageMap:
+        """Return the next message that is no heartbeat.
+
+        Raises :class:`PeerConnectionError` at the end, and when the bytes are
+        no message: a peer that sends such bytes can't be followed any more.
+        """
+        while True:
+            try:
+                data = await self._websocket.recv()
+            except websockets.exceptions.ConnectionClosed as error:
+                raise PeerConnectionError(
+                    "receive message", self.peer, str(error)
+                ) from error
+            self._quiet_ticks = 0
+            result = codec.decode_message(data, self.peer)
+            if result.is_error():
+                raise PeerConnectionError(
+                    "decode message", self.peer, result.error.reason
+                )
+            message = result.ok
+            if message["type"] != "heartbeat":
+                return message
+            self._highest_received = message["number"]
+
+    async def keep_alive(self) -> None:
+        """Send heartbeats for ever; raises when the peer is silent."""
+        number = 0
+        while True:
+            await trio.sleep(self._heartbeat_s)
+            self._quiet_ticks += 1
+            if self._quiet_ticks > self._allowed_ticks:
+                raise PeerConnectionError(
+                    "keep connection alive", self.peer, "the peer is silent"
+                )
+            number += 1
+            await self.send(
+                {
+                    "type": "heartbeat",
+                    "number": number,
+                    "echo": self._highest_received,
+                }
+            )
--- /dev/null
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/answer_formats.py
@@ -0,0 +1,149 @@
+"""Formats of generated answers, streamed and whole.
+
+A streamed answer is server-sent events, one a token; each event's ``id`` is
+the number of its token, which ``after=`` takes when the caller resumes.
+"""
+
+import abc
+import time
+import typing
+
+import msgspec
+
+from gentianpoint_entry import calls
+
+__all__ = (
+    "AnswerFormat",
+    "ChatFormat",
+    "CompletionFormat",
+    "STREAM_DONE",
+)
+
+STREAM_DONE: typing.Final = b"data: [DONE]\n\n"
+"""Last event of a regular stream."""
+
+
+class AnswerFormat(abc.ABC):
+    """How one answer is written."""
+
+    object_name: str
+    """Value of ``object`` in a whole answer."""
+    chunk_name: str
+    """Value of ``object`` in an event of a stream."""
+
+    def __init__(self, generation: str, model: str) -> None:
+        """Write the answer of ``generation`` by the service ``model``."""
+        self._generation: typing.Final = generation
+        self._model: typing.Final = model
+        self._created: typing.Final = int(time.time())
+
+    @abc.abstractmethod
+    def make_choice(self, text: str, finish: typing.Optional[str]) -> object:
+        """Return the choice of a whole answer."""
+
+    @abc.abstractmethod
+    def make_delta(
+        self, text: typing.Optional[str], finish: typing.Optional[str]
+    ) -> object:
+        """Return the choice of one event; no text at the end."""
+
+    def _make_frame(self, name: str, choices: object) -> dict[str, object]:
+        return {
+            "id": self._generation,
+            "object": name,
+            "created": self._created,
+            "model": self._model,
+            "choices": choices,
+        }
+
+    def encode_whole(self, text: str, end: calls.CallPart) -> bytes:
+        """Return a whole answer."""
+        frame = self._make_frame(
+            self.object_name, [self.make_choice(text, end.end)]
+        )
+        frame["usage"] = _make_usage(end)
+        return msgspec.json.encode(frame)
+
+    def encode_events(self, part: calls.CallPart) -> bytes:
+        """Return the events of a part's tokens, to be written at once."""
+        pieces = []
+        for number, text in enumerate(part.texts, part.first):
+            frame = self._make_frame(
+                self.chunk_name, [self.make_delta(text, None)]
+            )
+            pieces.append(b"id: %d\ndata: " % number)
+            pieces.append(msgspec.json.encode(frame))
+            pieces.append(b"\n\n")
+        return b"".join(pieces)
+
+    def encode_end(self, end: calls.CallPart, include_usage: bool) -> bytes:
+        """Return the closing events of a regular stream."""
+        frame = self._make_frame(
+            self.chunk_name, [self.make_delta(None, end.end)]
+        )
+        events = b"data: " + msgspec.json.encode(frame) + b"\n\n"
+        if include_usage:
+            usage = self._make_frame(self.chunk_name, [])
+            usage["usage"] = _make_usage(end)
+            events += b"data: " + msgspec.json.encode(usage) + b"\n\n"
+        return events + STREAM_DONE
+
+
+def _make_usage(end: calls.CallPart) -> dict[str, int]:
+    return {
+        "prompt_tokens": end.prompt_tokens,
+        "completion_tokens": end.completion_tokens,
+        "total_tokens": end.prompt_tokens + end.completion_tokens,
+    }
+
+
+class CompletionFormat(AnswerFormat):
+    """The format of ``/v1/completions``."""
+
+    object_name = "text_completion"
+    chunk_name = "text_completion"
+
+    def make_choice(self, text: str, finish: typing.Optional[str]) -> object:
+        """Return the text with its end."""
+        return {
+            "index": 0,
+            "text": text,
+            "finish_reason": finish,
+            "logprobs": None,
+        }
+
+    def make_delta(
+        self, text: typing.Optional[str], finish: typing.Optional[str]
+    ) -> object:
+        """Return one token's text, or the end."""
+        return self.make_choice(text or "", finish)
+
+
+class ChatFormat(AnswerFormat):
+    """The format of ``/v1/chat/completions``."""
+
+    object_name = "chat.completion"
+    chunk_name = "chat.completion.chunk"
+
+    def make_choice(self, text: str, finish: typing.Optional[str]) -> object:
+        """Return the assistant's message with its end."""
+        return {
+            "index": 0,
+            "message": {"role": "assistant", "content": text},
+            "finish_reason": finish,
+            "logprobs": None,
+        }
+
+    def make_delta(
+        self, text: typing.Optional[str], finish: typing.Optional[str]
+    ) -> object:
+        """Return one token's text, or the end."""
+        delta: dict[str, str] = {}
+        if text is not None:
+            delta = {"role": "assistant", "content": text}
+        return {
+            "index": 0,
+            "delta": delta,
+            "finish_reason": finish,
+            "logprobs": None,
+        }
--- /dev/null
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/calls.py
@@ -0,0 +1,605 @@
+"""Calls: one caller's request on its way through agents.
+
+The code follows one request straight down. It is offered to an agent; what
+may run again is offered elsewhere while nothing was delivered; after a lost
+connection the same generation is resumed at its home, never another one.
+
+A request that may run only once is prepared first: the agent gives out an
+identifier that it starts only once. When the connection is lost after the
+start was asked for, asking again with the same identifier is idempotent, so
+neither a second run nor a guess is needed.
+"""
+
+from collections import abc
+import typing
+
+import trio
+
+from gentianpoint_core import codec
+from gentianpoint_core import deadlines
+from gentianpoint_core import errors
+from gentianpoint_core import generation_ids
+from gentianpoint_core import logs
+from gentianpoint_core import peer_connections
+from gentianpoint_core import telemetry
+from gentianpoint_core.generated import events
+from gentianpoint_core.generated import messages
+from gentianpoint_entry import agent_links
+from gentianpoint_entry import link_pool
+from gentianpoint_entry import placement
+from gentianpoint_entry import retry_budgets
+
+__all__ = (
+    "Call",
+    "CallPart",
+    "CallRequest",
+    "Dispatcher",
+    "HomeLostError",
+)
+
+_MOST_ATTEMPTS: typing.Final = 3
+_HOME_WITHIN_MS: typing.Final = 15_000
+_RETRY_AFTER_MS: typing.Final = 1000
+_ACKNOWLEDGE_SHARE: typing.Final = 4
+
+
+class CallRequest(typing.NamedTuple):
+    """What a caller asked and what its service and customer allow."""
+
+    identifier: str
+    """Identifier of the request at this entry, for the log."""
+    service: str
+    """Service that answers."""
+    customer: str
+    """Customer who asks."""
+    weight: float
+    """The customer's share in fair queues."""
+    customer_limit: int
+    """Most calls of the customer on one target at once; 0 for no limit."""
+    priority: int
+    """Priority, larger is more urgent."""
+    repeatable: bool
+    """False when it may run at most once."""
+    request: messages.Request
+    """The request as agents get it."""
+    start_by: deadlines.Deadline
+    """After this it must not start."""
+    finish_by: deadlines.Deadline
+    """After this the caller has no use for the answer."""
+    generation: str
+    """Prepared identifier to start; empty for none."""
+    retry_share: float
+    """Retries of the service as a share of fresh requests."""
+
+
+class CallPart(typing.NamedTuple):
+    """What came next: items, or the end."""
+
+    first: int
+    """Number of the first item; 0 at the end."""
+    texts: typing.Sequence[str]
+    """Token texts."""
+    chunks: typing.Sequence[bytes]
+    """Chunks of a plain answer."""
+    end: str
+    """``stop`` or ``length`` at the end, else empty."""
+    prompt_tokens: int
+    """Tokens of the prompt, at the end."""
+    completion_tokens: int
+    """Tokens generated, at the end."""
+
+
+class HomeLostError(Exception):
+    """The home of a generation is gone, or does not come back in time."""
+
+
+class Dispatcher:
+    """Opens calls on the links of one entry."""
+
+    def __init__(
+        self,
+        pool: link_pool.LinkPool,
+        policy: placement.PlacementPolicy,
+        window: int,
+    ) -> None:
+        """Offer calls on the links of ``pool`` as ``policy`` chooses."""
+        self.pool: typing.Final = pool
+        self.window: typing.Final = window
+        self._policy: typing.Final = policy
+        self._budgets: typing.Final = retry_budgets.RetryBudgets()
+
+    def open_call(self, request: CallRequest) -> "Call":
+        """Return a call that is placed when its first part is received."""
+        self._budgets.note_request(request.service, request.retry_share)
+        return Call(self, request)
+
+    def resume_call(self, request: CallRequest, after: int) -> "Call":
+        """Return a call that reads a generation after an item."""
+        return Call(self, request, after)
+
+    async def prepare(self, request: CallRequest) -> str:
+        """Return an identifier that a later call starts, once.
+
+        Raises :class:`errors.CallError` with ``not_run`` when no target
+        gives one out.
+        """
+        call = self.open_call(request)
+        while not call.generation:
+            await call.prepare_somewhere()
+        return call.generation
+
+    async def cancel(self, request: CallRequest) -> bool:
+        """Cancel a generation; False when its home does not hold it.
+
+        A lost link is tried again until the caller gives up: cancelling is
+        idempotent.
+        """
+        while True:
+            try:
+                link = await self.wait_home(request.generation)
+                call = link.open_call()
+                try:
+                    await link.send(
+                        {
+                            "type": "cancel",
+                            "call": call.number,
+                            "generation": request.generation,
+                            "customer": request.customer,
+                        }
+                    )
+                    answer = await call.receive()
+                finally:
+                    call.close()
+            except HomeLostError:
+                return False
+            except peer_connections.PeerConnectionError:
+                continue
+            if answer is not None:
+                return bool(answer["known"])
+
+    def choose_link(
+        self, request: CallRequest, tried: typing.Collection[str]
+    ) -> agent_links.AgentLink:
+        """Return an agent's link that was not tried yet.
+
+        Raises :class:`errors.CallError` with ``not_run`` when there is none.
+        """
+        links = self.pool.list_links(request.service)
+        usable = [
+            link
+            for link in links
+            if link.is_usable() and link.host.host not in tried
+        ]
+        if not usable:
+            raise errors.CallError(
+                errors.NOT_RUN,
+                "no target of the service takes calls now",
+                step="choose target",
+                peer=request.service,
+                retry_after_ms=_RETRY_AFTER_MS,
+            )
+        return self._policy.choose(usable, request.request["prompt"])
+
+    def may_retry(self, request: CallRequest) -> bool:
+        """Take a retry from the service's budget, if there is one."""
+        if self._budgets.take_retry(request.service):
+            return True
+        logs.log_event(
+            events.RETRY_BUDGET_SPENT,
+            service=request.service,
+            request=request.identifier,
+        )
+        return False
+
+    async def wait_home(self, generation: str) -> agent_links.AgentLink:
+        """Return a connected link to the home of a generation.
+
+        Raises :class:`HomeLostError` when another run of the agent answers,
+        or none does in time.
+        """
+        parsed = generation_ids.parse_generation_id(generation)
+        if parsed.is_error():
+            raise HomeLostError(str(parsed.error))
+        home = parsed.ok
+        with trio.move_on_after(_HOME_WITHIN_MS / 1000):
+            while True:
+                link = self.pool.find_target(home.target)
+                if link is None:
+                    raise HomeLostError(f"no agent of target {home.target}")
+                if link.is_connected() and link.welcome is not None:
+                    if link.welcome["incarnation"] != home.incarnation:
+                        raise HomeLostError("its agent was restarted")
+                    return link
+                await link.wait_changed()
+        raise HomeLostError("its agent can't be reached")
+
+
+class Call:
+    """One request from its first offer to its final answer."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        request: CallRequest,
+        resume_after: typing.Optional[int] = None,
+    ) -> None:
+        """Make a call that has not been offered yet.
+
+        With ``resume_after`` it only reads the items of the request's
+        generation after that number and starts nothing.
+        """
+        self.request: typing.Final = request
+        self.generation = request.generation
+        self.delivered = resume_after or 0
+        self._dispatcher: typing.Final = dispatcher
+        self._link_call: typing.Optional[agent_links.LinkCall] = None
+        self._acknowledged = self.delivered
+        self._tried: typing.Final[set[str]] = set()
+        self._finished = False
+        self._resumes = resume_after is not None
+        self._may_have_started = self._resumes
+        self._lost_attempt = self._resumes
+
+    async def receive(self) -> CallPart:
+        """Return the next items, or the regular end.
+
+        Raises :class:`errors.CallError` with the final answer when there is
+        no regular one.
+        """
+        try:
+            part = await self._receive_part()
+        except errors.CallError as error:
+            self._drop_link_call()
+            final = self._correct_answer(error)
+            self._log_finish(final.code)
+            raise final from error
+        if part.end:
+            self._log_finish("ok")
+        return part
+
+    def _correct_answer(self, error: errors.CallError) -> errors.CallError:
+        """Say ``not_run`` only when no earlier attempt can have started.
+
+        An attempt whose connection was lost may have run although the last
+        attempt was refused; a caller told otherwise would run it twice.
+        """
+        if error.code != errors.NOT_RUN or not self._may_have_started:
+            return error
+        return errors.CallError(
+            errors.OUTCOME_UNKNOWN,
+            f"an attempt was lost, then: {error.reason}",
+            step=error.step,
+            peer=error.peer,
+            retry_after_ms=error.retry_after_ms,
+        )
+
+    async def _receive_part(self) -> CallPart:
+        while True:
+            if self._link_call is None:
+                await self._place()
+                continue
+            await self._acknowledge()
+            message = await self._link_call.receive()
+            if message is None:
+                self._recover_from_loss()
+                continue
+            part = await self._handle(message)
+            if part is not None:
+                return part
+
+    async def _place(self) -> None:
+        if self._resumes or self.delivered:
+            await self._resume_at_home()
+        elif self.generation:
+            await self._offer_at_home()
+        else:
+            await self._offer_somewhere()
+
+    async def prepare_somewhere(self) -> None:
+        """Ask one agent for an identifier; it may come or not."""
+        await self._ask_somewhere(self._prepare)
+
+    async def _offer_somewhere(self) -> None:
+        if self.request.repeatable:
+            await self._ask_somewhere(self._send_offer)
+        else:
+            await self._ask_somewhere(self._prepare)
+
+    async def _ask_somewhere(
+        self,
+        ask: abc.Callable[[agent_links.AgentLink], abc.Awaitable[None]],
+    ) -> None:
+        link = self._dispatcher.choose_link(self.request, self._tried)
+        self._tried.add(link.host.host)
+        try:
+            await ask(link)
+        except peer_connections.PeerConnectionError:
+            self._drop_link_call()
+            self._require_retry("the link was lost")
+
+    async def _prepare(self, link: agent_links.AgentLink) -> None:
+        call = link.open_call()
+        try:
+            await link.send(
+                {
+                    "type": "prepare",
+                    "call": call.number,
+                    "customer": self.request.customer,
+                }
+            )
+            answer = await call.receive()
+        finally:
+            call.close()
+        if answer is None:
+            raise peer_connections.PeerConnectionError(
+                "prepare", link.host.host, "the link was lost"
+            )
+        if answer["type"] == "refused":
+            self._require_retry(answer["reason"], answer["retry_after_ms"])
+            return
+        self.generation = answer["generation"]
+
+    async def _offer_at_home(self) -> None:
+        try:
+            link = await self._dispatcher.wait_home(self.generation)
+            await self._send_offer(link)
+        except HomeLostError as error:
+            raise self._make_unknown(str(error)) from error
+        except peer_connections.PeerConnectionError:
+            self._drop_link_call()
+
+    async def _send_offer(self, link: agent_links.AgentLink) -> None:
+        request = self.request
+        offer: messages.Offer = {
+            "type": "offer",
+            "call": 0,
+            "customer": request.customer,
+            "weight": request.weight,
+            "customer_limit": request.customer_limit,
+            "priority": request.priority,
+            "repeatable": request.repeatable,
+            "start_within_ms": request.start_by.remaining_ms(),
+            "finish_within_ms": request.finish_by.remaining_ms(),
+            "request": request.request,
+            "trace": telemetry.read_trace_parent(),
+        }
+        if self.generation:
+            offer["generation"] = self.generation
+        call = link.open_call()
+        offer["call"] = call.number
+        self._link_call = call
+        # From here on the agent may start it, until it refuses.
+        self._may_have_started = True
+        link.sent_since_report += 1
+        logs.log_event(
+            events.CALL_OFFERED,
+            request=request.identifier,
+            peer=link.host.host,
+            repeatable=request.repeatable,
+            generation=self.generation,
+        )
+        await link.send(offer)
+
+    async def _handle(
+        self, message: codec.MessageMap
+    ) -> typing.Optional[CallPart]:
+        match message["type"]:
+            case "admitted":
+                self.generation = message["generation"]
+            case "items":
+                return self._take_run(message["runs"][0])
+            case "refused":
+                self._take_refusal(message)
+            case "ended":
+                return self._take_end(message)
+        return None
+
+    def _take_run(self, run: messages.Run) -> typing.Optional[CallPart]:
+        # After a resume the first items may be known already; a hole would
+        # mean that the agent broke the protocol.
+        known = self.delivered + 1 - run["first"]
+        if known < 0:
+            raise errors.CallError(
+                errors.INCOMPLETE,
+                f"items after {self.delivered} are missing",
+                step="receive items",
+                peer=self._get_peer(),
+            )
+        texts = run["texts"][known:]
+        chunks = run["chunks"][known:]
+        if not texts and not chunks:
+            return None
+        first = self.delivered + 1
+        self.delivered += len(texts) + len(chunks)
+        return CallPart(first, texts, chunks, "", 0, 0)
+
+    def _take_refusal(self, message: codec.MessageMap) -> None:
+        code = message["code"]
+        if code != errors.NOT_RUN:
+            raise errors.CallError(
+                code,
+                message["reason"],
+                step="offer call",
+                peer=self._get_peer(),
+                retry_after_ms=message["retry_after_ms"],
+            )
+        self._drop_link_call()
+        self._may_have_started = self._lost_attempt
+        # The generation did not run and nothing of it was delivered, so any
+        # other may take its place, unless the caller asked for this one.
+        if self.request.generation:
+            raise errors.CallError(
+                errors.NOT_RUN,
+                message["reason"],
+                step="offer call",
+                peer=self._get_peer(),
+                retry_after_ms=message["retry_after_ms"],
+            )
+        self.generation = ""
+        self._require_retry(message["reason"], message["retry_after_ms"])
+
+    def _take_end(
+        self, message: codec.MessageMap
+    ) -> typing.Optional[CallPart]:
+        reason = message["reason"]
+        if reason in ("stop", "length"):
+            return CallPart(
+                0,
+                (),
+                (),
+                reason,
+                message["prompt_tokens"],
+                message["completion_tokens"],
+            )
+        peer = self._get_peer()
+        self._drop_link_call()
+        if self.delivered == 0 and reason in ("outcome_unknown", "incomplete"):
+            if self._may_run_again():
+                self.generation = ""
+                self._lost_attempt = True
+                self._require_retry(message.get("detail", reason))
+                return None
+            reason = errors.OUTCOME_UNKNOWN
+        raise errors.CallError(
+            reason,
+            message.get("detail", reason),
+            step="run generation",
+            peer=peer,
+        )
+
+    def _may_run_again(self) -> bool:
+        return (
+            self.request.repeatable
+            and self.delivered == 0
+            and not self._resumes
+            and not self.request.generation
+        )
+
+    def _require_retry(self, reason: str, retry_after_ms: int = 0) -> None:
+        """Return when another attempt is allowed, else give the answer.
+
+        Only called when nothing ran, or when what ran may run again.
+        """
+        attempts = len(self._tried)
+        in_time = not self.request.start_by.is_past()
+        if (
+            attempts < _MOST_ATTEMPTS
+            and in_time
+            and self._dispatcher.may_retry(self.request)
+        ):
+            logs.log_event(
+                events.CALL_RETRIED,
+                request=self.request.identifier,
+                reason=reason,
+                attempts=attempts,
+            )
+            return
+        raise errors.CallError(
+            errors.NOT_RUN,
+            reason,
+            step="offer call",
+            peer=self.request.service,
+            retry_after_ms=retry_after_ms or _RETRY_AFTER_MS,
+        )
+
+    def _recover_from_loss(self) -> None:
+        self._drop_link_call()
+        if self._may_run_again():
+            self.generation = ""
+            self._lost_attempt = True
+            self._require_retry("the link was lost")
+
+    async def _resume_at_home(self) -> None:
+        try:
+            link = await self._dispatcher.wait_home(self.generation)
+            call = link.open_call()
+            self._link_call = call
+            self._acknowledged = self.delivered
+            await link.send(
+                {
+                    "type": "resume",
+                    "call": call.number,
+                    "generation": self.generation,
+                    "customer": self.request.customer,
+                    "after": self.delivered,
+                }
+            )
+            logs.log_event(
+                events.GENERATION_RESUMED,
+                request=self.request.identifier,
+                generation=self.generation,
+                peer=link.host.host,
+                after=self.delivered,
+            )
+        except HomeLostError as error:
+            raise self._make_unknown(str(error)) from error
+        except peer_connections.PeerConnectionError:
+            self._drop_link_call()
+
+    def _make_unknown(self, reason: str) -> errors.CallError:
+        code = errors.INCOMPLETE if self.delivered else errors.OUTCOME_UNKNOWN
+        return errors.CallError(
+            code, reason, step="find generation", peer=self.generation
+        )
+
+    async def _acknowledge(self) -> None:
+        unacknowledged = self.delivered - self._acknowledged
+        if unacknowledged * _ACKNOWLEDGE_SHARE < self._dispatcher.window:
+            return
+        call = self._link_call
+        assert call is not None
+        self._acknowledged = self.delivered
+        try:
+            await call.link.send(
+                {
+                    "type": "acknowledge",
+                    "call": call.number,
+                    "through": self.delivered,
+                }
+            )
+        except peer_connections.PeerConnectionError:
+            return  # The receiver notices the lost link itself.
+
+    def _get_peer(self) -> str:
+        if self._link_call is None:
+            return ""
+        return self._link_call.link.host.host
+
+    def _drop_link_call(self) -> None:
+        if self._link_call is not None:
+            self._link_call.close()
+            self._link_call = None
+
+    def _log_finish(self, outcome: str) -> None:
+        self._finished = True
+        event = events.CALL_FINISHED
+        if outcome == errors.OUTCOME_UNKNOWN:
+            event = events.OUTCOME_UNKNOWN
+        logs.log_event(
+            event,
+            request=self.request.identifier,
+            service=self.request.service,
+            customer=self.request.customer,
+            generation=self.generation,
+            outcome=outcome,
+            items=self.delivered,
+            repeatable=self.request.repeatable,
+        )
+
+    async def close(self) -> None:
+        """Read no more; the agent keeps the generation for a while.
+
+        An offer that has not started yet is withdrawn.
+        """
+        call = self._link_call
+        if call is None:
+            return
+        self._drop_link_call()
+        if self._finished:
+            return
+        with trio.move_on_after(1, shield=True):
+            try:
+                await call.link.send({"type": "retract", "call": call.number})
+                await call.link.send({"type": "release", "call": call.number})
+            except peer_connections.PeerConnectionError:
+                return
--- /dev/null
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/entry.py
@@ -0,0 +1,187 @@
+"""The entry's process: its tasks, from start to graceful shutdown."""
+
+import secrets
+import signal
+import typing
+
+import httpx
+import hypercorn.config
+import hypercorn.trio
+import quart
+import quart_trio
+import trio
+
+from gentianpoint_core import configuration
+from gentianpoint_core import errors
+from gentianpoint_core import http_host_list
+from gentianpoint_core import http_log
+from gentianpoint_core import logs
+from gentianpoint_core import telemetry
+from gentianpoint_core.generated import events
+from gentianpoint_entry import administration_routes
+from gentianpoint_entry import agent_links
+from gentianpoint_entry import calls
+from gentianpoint_entry import configuration_tail
+from gentianpoint_entry import entry_state
+from gentianpoint_entry import error_answers
+from gentianpoint_entry import generation_routes
+from gentianpoint_entry import host_watch
+from gentianpoint_entry import link_pool
+from gentianpoint_entry import placement
+from gentianpoint_entry import plain_routes
+from gentianpoint_entry.generated import settings as entry_settings
+
+__all__ = ("run_entry",)
+
+_INCARNATION_BYTES: typing.Final = 6
+_MAX_AGENT_MESSAGE_BYTES: typing.Final = 16 * 1024 * 1024
+_DRAIN_POLL_S: typing.Final = 0.05
+_CLOSE_WITHIN_S: typing.Final = 2.0
+
+
+def _make_app(state: entry_state.EntryState) -> quart_trio.QuartTrio:
+    app = quart_trio.QuartTrio(__name__)
+    app.config["MAX_CONTENT_LENGTH"] = state.settings.max_body_bytes
+    app.register_blueprint(generation_routes.make_generation_routes(state))
+    app.register_blueprint(plain_routes.make_plain_routes(state))
+    app.register_blueprint(
+        administration_routes.make_administration_routes(state)
+    )
+
+    @app.errorhandler(errors.CallError)
+    async def answer_error(error: errors.CallError) -> quart.Response:
+        return error_answers.make_error_answer(error)
+
+    @app.get("/health")
+    async def tell_health() -> quart.Response:
+        if state.leaving:
+            return quart.Response("leaving\n", status=503)
+        return quart.Response("ready\n")
+
+    return app
+
+
+class _ConfigurationSender:
+    """Sends each agent the resource of its service whenever it changes."""
+
+    def __init__(self, tail: configuration_tail.ConfigurationTail) -> None:
+        self._tail: typing.Final = tail
+
+    async def send_for_ever(self, link: agent_links.AgentLink) -> None:
+        """Send now and after each change, until the link is lost."""
+        await self._tail.wait_caught_up()
+        while True:
+            state = self._tail.state
+            found = state.find_resource(
+                configuration.SERVICE, link.host.service
+            )
+            await link.send(
+                {
+                    "type": "configure",
+                    "offset": state.offset,
+                    "revision": found.revision if found else 0,
+                    "service": found.spec if found else b"",
+                }
+            )
+            await self._tail.wait_changed()
+
+
+async def _serve_http(state: entry_state.EntryState, stop: trio.Event) -> None:
+    config = hypercorn.config.Config()
+    config.bind = [state.settings.listen]
+    config.graceful_timeout = _CLOSE_WITHIN_S
+    config.errorlog = None
+    config.accesslog = None
+    config.h11_max_incomplete_size = 64 * 1024
+    app = _make_app(state)
+    await hypercorn.trio.serve(
+        app,  # type: ignore[arg-type]
+        config,
+        shutdown_trigger=stop.wait,
+    )
+
+
+async def _leave_at_signal(
+    state: entry_state.EntryState, stop: trio.Event
+) -> None:
+    """Finish what runs, then stop the server.
+
+    While calls run, new ones get a final answer that says when to come back;
+    the health check turns, so the balancer sends callers elsewhere.
+    """
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            break
+    state.leaving = True
+    logs.log_event(events.LEAVING_STARTED, reason="told to stop")
+    within_s = state.settings.shutdown_within_ms / 1000
+    with trio.move_on_after(within_s) as scope:
+        while state.calls_in_flight:
+            await trio.sleep(_DRAIN_POLL_S)
+    if scope.cancelled_caught:
+        logs.log_event(events.SHUTDOWN_OVERDUE, running=state.calls_in_flight)
+    stop.set()
+
+
+async def run_entry(settings: entry_settings.EntrySettings) -> None:
+    """Run the entry until it is told to stop and its calls have ended."""
+    logs.configure_logs(settings.name, settings.log_level)
+    telemetry.configure_telemetry(
+        settings.name,
+        "gentianpoint-entry",
+        settings.otlp_url,
+        settings.trace_log,
+    )
+    async with (
+        httpx.AsyncClient(trust_env=False) as client,
+        trio.open_nursery() as nursery,
+    ):
+        incarnation = secrets.token_hex(_INCARNATION_BYTES)
+        log = http_log.HttpLog(settings.log_url, client)
+        tail = configuration_tail.ConfigurationTail(log)
+        sender = _ConfigurationSender(tail)
+        pool = link_pool.LinkPool(
+            nursery,
+            _make_link_settings(settings, incarnation),
+            settings.links_per_service,
+            sender.send_for_ever,
+        )
+        dispatcher = calls.Dispatcher(
+            pool,
+            placement.make_placement_policy(settings.placement),
+            settings.window_items,
+        )
+        state = entry_state.EntryState(
+            settings, tail, log, dispatcher, incarnation
+        )
+        hosts = http_host_list.HttpHostList(settings.hosts_url, client)
+        nursery.start_soon(tail.run)
+        nursery.start_soon(
+            host_watch.watch_hosts, hosts, pool, settings.hosts_poll_ms
+        )
+        await tail.wait_caught_up()
+        stop = trio.Event()
+        nursery.start_soon(_leave_at_signal, state, stop)
+        logs.log_event(
+            events.ENTRY_STARTED,
+            listen=settings.listen,
+            incarnation=incarnation,
+        )
+        await _serve_http(state, stop)
+        nursery.cancel_scope.cancel()
+    logs.log_event(events.PROCESS_STOPPED)
+
+
+def _make_link_settings(
+    settings: entry_settings.EntrySettings, incarnation: str
+) -> agent_links.LinkSettings:
+    return agent_links.LinkSettings(
+        settings.name,
+        incarnation,
+        settings.data_centre,
+        settings.peer_key,
+        settings.heartbeat_ms,
+        settings.silence_ms,
+        settings.window_items,
+        _MAX_AGENT_MESSAGE_BYTES,
+    )
--- /dev/null
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/generation_routes.py
@@ -0,0 +1,254 @@
+"""Routes for generations: completions, chat, models, resume and cancel."""
+
+from collections import abc
+import typing
+
+import msgspec
+import quart
+import trio
+
+from gentianpoint_core import configuration
+from gentianpoint_core import deadlines
+from gentianpoint_core import errors
+from gentianpoint_core import generation_ids
+from gentianpoint_core.generated import messages
+from gentianpoint_entry import answer_formats
+from gentianpoint_entry import authentication
+from gentianpoint_entry import caller_bodies
+from gentianpoint_entry import calls
+from gentianpoint_entry import entry_state
+from gentianpoint_entry import error_answers
+from gentianpoint_entry import request_options
+
+__all__ = ("make_generation_routes",)
+
+_GENERATION_HEADER: typing.Final = "Gentianpoint-Generation"
+_EVENT_STREAM: typing.Final = "text/event-stream"
+_JSON: typing.Final = "application/json"
+_CANCEL_WITHIN_S: typing.Final = 10
+_EMPTY_REQUEST: typing.Final[messages.Request] = {
+    "kind": "generation",
+    "prompt": "",
+    "max_tokens": 0,
+    "method": "",
+    "path": "",
+    "headers": [],
+    "body": b"",
+}
+
+
+class _Answerer:
+    """Writes the answer of one call."""
+
+    def __init__(
+        self,
+        state: entry_state.EntryState,
+        call: calls.Call,
+        form: type[answer_formats.AnswerFormat],
+    ) -> None:
+        self._state: typing.Final = state
+        self._call: typing.Final = call
+        self._form: typing.Final = form
+
+    def _make_format(self) -> answer_formats.AnswerFormat:
+        return self._form(self._call.generation, self._call.request.service)
+
+    async def answer_whole(self) -> quart.Response:
+        """Return the whole answer, or the error."""
+        texts: list[str] = []
+        try:
+            while True:
+                part = await self._call.receive()
+                texts += part.texts
+                if part.end:
+                    break
+        except errors.CallError as error:
+            return error_answers.make_error_answer(
+                error, self._call.generation
+            )
+        finally:
+            await self._call.close()
+        body = self._make_format().encode_whole("".join(texts), part)
+        return self._make_answer(body, _JSON)
+
+    async def answer_streamed(self, include_usage: bool) -> quart.Response:
+        """Return a stream that starts when the first item is there.
+
+        Until then an error still has its own HTTP status.
+        """
+        try:
+            first = await self._call.receive()
+        except errors.CallError as error:
+            await self._call.close()
+            return error_answers.make_error_answer(
+                error, self._call.generation
+            )
+        except BaseException:
+            await self._call.close()
+            raise
+        self._state.calls_in_flight += 1
+        events = self._write_events(first, include_usage)
+        return self._make_answer(events, _EVENT_STREAM)
+
+    async def _write_events(
+        self, part: calls.CallPart, include_usage: bool
+    ) -> abc.AsyncGenerator[bytes, None]:
+        form = self._make_format()
+        try:
+            while not part.end:
+                yield form.encode_events(part)
+                part = await self._call.receive()
+            yield form.encode_end(part, include_usage)
+        except errors.CallError as error:
+            # The status is sent already: an explicit error event tells the
+            # caller that the answer is not whole, and no [DONE] follows.
+            body = error_answers.describe_error(error, self._call.generation)
+            yield b"data: " + body + b"\n\n"
+        finally:
+            self._state.calls_in_flight -= 1
+            await self._call.close()
+
+    def _make_answer(
+        self,
+        body: typing.Union[bytes, abc.AsyncGenerator[bytes, None]],
+        content_type: str,
+    ) -> quart.Response:
+        answer = quart.Response(body, content_type=content_type)
+        answer.headers[_GENERATION_HEADER] = self._call.generation
+        answer.timeout = None
+        return answer
+
+
+def make_generation_routes(state: entry_state.EntryState) -> quart.Blueprint:
+    """Return the routes under ``/v1``."""
+    routes = quart.Blueprint("generations", __name__, url_prefix="/v1")
+
+    def authenticate() -> str:
+        header = quart.request.headers.get("Authorization", "")
+        return authentication.authenticate_customer(header, state.tail.state)
+
+    async def serve(
+        body: typing.Union[
+            caller_bodies.CompletionBody, caller_bodies.ChatBody
+        ],
+        customer: str,
+        form: type[answer_formats.AnswerFormat],
+    ) -> quart.Response:
+        options = request_options.read_options(quart.request.headers)
+        request = state.make_call_request(
+            body.model,
+            customer,
+            caller_bodies.make_generation_request(body),
+            options,
+        )
+        if request_options.wants_prepare(quart.request.headers):
+            return await prepare(request)
+        call = state.dispatcher.open_call(request)
+        answerer = _Answerer(state, call, form)
+        if body.stream:
+            usage = body.stream_options
+            return await answerer.answer_streamed(
+                usage is not None and usage.include_usage
+            )
+        return await answerer.answer_whole()
+
+    async def prepare(request: calls.CallRequest) -> quart.Response:
+        prepared = await state.dispatcher.prepare(request)
+        answer = quart.Response(
+            msgspec.json.encode(
+                {"id": prepared, "object": "generation.prepared"}
+            ),
+            content_type=_JSON,
+        )
+        answer.headers[_GENERATION_HEADER] = prepared
+        return answer
+
+    @routes.post("/completions")
+    async def complete() -> quart.Response:
+        customer = authenticate()
+        body = caller_bodies.decode_completion(
+            await request_options.read_body()
+        )
+        return await serve(body, customer, answer_formats.CompletionFormat)
+
+    @routes.post("/chat/completions")
+    async def complete_chat() -> quart.Response:
+        customer = authenticate()
+        body = caller_bodies.decode_chat(await request_options.read_body())
+        return await serve(body, customer, answer_formats.ChatFormat)
+
+    @routes.get("/models")
+    async def list_models() -> quart.Response:
+        customer = authenticate()
+        rows = []
+        for item in state.tail.state.list_resources(configuration.SERVICE):
+            spec = configuration.decode_service(item.spec)
+            if spec["kind"] == "model" and {customer, "*"} & set(
+                spec["customers"]
+            ):
+                rows.append(
+                    {
+                        "id": item.name,
+                        "object": "model",
+                        "created": 0,
+                        "owned_by": "gentianpoint",
+                    }
+                )
+        body = msgspec.json.encode({"object": "list", "data": rows})
+        return quart.Response(body, content_type=_JSON)
+
+    def find_generation(identifier: str, customer: str) -> calls.CallRequest:
+        parsed = generation_ids.parse_generation_id(identifier)
+        if parsed.is_error():
+            raise errors.CallError(
+                errors.UNKNOWN_GENERATION,
+                "this is no identifier of a generation",
+                step="find generation",
+            )
+        link = state.dispatcher.pool.find_target(parsed.ok.target)
+        service = link.host.service if link is not None else ""
+        return calls.CallRequest(
+            state.make_request_identifier(),
+            service,
+            customer,
+            1.0,
+            0,
+            0,
+            False,
+            _EMPTY_REQUEST,
+            deadlines.NO_DEADLINE,
+            deadlines.NO_DEADLINE,
+            identifier,
+            0.0,
+        )
+
+    @routes.get("/generations/<identifier>")
+    async def resume(identifier: str) -> quart.Response:
+        customer = authenticate()
+        request = find_generation(identifier, customer)
+        after = request_options.read_after(quart.request.args)
+        call = state.dispatcher.resume_call(request, after)
+        answerer = _Answerer(state, call, answer_formats.CompletionFormat)
+        if request_options.wants_stream(
+            quart.request.headers, quart.request.args
+        ):
+            return await answerer.answer_streamed(True)
+        return await answerer.answer_whole()
+
+    @routes.delete("/generations/<identifier>")
+    async def cancel(identifier: str) -> quart.Response:
+        customer = authenticate()
+        request = find_generation(identifier, customer)
+        known = False
+        with trio.move_on_after(_CANCEL_WITHIN_S):
+            known = await state.dispatcher.cancel(request)
+        if not known:
+            raise errors.CallError(
+                errors.UNKNOWN_GENERATION,
+                "no such generation is held",
+                step="cancel generation",
+            )
+        body = msgspec.json.encode({"id": identifier, "cancelled": True})
+        return quart.Response(body, content_type=_JSON)
+
+    return routes
--- /dev/null
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/link_pool.py
@@ -0,0 +1,136 @@
+"""Which agents this entry keeps connections to."""
+
+from collections import abc
+import typing
+
+import trio
+import xxhash
+
+from gentianpoint_core import ports
+from gentianpoint_entry import agent_links
+
+__all__ = ("LinkPool", "choose_hosts")
+
+
+def choose_hosts(
+    hosts: abc.Iterable[ports.Host],
+    entry: str,
+    data_centre: str,
+    links_per_service: int,
+) -> abc.Sequence[ports.Host]:
+    """Return the agents to which an entry keeps connections.
+
+    Of each service up to ``links_per_service``, its own data centre first;
+    among equals the highest hash of entry and host (rendezvous hashing), so
+    that entries spread over agents and one host's coming or going moves few.
+
+    >>> host = ports.Host("h1", "agent", "s", "t", "a:1", "north", "live")
+    >>> [item.host for item in choose_hosts([host], "e1", "north", 2)]
+    ['h1']
+    """
+
+    def rank(host: ports.Host) -> tuple[bool, int]:
+        weight = xxhash.xxh64_intdigest(f"{entry}/{host.host}".encode())
+        return host.data_centre != data_centre, -weight
+
+    by_service: dict[str, list[ports.Host]] = {}
+    for host in hosts:
+        if host.role == "agent" and host.state == "live":
+            by_service.setdefault(host.service, []).append(host)
+    chosen: list[ports.Host] = []
+    for candidates in by_service.values():
+        chosen += sorted(candidates, key=rank)[:links_per_service]
+    return chosen
+
+
+class LinkPool:
+    """The links of one entry, one task each."""
+
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        settings: agent_links.LinkSettings,
+        links_per_service: int,
+        configure: abc.Callable[[agent_links.AgentLink], abc.Awaitable[None]],
+    ) -> None:
+        """Run links in ``nursery``."""
+        self._nursery: typing.Final = nursery
+        self._settings: typing.Final = settings
+        self._links_per_service: typing.Final = links_per_service
+        self._configure: typing.Final = configure
+        self._links: typing.Final[dict[str, agent_links.AgentLink]] = {}
+        self._scopes: typing.Final[dict[str, trio.CancelScope]] = {}
+        self._hosts: dict[str, ports.Host] = {}
+
+    def list_links(self, service: str) -> abc.Sequence[agent_links.AgentLink]:
+        """Return the links to agents of a service."""
+        return [
+            link
+            for link in self._links.values()
+            if link.host.service == service
+        ]
+
+    def list_all_links(self) -> abc.Sequence[agent_links.AgentLink]:
+        """Return all links."""
+        return tuple(self._links.values())
+
+    def find_target(
+        self, target: str
+    ) -> typing.Optional[agent_links.AgentLink]:
+        """Return the link to a target's agent, opening one if need be.
+
+        None when the host list names no agent of the target.
+        """
+        for link in self._links.values():
+            if link.host.target == target:
+                return link
+        for host in self._hosts.values():
+            if host.target == target and host.role == "agent":
+                return self._open(host)
+        return None
+
+    def update_hosts(self, hosts: abc.Iterable[ports.Host]) -> None:
+        """Follow a new reading of the host list.
+
+        A host that is leaving, or that the list has lost, gets no new calls;
+        its link stays while calls run on it.
+        """
+        self._hosts = {host.host: host for host in hosts}
+        chosen = choose_hosts(
+            self._hosts.values(),
+            self._settings.name,
+            self._settings.data_centre,
+            self._links_per_service,
+        )
+        wanted = {host.host: host for host in chosen}
+        for name, host in wanted.items():
+            link = self._links.get(name)
+            if link is not None and link.host.address != host.address:
+                self._close(name)
+                link = None
+            if link is None:
+                self._open(host)
+        for name, link in tuple(self._links.items()):
+            listed = self._hosts.get(name)
+            if listed is None or listed.state != "live":
+                link.leaving = True
+            if name not in wanted and not link.count_calls():
+                self._close(name)
+
+    def _open(self, host: ports.Host) -> agent_links.AgentLink:
+        link = agent_links.AgentLink(host, self._settings)
+        scope = trio.CancelScope()
+        self._links[host.host] = link
+        self._scopes[host.host] = scope
+        self._nursery.start_soon(self._run_link, link, scope)
+        return link
+
+    async def _run_link(
+        self, link: agent_links.AgentLink, scope: trio.CancelScope
+    ) -> None:
+        with scope:
+            await link.run(self._configure)
+
+    def _close(self, name: str) -> None:
+        self._links.pop(name)
+        self._scopes.pop(name).cancel()
--- /dev/null
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/plain_routes.py
@@ -0,0 +1,142 @@
+"""Routes for plain services: calls are passed through whole."""
+
+from collections import abc
+import typing
+
+import cbor2
+import quart
+
+from gentianpoint_core import errors
+from gentianpoint_core.generated import messages
+from gentianpoint_entry import authentication
+from gentianpoint_entry import calls
+from gentianpoint_entry import entry_state
+from gentianpoint_entry import error_answers
+from gentianpoint_entry import request_options
+
+__all__ = ("make_plain_routes",)
+
+_METHODS: typing.Final = (
+    "GET",
+    "HEAD",
+    "POST",
+    "PUT",
+    "PATCH",
+    "DELETE",
+    "OPTIONS",
+)
+_IDEMPOTENT_METHODS: typing.Final = frozenset(
+    ("GET", "HEAD", "PUT", "DELETE", "OPTIONS")
+)
+# Headers of one connection, which must not travel to the next (RFC 9110),
+# and those that are this system's own.
+_OWN_HEADERS: typing.Final = frozenset(
+    (
+        "authorization",
+        "connection",
+        "content-length",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+
+
+def _is_passed(name: str) -> bool:
+    lower = name.lower()
+    return lower not in _OWN_HEADERS and not lower.startswith("gentianpoint-")
+
+
+def _make_request(path: str, body: bytes) -> messages.Request:
+    query = quart.request.query_string.decode("latin-1")
+    return {
+        "kind": "plain",
+        "prompt": "",
+        "max_tokens": 0,
+        "method": quart.request.method,
+        "path": f"/{path}?{query}" if query else f"/{path}",
+        "headers": [
+            [name, value]
+            for name, value in quart.request.headers.items()
+            if _is_passed(name)
+        ],
+        "body": body,
+    }
+
+
+async def _answer(
+    state: entry_state.EntryState, call: calls.Call
+) -> quart.Response:
+    try:
+        part = await call.receive()
+    except BaseException as error:
+        await call.close()
+        if isinstance(error, errors.CallError):
+            return error_answers.make_error_answer(error, call.generation)
+        raise
+    status, headers = cbor2.loads(part.chunks[0])
+    state.calls_in_flight += 1
+    answer = quart.Response(
+        _pass_chunks(state, call, part.chunks[1:]), status=status
+    )
+    answer.timeout = None
+    answer.headers.clear()
+    for name, value in headers:
+        if _is_passed(name) or name.lower() == "content-length":
+            answer.headers.add(name, value)
+    answer.headers["Gentianpoint-Generation"] = call.generation
+    return answer
+
+
+async def _pass_chunks(
+    state: entry_state.EntryState,
+    call: calls.Call,
+    chunks: abc.Sequence[bytes],
+) -> abc.AsyncGenerator[bytes, None]:
+    # An error in the middle ends the connection without the closing chunk,
+    # by which every HTTP client sees that the body is not whole.
+    try:
+        while True:
+            for chunk in chunks:
+                yield chunk
+            part = await call.receive()
+            if part.end:
+                return
+            chunks = part.chunks
+    finally:
+        state.calls_in_flight -= 1
+        await call.close()
+
+
+def make_plain_routes(state: entry_state.EntryState) -> quart.Blueprint:
+    """Return the routes under ``/services``."""
+    routes = quart.Blueprint("plain", __name__, url_prefix="/services")
+
+    @routes.route("/<service>/", methods=_METHODS, defaults={"path": ""})
+    @routes.route("/<service>/<path:path>", methods=_METHODS)
+    async def pass_call(service: str, path: str) -> quart.Response:
+        header = quart.request.headers.get("Authorization", "")
+        customer = authentication.authenticate_customer(
+            header, state.tail.state
+        )
+        body = await request_options.read_body()
+        request = state.make_call_request(
+            service,
+            customer,
+            _make_request(path, body),
+            request_options.read_options(quart.request.headers),
+            quart.request.method in _IDEMPOTENT_METHODS,
+        )
+        if request_options.wants_prepare(quart.request.headers):
+            prepared = await state.dispatcher.prepare(request)
+            return quart.Response(
+                "", headers={"Gentianpoint-Generation": prepared}
+            )
+        return await _answer(state, state.dispatcher.open_call(request))
+
+    return routes
--- a/packages/gentianpoint-standins/src/gentianpoint_standins/engine_streams.py
+++ b/packages/gentianpoint-standins/src/gentianpoint_standins/engine_streams.py
@@ -88,10 +88,9 @@
         self.own_prompt_tokens: typing.Final = (
             self.prompt_tokens - len(self.digests) * engine_memory.CHUNK_TOKENS
         )
-        self.limit: typing.Final = min(length, start["max_tokens"])
-        self.limit_end: typing.Final = (
-            "stop" if length <= start["max_tokens"] else "length"
-        )
+        most = start["max_tokens"] or length
+        self.limit: typing.Final = min(length, most)
+        self.limit_end: typing.Final = "stop" if length <= most else "length"
         self.generated = 0
         self.own_blocks = 0
         self.prefill_left = 0
--- a/packages/gentianpoint-standins/src/gentianpoint_standins/processes.py
+++ b/packages/gentianpoint-standins/src/gentianpoint_standins/processes.py
@@ -125,6 +125,7 @@
         self._folder.mkdir(parents=True, exist_ok=True)
         self._detached: typing.Final = detached
         self.operator_key: typing.Final = operator_key or uuid.uuid4().hex
+        self.peer_key: typing.Final = uuid.uuid4().hex
         self._started: typing.Final[
             dict[int, subprocess.Popen[typing.Any]]
         ] = {}
@@ -235,6 +236,7 @@
         """Start an entry and wait until it answers that it is ready."""
         options.setdefault("listen", choose_free_address())
         options.setdefault("log_url", self.log_url)
+        options.setdefault("peer_key", self.peer_key)
         options.setdefault("hosts_url", self.hosts_url)
         options.setdefault(
             "operator_key_hash",
@@ -260,6 +262,7 @@
         """
         options.setdefault("listen", choose_free_address())
         options.setdefault("log_url", self.log_url)
+        options.setdefault("peer_key", self.peer_key)
         options.setdefault("target", name)
         if self.weights_url:
             options.setdefault("weights_url", self.weights_url)
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -122,11 +122,11 @@
             arguments.append(f"{bound}={setting[bound]}")
     if "choices" in setting:
         choices = ", ".join(repr(choice) for choice in setting["choices"])
-        arguments.append(f"click_type=click.Choice([{choices}])")
+        kind = f"typing.Literal[{choices}]"
     if setting["type"] == "address":
-        arguments.append("click_type=option_types.AddressType()")
+        arguments.append("parser=option_types.parse_address")
     if setting["name"].endswith("-url"):
-        arguments.append("click_type=option_types.UrlType()")
+        arguments.append("parser=option_types.parse_url")
     arguments.append(f"help={setting['description']!r}")
     option = f"typer.Option({', '.join(arguments)})"
     line = f"{_field(setting)}: typing.Annotated[{kind}, {option}]"
@@ -158,7 +158,6 @@
         "from collections import abc",
         "import typing",
         "",
-        "import click",
         "from gentianpoint_core import option_types",
         "import typer",
         "",
