--- a/packages/gentianpoint-standins/src/gentianpoint_standins/engine_service.py
+++ b/packages/gentianpoint-standins/src/gentianpoint_standins/engine_service.py
@@ -153,10 +153,11 @@
             await self._changed.wait()
 
     def _finish_step(self) -> None:
+        before = self._scheduler.tokens
         for stream in self._scheduler.finish_step():
             self._bury(stream, stream.end)
         self._note_load()
-        self._witness.set_tokens(self._scheduler.tokens)
+        self._witness.counts.add("tokens", self._scheduler.tokens - before)
         limit = self._faults.die_after_tokens
         if limit and self._scheduler.tokens >= limit:
             os._exit(1)
@@ -279,7 +280,7 @@
         stream = self._streams.get(identifier)
         if stream is None:
             return serving.answer_refusal(404, "unknown")
-        self._witness.count_resume()
+        self._witness.counts.add("resumes")
         after = int(quart.request.args.get("after", "0"))
         return self._answer_lines(stream, after)
 
@@ -289,7 +290,7 @@
         stream = self._streams.get(identifier)
         if stream is None:
             return serving.answer_json({"known": False})
-        self._witness.count_cancel()
+        self._witness.counts.add("cancels")
         if not stream.is_over():
             self._scheduler.remove(stream)
             stream.add_end("cancelled")
@@ -366,20 +367,9 @@
     # For tests and load tools.
 
     async def show_witness(self) -> quart.Response:
-        """Show the counts, once each is at least as asked for.
-
-        ``GET /witness?wait_ms=5000&started=2`` waits up to 5 seconds for
-        the second start; ``ended``, ``cancels``, ``resumes`` and ``tokens``
-        can be waited for too.
-        """
-        wanted = {
-            name: int(value) for name, value in quart.request.args.items()
-        }
-        wait_ms = wanted.pop("wait_ms", 0)
-        if not engine_witness.COUNTS.issuperset(wanted):
-            return serving.answer_refusal(400, "no such count")
-        with trio.move_on_after(wait_ms / 1000):
-            await self._witness.wait_for(wanted)
+        """Show what was done, once the counts are as asked for."""
+        if refusal := await self._witness.counts.wait_as_asked():
+            return refusal
         orders = [
             {**taken.order, "refused": taken.refused}
             for taken in self.orders.history
@@ -387,6 +377,7 @@
         return serving.answer_json(
             {
                 **self._witness.read(),
+                **self._witness.counts.read(),
                 "boot": self._boot,
                 "now": self._scheduler.figures()._asdict(),
                 "orders": orders,
--- a/packages/gentianpoint-standins/src/gentianpoint_standins/processes.py
+++ b/packages/gentianpoint-standins/src/gentianpoint_standins/processes.py
@@ -220,7 +220,8 @@
         return self.start_standin("engine", name, **options)
 
     def start_plain(self, name: str, **options: Option) -> ProcessHandle:
-        """Start a plain service."""
+        """Start a plain service, whose answers carry its name."""
+        options.setdefault("target_name", name)
         return self.start_standin("plain", name, **options)
 
     def start_relay(
@@ -361,7 +362,7 @@
         """Return a stand-in's witness once its ``counts`` are reached."""
         asked = {"wait_ms": int(within_s * 1000), **counts} if counts else {}
         answer = self._client.get(
-            f"{handle.url}/witness",
+            f"{handle.control_url or handle.url}/witness",
             params=asked,
             timeout=within_s + _CALL_TIMEOUT_S,
         )
--- a/packages/gentianpoint-standins/src/gentianpoint_standins/serving.py
+++ b/packages/gentianpoint-standins/src/gentianpoint_standins/serving.py
@@ -28,10 +28,12 @@
     "DroppedConnectionError",
     "Listen",
     "Task",
+    "announce",
     "answer_json",
     "answer_refusal",
     "drop_reply",
     "make_app",
+    "open_app",
     "read_body",
     "serve_app",
 )
@@ -117,27 +119,38 @@
 """Default of ``--listen`` options."""
 
 
-async def serve_app(
-    app: quart_trio.QuartTrio, kind: str, listen: str, *tasks: Task
-) -> None:
-    """Serve ``app`` at ``listen`` beside its ``tasks`` until killed."""
+async def open_app(
+    nursery: trio.Nursery, app: quart_trio.QuartTrio, listen: str
+) -> str:
+    """Serve ``app`` at ``listen`` in ``nursery``; return its base URL."""
     config = hypercorn.config.Config()
     config.bind = [listen]
     config.errorlog = None
     config.keep_alive_timeout = _KEEP_ALIVE_S
+    serve = functools.partial(
+        hypercorn.trio.serve, typing.cast(typing.Any, app), config
+    )
+    return str((await nursery.start(serve))[0])
+
+
+def announce(kind: str, url: str, control_url: str = "") -> None:
+    """Print the line that tells where a stand-in listens."""
+    line = {
+        "event": "listening",
+        "kind": kind,
+        "url": url,
+        "control_url": control_url,
+        "pid": os.getpid(),
+    }
+    sys.stdout.write(msgspec.json.encode(line).decode() + "\n")
+    sys.stdout.flush()
+
+
+async def serve_app(
+    app: quart_trio.QuartTrio, kind: str, listen: str, *tasks: Task
+) -> None:
+    """Serve ``app`` at ``listen`` beside its ``tasks`` until killed."""
     async with trio.open_nursery() as nursery:
         for task in tasks:
             nursery.start_soon(task)
-        binds = await nursery.start(
-            functools.partial(
-                hypercorn.trio.serve, typing.cast(typing.Any, app), config
-            )
-        )
-        line = {
-            "event": "listening",
-            "kind": kind,
-            "url": binds[0],
-            "pid": os.getpid(),
-        }
-        sys.stdout.write(msgspec.json.encode(line).decode() + "\n")
-        sys.stdout.flush()
+        announce(kind, await open_app(nursery, app, listen))
