--- a/packages/gentianpoint-standins/src/gentianpoint_standins/engine_scheduler.py
+++ b/packages/gentianpoint-standins/src/gentianpoint_standins/engine_scheduler.py
@@ -158,7 +158,12 @@
             if not self.fits(stream):
                 self._end(stream, "length")
                 continue
-            held = self.memory.take_chunks(stream.digests, stream.own_tokens())
+            # Room for the next token too: without it the stream would be
+            # preempted again in the same step, over and over, and the
+            # batch would compute nothing but its prompt.
+            held = self.memory.take_chunks(
+                stream.digests, stream.own_tokens() + 1
+            )
             if held is None:
                 return
             del self._waiting[0]
@@ -168,7 +173,7 @@
     def _begin_prefill(
         self, stream: engine_streams.EngineStream, held: int
     ) -> None:
-        stream.own_blocks = self.memory.count_blocks(stream.own_tokens())
+        stream.own_blocks = self.memory.count_blocks(stream.own_tokens() + 1)
         stream.prefill_left = (
             stream.prompt_tokens
             + stream.generated
--- a/packages/gentianpoint-standins/src/gentianpoint_standins/processes.py
+++ b/packages/gentianpoint-standins/src/gentianpoint_standins/processes.py
@@ -95,13 +95,18 @@
     return flags
 
 
-def _make_environment() -> dict[str, str]:
-    """Return the environment without settings of the developer's shell."""
-    return {
+def _make_environment(peer_key: str) -> dict[str, str]:
+    """Return the environment without settings of the developer's shell.
+
+    The peer key goes by a variable: flags can be seen by every user of the
+    machine.
+    """
+    kept = {
         name: value
         for name, value in os.environ.items()
         if not name.startswith("GENTIANPOINT_")
     }
+    return {**kept, "GENTIANPOINT_PEER_KEY": peer_key}
 
 
 class LocalDeployment:
@@ -125,6 +130,7 @@
         self._folder.mkdir(parents=True, exist_ok=True)
         self._detached: typing.Final = detached
         self.operator_key: typing.Final = operator_key or uuid.uuid4().hex
+        self.peer_key: typing.Final = uuid.uuid4().hex
         self._started: typing.Final[
             dict[int, subprocess.Popen[typing.Any]]
         ] = {}
@@ -154,7 +160,7 @@
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=output,
-                env=_make_environment(),
+                env=_make_environment(self.peer_key),
                 start_new_session=self._detached,
             )
         self._started[process.pid] = process
@@ -375,11 +381,15 @@
         spec: typing.Mapping[str, typing.Any],
         base: int = -1,
     ) -> typing.Any:
-        """Declare a resource through the first entry.
+        """Declare a resource through the first entry that runs.
 
         ``kind`` is ``services`` or ``customers``.
         """
-        entry = next(row for row in self.handles if row.kind == "entry")
+        entry = next(
+            row
+            for row in self.handles
+            if row.kind == "entry" and self.is_running(row)
+        )
         return self.call(
             "PUT",
             f"{entry.url}/admin/v1/{kind}/{name}",
