--- a/packages/gentianpoint-standins/src/gentianpoint_standins/relay.py
+++ b/packages/gentianpoint-standins/src/gentianpoint_standins/relay.py
@@ -52,7 +52,7 @@
         self._conditions: typing.Final = relay_links.LinkConditions()
         self._links: typing.Final[set[relay_links.Link]] = set()
         self._counts: typing.Final = counts.Counts(
-            ("connections", "ended", "forward", "backward")
+            ("connections", "ended", "forward", "backward", "withheld")
         )
 
     def make_app(self) -> quart_trio.QuartTrio:
--- a/packages/gentianpoint-standins/src/gentianpoint_standins/relay_links.py
+++ b/packages/gentianpoint-standins/src/gentianpoint_standins/relay_links.py
@@ -38,10 +38,9 @@
         self._changed.set()
         self._changed = trio.Event()
 
-    async def wait_while_stalled(self) -> None:
-        """Wait until bytes may pass."""
-        while self.stalled:
-            await self._changed.wait()
+    async def wait_for_change(self) -> None:
+        """Wait until the conditions change."""
+        await self._changed.wait()
 
 
 class _Chunk(typing.NamedTuple):
@@ -57,13 +56,17 @@
         near: trio.SocketStream,
         far: trio.SocketStream,
         conditions: LinkConditions,
-        count_bytes: abc.Callable[[str, int], None],
+        count: abc.Callable[[str, int], None],
     ) -> None:
-        """Pass bytes between ``near``, which connected, and ``far``."""
+        """Pass bytes between ``near``, which connected, and ``far``.
+
+        ``count`` is told the bytes passed in each direction, and under
+        ``withheld`` the chunks that were not passed on when they were due.
+        """
         self._near: typing.Final = near
         self._far: typing.Final = far
         self._conditions: typing.Final = conditions
-        self._count_bytes: typing.Final = count_bytes
+        self._count: typing.Final = count
         self._silent: set[str] = set()
         self._scope: typing.Final = trio.CancelScope()
         self._reset = False
@@ -136,7 +139,10 @@
     ) -> None:
         async for chunk in receive:
             await trio.sleep_until(chunk.due_at)
-            await self._conditions.wait_while_stalled()
+            if self._conditions.stalled or self._is_silent(direction):
+                self._count("withheld", 1)
+            while self._conditions.stalled:
+                await self._conditions.wait_for_change()
             if self._is_silent(direction):
                 if not chunk.data:
                     await trio.sleep_forever()
@@ -145,4 +151,4 @@
                 await to.send_eof()
                 return
             await to.send_all(chunk.data)
-            self._count_bytes(direction, len(chunk.data))
+            self._count(direction, len(chunk.data))
