--- a/packages/gentianpoint-standins/src/gentianpoint_standins/processes.py
+++ b/packages/gentianpoint-standins/src/gentianpoint_standins/processes.py
@@ -95,13 +95,18 @@
     return flags
 
 
-def _make_environment() -> dict[str, str]:
-    """Return the environment without settings of the developer's shell."""
-    return {
+def _make_environment(peer_key: str) -> dict[str, str]:
+    """Return the environment without settings of the developer's shell.
+
+    The peer key goes by a variable: flags can be seen by every user of the
+    machine.
+    """
+    kept = {
         name: value
         for name, value in os.environ.items()
         if not name.startswith("GENTIANPOINT_")
     }
+    return {**kept, "GENTIANPOINT_PEER_KEY": peer_key}
 
 
 class LocalDeployment:
@@ -155,7 +160,7 @@
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=output,
-                env=_make_environment(),
+                env=_make_environment(self.peer_key),
                 start_new_session=self._detached,
             )
         self._started[process.pid] = process
@@ -221,7 +226,8 @@
         return self.start_standin("engine", name, **options)
 
     def start_plain(self, name: str, **options: Option) -> ProcessHandle:
-        """Start a plain service."""
+        """Start a plain service, whose answers carry its name."""
+        options.setdefault("target_name", name)
         return self.start_standin("plain", name, **options)
 
     def start_relay(
@@ -364,7 +370,7 @@
         """Return a stand-in's witness once its ``counts`` are reached."""
         asked = {"wait_ms": int(within_s * 1000), **counts} if counts else {}
         answer = self._client.get(
-            f"{handle.url}/witness",
+            f"{handle.control_url or handle.url}/witness",
             params=asked,
             timeout=within_s + _CALL_TIMEOUT_S,
         )
@@ -377,11 +383,15 @@
         spec: typing.Mapping[str, typing.Any],
         base: int = -1,
     ) -> typing.Any:
-        """Declare a resource through the first entry.
+        """Declare a resource through the first entry that runs.
 
         ``kind`` is ``services`` or ``customers``.
         """
-        entry = next(row for row in self.handles if row.kind == "entry")
+        entry = next(
+            row
+            for row in self.handles
+            if row.kind == "entry" and self.is_running(row)
+        )
         return self.call(
             "PUT",
             f"{entry.url}/admin/v1/{kind}/{name}",
