Prove streams under cuts, silence, kills and freezes

Cause: the promise that every token comes once, in order, from one generation was built but not shown. Ruled out: comparing counts only; the texts are compared with what the agent holds, and starts are counted at the engines.

--- a/features/builders.py
+++ b/features/builders.py
@@ -13,15 +13,24 @@
 OTHER_KEY: typing.Final = "key-of-another"
 MODEL: typing.Final = "modelo-taller"
 PLAIN: typing.Final = "app-banco"
+FAST: typing.Final[abc.Mapping[str, processes.Option]] = {
+    "heartbeat_ms": 100,
+    "silence_ms": 500,
+}
+"""Settings with which a silent connection is soon found."""
 DATA_CENTRES: typing.Final = ("zona-norte", "zona-sur", "zona-oeste")
 CALL_TIMEOUT_S: typing.Final = 60.0
 
 
 class Target(typing.NamedTuple):
-    """An engine or plain service with its agent."""
+    """An engine or plain service with its agent and relays."""
 
     target: processes.ProcessHandle
     agent: processes.ProcessHandle
+    entry_relay: typing.Optional[processes.ProcessHandle]
+    """Relay between entries and the agent, if there is one."""
+    target_relay: typing.Optional[processes.ProcessHandle]
+    """Relay between the agent and its target, if there is one."""
 
 
 class Fixture(typing.NamedTuple):
@@ -58,15 +67,18 @@
     number: int,
     service: str = MODEL,
     engine: abc.Mapping[str, processes.Option] = {},
+    relayed: bool = False,
     **agent: processes.Option,
 ) -> Target:
     """Start an engine, or a plain service, with its agent.
 
-    Both start at the same time, which halves the wait.
+    All start at the same time, which halves the wait. With ``relayed`` a
+    relay stands before the agent and one before its target.
     """
     data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
     address = processes.choose_free_address()
     agent.setdefault("log_level", "debug")
+    agent.setdefault("listen", processes.choose_free_address())
     start = deployment.start_engine
     name = f"engine-{number}"
     if service == PLAIN:
@@ -75,15 +87,30 @@
         agent.setdefault("target_kind", "plain")
     with futures.ThreadPoolExecutor() as pool:
         target = pool.submit(start, name, listen=address, **engine)
+        relays: list[typing.Optional[processes.ProcessHandle]] = [None, None]
+        if relayed:
+            starts = [
+                pool.submit(deployment.start_relay, to, name=f"{side}-{name}")
+                for side, to in (
+                    ("before-agent", str(agent["listen"])),
+                    ("before-target", address),
+                )
+            ]
+            relays = [row.result() for row in starts]
         handle = deployment.start_agent(
             f"{service}-{number}",
             data_centre,
             service,
-            f"http://{address}",
+            relays[1].url if relays[1] else f"http://{address}",
             **agent,
         )
-        deployment.register_host(handle, data_centre, service)
-        return Target(target.result(), handle)
+        deployment.register_host(
+            handle,
+            data_centre,
+            service,
+            address=relays[0].address if relays[0] else "",
+        )
+        return Target(target.result(), handle, relays[0], relays[1])
 
 
 def _start_entry(
@@ -117,6 +144,7 @@
     engine: abc.Mapping[str, processes.Option] = {},
     spec: abc.Mapping[str, typing.Any] = {},
     entry: abc.Mapping[str, processes.Option] = {},
+    relayed: bool = False,
     **agent: processes.Option,
 ) -> Fixture:
     """Start a deployment, declare its service and wait until it serves."""
@@ -130,7 +158,13 @@
         ]
         target_starts = [
             pool.submit(
-                start_target, deployment, number, service, engine, **agent
+                start_target,
+                deployment,
+                number,
+                service,
+                engine,
+                relayed,
+                **agent,
             )
             for number in range(targets)
         ]
@@ -170,3 +204,12 @@
         headers=headers or make_headers(),
         timeout=CALL_TIMEOUT_S,
     )
+
+
+def count_starts(fixture: Fixture) -> int:
+    """Return how many generations the engines started, by their witness."""
+    return sum(
+        fixture.deployment.read_witness(row.target)["started"]
+        for row in fixture.targets
+        if fixture.deployment.is_running(row.target)
+    )
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/calls.py
@@ -592,11 +592,18 @@
         An offer that has not started yet is withdrawn.
         """
         call = self._link_call
-        if call is None:
-            return
         self._drop_link_call()
         if self._finished:
             return
+        self._finished = True
+        logs.log_event(
+            events.CALL_CLOSED,
+            request=self.request.identifier,
+            generation=self.generation,
+            items=self.delivered,
+        )
+        if call is None:
+            return
         with trio.move_on_after(1, shield=True):
             try:
                 await call.link.send({"type": "retract", "call": call.number})
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -41,7 +41,7 @@
     files = [
         path
         for root in roots
-        for path in root.rglob("*.feature")
+        for path in ([root] if root.is_file() else root.rglob("*.feature"))
         if ".venv" not in path.parts
     ]
     return sorted(files, key=lambda path: -path.stat().st_size)
@@ -80,9 +80,12 @@
                 text=True,
                 timeout=SUITE_TIMEOUT_S,
             )
+        except subprocess.TimeoutExpired as error:
+            return SuiteResult(name, 0, (f"{name}: timeout",), str(error))
+        try:
             passed, failed = _collect(report)
-        except (subprocess.TimeoutExpired, ValueError, OSError) as error:
-            return SuiteResult(name, 0, (f"{name}: no result",), str(error))
+        except (ValueError, OSError):
+            return SuiteResult(name, 0, (f"{name}: no result",), done.stdout)
         if done.returncode != 0 and not failed:
             failed.append(f"{name}: behave ended with {done.returncode}")
         return SuiteResult(name, passed, tuple(failed), done.stdout)
