Prove at most once and not run under kills, cuts and freezes

Cause: the promises were built but not shown. Ruled out: counting in the product; starts are counted at the stand-in engines and plain services. Before: not shown.

--- a/features/builders.py
+++ b/features/builders.py
@@ -213,3 +213,19 @@
         for row in fixture.targets
         if fixture.deployment.is_running(row.target)
     )
+
+
+def restart_agent(
+    deployment: processes.LocalDeployment, row: Target
+) -> processes.ProcessHandle:
+    """Start a target's agent again, at its address."""
+    parts = row.agent.name.rpartition("-")
+    handle = deployment.start_agent(
+        row.agent.name,
+        DATA_CENTRES[int(parts[2]) % len(DATA_CENTRES)],
+        parts[0],
+        row.target.url,
+        listen=row.agent.address,
+        log_level="debug",
+    )
+    return handle
