Add the demo, and wait for the deployment by its events

The first run of make up waited for /v1/models to list a plain service, which it never does, and gave up after 30 s. The demo wants a span from the entry, which no entry writes yet: it fails until then.

--- a/packages/gentianpoint-standins/features/environment.py
+++ b/packages/gentianpoint-standins/features/environment.py
@@ -4,4 +4,4 @@
 def after_scenario(context, scenario):
     deployment = getattr(context, "deployment", None)
     if deployment is not None:
-        deployment.stop_all()
+        deployment.kill_all()
--- a/packages/gentianpoint-standins/src/gentianpoint_standins/deployment.py
+++ b/packages/gentianpoint-standins/src/gentianpoint_standins/deployment.py
@@ -19,7 +19,6 @@
 import typing
 import uuid
 
-import httpx
 import typer
 
 from gentianpoint_standins import deployment_files
@@ -36,7 +35,9 @@
 _POLL_S: typing.Final = 0.05
 
 app: typing.Final = typer.Typer(
-    help="Start and stop a local deployment.", no_args_is_help=True
+    help="Start and stop a local deployment.",
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
 )
 
 
@@ -148,14 +149,14 @@
             for host in profile.entries
         ]
     )
-    for service in profile.services:
-        local.declare("services", service.name, service.spec)
     customers = _declare_customers(local, profile)
-    _wait_until_serving(
-        [entry.handle for entry in entries],
-        {service.name for service in profile.services},
-        customers[-1]["key"],
-    )
+    revisions = {
+        service.name: int(
+            local.declare("services", service.name, service.spec)["revision"]
+        )
+        for service in profile.services
+    }
+    _wait_until_serving(entries, agents, revisions, max(revisions.values()))
     return {
         "entries": [
             {
@@ -194,30 +195,41 @@
 
 
 def _wait_until_serving(
-    entries: abc.Sequence[processes.ProcessHandle],
-    services: abc.Set[str],
-    key: str,
+    entries: abc.Sequence[_Running],
+    agents: abc.Sequence[_Running],
+    revisions: abc.Mapping[str, int],
+    last: int,
 ) -> None:
-    """Wait until each entry knows the services and the last customer."""
-    deadline = time.monotonic() + _READY_WITHIN_S
+    """Wait until all that was declared is in force on each process.
+
+    ``last`` is the last change; ``revisions`` are those of the services.
+    Each entry has to be connected to each agent, too.
+    """
     for entry in entries:
-        while not services <= _list_services(entry.url, key):
-            if time.monotonic() > deadline:
-                raise processes.DeploymentError(
-                    f"{entry.name} does not know all of {sorted(services)}"
-                )
-            time.sleep(_POLL_S)
+        _wait_for_offset(entry.handle, "offset", last)
+        for agent in agents:
+            entry.handle.log.wait_for_event(
+                "connection_opened",
+                _READY_WITHIN_S,
+                functools.partial(_names_peer, agent.handle.name),
+            )
+    for agent in agents:
+        revision = revisions[agent.service]
+        _wait_for_offset(agent.handle, "revision", revision)
 
 
-def _list_services(url: str, key: str) -> set[str]:
-    headers = {"Authorization": f"Bearer {key}"}
-    try:
-        answer = httpx.get(f"{url}/v1/models", headers=headers)
-    except httpx.HTTPError:
-        return set()
-    if answer.is_error:
-        return set()
-    return {str(row["id"]) for row in answer.json()["data"]}
+def _names_peer(name: str, event: dict[str, typing.Any]) -> bool:
+    return bool(event["peer"] == name)
+
+
+def _wait_for_offset(
+    handle: processes.ProcessHandle, field: str, least: int
+) -> None:
+    handle.log.wait_for_event(
+        "configuration_applied",
+        _READY_WITHIN_S,
+        lambda event: bool(event[field] >= least),
+    )
 
 
 def _is_running(pid: int) -> bool:
@@ -266,9 +278,10 @@
     _PAGE.unlink(missing_ok=True)
     local = processes.LocalDeployment(_FOLDER / "logs", detached=True)
     try:
-        started = start_profile(
-            local, profiles.PROFILES[profile], {"trace_log": True}
-        )
+        started = start_profile(local, profiles.PROFILES[profile], {})
+    except (processes.DeploymentError, TimeoutError) as error:
+        local.stop_all()
+        sys.exit(f"the deployment did not start: {error}")
     except BaseException:
         local.stop_all()
         raise
--- a/packages/gentianpoint-standins/src/gentianpoint_standins/profiles.py
+++ b/packages/gentianpoint-standins/src/gentianpoint_standins/profiles.py
@@ -5,6 +5,7 @@
 import typing
 
 __all__ = (
+    "DEMO",
     "PROFILES",
     "CustomerProfile",
     "Profile",
@@ -175,6 +176,20 @@
     ),
 )
 
+DEMO: typing.Final = Profile(
+    entries=_spread_hosts("entrada", 1, _ZONES),
+    services=(
+        _TALLER.services[0]._replace(
+            targets=_spread_hosts("taller", 2, _ZONES)
+        ),
+        _TALLER.services[1]._replace(
+            targets=_spread_hosts("banco", 1, _ZONES)
+        ),
+    ),
+    customers=_TALLER.customers[:1],
+)
+"""Deployment of ``make demo``."""
+
 PROFILES: typing.Final[abc.Mapping[ProfileName, Profile]] = {
     ProfileName.TALLER: _TALLER,
     ProfileName.GUIA: _GUIA,
