Learn lengths of answers and forecast the peak of cache memory

Cause: an agent has to decide before the length of an answer is known. Change: hazards in log-spaced classes with forgetting in each class, in a chain of kinds of which only those seen most are kept; means and variances at 40 horizons. Not used by the agent yet.

--- /dev/null
+++ b/packages/gentianpoint-agent/features/steps/lengths_steps.py
@@ -0,0 +1,135 @@
+"""Steps for lengths of answers and forecasts of memory."""
+
+import behave
+
+from gentianpoint_agent import length_classes
+from gentianpoint_agent import memory_forecasts
+
+_DEVIATIONS = 2.3
+
+
+def run_stream(learner, tokens, *, whole, customer="c", prompt="p"):
+    stream = learner.find_stream(customer, prompt, 0)
+    for _ in range(tokens - 1 if whole else tokens):
+        stream.add_token()
+    if whole:
+        stream.end()
+
+
+def get_learner(context):
+    if "learner" not in context:
+        context.learner = length_classes.LengthLearner()
+    return context.learner
+
+
+@behave.when(
+    "{ended:d} answers of {length:d} tokens end and {cut:d} are cut"
+    " after {after:d}"
+)
+def run_answers(context, ended, length, cut, after):
+    learner = get_learner(context)
+    for number in range(max(ended, cut)):
+        if number < cut:
+            run_stream(learner, after, whole=False)
+        if number < ended:
+            run_stream(learner, length, whole=True)
+
+
+@behave.when(
+    "{many:d} answers of {short:d} tokens and 1 of {long:d} end,"
+    " {times:d} times in turn"
+)
+def run_mix(context, many, short, long, times):
+    for _ in range(times):
+        for _ in range(many):
+            run_stream(get_learner(context), short, whole=True)
+        run_stream(context.learner, long, whole=True)
+
+
+@behave.then(
+    "half of the answers are at most between {low:d} and {high:d} tokens"
+)
+def check_median(context, low, high):
+    half = get_learner(context).service.find_quantile(0, 0.5)
+    assert low <= half <= high, half
+
+
+@behave.then(
+    "of answers at {tokens:d} tokens half end between {low:d} and {high:d}"
+)
+def check_conditional(context, tokens, low, high):
+    half = context.learner.service.find_quantile(tokens, 0.5)
+    assert low <= half <= high, half
+
+
+@behave.when(
+    'customer {name} gets {count:d} answers of {length:d} tokens to "{prompt}"'
+)
+def run_customer(context, name, count, length, prompt):
+    for number in range(count):
+        run_stream(
+            get_learner(context),
+            length,
+            whole=True,
+            customer=name,
+            prompt=f"{prompt:30} {number}",
+        )
+
+
+@behave.then('an answer for {name} to "{prompt}" is at most {most:d} tokens')
+def check_customer(context, name, prompt, most):
+    stream = context.learner.find_stream(name, f"{prompt:30} 0", 0)
+    half = stream.distribution.find_quantile(0, 0.8)
+    assert half <= most, half
+
+
+@behave.when(
+    "{count:d} customers ask once each beside one that asks {times:d} times"
+)
+def run_crowd(context, count, times):
+    learner = get_learner(context)
+    for number in range(count):
+        prompt = f"prompt of customer {number}"
+        run_stream(learner, 3, whole=True, customer=str(number), prompt=prompt)
+        if number % (count // times) == 0:
+            run_stream(learner, 300, whole=True, customer="large")
+
+
+@behave.then("fewer than {most:d} kinds are kept")
+def check_kinds(context, most):
+    assert context.learner.count_kinds() < most
+
+
+@behave.then("the large customer's lengths are still known")
+def check_large(context):
+    stream = context.learner.find_stream("large", "p", 0)
+    half = stream.distribution.find_quantile(0, 0.5)
+    assert 250 <= half <= 360, half
+
+
+@behave.given("answers that all have {length:d} tokens")
+def learn_length(context, length):
+    for _ in range(400):
+        run_stream(get_learner(context), length, whole=True)
+
+
+@behave.when(
+    "{streams:d} streams with prompts of {prompt:d} tokens have {tokens:d} out"
+)
+def forecast_streams(context, streams, prompt, tokens):
+    row = memory_forecasts.StreamMemory(
+        context.learner.service, prompt, tokens, 0
+    )
+    context.forecast = memory_forecasts.MemoryForecast([row] * streams, 16)
+
+
+@behave.when("{streams:d} streams limited to {limit:d} tokens are forecast")
+def forecast_limited(context, streams, limit):
+    row = memory_forecasts.StreamMemory(context.learner.service, 0, 0, limit)
+    context.forecast = memory_forecasts.MemoryForecast([row] * streams, 16)
+
+
+@behave.then("the peak in blocks of 16 is between {low:d} and {high:d}")
+def check_peak(context, low, high):
+    peak = context.forecast.find_peak(_DEVIATIONS)
+    assert low <= peak <= high, peak
