Admit by forecast memory and pace from a fair queue

Cause: every call started at once; the engine queued and preempted, one customer could fill it, and the waiting polled every 20 ms. Ruled out: a queue ordered by priority alone (starves), by arrival (one customer fills it); the time between releases as drain rate, which takes a quiet hour for a slow engine. The report's memory_predicted, pace_ms and queue_wait_ms are filled.

--- /dev/null
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/admission_policies.py
@@ -0,0 +1,33 @@
+"""The admission policies by the names that the settings allow."""
+
+from gentianpoint_agent import admission_policy
+from gentianpoint_agent import baseline_policies
+from gentianpoint_agent import predictive_policy
+from gentianpoint_agent import service_in_force
+from gentianpoint_agent.generated import settings as agent_settings
+
+__all__ = ("make_admission_policy",)
+
+
+def make_admission_policy(
+    settings: agent_settings.AgentSettings,
+    service: service_in_force.ServiceInForce,
+) -> admission_policy.AdmissionPolicy:
+    """Return the policy that the settings name.
+
+    A plain service brings no tokens and reports no load, so only the limits
+    of its resource count.
+    """
+    if settings.target_kind == "plain":
+        return baseline_policies.UnlimitedPolicy()
+    match settings.admission:
+        case "none":
+            return baseline_policies.UnlimitedPolicy()
+        case "fixed":
+            return baseline_policies.FixedPolicy(settings.fixed_concurrency)
+        case "reserve_maximum":
+            return baseline_policies.ReserveMaximumPolicy()
+        case "reserve_mean":
+            return baseline_policies.ReserveMeanPolicy()
+        case _:
+            return predictive_policy.PredictivePolicy(service)
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/agent.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/agent.py
@@ -12,6 +12,7 @@
 import websockets.trio.server
 
 from gentianpoint_agent import admission
+from gentianpoint_agent import admission_policies
 from gentianpoint_agent import agent_state
 from gentianpoint_agent import call_runner
 from gentianpoint_agent import engine_runner
@@ -129,7 +130,7 @@
             available = False
         else:
             available = True
-            state.control.load = load
+            state.control.note_load(load)
             if load.reclaim_in_ms is not None:
                 state.lifecycle.start_leaving("the engine is reclaimed")
         await trio.sleep(_LOAD_POLL_S)
@@ -168,8 +169,11 @@
         trio.open_nursery() as calls,
         trio.open_nursery() as nursery,
     ):
-        control = admission.AdmissionControl(None)
         service = service_in_force.ServiceInForce(settings.service)
+        control = admission.AdmissionControl(
+            admission_policies.make_admission_policy(settings, service),
+            service,
+        )
         engine = http_engine.HttpEngine(
             settings.target_url, client, settings.silence_ms
         )
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/agent_state.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/agent_state.py
@@ -64,14 +64,15 @@
         """Return the load as entries are told it."""
         load = self.control.load
         used = load.blocks_used / load.blocks if load and load.blocks else 0.0
+        predicted = self.control.predict_memory()
         return {
             "type": "report",
             "running": self.control.count_running(),
             "queued": self.control.count_queued(),
             "memory_used": used,
-            "memory_predicted": used,
-            "pace_ms": 0.0,
-            "queue_wait_ms": 0.0,
+            "memory_predicted": used if predicted is None else predicted,
+            "pace_ms": self.control.read_pace_ms(),
+            "queue_wait_ms": self.control.predict_wait_ms(),
             "age_ms": load.age_ms if load else 0,
             "prefixes": [],
         }
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/call_runner.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/call_runner.py
@@ -6,6 +6,7 @@
 import trio
 
 from gentianpoint_agent import admission
+from gentianpoint_agent import admission_policy
 from gentianpoint_agent import generations
 from gentianpoint_core import deadlines
 from gentianpoint_core import errors
@@ -42,7 +43,7 @@
         self,
         generation: generations.Generation,
         order: StartOrder,
-        slot: admission.Slot,
+        slot: admission_policy.Slot,
     ) -> generations.GenerationEnd:
         """Call the target and add what it answers to the generation.
 
@@ -102,7 +103,7 @@
         self, generation: generations.Generation, order: StartOrder
     ) -> generations.GenerationEnd:
         offer = order.offer
-        profile = admission.CallProfile(
+        profile = admission_policy.CallProfile(
             offer["customer"],
             offer["weight"],
             offer["customer_limit"],
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/engine_runner.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/engine_runner.py
@@ -5,6 +5,7 @@
 import trio
 
 from gentianpoint_agent import admission
+from gentianpoint_agent import admission_policy
 from gentianpoint_agent import call_runner
 from gentianpoint_agent import generations
 from gentianpoint_agent import service_in_force
@@ -80,7 +81,7 @@
         self,
         generation: generations.Generation,
         order: call_runner.StartOrder,
-        slot: admission.Slot,
+        slot: admission_policy.Slot,
     ) -> generations.GenerationEnd:
         """Stream the answer; a cut stream is resumed after its last token."""
         pace = _Pace(self._service.name, self._instruments)
@@ -118,7 +119,7 @@
         self,
         generation: generations.Generation,
         request: ports.StreamRequest,
-        slot: admission.Slot,
+        slot: admission_policy.Slot,
         pace: _Pace,
     ) -> typing.Optional[generations.GenerationEnd]:
         try:
@@ -140,7 +141,7 @@
     async def _resume(
         self,
         generation: generations.Generation,
-        slot: admission.Slot,
+        slot: admission_policy.Slot,
         pace: _Pace,
     ) -> typing.Optional[generations.GenerationEnd]:
         reason = ""
@@ -168,12 +169,12 @@
         self,
         generation: generations.Generation,
         stream: typing.AsyncIterator[ports.StreamEvent],
-        slot: admission.Slot,
+        slot: admission_policy.Slot,
         pace: _Pace,
     ) -> typing.Optional[generations.GenerationEnd]:
         async for event in stream:
             if event.end:
-                slot.note_end(event.prompt_tokens, event.completion_tokens)
+                slot.note_end(event.end, event.prompt_tokens)
                 return generations.GenerationEnd(
                     event.end,
                     prompt_tokens=event.prompt_tokens,
@@ -192,7 +193,7 @@
         return None
 
     def _note_preemption(
-        self, generation: generations.Generation, slot: admission.Slot
+        self, generation: generations.Generation, slot: admission_policy.Slot
     ) -> None:
         slot.note_preemption()
         self._instruments.record_preemption(self._service.name)
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/plain_runner.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/plain_runner.py
@@ -3,6 +3,7 @@
 import typing
 
 from gentianpoint_agent import admission
+from gentianpoint_agent import admission_policy
 from gentianpoint_agent import call_runner
 from gentianpoint_agent import generations
 from gentianpoint_core import errors
@@ -29,7 +30,7 @@
         self,
         generation: generations.Generation,
         order: call_runner.StartOrder,
-        slot: admission.Slot,
+        slot: admission_policy.Slot,
     ) -> generations.GenerationEnd:
         """Send the call; see :meth:`call_runner.CallRunner.run_started`."""
         request = order.offer["request"]
--- /dev/null
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/predictive_policy.py
@@ -0,0 +1,208 @@
+"""Our policy: memory forecast at a quantile, and a limit by pace.
+
+A call may start when the forecast peak of all running streams with it stays
+under the engine's memory, when the pace allows one more, and when nothing
+tells that the engine is short of memory right now. The service's objective
+says how sure the forecast must be and how much slower than the empty engine
+the pace may get.
+"""
+
+from collections import abc
+import typing
+
+from gentianpoint_agent import admission_policy
+from gentianpoint_agent import memory_forecasts
+from gentianpoint_agent import memory_ledger
+from gentianpoint_agent import pace_limits
+from gentianpoint_agent import service_in_force
+from gentianpoint_core import deadlines
+from gentianpoint_core import ports
+
+__all__ = ("PredictivePolicy",)
+
+_BLIND_RUNNING: typing.Final = 4
+_NEARLY_OUT: typing.Final = 0.97
+_FORECAST_MS: typing.Final = 50.0
+_WINDOW_MS: typing.Final = 500.0
+_CAUTION_STEP: typing.Final = 0.5
+_MOST_CAUTION: typing.Final = 3.0
+_CAUTION_KEPT: typing.Final = 0.999
+
+
+class _Objective(typing.NamedTuple):
+    """What a service's objective makes of the limits."""
+
+    deviations: float
+    """Standard deviations over the mean that the memory must hold."""
+    reserve: float
+    """Share of memory that is never promised."""
+    pace_factor: float
+    """How much slower than the empty engine tokens may come."""
+
+
+_OBJECTIVES: typing.Final[abc.Mapping[str, _Objective]] = {
+    "fewest_preemptions": _Objective(3.0, 0.04, 5.0),
+    "steady_pace": _Objective(2.0, 0.01, 2.5),
+}
+_DEFAULT_OBJECTIVE: typing.Final = "fewest_preemptions"
+
+
+class PredictivePolicy(admission_policy.AdmissionPolicy):
+    """Admits by forecast memory and measured pace."""
+
+    def __init__(self, service: service_in_force.ServiceInForce) -> None:
+        """Follow the objective that ``service`` declares."""
+        self._service: typing.Final = service
+        self._load: typing.Optional[ports.EngineLoad] = None
+        self._ledger: typing.Final = memory_ledger.MemoryLedger()
+        self._meter: typing.Final = pace_limits.PaceMeter()
+        self._pace: typing.Final = pace_limits.PaceLimit()
+        self._window_ms = 0.0
+        self._forecast: typing.Optional[memory_forecasts.MemoryForecast] = None
+        self._forecast_ms = 0.0
+        self._preempted = 0
+        self._stuck = False
+        self._caution = 0.0
+
+    def _find_objective(self) -> _Objective:
+        name = self._service.spec.get("objective", _DEFAULT_OBJECTIVE)
+        return _OBJECTIVES[name]
+
+    def may_start(
+        self,
+        outlook: admission_policy.CallOutlook,
+        running: abc.Collection[admission_policy.Slot],
+    ) -> bool:
+        """Tell whether memory and pace allow one more call."""
+        load = self._load
+        if load is None:
+            return len(running) < _BLIND_RUNNING
+        if self._is_nearly_out(load):
+            return False
+        if not running:
+            return True
+        if self._preempted or self._stuck:
+            return False
+        if not self._pace.allows(len(running), is_short=outlook.is_short):
+            return False
+        objective = self._find_objective()
+        peak = self._read_forecast(running, load).find_peak_with(
+            self._describe(outlook, 0), objective.deviations + self._caution
+        )
+        allowed = load.blocks * (1 - objective.reserve)
+        return peak + self._ledger.foreign_blocks <= allowed
+
+    def _is_nearly_out(self, load: ports.EngineLoad) -> bool:
+        return self._ledger.estimate_used() >= _NEARLY_OUT * load.blocks
+
+    def _describe(
+        self, outlook: admission_policy.CallOutlook, tokens: int
+    ) -> memory_forecasts.StreamMemory:
+        share = self._ledger.prompt_share
+        return memory_forecasts.StreamMemory(
+            outlook.length.distribution,
+            int(outlook.prompt_tokens * share),
+            tokens,
+            outlook.max_tokens,
+        )
+
+    def _read_forecast(
+        self,
+        running: abc.Collection[admission_policy.Slot],
+        load: ports.EngineLoad,
+    ) -> memory_forecasts.MemoryForecast:
+        """Return a forecast at most a few steps old.
+
+        Starts are added to it as they come, so an old one is never too low
+        by a stream; what ends makes it too high until it is made anew.
+        """
+        now_ms = deadlines.read_clock_ms()
+        fresh = now_ms - self._forecast_ms < _FORECAST_MS
+        if self._forecast is not None and fresh:
+            return self._forecast
+        self._forecast_ms = now_ms
+        self._forecast = memory_forecasts.MemoryForecast(
+            [self._describe(slot.outlook, slot.tokens) for slot in running],
+            load.block_tokens,
+        )
+        return self._forecast
+
+    def note_start(self, slot: admission_policy.Slot) -> None:
+        """Add the call to forecast and ledger."""
+        self._ledger.add(slot, slot.started_ms)
+        if self._forecast is not None:
+            self._forecast.add(self._describe(slot.outlook, 0))
+
+    def note_token(
+        self, slot: admission_policy.Slot, gap_ms: typing.Optional[float]
+    ) -> None:
+        """Count the token's block and its gap."""
+        now_ms = deadlines.read_clock_ms()
+        if slot.preempted:
+            self._preempted -= 1
+            self._ledger.add(slot, now_ms)
+        else:
+            self._ledger.grow(slot, now_ms)
+        if gap_ms is not None:
+            self._meter.note_gap(gap_ms)
+
+    def note_preemption(self, slot: admission_policy.Slot) -> None:
+        """Grow more cautious: the forecast was too low."""
+        self._preempted += 1
+        self._ledger.remove(slot, deadlines.read_clock_ms())
+        self._caution = min(_MOST_CAUTION, self._caution + _CAUTION_STEP)
+
+    def note_release(self, slot: admission_policy.Slot) -> None:
+        """Take the call out of the ledger; the forecast is made anew."""
+        if slot.preempted:
+            self._preempted -= 1
+        self._ledger.remove(slot, deadlines.read_clock_ms())
+        self._forecast = None
+
+    def note_load(
+        self,
+        load: ports.EngineLoad,
+        running: abc.Collection[admission_policy.Slot],
+    ) -> None:
+        """Correct the ledger and follow the pace."""
+        now_ms = deadlines.read_clock_ms()
+        last = self._load
+        if last is not None and _is_changed(last, load):
+            self._pace.forget()
+        self._load = load
+        all_admitted = not load.waiting and not self._preempted
+        self._ledger.take_report(load, now_ms, all_admitted=all_admitted)
+        self._stuck = load.waiting > 0 and any(
+            slot.tokens == 0 and slot.started_ms < now_ms - load.age_ms
+            for slot in running
+        )
+        self._caution *= _CAUTION_KEPT
+        if now_ms - self._window_ms >= _WINDOW_MS:
+            self._follow_pace(len(running), now_ms)
+
+    def _follow_pace(self, running: int, now_ms: float) -> None:
+        pace = self._meter.close_window()
+        if pace is not None:
+            self._window_ms = now_ms
+            factor = self._find_objective().pace_factor
+            self._pace.update(pace, running, factor)
+
+    def predict_memory(
+        self, running: abc.Collection[admission_policy.Slot]
+    ) -> typing.Optional[float]:
+        """Return the forecast peak of the running set."""
+        load = self._load
+        if load is None or not load.blocks:
+            return None
+        deviations = self._find_objective().deviations + self._caution
+        peak = self._read_forecast(running, load).find_peak(deviations)
+        return (peak + self._ledger.foreign_blocks) / load.blocks
+
+
+def _is_changed(last: ports.EngineLoad, load: ports.EngineLoad) -> bool:
+    return (last.boot, last.model, last.adapter, last.version) != (
+        load.boot,
+        load.model,
+        load.adapter,
+        load.version,
+    )
