--- a/packages/gentianpoint-entry/src/gentianpoint_entry/configuration_tail.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/configuration_tail.py
@@ -1,38 +1,66 @@
-"""Follows the configuration stream of the platform's log."""
+"""Follows the configuration stream of the platform's log.
+
+The state comes from the newest snapshot in the log and the records after
+it. While the log can't be read, or when records expired before they were
+read here, it comes from another entry. Whatever brings it, the offset only
+grows: a configuration that was in force here never reverts.
+"""
 
 import typing
 
 import trio
 
 from gentianpoint_core import configuration
+from gentianpoint_core import deadlines
 from gentianpoint_core import logs
 from gentianpoint_core import ports
 from gentianpoint_core.generated import events
+from gentianpoint_entry import peer_state
+from gentianpoint_entry import snapshot_store
 
 __all__ = ("ConfigurationTail",)
 
 _BATCH: typing.Final = 500
 _WAIT_MS: typing.Final = 2000
 _PAUSE_S: typing.Final = 0.3
+_ASK_PEERS_MS: typing.Final = 1000
+_STARTING: typing.Final = "the configuration is being read"
 
 
 class ConfigurationTail:
     """The configuration as this entry has folded it."""
 
-    def __init__(self, log: ports.Log) -> None:
-        """Follow ``log`` from its beginning."""
-        self.state: typing.Final = configuration.Configuration()
+    def __init__(self, log: ports.Log, peers: peer_state.PeerStates) -> None:
+        """Follow ``log``, and ask ``peers`` when it fails."""
+        self.state = configuration.Configuration()
         self._log: typing.Final = log
+        self._peers: typing.Final = peers
         self._available = True
-        self._caught_up: typing.Final = trio.Event()
+        self._snapshot_read = False
+        self._expired_at = 0
+        self._ask_peers_at = deadlines.make_deadline(0)
+        self._unready_reason = _STARTING
+        self._ready: typing.Final = trio.Event()
         self._changed = trio.Event()
 
-    async def wait_caught_up(self) -> None:
-        """Wait until the end of the stream was reached once."""
-        await self._caught_up.wait()
+    def is_ready(self) -> bool:
+        """Tell whether the configuration was whole once.
+
+        Before that, an entry knows no customer and no service, and would
+        refuse callers whom others serve.
+        """
+        return self._ready.is_set()
+
+    def explain_unready(self) -> str:
+        """Return why there is no configuration yet."""
+        return self._unready_reason
+
+    async def wait_ready(self) -> None:
+        """Wait until the configuration is whole."""
+        await self._ready.wait()
 
     async def wait_changed(self) -> None:
-        """Wait until another record is folded."""
+        """Wait until another record is folded or another state taken."""
         await self._changed.wait()
 
     async def run(self) -> None:
@@ -42,27 +70,80 @@
                 await self._read_once()
             except ports.PortError as error:
                 self._note_unavailable(error)
+                if (await self._ask_peers()).heard:
+                    self._ready.set()
                 await trio.sleep(_PAUSE_S)
 
     async def _read_once(self) -> None:
+        if not self._snapshot_read:
+            await self._take_snapshot()
+            self._snapshot_read = True
         start = self.state.offset + 1
-        wait_ms = _WAIT_MS if self._caught_up.is_set() else 0
+        wait_ms = _WAIT_MS if self.is_ready() else 0
         piece = await self._log.read_records(
             configuration.CONFIGURATION_STREAM, start, _BATCH, wait_ms
         )
-        if not self._available:
-            self._available = True
-            logs.log_event(events.LOG_AVAILABLE)
+        self._note_available()
+        if piece.first > start:
+            await self._bridge_hole(start, piece.first)
+            return
         for record in piece.records:
             self._fold(record)
         if piece.records:
-            logs.log_event(
-                events.CONFIGURATION_APPLIED, offset=self.state.offset
-            )
-            self._changed.set()
-            self._changed = trio.Event()
+            self._announce()
         if self.state.offset + 1 >= piece.next:
-            self._caught_up.set()
+            self._ready.set()
+
+    async def _bridge_hole(self, wanted: int, first: int) -> None:
+        """Take a state from elsewhere, since records are gone.
+
+        Folding on behind the hole would accept and refuse other writes than
+        everyone else did, and no one would notice.
+        """
+        if self._expired_at != first:
+            self._expired_at = first
+            logs.log_event(events.RECORDS_EXPIRED, wanted=wanted, first=first)
+        if await self._take_snapshot():
+            return
+        if (await self._ask_peers()).state is not None:
+            return
+        self._unready_reason = (
+            f"records from {wanted} to {first - 1} expired, and neither a "
+            "snapshot nor another entry has their outcome"
+        )
+        await trio.sleep(_PAUSE_S)
+
+    async def _take_snapshot(self) -> bool:
+        """Take a newer snapshot from the log; tell whether there was one."""
+        state = await snapshot_store.read_state_above(
+            self._log, self.state.offset
+        )
+        if state is None:
+            return False
+        self._adopt(state)
+        logs.log_event(events.SNAPSHOT_LOADED, offset=state.offset)
+        return True
+
+    async def _ask_peers(self) -> peer_state.PeerAnswer:
+        """Take a newer state from a peer, if one has it."""
+        if not self._ask_peers_at.is_past():
+            return peer_state.PeerAnswer(False, None)
+        answer = await self._peers.ask(self.state.offset)
+        self._ask_peers_at = deadlines.make_deadline(_ASK_PEERS_MS)
+        if answer.state is not None:
+            self._adopt(answer.state)
+            logs.log_event(events.STATE_FROM_PEER, offset=self.state.offset)
+        return answer
+
+    def _adopt(self, state: configuration.Configuration) -> None:
+        if state.offset > self.state.offset:
+            self.state = state
+            self._announce()
+
+    def _announce(self) -> None:
+        logs.log_event(events.CONFIGURATION_APPLIED, offset=self.state.offset)
+        self._changed.set()
+        self._changed = trio.Event()
 
     def _fold(self, record: ports.LogRecord) -> None:
         outcome = self.state.apply_record(record.offset, record.data)
@@ -80,7 +161,13 @@
             reason=outcome.reason,
         )
 
+    def _note_available(self) -> None:
+        if not self._available:
+            self._available = True
+            logs.log_event(events.LOG_AVAILABLE)
+
     def _note_unavailable(self, error: ports.PortError) -> None:
+        self._unready_reason = f"the log can't be read: {error.reason}"
         if self._available:
             logs.log_event(
                 events.LOG_UNAVAILABLE,
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/entry.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/entry.py
@@ -27,8 +27,12 @@
 from gentianpoint_entry import generation_routes
 from gentianpoint_entry import host_watch
 from gentianpoint_entry import link_pool
+from gentianpoint_entry import live_hosts
+from gentianpoint_entry import peer_routes
+from gentianpoint_entry import peer_state
 from gentianpoint_entry import placement
 from gentianpoint_entry import plain_routes
+from gentianpoint_entry import snapshot_writer
 from gentianpoint_entry.generated import settings as entry_settings
 
 __all__ = ("run_entry",)
@@ -37,6 +41,8 @@
 _MAX_AGENT_MESSAGE_BYTES: typing.Final = 16 * 1024 * 1024
 _DRAIN_POLL_S: typing.Final = 0.05
 _CLOSE_WITHIN_S: typing.Final = 2.0
+_HEALTH_PATH: typing.Final = "/health"
+_UNREADY_RETRY_MS: typing.Final = 1000
 
 
 def _make_app(state: entry_state.EntryState) -> quart_trio.QuartTrio:
@@ -47,15 +53,35 @@
     app.register_blueprint(
         administration_routes.make_administration_routes(state)
     )
+    app.register_blueprint(
+        peer_routes.make_peer_routes(state.tail, state.settings.peer_key)
+    )
+
+    @app.before_request
+    async def refuse_until_ready() -> None:
+        # Without a configuration every customer's key looks unknown: callers
+        # would be told so, and would give up for good.
+        if state.tail.is_ready() or quart.request.path == _HEALTH_PATH:
+            return
+        raise errors.CallError(
+            errors.NOT_RUN,
+            state.tail.explain_unready(),
+            step="take request",
+            peer=state.settings.name,
+            retry_after_ms=_UNREADY_RETRY_MS,
+        )
 
     @app.errorhandler(errors.CallError)
     async def answer_error(error: errors.CallError) -> quart.Response:
         return error_answers.make_error_answer(error)
 
-    @app.get("/health")
+    @app.get(_HEALTH_PATH)
     async def tell_health() -> quart.Response:
         if state.leaving:
             return quart.Response("leaving\n", status=503)
+        if not state.tail.is_ready():
+            reason = state.tail.explain_unready()
+            return quart.Response(f"not ready: {reason}\n", status=503)
         return quart.Response("ready\n")
 
     return app
@@ -69,7 +95,7 @@
 
     async def send_for_ever(self, link: agent_links.AgentLink) -> None:
         """Send now and after each change, until the link is lost."""
-        await self._tail.wait_caught_up()
+        await self._tail.wait_ready()
         while True:
             state = self._tail.state
             found = state.find_resource(
@@ -138,7 +164,10 @@
     ):
         incarnation = secrets.token_hex(_INCARNATION_BYTES)
         log = http_log.HttpLog(settings.log_url, client)
-        tail = configuration_tail.ConfigurationTail(log)
+        live = live_hosts.LiveHosts(settings.name)
+        peers = peer_state.PeerStates(live, client, settings.peer_key)
+        tail = configuration_tail.ConfigurationTail(log, peers)
+        writer = snapshot_writer.SnapshotWriter(log, tail, live, settings)
         sender = _ConfigurationSender(tail)
         pool = link_pool.LinkPool(
             nursery,
@@ -157,9 +186,9 @@
         hosts = http_host_list.HttpHostList(settings.hosts_url, client)
         nursery.start_soon(tail.run)
         nursery.start_soon(
-            host_watch.watch_hosts, hosts, pool, settings.hosts_poll_ms
+            host_watch.watch_hosts, hosts, pool, live, settings.hosts_poll_ms
         )
-        await tail.wait_caught_up()
+        nursery.start_soon(writer.run)
         stop = trio.Event()
         nursery.start_soon(_leave_at_signal, state, stop)
         logs.log_event(
--- /dev/null
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/snapshot_store.py
@@ -0,0 +1,133 @@
+"""Reads snapshots of the configuration from the log, and writes them."""
+
+from collections import abc
+import secrets
+import typing
+
+import trio
+
+from gentianpoint_core import configuration
+from gentianpoint_core import errors
+from gentianpoint_core import logs
+from gentianpoint_core import ports
+from gentianpoint_core import snapshots
+from gentianpoint_core.generated import events
+
+__all__ = ("read_newest_entry", "read_state_above", "write_snapshot")
+
+_IDENTIFIER_BYTES: typing.Final = 8
+_TRIED_ENTRIES: typing.Final = 8
+_PARTS_AT_ONCE: typing.Final = 4
+
+
+async def _read_entries(
+    log: ports.Log,
+) -> abc.Sequence[snapshots.IndexEntry]:
+    """Return the last index entries, the highest offset first."""
+    end = await log.read_records(snapshots.INDEX_STREAM, 1, 1, 0)
+    start = max(1, end.first, end.next - _TRIED_ENTRIES)
+    piece = await log.read_records(
+        snapshots.INDEX_STREAM, start, _TRIED_ENTRIES, 0
+    )
+    found = [
+        entry
+        for record in piece.records
+        if (entry := snapshots.decode_index_entry(record.data))
+    ]
+    return sorted(found, key=lambda entry: -entry.offset)
+
+
+async def read_newest_entry(
+    log: ports.Log,
+) -> typing.Optional[snapshots.IndexEntry]:
+    """Return where the snapshot of the highest offset is.
+
+    Raises :class:`ports.PortError` when the log can't be read.
+    """
+    entries = await _read_entries(log)
+    return entries[0] if entries else None
+
+
+async def read_state_above(
+    log: ports.Log, offset: int
+) -> typing.Optional[configuration.Configuration]:
+    """Return the newest whole snapshot above ``offset``, if there is one.
+
+    A snapshot that lacks parts, or whose digest is wrong, is refused with
+    an event, and the next older one is tried. Raises
+    :class:`ports.PortError` when the log can't be read.
+    """
+    for entry in await _read_entries(log):
+        if entry.offset <= offset:
+            return None
+        records = await _read_parts(log, entry)
+        result = await trio.to_thread.run_sync(
+            snapshots.join_parts, entry, records
+        )
+        if result.is_ok() and result.ok.offset == entry.offset:
+            return result.ok
+        failure = errors.Failure("load snapshot", entry.snapshot, "offset")
+        if result.is_error():
+            failure = result.error
+        logs.log_event(
+            events.STATE_REFUSED,
+            step=failure.step,
+            peer=entry.snapshot,
+            reason=failure.reason,
+        )
+    return None
+
+
+async def _read_parts(
+    log: ports.Log, entry: snapshots.IndexEntry
+) -> abc.Sequence[bytes]:
+    records: list[bytes] = []
+    start = entry.first
+    while start <= entry.last:
+        piece = await log.read_records(
+            snapshots.SNAPSHOT_STREAM, start, _PARTS_AT_ONCE, 0
+        )
+        if not piece.records:
+            return records
+        records += [
+            record.data
+            for record in piece.records
+            if record.offset <= entry.last
+        ]
+        start = piece.records[-1].offset + 1
+    return records
+
+
+async def write_snapshot(
+    log: ports.Log, state: configuration.Configuration
+) -> snapshots.IndexEntry:
+    """Append a snapshot of ``state`` and return its index entry.
+
+    The entry comes after the parts, so that a writer which dies between them
+    leaves some parts that nobody looks at, never an entry without parts.
+    Raises :class:`ports.PortError`; an append whose reply was lost ends the
+    writing too, since where the part went isn't known.
+    """
+    encoded = snapshots.encode_state(state)
+    identifier = secrets.token_hex(_IDENTIFIER_BYTES)
+    parts = await trio.to_thread.run_sync(
+        snapshots.split_state, encoded, identifier
+    )
+    offsets = [
+        await log.append_record(snapshots.SNAPSHOT_STREAM, part)
+        for part in parts
+    ]
+    entry = snapshots.IndexEntry(
+        identifier, encoded.offset, encoded.digest, offsets[0], offsets[-1]
+    )
+    await log.append_record(
+        snapshots.INDEX_STREAM, snapshots.encode_record(entry)
+    )
+    logs.log_event(
+        events.SNAPSHOT_WRITTEN,
+        offset=entry.offset,
+        snapshot=identifier,
+        parts=len(parts),
+        bytes=sum(len(part) for part in parts),
+    )
+    return entry
