--- a/packages/gentianpoint-standins/src/gentianpoint_standins/processes.py
+++ b/packages/gentianpoint-standins/src/gentianpoint_standins/processes.py
@@ -240,6 +240,18 @@
         self, name: str, data_centre: str, **options: Option
     ) -> ProcessHandle:
         """Start an entry and wait until it answers that it is ready."""
+        handle = self.launch_entry(name, data_centre, **options)
+        self.wait_for_entry(handle)
+        return handle
+
+    def wait_for_entry(self, handle: ProcessHandle) -> None:
+        """Wait until an entry answers that it is ready."""
+        self._wait_until_ready(handle, self._answers_health)
+
+    def launch_entry(
+        self, name: str, data_centre: str, **options: Option
+    ) -> ProcessHandle:
+        """Start an entry without waiting, as when it can't get ready."""
         options.setdefault("listen", choose_free_address())
         options.setdefault("log_url", self.log_url)
         options.setdefault("peer_key", self.peer_key)
@@ -250,9 +262,7 @@
         )
         options.update(name=name, data_centre=data_centre)
         command = [str(_BINARIES / "gentianpoint"), "entry"]
-        handle = self._start_product("entry", name, command, options)
-        self._wait_until_ready(handle, self._answers_health)
-        return handle
+        return self._start_product("entry", name, command, options)
 
     def start_agent(
         self,
