Bring about expired records with real processes

Shown failing first.

the check for a hole in ConfigurationTail taken out, the frozen entry folds on behind the hole and the scenario 'a frozen entry wakes after the records have expired' fails.

--- a/features/builders.py
+++ b/features/builders.py
@@ -86,17 +86,30 @@
         return Target(target.result(), handle)
 
 
+def start_another_entry(
+    deployment: processes.LocalDeployment,
+    ready: bool = True,
+    **options: processes.Option,
+) -> processes.ProcessHandle:
+    """Start one more entry; ``ready`` waits until it serves."""
+    number = sum(row.kind == "entry" for row in deployment.handles)
+    return _start_entry(deployment, number, options, ready)
+
+
 def _start_entry(
     deployment: processes.LocalDeployment,
     number: int,
     options: abc.Mapping[str, processes.Option],
+    ready: bool = True,
 ) -> processes.ProcessHandle:
     data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
-    handle = deployment.start_entry(
+    handle = deployment.launch_entry(
         f"entry-{number}",
         data_centre,
         **{"log_level": "debug", "hosts_poll_ms": 100, **options},
     )
+    if ready:
+        deployment.wait_for_entry(handle)
     deployment.register_host(handle, data_centre)
     return handle
 
