Show each change: pending, accepted or refused, in force on n of m

An operator got the outcome with the write and could not ask again, nor see where it had taken hold. Now GET /admin/v1/changes/{id} and the resumable /admin/v1/watch tell. Entries append a short record of their offset and of the agents that have it, at most one each 2 s and 100 a second in all, and again each minute; only the entry that is asked reads them.

Weighed: naming the agents that lag. It is shorter, but a reader that sees another host list than the writer would count agents that nobody speaks for. Named are those in force, by digests of five bytes: 88 agents are 440 bytes.

A watcher has a place in the order of changes and no queue, so a slow one costs no memory; when it falls behind what is kept it is told compacted.

Found on the way: a write whose name or identifier breaks the record's schema was appended, passed over by the fold and stayed pending for ever; it is now refused before the log sees it. A change identifier used for a second write is refused instead of being answered with the first one's outcome.

--- a/packages/gentianpoint-core/src/gentianpoint_core/configuration.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/configuration.py
@@ -37,6 +37,7 @@
     "decode_service",
     "digest_state",
     "encode_change",
+    "validate_change",
     "validate_specification",
 )
 
@@ -146,6 +147,20 @@
     return msgspec.json.encode(record, order="sorted")
 
 
+def validate_change(record: bytes) -> expression.Result[None, errors.Failure]:
+    """Tell why the fold would pass over a change record, if it would.
+
+    Such a record has no outcome: its writer would wait for one in vain.
+    """
+    try:
+        fault = _describe_fault(_RECORD_VALIDATOR, msgspec.json.decode(record))
+    except (msgspec.DecodeError, RecursionError) as error:
+        fault = str(error)
+    if fault:
+        return expression.Error(errors.Failure("validate change", "", fault))
+    return expression.Ok(None)
+
+
 def decode_service(spec: bytes) -> resources.ServiceSpec:
     """Return the specification of an accepted service resource."""
     return msgspec.json.decode(spec, type=resources.ServiceSpec)
@@ -189,6 +204,10 @@
         """Return the outcomes still kept, oldest first."""
         return tuple(self._outcomes.values())
 
+    def find_oldest_watchable(self) -> int:
+        """Return the lowest offset after which all outcomes are kept."""
+        return max(0, self.offset - _KEPT_OUTCOMES)
+
     def find_customer(self, key_hash: str) -> typing.Optional[str]:
         """Return the customer that a key's digest belongs to.
 
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/administration_routes.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/administration_routes.py
@@ -1,194 +1,153 @@
 """The administration API: operators declare, list, watch and delete."""
 
 from collections import abc
-import secrets
 import typing
 
 import msgspec
 import quart
-import trio
 
 from gentianpoint_core import configuration
-from gentianpoint_core import errors
-from gentianpoint_core import ports
+from gentianpoint_entry import administration_state
 from gentianpoint_entry import authentication
-from gentianpoint_entry import entry_state
+from gentianpoint_entry import change_answers
+from gentianpoint_entry import change_watch
+from gentianpoint_entry import change_writer
 from gentianpoint_entry import request_options
 
 __all__ = ("make_administration_routes",)
 
-_JSON: typing.Final = "application/json"
-_OUTCOME_WITHIN_S: typing.Final = 8
-_CHANGE_BYTES: typing.Final = 12
 _KINDS: typing.Final[abc.Mapping[str, typing.Any]] = {
     "services": configuration.SERVICE,
     "customers": configuration.CUSTOMER,
 }
-_RETRY_AFTER_MS: typing.Final = 1000
-
-
-class _WriteBody(msgspec.Struct, forbid_unknown_fields=True):
-    """Body of a write."""
-
-    spec: dict[str, typing.Any] = {}
-    base: int = configuration.ANY_REVISION
-    change: str = ""
-
-
-def _refuse(reason: str, status: int = 400) -> errors.CallError:
-    return errors.CallError(
-        errors.INVALID_REQUEST,
-        reason,
-        step="administer resource",
-        status=status,
-    )
+_STATUSES: typing.Final[abc.Mapping[str, int]] = {
+    change_answers.ACCEPTED: 200,
+    change_answers.PENDING: 202,
+    change_answers.REFUSED: 409,
+}
+_RETRY_AFTER_S: typing.Final = 1
+_JSON_LINES: typing.Final = "application/x-ndjson"
 
 
 def _find_kind(plural: str) -> typing.Any:
     kind = _KINDS.get(plural)
     if kind is None:
-        raise _refuse(f"there are no resources {plural}", 404)
+        raise change_writer.refuse_call(
+            f"there are no resources {plural}", 404
+        )
     return kind
 
 
-def _describe_resource(item: configuration.Resource) -> dict[str, object]:
-    return {
-        "kind": item.kind,
-        "name": item.name,
-        "revision": item.revision,
-        "spec": msgspec.json.decode(item.spec),
-    }
-
+def _read_body(data: bytes) -> change_writer.WriteBody:
+    try:
+        return msgspec.json.decode(data or b"{}", type=change_writer.WriteBody)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise change_writer.refuse_call(str(error)) from error
 
-def _answer(body: object, status: int = 200) -> quart.Response:
-    return quart.Response(
-        msgspec.json.encode(body), status=status, content_type=_JSON
-    )
 
+def _answer_change(row: change_answers.ChangeRow) -> quart.Response:
+    body: dict[str, object] = dict(row)
+    if row["state"] == change_answers.REFUSED:
+        body["error"] = {"code": "conflict", "message": row["reason"]}
+    answer = change_answers.make_json_answer(body, _STATUSES[row["state"]])
+    if row["state"] == change_answers.PENDING:
+        answer.headers["Retry-After"] = str(_RETRY_AFTER_S)
+    return answer
 
-class _Administrator:
-    """Writes changes to the log and waits for their outcome."""
 
-    def __init__(self, state: entry_state.EntryState) -> None:
-        self._state: typing.Final = state
+def _add_resource_routes(
+    routes: quart.Blueprint, state: administration_state.AdministrationState
+) -> None:
+    writer = change_writer.ChangeWriter(state)
 
     async def write(
-        self,
-        action: typing.Literal["put", "delete"],
-        kind: typing.Any,
-        name: str,
-        body: _WriteBody,
+        action: change_writer.Action, plural: str, name: str
     ) -> quart.Response:
-        """Append a change and answer with what became of it.
-
-        A lost reply of the log is resolved by reading on until the change is
-        seen; when it is not seen in time the answer is ``pending``, and the
-        same change can be sent again: its identifier makes it idempotent.
-        """
-        change = body.change or secrets.token_hex(_CHANGE_BYTES)
-        known = self._state.tail.state.find_outcome(change)
-        if known is not None:
-            return self._answer_outcome(known)
-        if action == "put":
-            checked = configuration.validate_specification(kind, body.spec)
-            if checked.is_error():
-                raise _refuse(checked.error.reason)
-        record = configuration.encode_change(
-            change, action, kind, name, body.base, body.spec
+        body = _read_body(await request_options.read_body())
+        change = await writer.write(action, _find_kind(plural), name, body)
+        return _answer_change(change_answers.describe_change(change))
+
+    @routes.get("/v1/<plural>")
+    async def list_resources(plural: str) -> quart.Response:
+        items = state.tail.state.list_resources(_find_kind(plural))
+        rows = [change_answers.describe_resource(item) for item in items]
+        return change_answers.make_json_answer(
+            {"revision": state.tail.state.offset, "items": rows}
         )
-        await self._append(record)
-        return await self._wait_outcome(change)
 
-    async def _append(self, record: bytes) -> None:
-        try:
-            await self._state.log.append_record(
-                configuration.CONFIGURATION_STREAM, record
-            )
-        except ports.PortError as error:
-            if error.took_effect:
-                return  # It may be there: reading on tells.
-            raise errors.CallError(
-                errors.NOT_RUN,
-                error.reason,
-                step=error.step,
-                peer=error.peer,
-                retry_after_ms=_RETRY_AFTER_MS,
-            ) from error
-
-    async def _wait_outcome(self, change: str) -> quart.Response:
-        tail = self._state.tail
-        with trio.move_on_after(_OUTCOME_WITHIN_S):
-            while (outcome := tail.state.find_outcome(change)) is None:
-                await tail.wait_changed()
-            return self._answer_outcome(outcome)
-        return _answer({"change": change, "state": "pending"}, 202)
-
-    def _answer_outcome(
-        self, outcome: configuration.ChangeOutcome
-    ) -> quart.Response:
-        if outcome.accepted:
-            return _answer(
-                {
-                    "change": outcome.change,
-                    "state": "accepted",
-                    "revision": outcome.offset,
-                }
+    @routes.get("/v1/<plural>/<name>")
+    async def get_resource(plural: str, name: str) -> quart.Response:
+        item = state.tail.state.find_resource(_find_kind(plural), name)
+        if item is None:
+            raise change_writer.refuse_call(
+                f"there is no {plural}/{name}", 404
             )
-        return _answer(
-            {
-                "change": outcome.change,
-                "state": "refused",
-                "reason": outcome.reason,
-                "error": {"code": "conflict", "message": outcome.reason},
-            },
-            409,
+        return change_answers.make_json_answer(
+            change_answers.describe_resource(item)
         )
 
+    @routes.put("/v1/<plural>/<name>")
+    async def put_resource(plural: str, name: str) -> quart.Response:
+        return await write("put", plural, name)
 
-def _read_body(data: bytes) -> _WriteBody:
-    try:
-        return msgspec.json.decode(data or b"{}", type=_WriteBody)
-    except (msgspec.DecodeError, RecursionError) as error:
-        raise _refuse(str(error)) from error
+    @routes.delete("/v1/<plural>/<name>")
+    async def delete_resource(plural: str, name: str) -> quart.Response:
+        return await write("delete", plural, name)
+
+
+def _add_change_routes(
+    routes: quart.Blueprint, state: administration_state.AdministrationState
+) -> None:
+    writer = change_writer.ChangeWriter(state)
+    watchers = change_watch.Watchers(state, writer)
+
+    @routes.get("/v1/changes/<change>")
+    async def get_change(change: str) -> quart.Response:
+        found = writer.find_change(change)
+        if found is None:
+            raise change_writer.refuse_call(
+                f"the change {change} is not known here: it never reached "
+                "the log, waits at another entry, or is too old",
+                404,
+            )
+        row = change_answers.describe_change(found)
+        body: dict[str, object] = dict(row)
+        if row["state"] == change_answers.ACCEPTED:
+            await state.board.wait_read()
+            body["in_force"] = change_answers.describe_in_force(
+                state.board.count_in_force(row["revision"])
+            )
+        return change_answers.make_json_answer(body)
+
+    @routes.get("/v1/watch")
+    async def watch_changes() -> quart.Response:
+        arguments = quart.request.args
+        after = state.tail.state.offset
+        if "after" in arguments:
+            after = request_options.read_after(arguments)
+        kind = ""
+        if "kind" in arguments:
+            kind = _find_kind(arguments["kind"])
+        answer = quart.Response(
+            watchers.open_watch(after, kind), content_type=_JSON_LINES
+        )
+        answer.timeout = None
+        return answer
 
 
 def make_administration_routes(
-    state: entry_state.EntryState,
+    state: administration_state.AdministrationState,
 ) -> quart.Blueprint:
     """Return the routes under ``/admin/v1``."""
     routes = quart.Blueprint("administration", __name__, url_prefix="/admin")
-    administrator = _Administrator(state)
 
     @routes.before_request
     async def authenticate() -> None:
         authentication.check_operator(
             quart.request.headers.get("Authorization", ""),
-            state.settings.operator_key_hash,
-        )
-
-    @routes.get("/v1/<plural>")
-    async def list_resources(plural: str) -> quart.Response:
-        items = state.tail.state.list_resources(_find_kind(plural))
-        rows = [_describe_resource(item) for item in items]
-        return _answer({"revision": state.tail.state.offset, "items": rows})
-
-    @routes.get("/v1/<plural>/<name>")
-    async def get_resource(plural: str, name: str) -> quart.Response:
-        item = state.tail.state.find_resource(_find_kind(plural), name)
-        if item is None:
-            raise _refuse(f"there is no {plural}/{name}", 404)
-        return _answer(_describe_resource(item))
-
-    @routes.put("/v1/<plural>/<name>")
-    async def put_resource(plural: str, name: str) -> quart.Response:
-        body = _read_body(await request_options.read_body())
-        return await administrator.write("put", _find_kind(plural), name, body)
-
-    @routes.delete("/v1/<plural>/<name>")
-    async def delete_resource(plural: str, name: str) -> quart.Response:
-        body = _read_body(await request_options.read_body())
-        return await administrator.write(
-            "delete", _find_kind(plural), name, body
+            state.operator_key_hash,
         )
 
+    _add_resource_routes(routes, state)
+    _add_change_routes(routes, state)
     return routes
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/entry.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/entry.py
@@ -19,6 +19,7 @@
 from gentianpoint_core import telemetry
 from gentianpoint_core.generated import events
 from gentianpoint_entry import administration_routes
+from gentianpoint_entry import administration_state
 from gentianpoint_entry import agent_links
 from gentianpoint_entry import calls
 from gentianpoint_entry import configuration_tail
@@ -30,9 +31,12 @@
 from gentianpoint_entry import live_hosts
 from gentianpoint_entry import peer_routes
 from gentianpoint_entry import peer_state
+from gentianpoint_entry import pending_changes
 from gentianpoint_entry import placement
 from gentianpoint_entry import plain_routes
 from gentianpoint_entry import snapshot_writer
+from gentianpoint_entry import status_board
+from gentianpoint_entry import status_writer
 from gentianpoint_entry.generated import settings as entry_settings
 
 __all__ = ("run_entry",)
@@ -45,13 +49,23 @@
 _UNREADY_RETRY_MS: typing.Final = 1000
 
 
-def _make_app(state: entry_state.EntryState) -> quart_trio.QuartTrio:
+def _make_app(
+    state: entry_state.EntryState, board: status_board.StatusBoard
+) -> quart_trio.QuartTrio:
     app = quart_trio.QuartTrio(__name__)
     app.config["MAX_CONTENT_LENGTH"] = state.settings.max_body_bytes
     app.register_blueprint(generation_routes.make_generation_routes(state))
     app.register_blueprint(plain_routes.make_plain_routes(state))
     app.register_blueprint(
-        administration_routes.make_administration_routes(state)
+        administration_routes.make_administration_routes(
+            administration_state.AdministrationState(
+                state.settings.operator_key_hash,
+                state.tail,
+                state.log,
+                board,
+                pending_changes.PendingChanges(),
+            )
+        )
     )
     app.register_blueprint(
         peer_routes.make_peer_routes(state.tail, state.settings.peer_key)
@@ -112,14 +126,18 @@
             await self._tail.wait_changed()
 
 
-async def _serve_http(state: entry_state.EntryState, stop: trio.Event) -> None:
+async def _serve_http(
+    state: entry_state.EntryState,
+    board: status_board.StatusBoard,
+    stop: trio.Event,
+) -> None:
     config = hypercorn.config.Config()
     config.bind = [state.settings.listen]
     config.graceful_timeout = _CLOSE_WITHIN_S
     config.errorlog = None
     config.accesslog = None
     config.h11_max_incomplete_size = 64 * 1024
-    app = _make_app(state)
+    app = _make_app(state, board)
     await hypercorn.trio.serve(
         app,  # type: ignore[arg-type]
         config,
@@ -188,7 +206,14 @@
         nursery.start_soon(
             host_watch.watch_hosts, hosts, pool, live, settings.hosts_poll_ms
         )
+        board = status_board.StatusBoard(log, tail, live, pool.list_all_links)
         nursery.start_soon(writer.run)
+        nursery.start_soon(board.run)
+        nursery.start_soon(
+            status_writer.StatusWriter(
+                log, tail, live, pool.list_all_links
+            ).run
+        )
         stop = trio.Event()
         nursery.start_soon(_leave_at_signal, state, stop)
         logs.log_event(
@@ -196,7 +221,7 @@
             listen=settings.listen,
             incarnation=incarnation,
         )
-        await _serve_http(state, stop)
+        await _serve_http(state, board, stop)
         nursery.cancel_scope.cancel()
     logs.log_event(events.PROCESS_STOPPED)
 
--- /dev/null
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/status_records.py
@@ -0,0 +1,75 @@
+"""Records by which entries tell which configuration is in force.
+
+An entry names its own offset and the agents it is connected to that have at
+least this offset. An agent that lags is simply not named. Names are given as
+short digests: an entry has up to a hundred agents, and 380 entries write
+such a record after each change.
+"""
+
+from collections import abc
+import typing
+
+import cbor2
+import msgspec
+import xxhash
+
+__all__ = (
+    "STATUS_STREAM",
+    "StatusRecord",
+    "decode_status",
+    "digest_name",
+    "encode_status",
+    "list_digests",
+    "make_status",
+)
+
+STATUS_STREAM: typing.Final = "configuration-status"
+"""Stream of the log that holds the records."""
+_DIGEST_BYTES: typing.Final = 5
+
+
+class StatusRecord(typing.NamedTuple):
+    """What one entry knows to be in force."""
+
+    host: str
+    """Name of the entry's host."""
+    offset: int
+    """Configuration offset in force at the entry and the named agents."""
+    agents: bytes
+    """Digests of the agents' host names, one after the other, in order."""
+
+
+def digest_name(host: str) -> bytes:
+    """Return the digest that stands for an agent's host.
+
+    Five bytes: among 2,700 names two share a digest in one deployment of
+    some 300,000; one of the two would then count when the other does.
+    """
+    return xxhash.xxh64_digest(host.encode())[:_DIGEST_BYTES]
+
+
+def make_status(
+    host: str, offset: int, agents: abc.Iterable[str]
+) -> StatusRecord:
+    """Return the record of an entry and its agents' host names."""
+    digests = sorted(digest_name(agent) for agent in agents)
+    return StatusRecord(host, offset, b"".join(digests))
+
+
+def encode_status(record: StatusRecord) -> bytes:
+    """Return the CBOR bytes of a record."""
+    return cbor2.dumps(list(record))
+
+
+def decode_status(data: bytes) -> typing.Optional[StatusRecord]:
+    """Return the record in ``data``, or None when it holds none."""
+    try:
+        return msgspec.convert(cbor2.loads(data), StatusRecord)
+    except Exception:  # Broken input must never end a process.
+        return None
+
+
+def list_digests(record: StatusRecord) -> abc.Iterator[bytes]:
+    """Yield the digests of the agents in a record."""
+    for start in range(0, len(record.agents), _DIGEST_BYTES):
+        yield record.agents[start : start + _DIGEST_BYTES]
--- /dev/null
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/status_writer.py
@@ -0,0 +1,87 @@
+"""Tells the log which configuration is in force here and at the agents."""
+
+from collections import abc
+import random
+import typing
+
+import trio
+
+from gentianpoint_core import deadlines
+from gentianpoint_core import ports
+from gentianpoint_entry import agent_links
+from gentianpoint_entry import configuration_tail
+from gentianpoint_entry import live_hosts
+from gentianpoint_entry import status_records
+
+__all__ = ("StatusWriter", "list_agents_in_force")
+
+_LEAST_PAUSE_S: typing.Final = 2.0
+_APPENDS_PER_S: typing.Final = 100
+_JITTER: typing.Final = 0.25
+_ASSERT_AGAIN_MS: typing.Final = 60_000
+
+
+def list_agents_in_force(
+    links: abc.Iterable[agent_links.AgentLink], offset: int
+) -> abc.Sequence[str]:
+    """Return the hosts of connected agents that have at least ``offset``."""
+    return [
+        link.host.host
+        for link in links
+        if link.is_connected() and link.configured_offset >= offset
+    ]
+
+
+class StatusWriter:
+    """Appends a record whenever it differs from the last, and each minute.
+
+    The pause between two records grows with the number of entries, so that
+    all of them together leave most of the log's rate to operators.
+    """
+
+    def __init__(
+        self,
+        log: ports.Log,
+        tail: configuration_tail.ConfigurationTail,
+        hosts: live_hosts.LiveHosts,
+        list_links: abc.Callable[[], abc.Iterable[agent_links.AgentLink]],
+    ) -> None:
+        """Write about ``tail`` and the agents behind ``list_links``."""
+        self._log: typing.Final = log
+        self._tail: typing.Final = tail
+        self._hosts: typing.Final = hosts
+        self._list_links: typing.Final = list_links
+        self._written: typing.Optional[status_records.StatusRecord] = None
+        self._assert_again_at = deadlines.make_deadline(0)
+
+    async def run(self) -> None:
+        """Write for ever, through outages of the log."""
+        await self._tail.wait_ready()
+        while True:
+            await trio.sleep(self._choose_pause_s())
+            record = self._make_record()
+            if record == self._written and not self._assert_again_at.is_past():
+                continue
+            try:
+                await self._append(record)
+            except ports.PortError:
+                # The tail reads the same log and reports its outage; a
+                # record that is missing only lets a host look lagging.
+                continue
+
+    def _choose_pause_s(self) -> float:
+        shared = self._hosts.count_entries() / _APPENDS_PER_S
+        jitter = random.uniform(1 - _JITTER, 1 + _JITTER)
+        return max(_LEAST_PAUSE_S, shared) * jitter
+
+    def _make_record(self) -> status_records.StatusRecord:
+        offset = self._tail.state.offset
+        agents = list_agents_in_force(self._list_links(), offset)
+        return status_records.make_status(self._hosts.own_name, offset, agents)
+
+    async def _append(self, record: status_records.StatusRecord) -> None:
+        await self._log.append_record(
+            status_records.STATUS_STREAM, status_records.encode_status(record)
+        )
+        self._written = record
+        self._assert_again_at = deadlines.make_deadline(_ASSERT_AGAIN_MS)
