--- a/Makefile
+++ b/Makefile
@@ -43,4 +43,4 @@
 	$(BIN)/python tools/run_tests.py
 
 bench: $(INSTALLED)
-	$(BIN)/python bench/run_all.py
+	$(BIN)/python -m bench.run_all
