Run a call before answering its offer; wait for a link that comes back

(1) The agent answered an offer before it ran the call; when the answer could not be sent, the attempt was held but never run, and the entry's second offer attached to it for ever: the caller waited until its own timeout. (2) A send on a link whose loss was not read yet counted as a failed attempt, so one cut used up both targets. (3) Free ports came from the range of outgoing connections: 'address already in use' at the start of a process, seen once. Ruled out: the engine (it never got the start), the relay. Change: the call runs before anything is awaited; a failed send marks the link lost and its attempt is offered again at home; links are waited for while their agent's process may be there; ports come from below that range.

--- a/bench/idle_connections.py
+++ b/bench/idle_connections.py
@@ -73,6 +73,7 @@
             256,
             1 << 20,
         ),
+        lambda: None,
     )
 
 
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/entry_connections.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/entry_connections.py
@@ -174,6 +174,12 @@
             # A call number seen twice must not start a second generation.
             return
         generation, is_new = self._open_generation(offer)
+        if is_new:
+            # Nothing may be awaited before the call runs: if the answer
+            # below can't be sent, the entry offers the attempt again, which
+            # attaches it; a call that was never run would leave the caller
+            # waiting for ever.
+            self._state.start_call(generation, self._make_order(offer))
         self._attach(offer["call"], generation, 0)
         await self._connection.send(
             {
@@ -189,8 +195,6 @@
             repeatable=generation.repeatable,
             attached=not is_new,
         )
-        if is_new:
-            self._state.start_call(generation, self._make_order(offer))
 
     def _open_generation(
         self, offer: messages.Offer
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/agent_links.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/agent_links.py
@@ -22,14 +22,20 @@
 
 __all__ = ("AgentLink", "LinkCall", "LinkSettings")
 
-_CLOSE_TIMEOUT_S: typing.Final = 1
+_CLOSE_TIMEOUT_S: typing.Final = 0.2
 _OPEN_TIMEOUT_S: typing.Final = 2
 _FIRST_PAUSE_S: typing.Final = 0.05
 _LONGEST_PAUSE_S: typing.Final = 1.0
-_RECOVERY_TRIES: typing.Final = 2
+_RECOVERY_WITHIN_MS: typing.Final = 5000
 _SPARE_MESSAGES: typing.Final = 16
 
 
+def _is_refusal(error: BaseException) -> bool:
+    """Tell whether nobody listens at the address that was tried."""
+    causes = getattr(error.__cause__, "exceptions", (error.__cause__, error))
+    return any(isinstance(cause, ConnectionRefusedError) for cause in causes)
+
+
 class LinkSettings(typing.NamedTuple):
     """What all links of an entry have in common."""
 
@@ -121,6 +127,8 @@
         self._calls: typing.Final[dict[int, LinkCall]] = {}
         self._last_call = 0
         self._notify: typing.Final = notify
+        self._refused = False
+        self._recover_by = deadlines.Deadline(0.0)
 
     def is_usable(self) -> bool:
         """Tell whether new calls can be offered on the link."""
@@ -137,14 +145,13 @@
     def is_recovering(self) -> bool:
         """Tell whether the link was lost a moment ago.
 
-        A connection that was cut comes back at once; an agent that is gone
-        refuses the first tries.
+        A connection that was cut comes back at once; where the agent's
+        process is gone, its host refuses connections.
         """
-        was_connected = self.welcome is not None
         return (
-            was_connected
-            and not self.is_connected()
-            and self.failures < _RECOVERY_TRIES
+            not self.is_connected()
+            and not self._refused
+            and not self._recover_by.is_past()
         )
 
     async def run(
@@ -157,11 +164,7 @@
         """
         pause_s = _FIRST_PAUSE_S
         while True:
-            was_connected = False
-            try:
-                was_connected = await self._connect_and_serve(configure)
-            finally:
-                self._lose_connection()
+            was_connected = await self._connect_and_serve(configure)
             self.failures = 0 if was_connected else self.failures + 1
             self._notify()
             pause_s = _FIRST_PAUSE_S if was_connected else pause_s * 2
@@ -196,6 +199,7 @@
         except* peer_connections.PeerConnectionError as group:
             self._log_loss(greeted, group.exceptions[0])
         except* (OSError, websockets.exceptions.WebSocketException) as group:
+            self._refused = _is_refusal(group.exceptions[0])
             self._log_loss(greeted, group.exceptions[0])
         return greeted
 
@@ -267,14 +271,19 @@
             incarnation=self.welcome["incarnation"],
         )
         self._notify()
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(connection.keep_alive)
-            nursery.start_soon(configure, self)
-            while True:
-                self._handle(await connection.receive())
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(connection.keep_alive)
+                nursery.start_soon(configure, self)
+                while True:
+                    self._handle(await connection.receive())
+        finally:
+            self._lose_connection()
 
     def _lose_connection(self) -> None:
         self._connection = None
+        self._refused = False
+        self._recover_by = deadlines.make_deadline(_RECOVERY_WITHIN_MS)
         self.report = None
         calls = tuple(self._calls.values())
         self._calls.clear()
@@ -342,4 +351,10 @@
             raise peer_connections.PeerConnectionError(
                 "send message", self.host.host, "not connected"
             )
-        await self._connection.send(message)
+        try:
+            await self._connection.send(message)
+        except peer_connections.PeerConnectionError:
+            # The reader notices the loss a moment later; a call that asks
+            # in between must not find a link that looks usable.
+            self._lose_connection()
+            raise
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/calls.py
@@ -10,7 +10,7 @@
 neither a second run nor a guess is needed.
 """
 
-from collections import abc
+import math
 import typing
 
 import trio
@@ -39,7 +39,7 @@
 
 _MOST_ATTEMPTS: typing.Final = 3
 _HOME_WITHIN_MS: typing.Final = 15_000
-_RECOVERY_WITHIN_MS: typing.Final = 1500
+_HOME_FIRST_MS: typing.Final = 1500
 _RETRY_AFTER_MS: typing.Final = 1000
 _ACKNOWLEDGE_SHARE: typing.Final = 4
 
@@ -177,7 +177,7 @@
         :class:`errors.CallError` with ``not_run`` when there is none.
         """
         usable: list[agent_links.AgentLink] = []
-        with trio.move_on_after(_RECOVERY_WITHIN_MS / 1000):
+        with trio.move_on_at(request.start_by.at):
             while True:
                 links = [
                     link
@@ -232,10 +232,24 @@
         raise HomeLostError("its agent can't be reached")
 
     async def wait_recovery(
-        self, link: agent_links.AgentLink, incarnation: str
+        self,
+        request: CallRequest,
+        link: agent_links.AgentLink,
+        incarnation: str,
     ) -> bool:
-        """Wait for a lost link; tell whether the same run answers again."""
-        with trio.move_on_after(_RECOVERY_WITHIN_MS / 1000):
+        """Wait for a lost link; tell whether the same run answers again.
+
+        While the work could be done elsewhere the wait is short.
+        """
+        wait_ms = math.inf
+        others = [
+            other
+            for other in self.pool.list_links(request.service)
+            if other.is_usable()
+        ]
+        if others and self._budgets.has_retry(request.service):
+            wait_ms = _HOME_FIRST_MS
+        with trio.move_on_after(wait_ms / 1000):
             while link.is_recovering():
                 await self.pool.wait_changed()
         return (
@@ -338,7 +352,7 @@
         twice and no retry is spent. Otherwise the work is done elsewhere.
         """
         again = await self._dispatcher.wait_recovery(
-            lost.link, lost.incarnation
+            self.request, lost.link, lost.incarnation
         )
         if not again:
             self.generation = ""
@@ -353,25 +367,35 @@
 
     async def prepare_somewhere(self) -> None:
         """Ask one agent for an identifier; it may come or not."""
-        await self._ask_somewhere(self._prepare)
+        link = await self._choose_link()
+        try:
+            await self._prepare(link)
+        except peer_connections.PeerConnectionError:
+            # Nothing was started; the agent may be asked again.
+            self._tried.discard(link.host.host)
 
     async def _offer_somewhere(self) -> None:
-        if self.request.repeatable:
-            await self._ask_somewhere(self._send_offer)
-        else:
-            await self._ask_somewhere(self._prepare)
+        if not self.request.repeatable:
+            await self.prepare_somewhere()
+            return
+        link = await self._choose_link()
+        try:
+            await self._send_offer(link)
+        except peer_connections.PeerConnectionError:
+            self._recover_from_loss()
 
-    async def _ask_somewhere(
-        self,
-        ask: abc.Callable[[agent_links.AgentLink], abc.Awaitable[None]],
-    ) -> None:
+    async def _choose_link(self) -> agent_links.AgentLink:
+        if self.request.start_by.is_past():
+            raise errors.CallError(
+                errors.NOT_RUN,
+                "the deadline to start was past",
+                step="choose target",
+                peer=self.request.service,
+                retry_after_ms=_RETRY_AFTER_MS,
+            )
         link = await self._dispatcher.choose_link(self.request, self._tried)
         self._tried.add(link.host.host)
-        try:
-            await ask(link)
-        except peer_connections.PeerConnectionError:
-            self._drop_link_call()
-            self._require_retry("the link was lost")
+        return link
 
     async def _prepare(self, link: agent_links.AgentLink) -> None:
         call = link.open_call()
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/retry_budgets.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/retry_budgets.py
@@ -27,6 +27,10 @@
         budget = self._budgets.get(service, _RESERVE)
         self._budgets[service] = min(_RESERVE, budget + share)
 
+    def has_retry(self, service: str) -> bool:
+        """Tell whether a retry could be taken now."""
+        return self._budgets.get(service, _RESERVE) >= 1.0
+
     def take_retry(self, service: str) -> bool:
         """Take one retry; False when the budget is spent."""
         budget = self._budgets.get(service, _RESERVE)
--- a/packages/gentianpoint-standins/src/gentianpoint_standins/processes.py
+++ b/packages/gentianpoint-standins/src/gentianpoint_standins/processes.py
@@ -22,6 +22,7 @@
 import hashlib
 import os
 import pathlib
+import secrets
 import signal
 import socket
 import subprocess
@@ -46,6 +47,8 @@
 Option: typing.TypeAlias = typing.Union[str, int, float, bool]
 """Value of a process's option."""
 
+_FIRST_PORT: typing.Final = 10_000
+_PORT_COUNT: typing.Final = 22_000
 _READY_WITHIN_S: typing.Final = 30.0
 _STOP_WITHIN_S: typing.Final = 5.0
 _POLL_S: typing.Final = 0.02
@@ -77,10 +80,17 @@
 
 
 def choose_free_address() -> str:
-    """Return a local address whose port is free now."""
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{listener.getsockname()[1]}"
+    """Return a local address whose port is free now.
+
+    The port is below those that the system gives to connections. One of
+    those could be taken by a connection before the process listens, which
+    then fails to start with "address already in use".
+    """
+    while True:
+        port = _FIRST_PORT + secrets.randbelow(_PORT_COUNT)
+        with socket.socket() as listener, contextlib.suppress(OSError):
+            listener.bind(("127.0.0.1", port))
+            return f"127.0.0.1:{port}"
 
 
 def make_flags(options: typing.Mapping[str, Option]) -> list[str]:
