--- a/packages/gentianpoint-standins/features/engine_scheduler.feature
+++ b/packages/gentianpoint-standins/features/engine_scheduler.feature
@@ -39,12 +39,14 @@
     Then <held> chunks of the last were held already
 
     Examples:
-      | blocks | prompts | held |
-      | 99     | ab ab   | 2    |
-      | 99     | ab ac   | 1    |
-      | 99     | ab ba   | 0    |
-      | 40     | ab cd ab | 0   |
-      | 70     | ab cd ab | 2   |
+      | blocks | prompts        | held |
+      | 99     | ab ab          | 2    |
+      | 99     | ab ac          | 1    |
+      | 99     | ab ba          | 0    |
+      | 40     | ab cd ab       | 0    |
+      | 70     | ab cd ab       | 2    |
+      | 70     | ab cd ef cd    | 2    |
+      | 70     | ab cd ab ef ab | 2    |
 
   Scenario Outline: the same prompt has the same length everywhere
     Then with seed <seed> prompt <prompt> gets between <least> and <most> tokens, always the same
--- a/packages/gentianpoint-standins/features/steps/platform_steps.py
+++ b/packages/gentianpoint-standins/features/steps/platform_steps.py
@@ -13,7 +13,8 @@
 from gentianpoint_core import ports
 
 _STREAM = "s"
-_WAIT_MS = 20_000
+_WAIT_MS = 600_000
+_FAIL_AFTER_S = 60
 
 
 def _run_with_log(context, work):
@@ -86,6 +87,11 @@
     assert context.append_error.took_effect is False, context.append_error
 
 
+def _wait_for_reader(context):
+    witness = context.deployment.read_witness(context.log_service, waits=1)
+    assert witness["waits"] == 1, witness
+
+
 @behave.when("a reader waits at {start:d} and record {text} is appended")
 def wait_for_record(context, start, text):
     async def wait(log):
@@ -94,9 +100,11 @@
         async def read():
             found.append(await log.read_records(_STREAM, start, 100, _WAIT_MS))
 
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(read)
-            await log.append_record(_STREAM, text.encode())
+        with trio.fail_after(_FAIL_AFTER_S):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(read)
+                await trio.to_thread.run_sync(_wait_for_reader, context)
+                await log.append_record(_STREAM, text.encode())
         return found[0]
 
     context.found = _run_with_log(context, wait)
--- a/packages/gentianpoint-standins/src/gentianpoint_standins/log.py
+++ b/packages/gentianpoint-standins/src/gentianpoint_standins/log.py
@@ -3,7 +3,7 @@
 Run as ``python -m gentianpoint_standins.log --listen 127.0.0.1:0``. It
 serves what docs/design/platform-interfaces.md says, ``POST /faults`` with
 the fields of :class:`LogFaults`, and ``GET /witness`` with the number of
-records that each stream ever got.
+records that each stream ever got, of appends, and of readers that waited.
 """
 
 import base64
@@ -14,6 +14,7 @@
 import trio
 import typer
 
+from gentianpoint_standins import counts
 from gentianpoint_standins import faults
 from gentianpoint_standins import log_store
 from gentianpoint_standins import serving
@@ -47,6 +48,7 @@
         self._store: typing.Final = store
         self._rate: typing.Final = log_store.RateLimit(rate)
         self._faults = LogFaults()
+        self._counts: typing.Final = counts.Counts(("appends", "waits"))
 
     def make_app(self) -> quart_trio.QuartTrio:
         """Make the application."""
@@ -74,6 +76,7 @@
         if not self._rate.take():
             return serving.answer_refusal(429, "too many appends")
         offset = self._store.append(name, data)
+        self._counts.add("appends")
         if self._faults.lose_replies > 0:
             return self._lose_reply()
         return serving.answer_json({"offset": offset})
@@ -92,8 +95,7 @@
         wait_ms = int(quart.request.args.get("wait_ms", "0"))
         await trio.sleep(self._faults.slow_ms / 1000)
         if not self._faults.out:
-            with trio.move_on_after(wait_ms / 1000):
-                await self._store.wait_for_record(name, start)
+            await self._wait_for_record(name, start, wait_ms)
         if refusal := self._refuse_while_out():
             return refusal
         found = self._store.read(name, start, limit)
@@ -108,6 +110,13 @@
             {"first": found.first, "next": found.next, "records": records}
         )
 
+    async def _wait_for_record(
+        self, name: str, start: int, wait_ms: int
+    ) -> None:
+        self._counts.add("waits")
+        with trio.move_on_after(wait_ms / 1000):
+            await self._store.wait_for_record(name, start)
+
     async def change(self) -> quart.Response:
         """Change the faults."""
         body = await serving.read_body()
@@ -120,8 +129,11 @@
         return serving.answer_json(self._faults._asdict())
 
     async def show(self) -> quart.Response:
-        """Show how many records each stream ever got."""
-        return serving.answer_json({"records": self._store.count_records()})
+        """Show what came in, once the counts are as asked for."""
+        if refusal := await self._counts.wait_as_asked():
+            return refusal
+        records = self._store.count_records()
+        return serving.answer_json({"records": records, **self._counts.read()})
 
 
 def main(
