Tell entries which prompt prefixes an engine holds

Cause: reports named no prefixes, so placement could not reuse them. A feature reads them from a real agent as an entry does.

--- /dev/null
+++ b/packages/gentianpoint-agent/features/report_reader.py
@@ -0,0 +1,58 @@
+"""Reads an agent's reports as an entry does."""
+
+import functools
+import typing
+
+import trio
+
+from gentianpoint_core import ports
+from gentianpoint_core.generated import messages
+from gentianpoint_entry import agent_links
+from gentianpoint_standins import processes
+
+_WITHIN_S: typing.Final = 30
+_SETTINGS: typing.Final = agent_links.LinkSettings(
+    "reader", "incarnation", "zona-norte", "", 1000, 3000, 64, 2**20
+)
+
+
+async def _configure(link: agent_links.AgentLink) -> None:
+    """Tell the agent nothing of its service."""
+    await trio.sleep_forever()
+
+
+async def _read(
+    agent: processes.ProcessHandle,
+    service: str,
+    peer_key: str,
+    matches: typing.Callable[[messages.Report], bool],
+) -> messages.Report:
+    host = ports.Host(
+        agent.name,
+        "agent",
+        service,
+        agent.name,
+        agent.address,
+        "zona-norte",
+        "live",
+    )
+    link = agent_links.AgentLink(host, _SETTINGS._replace(peer_key=peer_key))
+    with trio.fail_after(_WITHIN_S):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(link.run, _configure)
+            while (report := link.report) is None or not matches(report):
+                await trio.sleep(0.05)
+            nursery.cancel_scope.cancel()
+    return report
+
+
+def read_report(
+    deployment: processes.LocalDeployment,
+    agent: processes.ProcessHandle,
+    service: str,
+    matches: typing.Callable[[messages.Report], bool],
+) -> messages.Report:
+    """Return the first report that matches; fails when none comes."""
+    return trio.run(
+        functools.partial(_read, agent, service, deployment.peer_key, matches)
+    )
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/agent.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/agent.py
@@ -18,6 +18,7 @@
 from gentianpoint_agent import engine_runner
 from gentianpoint_agent import entry_connections
 from gentianpoint_agent import plain_runner
+from gentianpoint_agent import prefix_beliefs
 from gentianpoint_agent import service_in_force
 from gentianpoint_agent.generated import settings as agent_settings
 from gentianpoint_core import http_engine
@@ -130,6 +131,9 @@
             available = False
         else:
             available = True
+            last = state.control.load
+            if last is not None and last.boot != load.boot:
+                state.prefixes.forget()
             state.control.note_load(load)
             if load.reclaim_in_ms is not None:
                 state.lifecycle.start_leaving("the engine is reclaimed")
@@ -197,6 +201,9 @@
         nursery.start_soon(_keep_house, state)
         if settings.target_kind == "engine":
             nursery.start_soon(_watch_engine, state, engine)
+            nursery.start_soon(
+                prefix_beliefs.watch_cache_events, engine, state.prefixes
+            )
         await state.lifecycle.wait_stopping()
         with trio.move_on_after(settings.shutdown_within_ms / 1000) as scope:
             await _wait_drained(state)
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/agent_state.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/agent_state.py
@@ -10,6 +10,7 @@
 from gentianpoint_agent import generation_table
 from gentianpoint_agent import generations
 from gentianpoint_agent import lifecycle
+from gentianpoint_agent import prefix_beliefs
 from gentianpoint_agent import service_in_force
 from gentianpoint_agent.generated import settings as agent_settings
 from gentianpoint_core import logs
@@ -33,6 +34,8 @@
     async def end(self) -> None:
         """End the connection and wait until nothing of it is read."""
 
+_PREFIXES_REPORTED: typing.Final = 64
+
 
 class AgentState:
     """The table of generations, the service in force and the calls."""
@@ -54,6 +57,7 @@
         self.service: typing.Final = service
         self.control: typing.Final = control
         self.connections: typing.Final[set[OpenConnection]] = set()
+        self.prefixes: typing.Final = prefix_beliefs.PrefixBelief()
         self._nursery: typing.Final = nursery
         self._runner: typing.Final = runner
 
@@ -97,7 +101,7 @@
             "pace_ms": self.control.read_pace_ms(),
             "queue_wait_ms": self.control.predict_wait_ms(),
             "age_ms": load.age_ms if load else 0,
-            "prefixes": [],
+            "prefixes": self.prefixes.list_recent(_PREFIXES_REPORTED),
         }
 
     def abandon_orphans(self) -> None:
