Slow the engine of the preemption feature

Cause: with steps of 2 ms and a busy machine the 60 prompts came spread out, the engine without admission was never crowded, and one run of five failed at its own precondition (at least 20 preemptions). Change: steps of 10 ms.

--- a/packages/gentianpoint-agent/features/steps/preemptions_steps.py
+++ b/packages/gentianpoint-agent/features/steps/preemptions_steps.py
@@ -8,7 +8,7 @@
 from features import builders
 from gentianpoint_standins import processes
 
-_ENGINE = {"step_ms": 2, "stream_ms": 0.05, "block_tokens": 16, "seed": 5}
+_ENGINE = {"step_ms": 10, "stream_ms": 0.05, "block_tokens": 16, "seed": 5}
 
 
 def run_prompts(context, count, blocks, policy):
