Place calls by two choices

Cause: the policy two_choices fell back to fewest outstanding calls, which knows neither load nor prefixes nor data centres. Ruled out: the best of all targets, to which all entries would run until its next report; trusting reports of any age. Change: of two drawn at random the less crowded, by the last report fading to neutral and by own sends since, with the holder of the prompt's prefix drawn besides; a bonus for prefixes that load overrides; slow targets get less and are tried again every few seconds; other data centres when the own one refuses or is full.

--- /dev/null
+++ b/packages/gentianpoint-entry/features/link_builders.py
@@ -0,0 +1,52 @@
+"""Builders of links that have reports but no connection."""
+
+import typing
+
+from gentianpoint_core import deadlines
+from gentianpoint_core import ports
+from gentianpoint_core.generated import messages
+from gentianpoint_entry import agent_links
+
+_SETTINGS: typing.Final = agent_links.LinkSettings(
+    "entry-1", "run-1", "north", "key", 1000, 3000, 64, 2**20
+)
+
+
+def make_link(name: str, data_centre: str) -> agent_links.AgentLink:
+    """Return the link to an agent that has not reported yet."""
+    host = ports.Host(
+        name, "agent", "service", name, "127.0.0.1:1", data_centre, "live"
+    )
+    return agent_links.AgentLink(host, _SETTINGS)
+
+
+def make_report(**more: typing.Any) -> messages.Report:
+    """Return the report of a target with ten calls and half its memory."""
+    report: dict[str, typing.Any] = {
+        "type": "report",
+        "running": 10,
+        "queued": 0,
+        "memory_used": 0.0,
+        "memory_predicted": 0.5,
+        "pace_ms": 0.0,
+        "queue_wait_ms": 0.0,
+        "age_ms": 0,
+        "prefixes": [],
+    }
+    return typing.cast(messages.Report, {**report, **more})
+
+
+def take_word(link: agent_links.AgentLink, word: str, value: float) -> None:
+    """Let an agent report a figure by the word of a table."""
+    match word:
+        case "memory":
+            link.take_report(make_report(memory_predicted=value))
+        case "wait":
+            link.take_report(make_report(queue_wait_ms=value))
+        case "pace":
+            link.take_report(make_report(pace_ms=value))
+        case "refusal":
+            link.take_report(make_report(memory_predicted=0.1))
+            link.refused_until = deadlines.make_deadline(1000)
+        case _:
+            assert word == "nothing", word
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/agent_links.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/agent_links.py
@@ -28,6 +28,7 @@
 _LONGEST_PAUSE_S: typing.Final = 1.0
 _RECOVERY_TRIES: typing.Final = 2
 _SPARE_MESSAGES: typing.Final = 16
+_LONGEST_REFUSAL_MS: typing.Final = 1000
 
 
 class LinkSettings(typing.NamedTuple):
@@ -111,6 +112,8 @@
         self.report: typing.Optional[messages.Report] = None
         self.report_received = deadlines.Deadline(0.0)
         self.sent_since_report = 0
+        self.refused_until = deadlines.Deadline(0.0)
+        self.prefixes: frozenset[int] = frozenset()
         self.leaving = False
         self.configured_offset = 0
         self.failures = 0
@@ -276,6 +279,7 @@
     def _lose_connection(self) -> None:
         self._connection = None
         self.report = None
+        self.prefixes = frozenset()
         calls = tuple(self._calls.values())
         self._calls.clear()
         for call in calls:
@@ -288,9 +292,7 @@
                 for run in message["runs"]:
                     self._push(run["call"], {"type": "items", "runs": (run,)})
             case "report":
-                self.report = typing.cast(messages.Report, message)
-                self.report_received = deadlines.make_deadline(0)
-                self.sent_since_report = 0
+                self.take_report(typing.cast(messages.Report, message))
             case "leaving":
                 self.mark_leaving(message["reason"])
             case "configured":
@@ -321,6 +323,22 @@
         if call is not None:
             call.push(message)
 
+    def take_report(self, report: messages.Report) -> None:
+        """Keep the agent's newest report and when it came."""
+        self.report = report
+        self.report_received = deadlines.make_deadline(0)
+        self.sent_since_report = 0
+        self.prefixes = frozenset(report["prefixes"])
+
+    def note_refusal(self, retry_after_ms: int) -> None:
+        """Take note that the agent refused a call, and until when.
+
+        For a second at most: the next reports tell more than a refusal,
+        which may have concerned only one customer.
+        """
+        within_ms = min(retry_after_ms, _LONGEST_REFUSAL_MS)
+        self.refused_until = deadlines.make_deadline(within_ms)
+
     def open_call(self) -> LinkCall:
         """Return a new call; raises when the link is not connected."""
         if self._connection is None:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/calls.py
@@ -26,7 +26,7 @@
 from gentianpoint_core.generated import messages
 from gentianpoint_entry import agent_links
 from gentianpoint_entry import link_pool
-from gentianpoint_entry import placement
+from gentianpoint_entry import placement_policy
 from gentianpoint_entry import retry_budgets
 
 __all__ = (
@@ -109,7 +109,7 @@
     def __init__(
         self,
         pool: link_pool.LinkPool,
-        policy: placement.PlacementPolicy,
+        policy: placement_policy.PlacementPolicy,
         window: int,
     ) -> None:
         """Offer calls on the links of ``pool`` as ``policy`` chooses."""
@@ -482,6 +482,8 @@
                 peer=self._get_peer(),
                 retry_after_ms=message["retry_after_ms"],
             )
+        if self._link_call is not None:
+            self._link_call.link.note_refusal(message["retry_after_ms"])
         self._drop_link_call()
         self._may_have_started = self._lost_attempt
         # The generation did not run and nothing of it was delivered, so any
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/entry.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/entry.py
@@ -195,7 +195,9 @@
         )
         dispatcher = calls.Dispatcher(
             pool,
-            placement.make_placement_policy(settings.placement),
+            placement.make_placement_policy(
+                settings.placement, settings.data_centre, incarnation
+            ),
             settings.window_items,
         )
         state = entry_state.EntryState(
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/placement.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/placement.py
@@ -1,26 +1,17 @@
-"""Placement: which agent a call is offered to."""
+"""The placement policies by the names that the settings allow."""
 
-import abc
-from collections import abc as collections_abc
+from collections import abc
+import random
+import typing
 
 from gentianpoint_entry import agent_links
+from gentianpoint_entry import placement_policy
+from gentianpoint_entry import two_choices_placement
 
-__all__ = ("PlacementPolicy", "make_placement_policy")
+__all__ = ("make_placement_policy",)
 
 
-class PlacementPolicy(abc.ABC):
-    """Chooses among the usable links of a service."""
-
-    @abc.abstractmethod
-    def choose(
-        self,
-        candidates: collections_abc.Sequence[agent_links.AgentLink],
-        prompt: str,
-    ) -> agent_links.AgentLink:
-        """Return one of ``candidates``, of which there is at least one."""
-
-
-class _RoundRobinPolicy(PlacementPolicy):
+class _RoundRobinPolicy(placement_policy.PlacementPolicy):
     """Takes the candidates in turn."""
 
     def __init__(self) -> None:
@@ -28,7 +19,7 @@
 
     def choose(
         self,
-        candidates: collections_abc.Sequence[agent_links.AgentLink],
+        candidates: abc.Sequence[agent_links.AgentLink],
         prompt: str,
     ) -> agent_links.AgentLink:
         """Return the next."""
@@ -36,20 +27,32 @@
         return candidates[self._count % len(candidates)]
 
 
-class _FewestOutstandingPolicy(PlacementPolicy):
+class _FewestOutstandingPolicy(placement_policy.PlacementPolicy):
     """Takes the link with the fewest calls of this entry."""
 
     def choose(
         self,
-        candidates: collections_abc.Sequence[agent_links.AgentLink],
+        candidates: abc.Sequence[agent_links.AgentLink],
         prompt: str,
     ) -> agent_links.AgentLink:
         """Return the one with the fewest open calls."""
         return min(candidates, key=lambda link: link.count_calls())
 
 
-def make_placement_policy(name: str) -> PlacementPolicy:
-    """Return the policy of a name that the settings allow."""
-    if name == "round_robin":
-        return _RoundRobinPolicy()
-    return _FewestOutstandingPolicy()
+def make_placement_policy(
+    name: str, data_centre: str, seed: typing.Optional[str] = None
+) -> placement_policy.PlacementPolicy:
+    """Return the policy of a name that the settings allow.
+
+    ``data_centre`` is the entry's own; ``seed`` makes the choices the same
+    each time.
+    """
+    match name:
+        case "round_robin":
+            return _RoundRobinPolicy()
+        case "fewest_outstanding":
+            return _FewestOutstandingPolicy()
+        case _:
+            return two_choices_placement.TwoChoicesPolicy(
+                data_centre, random.Random(seed)
+            )
