--- a/packages/gentianpoint-agent/src/gentianpoint_agent/agent_state.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/agent_state.py
@@ -34,6 +34,7 @@
     async def end(self) -> None:
         """End the connection and wait until nothing of it is read."""
 
+
 _PREFIXES_REPORTED: typing.Final = 64
 
 
