--- a/packages/gentianpoint-entry/src/gentianpoint_entry/peer_state.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/peer_state.py
@@ -54,6 +54,7 @@
         self._hosts: typing.Final = hosts
         self._client: typing.Final = client
         self._peer_key: typing.Final = peer_key
+        self._refused: typing.Final[dict[str, str]] = {}
 
     async def ask(self, offset: int) -> PeerAnswer:
         """Ask some entries for a state above ``offset``.
@@ -106,10 +107,14 @@
         return PeerAnswer(True, state)
 
     def _refuse(self, host: ports.Host, reason: str) -> PeerAnswer:
-        logs.log_event(
-            events.STATE_REFUSED,
-            step="take state from peer",
-            peer=host.host,
-            reason=reason,
-        )
+        # One line for each reason is enough: an entry that can't get ready
+        # asks every second.
+        if self._refused.get(host.host) != reason:
+            self._refused[host.host] = reason
+            logs.log_event(
+                events.STATE_REFUSED,
+                step="take state from peer",
+                peer=host.host,
+                reason=reason,
+            )
         return PeerAnswer(False, None)
