Ask peers when the log has been silent, before its timeout

A connection to the log that something in between has lost track of gives no error: a read waits 2 s and times out 5 s later, so a revoked key stayed in force at that entry for more than the 7 s a change may take. The tail now asks other entries as soon as 3.5 s passed without an answer, in a task beside the read, which goes on: a log that is merely slow is still read.

Ruled out: a shorter timeout of the read. A log slower than it would never be read at all.

--- a/packages/gentianpoint-entry/src/gentianpoint_entry/configuration_tail.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/configuration_tail.py
@@ -23,7 +23,9 @@
 _BATCH: typing.Final = 500
 _WAIT_MS: typing.Final = 2000
 _PAUSE_S: typing.Final = 0.3
-_ASK_PEERS_MS: typing.Final = 1000
+_STALE_MS: typing.Final = _WAIT_MS + 1500
+_PEERS_PAUSE_S: typing.Final = 1.0
+_STALE_TICK_S: typing.Final = 0.25
 _STARTING: typing.Final = "the configuration is being read"
 
 
@@ -38,7 +40,8 @@
         self._available = True
         self._snapshot_read = False
         self._expired_at = 0
-        self._ask_peers_at = deadlines.make_deadline(0)
+        self._in_hole = False
+        self._stale_at = deadlines.make_deadline(_STALE_MS)
         self._unready_reason = _STARTING
         self._ready: typing.Final = trio.Event()
         self._changed = trio.Event()
@@ -65,15 +68,31 @@
 
     async def run(self) -> None:
         """Fold records for ever, through outages of the log."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._follow_log)
+            nursery.start_soon(self._follow_peers)
+
+    async def _follow_log(self) -> None:
         while True:
             try:
                 await self._read_once()
             except ports.PortError as error:
                 self._note_unavailable(error)
-                if (await self._ask_peers()).heard:
-                    self._ready.set()
                 await trio.sleep(_PAUSE_S)
 
+    async def _follow_peers(self) -> None:
+        """Ask other entries whenever the log has said nothing for a while.
+
+        A connection to the log can go silent without an error. Waiting for
+        its timeout would leave a customer's revoked key in force here for
+        longer than a change may take, so others are asked before that.
+        """
+        while True:
+            await trio.sleep(_STALE_TICK_S)
+            if self._stale_at.is_past():
+                await self._ask_peers()
+                await trio.sleep(_PEERS_PAUSE_S)
+
     async def _read_once(self) -> None:
         if not self._snapshot_read:
             await self._take_snapshot()
@@ -84,9 +103,13 @@
             configuration.CONFIGURATION_STREAM, start, _BATCH, wait_ms
         )
         self._note_available()
-        if piece.first > start:
-            await self._bridge_hole(start, piece.first)
+        self._stale_at = deadlines.make_deadline(_STALE_MS)
+        # A peer's state may have come in the meantime: what counts is what
+        # is folded now.
+        if piece.first > self.state.offset + 1:
+            await self._bridge_hole(self.state.offset + 1, piece.first)
             return
+        self._in_hole = False
         for record in piece.records:
             self._fold(record)
         if piece.records:
@@ -103,10 +126,10 @@
         if self._expired_at != first:
             self._expired_at = first
             logs.log_event(events.RECORDS_EXPIRED, wanted=wanted, first=first)
-        if await self._take_snapshot():
-            return
-        if (await self._ask_peers()).state is not None:
+        self._in_hole = not await self._take_snapshot()
+        if not self._in_hole:
             return
+        self._stale_at = deadlines.make_deadline(0)
         self._unready_reason = (
             f"records from {wanted} to {first - 1} expired, and neither a "
             "snapshot nor another entry has their outcome"
@@ -124,20 +147,19 @@
         logs.log_event(events.SNAPSHOT_LOADED, offset=state.offset)
         return True
 
-    async def _ask_peers(self) -> peer_state.PeerAnswer:
+    async def _ask_peers(self) -> None:
         """Take a newer state from a peer, if one has it."""
-        if not self._ask_peers_at.is_past():
-            return peer_state.PeerAnswer(False, None)
         answer = await self._peers.ask(self.state.offset)
-        self._ask_peers_at = deadlines.make_deadline(_ASK_PEERS_MS)
         if answer.state is not None:
             self._adopt(answer.state)
             logs.log_event(events.STATE_FROM_PEER, offset=self.state.offset)
-        return answer
+        if answer.heard and not self._in_hole:
+            self._ready.set()
 
     def _adopt(self, state: configuration.Configuration) -> None:
         if state.offset > self.state.offset:
             self.state = state
+            self._in_hole = False
             self._announce()
 
     def _announce(self) -> None:
@@ -176,3 +198,4 @@
                 reason=error.reason,
             )
         self._available = False
+        self._stale_at = deadlines.make_deadline(0)
