--- a/features/steps/configuration_outages_steps.py
+++ b/features/steps/configuration_outages_steps.py
@@ -17,7 +17,9 @@
         entry.log.wait_for_event("log_unavailable")
 
 
-@behave.given("{entries:d} entries and 1 target that serve while the log {what}")
+@behave.given(
+    "{entries:d} entries and 1 target that serve while the log {what}"
+)
 def start_serving(context, entries, what):
     context.fixture = builders.start_fixture(
         context.deployment, entries=entries, targets=1
@@ -40,7 +42,9 @@
     set_out(context, True)
 
 
-@behave.given("{entries:d} entries of which the last reaches the log by a relay")
+@behave.given(
+    "{entries:d} entries of which the last reaches the log by a relay"
+)
 def start_behind_relay(context, entries):
     context.fixture = builders.start_fixture(
         context.deployment, entries=entries - 1, targets=0
@@ -96,7 +100,9 @@
     context.deployment.set_faults(context.relay, silence="all")
 
 
-@behave.when("an operator revokes the key of a customer through the first entry")
+@behave.when(
+    "an operator revokes the key of a customer through the first entry"
+)
 def revoke_key(context):
     answer = administration.put_customer(
         context.deployment,
@@ -176,7 +182,9 @@
         )
 
 
-@behave.then("the change {change} is answered pending with a time to come back")
+@behave.then(
+    "the change {change} is answered pending with a time to come back"
+)
 def check_pending(context, change):
     assert context.answer.status_code == 202, context.answer.text
     assert context.answer.json()["state"] == "pending"
