Test wrong settings, and refuse a key hash that is none

An operator who gave the key itself in place of its digest got an entry that refused every operator. Shown failing first: with the row for it the entry started and the run timed out after 30 s. The generator now adds a parser for settings that end in -key-hash; the text given is not repeated, since it may be the key. 3 scenarios, 23 wrong starts: passed, 0 failed.

--- a/packages/gentianpoint-core/src/gentianpoint_core/option_types.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/option_types.py
@@ -5,11 +5,16 @@
 """
 
 import ipaddress
+import re
+import typing
 import urllib.parse
 
 import typer
 
-__all__ = ("parse_address", "parse_url", "split_address")
+__all__ = ("parse_address", "parse_digest", "parse_url", "split_address")
+
+
+_DIGEST: typing.Final = re.compile("[0-9a-f]{64}")
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -57,3 +62,14 @@
             f"{value!r} names no IP number: {error}"
         ) from error
     return value.rstrip("/")
+
+
+def parse_digest(value: str) -> str:
+    """Return a SHA-256 digest in hex, or tell what is wrong with it.
+
+    The text is not shown: who gives the key itself in its place would find
+    it in the logs.
+    """
+    if not _DIGEST.fullmatch(value):
+        raise typer.BadParameter("it is no SHA-256 digest in lower-case hex")
+    return value
--- /dev/null
+++ b/packages/gentianpoint-entry/features/settings.feature
@@ -0,0 +1,42 @@
+Feature: Settings are checked at start
+  A mistyped setting that a process starts with shows itself only under load
+  or in an outage. The process ends instead, with exit code 2, and names the
+  flag, the variable and the reason.
+
+  Scenario: wrong values of the entry's settings
+    When an entry is started with these settings
+      | flag                   | value        | reason                    |
+      | --listen               | localhost:80 | no IP number with port    |
+      | --listen               | 127.0.0.1    | no IP number with port    |
+      | --listen               | 127.0.0.1:99999 | not between 0 and 65535 |
+      | --log-url              | ftp://127.0.0.1 | http://                |
+      | --log-url              | http://log:1 | names no IP number        |
+      | --hosts-url            | 127.0.0.1:80 | http://                   |
+      | --heartbeat-ms         | 1            | greater than or equal to 50 |
+      | --heartbeat-ms         | often        | a valid integer              |
+      | --snapshot-records     | 0            | greater than or equal to 1 |
+      | --snapshot-interval-ms | 99           | greater than or equal to 100 |
+      | --log-level            | loud         | is not one of             |
+      | --operator-key-hash    | the-key      | no SHA-256 digest         |
+      | --placement            | best         | is not one of             |
+    Then each run ends with 2 and names the flag and the reason
+
+  Scenario: wrong values in the environment
+    When an entry is started with these variables
+      | variable                         | flag                   | value | reason |
+      | GENTIANPOINT_LISTEN              | --listen               | x     | no IP number with port |
+      | GENTIANPOINT_HEARTBEAT_MS        | --heartbeat-ms         | 0     | greater than or equal to 50 |
+      | GENTIANPOINT_SNAPSHOT_INTERVAL_MS | --snapshot-interval-ms | soon | a valid integer |
+      | GENTIANPOINT_LOG_LEVEL           | --log-level            | loud  | is not one of |
+    Then each run ends with 2 and names the flag and the reason
+
+  Scenario: settings that are missing
+    When an entry is started without these settings
+      | flag                |
+      | --name              |
+      | --data-centre       |
+      | --log-url           |
+      | --hosts-url         |
+      | --peer-key          |
+      | --operator-key-hash |
+    Then each run ends with 2 and names the flag and the reason
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -127,6 +127,8 @@
         arguments.append("parser=option_types.parse_address")
     if setting["name"].endswith("-url"):
         arguments.append("parser=option_types.parse_url")
+    if setting["name"].endswith("-key-hash"):
+        arguments.append("parser=option_types.parse_digest")
     arguments.append(f"help={setting['description']!r}")
     option = f"typer.Option({', '.join(arguments)})"
     line = f"{_field(setting)}: typing.Annotated[{kind}, {option}]"
