Add the commands apply, get, watch and delete

Operators drove the administration API with curl. The commands know several entries, go on to the next when one can't be reached, and keep the change identifier, so that a write whose answer was lost is made once. A file with a broken document changes nothing. Exit codes: 1 refused, 2 usage, 3 not known in time.

Before it there were no such commands.

--- a/features/steps/configuration_watch_steps.py
+++ b/features/steps/configuration_watch_steps.py
@@ -10,7 +10,9 @@
 from features import builders
 
 
-@behave.given("{entries:d} entries and {targets:d} targets whose changes are watched")
+@behave.given(
+    "{entries:d} entries and {targets:d} targets whose changes are watched"
+)
 def start_watched(context, entries, targets):
     context.fixture = builders.start_fixture(
         context.deployment, entries=entries, targets=targets
@@ -97,14 +99,18 @@
     assert context.in_force["lagging"] == []
 
 
-@behave.then("the change is in force on {n:d} of {of:d} hosts and the first agent lags")
+@behave.then(
+    "the change is in force on {n:d} of {of:d} hosts and the first agent lags"
+)
 def check_lagging(context, n, of):
     wait_for_count(context, n, of)
     name = context.fixture.targets[0].agent.name
     assert context.in_force["lagging"] == [name], context.in_force
 
 
-@behave.then("the watch shows the change accepted and then in force on {n:d} of {of:d}")
+@behave.then(
+    "the watch shows the change accepted and then in force on {n:d} of {of:d}"
+)
 def check_watch(context, n, of):
     lines = read_watch(
         context,
@@ -148,9 +154,7 @@
     lines = read_watch(
         context,
         entry,
-        lambda line: (
-            line["type"] == "change" and line["change"] == change
-        ),
+        lambda line: line["type"] == "change" and line["change"] == change,
         after,
         kind="customers",
     )
@@ -208,7 +212,9 @@
     )
 
 
-@behave.then("a watch after revision {after:d} is answered with {status:d} {code}")
+@behave.then(
+    "a watch after revision {after:d} is answered with {status:d} {code}"
+)
 def check_compacted(context, after, status, code):
     with open_watch(context, after) as answer:
         assert answer.status_code == status
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/cli.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/cli.py
@@ -4,6 +4,7 @@
 import typer
 
 from gentianpoint_entry import entry
+from gentianpoint_entry import operator_commands
 from gentianpoint_entry.generated import settings as entry_settings
 
 __all__ = ("main",)
@@ -26,6 +27,7 @@
 
 
 entry_settings.register_entry_command(app, _run)
+operator_commands.register_operator_commands(app)
 
 
 def main() -> None:
--- /dev/null
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/operator_commands.py
@@ -0,0 +1,278 @@
+"""The commands of operators: apply, get, watch and delete."""
+
+from collections import abc
+import contextlib
+import pathlib
+import time
+import typing
+
+import httpx
+import msgspec
+import typer
+
+from gentianpoint_core import configuration
+from gentianpoint_core import option_types
+from gentianpoint_entry import administration_client
+from gentianpoint_entry import manifests
+
+__all__ = ("register_operator_commands",)
+
+REFUSED: typing.Final = 1
+"""Exit code when a resource was refused."""
+USAGE: typing.Final = 2
+"""Exit code when the command or a file is wrong."""
+UNFINISHED: typing.Final = 3
+"""Exit code when the outcome isn't known, or isn't in force, in time."""
+_POLL_S: typing.Final = 0.5
+_PLURALS: typing.Final = {
+    "service": "services",
+    "services": "services",
+    "customer": "customers",
+    "customers": "customers",
+}
+
+Entries = typing.Annotated[
+    list[str],
+    typer.Option(
+        "--entry",
+        envvar="GENTIANPOINT_ENTRIES",
+        show_envvar=True,
+        parser=option_types.parse_url,
+        help="Base URL of an entry; several are tried in turn. In the "
+        "variable they are separated by spaces.",
+    ),
+]
+Key = typing.Annotated[
+    str,
+    typer.Option(
+        "--key",
+        envvar="GENTIANPOINT_OPERATOR_KEY",
+        show_envvar=True,
+        help="The operators' bearer key. Prefer the variable to the flag.",
+    ),
+]
+Kind = typing.Annotated[
+    str, typer.Argument(help="Either services or customers.")
+]
+Within = typing.Annotated[
+    float,
+    typer.Option(
+        "--within-s", min=0, help="Longest wait for an outcome, seconds."
+    ),
+]
+
+
+@contextlib.contextmanager
+def _connect(
+    entries: abc.Sequence[str], key: str
+) -> abc.Iterator[administration_client.AdministrationClient]:
+    """Give a client, and end the command when no entry answers it."""
+    with httpx.Client(trust_env=False) as client:
+        try:
+            yield administration_client.AdministrationClient(
+                entries, key, client
+            )
+        except administration_client.AdministrationError as error:
+            typer.echo(f"error: {error}", err=True)
+            raise typer.Exit(UNFINISHED) from error
+
+
+def _find_plural(kind: str) -> str:
+    if kind not in _PLURALS:
+        typer.echo(
+            f"error: KIND: {kind!r} is neither services nor customers",
+            err=True,
+        )
+        raise typer.Exit(USAGE)
+    return _PLURALS[kind]
+
+
+def _settle(
+    write: abc.Callable[[str], administration_client.WriteAnswer],
+    until: float,
+) -> administration_client.WriteAnswer:
+    """Write until the outcome is known, always the same change."""
+    change = administration_client.make_change_identifier()
+    answer = write(change)
+    while answer.state == "pending" and time.monotonic() < until:
+        time.sleep(_POLL_S)
+        answer = write(change)
+    return answer
+
+
+def _print_answer(
+    place: str, answer: administration_client.WriteAnswer
+) -> int:
+    """Print one line for a write, and return its exit code."""
+    if answer.state == "accepted":
+        typer.echo(
+            f"{place} accepted, revision {answer.revision}, "
+            f"change {answer.change}"
+        )
+        return 0
+    if answer.state == "refused":
+        typer.echo(f"{place} refused: {answer.reason}", err=True)
+        return REFUSED
+    typer.echo(f"{place} pending, change {answer.change}", err=True)
+    return UNFINISHED
+
+
+def _wait_in_force(
+    client: administration_client.AdministrationClient,
+    place: str,
+    change: str,
+    until: float,
+) -> int:
+    """Wait until a change is in force everywhere; return the exit code."""
+    while True:
+        found = client.read(f"changes/{change}").get("in_force")
+        if found and found["n"] == found["of"] > 0:
+            typer.echo(f"{place} in force on {found['n']} of {found['of']}")
+            return 0
+        if time.monotonic() >= until:
+            break
+        time.sleep(_POLL_S)
+    count = f"{found['n']} of {found['of']}" if found else "an unknown number"
+    lagging = ", ".join(found["lagging"]) if found else ""
+    typer.echo(f"{place} in force on {count}, not on {lagging}", err=True)
+    return UNFINISHED
+
+
+def _apply_one(
+    client: administration_client.AdministrationClient,
+    manifest: manifests.Manifest,
+    wait: bool,
+    within_s: float,
+) -> int:
+    place = f"{manifest.kind}/{manifest.name}"
+    until = time.monotonic() + within_s
+    answer = _settle(lambda change: client.put(manifest, change), until)
+    code = _print_answer(place, answer)
+    if code == 0 and wait:
+        return _wait_in_force(client, place, answer.change, until)
+    return code
+
+
+def _read_files(files: abc.Sequence[pathlib.Path]) -> list[manifests.Manifest]:
+    found: list[manifests.Manifest] = []
+    for path in files:
+        result = manifests.parse_manifests(path.read_text(), str(path))
+        if result.is_error():
+            typer.echo(f"error: {result.error}", err=True)
+            raise typer.Exit(REFUSED)
+        found += result.ok
+    return found
+
+
+def apply(
+    entry: Entries,
+    key: Key,
+    file: typing.Annotated[
+        list[pathlib.Path],
+        typer.Option(
+            "--file",
+            "-f",
+            exists=True,
+            dir_okay=False,
+            readable=True,
+            help="File of YAML or JSON documents; may be repeated.",
+        ),
+    ],
+    wait: typing.Annotated[
+        bool, typer.Option("--wait", help="Wait until in force everywhere.")
+    ] = False,
+    within_s: Within = 60.0,
+) -> None:
+    """Declare the resources in files, in their order.
+
+    Prints for each whether it was accepted or refused. A file with a broken
+    document changes nothing. Exit code 1 tells that one was refused, 3 that
+    an outcome isn't known in time.
+    """
+    found = _read_files(file)
+    with _connect(entry, key) as client:
+        codes = [_apply_one(client, row, wait, within_s) for row in found]
+    refused = REFUSED in codes
+    raise typer.Exit(REFUSED if refused else max(codes))
+
+
+def get(
+    entry: Entries,
+    key: Key,
+    kind: Kind,
+    name: typing.Annotated[
+        typing.Optional[str], typer.Argument(help="Name of one resource.")
+    ] = None,
+    output: typing.Annotated[
+        typing.Literal["text", "json"],
+        typer.Option("--output", "-o", help="Form of the output."),
+    ] = "text",
+) -> None:
+    """Show the resources of a kind, or one of them."""
+    plural = _find_plural(kind)
+    path = f"{plural}/{name}" if name else plural
+    with _connect(entry, key) as client:
+        found = client.read(path)
+    if output == "json":
+        typer.echo(msgspec.json.format(msgspec.json.encode(found)).decode())
+        return
+    for row in found["items"] if name is None else [found]:
+        spec = msgspec.json.encode(row["spec"]).decode()
+        typer.echo(f"{row['name']}\trevision {row['revision']}\t{spec}")
+
+
+def watch(
+    entry: Entries,
+    key: Key,
+    kind: Kind,
+    after: typing.Annotated[
+        typing.Optional[int],
+        typer.Option("--after", min=0, help="Last revision already seen."),
+    ] = None,
+) -> None:
+    """Print each change as a JSON line, and where it is in force.
+
+    A lost connection is opened again, at the next entry, from the last
+    revision that was seen.
+    """
+    plural = _find_plural(kind)
+    with _connect(entry, key) as client:
+        while True:
+            for line in client.watch(plural, after):
+                if line["type"] == "change":
+                    after = max(after or 0, line["revision"])
+                if line["type"] == "heartbeat" and after is None:
+                    after = line["revision"]
+                if line["type"] != "heartbeat":
+                    typer.echo(msgspec.json.encode(line).decode())
+                if line["type"] == "compacted":
+                    raise typer.Exit(REFUSED)
+            time.sleep(_POLL_S)
+
+
+def delete(
+    entry: Entries,
+    key: Key,
+    kind: Kind,
+    name: typing.Annotated[str, typer.Argument(help="Name of the resource.")],
+    base: typing.Annotated[
+        int,
+        typer.Option("--base", min=-1, help="Revision it must have; -1 any."),
+    ] = configuration.ANY_REVISION,
+    within_s: Within = 60.0,
+) -> None:
+    """Delete a resource."""
+    plural = _find_plural(kind)
+    with _connect(entry, key) as client:
+        answer = _settle(
+            lambda change: client.delete(plural, name, base, change),
+            time.monotonic() + within_s,
+        )
+    code = _print_answer(f"{plural}/{name}", answer)
+    raise typer.Exit(code)
+
+
+def register_operator_commands(app: typer.Typer) -> None:
+    """Add the commands to ``app``."""
+    for command in (apply, get, watch, delete):
+        app.command()(command)
