--- a/features/builders.py
+++ b/features/builders.py
@@ -233,7 +233,7 @@
 ) -> processes.ProcessHandle:
     """Start a target's agent again, at its address."""
     parts = row.agent.name.rpartition("-")
-    handle = deployment.start_agent(
+    return deployment.start_agent(
         row.agent.name,
         DATA_CENTRES[int(parts[2]) % len(DATA_CENTRES)],
         parts[0],
@@ -241,4 +241,3 @@
         listen=row.agent.address,
         log_level="debug",
     )
-    return handle
