--- a/packages/gentianpoint-entry/src/gentianpoint_entry/peer_state.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/peer_state.py
@@ -4,6 +4,7 @@
 import typing
 
 import httpx
+import trio
 
 from gentianpoint_core import configuration
 from gentianpoint_core import logs
@@ -54,6 +55,7 @@
         self._hosts: typing.Final = hosts
         self._client: typing.Final = client
         self._peer_key: typing.Final = peer_key
+        self._refused: typing.Final[dict[str, str]] = {}
 
     async def ask(self, offset: int) -> PeerAnswer:
         """Ask some entries for a state above ``offset``.
@@ -84,13 +86,16 @@
             return PeerAnswer(True, None)
         if answer.status_code != 200:
             return PeerAnswer(False, None)
-        return self._check_state(host, offset, answer)
+        return await self._check_state(host, offset, answer)
 
-    def _check_state(
+    async def _check_state(
         self, host: ports.Host, offset: int, answer: httpx.Response
     ) -> PeerAnswer:
-        result = snapshots.expand_state(
-            answer.content, answer.headers.get(DIGEST_HEADER, ""), host.host
+        result = await trio.to_thread.run_sync(
+            snapshots.expand_state,
+            answer.content,
+            answer.headers.get(DIGEST_HEADER, ""),
+            host.host,
         )
         if result.is_error():
             return self._refuse(host, result.error.reason)
@@ -106,10 +111,14 @@
         return PeerAnswer(True, state)
 
     def _refuse(self, host: ports.Host, reason: str) -> PeerAnswer:
-        logs.log_event(
-            events.STATE_REFUSED,
-            step="take state from peer",
-            peer=host.host,
-            reason=reason,
-        )
+        # One line for each reason is enough: an entry that can't get ready
+        # asks every second.
+        if self._refused.get(host.host) != reason:
+            self._refused[host.host] = reason
+            logs.log_event(
+                events.STATE_REFUSED,
+                step="take state from peer",
+                peer=host.host,
+                reason=reason,
+            )
         return PeerAnswer(False, None)
