--- a/packages/gentianpoint-agent/src/gentianpoint_agent/entry_connections.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/entry_connections.py
@@ -174,6 +174,13 @@
             # A call number seen twice must not start a second generation.
             return
         generation, is_new = self._open_generation(offer)
+        logs.log_event(
+            events.CALL_ADMITTED,
+            generation=generation.identifier,
+            entry=self._connection.peer,
+            repeatable=generation.repeatable,
+            attached=not is_new,
+        )
         if is_new:
             # Nothing may be awaited before the call runs: if the answer
             # below can't be sent, the entry offers the attempt again, which
@@ -188,13 +195,6 @@
                 "generation": generation.identifier,
             }
         )
-        logs.log_event(
-            events.CALL_ADMITTED,
-            generation=generation.identifier,
-            entry=self._connection.peer,
-            repeatable=generation.repeatable,
-            attached=not is_new,
-        )
 
     def _open_generation(
         self, offer: messages.Offer
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/calls.py
@@ -460,6 +460,7 @@
             peer=link.host.host,
             repeatable=request.repeatable,
             generation=self.generation,
+            attempt=offer["attempt"],
         )
         await link.send(offer)
 
--- a/spec/replay.py
+++ b/spec/replay.py
@@ -48,6 +48,8 @@
     """Identifier of the request at its entry."""
     generation: str
     """Identifier of the generation; empty when there is none yet."""
+    attempt: str
+    """Identifier of an attempt, the same when it is offered again."""
     repeatable: bool
     """False when the request may run at most once."""
     attached: bool
@@ -392,14 +394,17 @@
 
 def _take_offer(request: _Request, event: RecordedEvent) -> None:
     identifier = event.get("generation", "")
-    is_repeat = identifier and identifier in request.offered
+    # An attempt that is offered again after a lost link is the same step, as
+    # is one identifier: the agent attaches it to what it holds.
+    name = identifier or event.get("attempt", "")
+    is_repeat = name and name in request.offered
     if is_repeat and request.state == lifecycle.OFFERED:
         return
     request.move(lifecycle.OFFER)
     request.is_refused = False
     request.generation = identifier
-    if identifier:
-        request.offered.add(identifier)
+    if name:
+        request.offered.add(name)
 
 
 def _take_retry(request: _Request) -> None:
