Write a span for the entry's part of a call

The trace of a request began at the agent: the entry opened no span, so the offer carried no trace context and the agent's span had no parent. The call now opens one when it is made and ends it when it is closed. Ruled out: a span around the route, since a streamed answer outlives it. In make demo the four hops now share one trace.

--- a/packages/gentianpoint-entry/src/gentianpoint_entry/calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/calls.py
@@ -13,6 +13,7 @@
 import math
 import typing
 
+from opentelemetry import trace
 import trio
 
 from gentianpoint_core import codec
@@ -286,6 +287,9 @@
         self._lost_link: typing.Optional[_LostLink] = None
         self._incarnation = ""
         self._lost_attempt = self._resumes
+        self._span: typing.Final = telemetry.get_tracer().start_span(
+            "entry call", attributes={"service": request.service}
+        )
 
     async def receive(self) -> CallPart:
         """Return the next items, or the regular end.
@@ -442,7 +446,7 @@
             "start_within_ms": request.start_by.remaining_ms(),
             "finish_within_ms": request.finish_by.remaining_ms(),
             "request": request.request,
-            "trace": telemetry.read_trace_parent(),
+            "trace": self._read_trace_parent(),
         }
         if self.generation:
             offer["generation"] = self.generation
@@ -463,6 +467,10 @@
         )
         await link.send(offer)
 
+    def _read_trace_parent(self) -> str:
+        with trace.use_span(self._span):
+            return telemetry.read_trace_parent()
+
     async def _handle(
         self, message: codec.MessageMap
     ) -> typing.Optional[CallPart]:
@@ -677,6 +685,8 @@
 
         An offer that has not started yet is withdrawn.
         """
+        if self._span.is_recording():
+            self._span.end()
         call = self._link_call
         self._drop_link_call()
         if self._finished:
