--- a/packages/gentianpoint-standins/features/steps/deployment_steps.py
+++ b/packages/gentianpoint-standins/features/steps/deployment_steps.py
@@ -52,6 +52,8 @@
     for text in (
         "generation taller-",
         "tokens, ended by [DONE].",
+        "entry call",
+        "agent call",
         "target stream",
         "banco-1 got GET /echo/trabajo/17",
         "All processes stopped.",
--- a/packages/gentianpoint-standins/src/gentianpoint_standins/demo.py
+++ b/packages/gentianpoint-standins/src/gentianpoint_standins/demo.py
@@ -30,7 +30,7 @@
 _CALL_TIMEOUT_S: typing.Final = 60.0
 _SPANS_WITHIN_S: typing.Final = 5.0
 _POLL_S: typing.Final = 0.05
-_LAST_SPAN: typing.Final = "agent call"
+_SPANS: typing.Final = frozenset(("entry call", "agent call"))
 _NANOSECONDS_IN_MS: typing.Final = 1e6
 _DATA: typing.Final = "data: "
 _DONE: typing.Final = "[DONE]"
@@ -116,10 +116,10 @@
 
 
 def _show_hops(local: processes.LocalDeployment) -> None:
-    """Print the spans of the generation, once the last one is written."""
+    """Print the spans of the generation, once entry and agent wrote theirs."""
     deadline = time.monotonic() + _SPANS_WITHIN_S
     hops = _find_generation_hops(local)
-    while not any(hop.span == _LAST_SPAN for hop in hops):
+    while not {hop.span for hop in hops} >= _SPANS:
         if time.monotonic() > deadline:
             raise DemoError(f"not all hops wrote a span, only {hops}")
         time.sleep(_POLL_S)
