--- a/packages/gentianpoint-standins/features/engine.feature
+++ b/packages/gentianpoint-standins/features/engine.feature
@@ -14,6 +14,17 @@
     Then the reader has tokens 1 to 8 and the end stop
     And the witness counts 1 starts
 
+  Scenario: all connections break off at one moment
+    A host between agent and engine is replaced. The streams run on, and
+    whoever comes back gets the rest.
+    Given an engine with step_ms=1
+    And its faults are {"freeze": true}
+    When stream a starts with prompt tokens:4 and its connection is dropped
+    Then the start failed and may have taken effect
+    When its faults become {"freeze": false}
+    And stream a is resumed after the last token
+    Then the reader has tokens 1 to 4 and the end stop
+
   Scenario Outline: the reply to a start is lost
     The start takes effect, but the agent hears nothing good. It must not
     take this for a refusal: the stream runs.
@@ -42,7 +53,7 @@
       | max_waiting=0 | {}                      | tokens:1 |
       | step_ms=1     | {"refuse_starts": true} | tokens:1 |
       | model=        | {}                      | tokens:1 |
-      | blocks=1      | {}                      | tokens:1 and then more than sixteen tokens of prompt, which one block does not hold |
+      | blocks=1      | {}                      | tokens:1-and-then-more-than-sixteen-tokens-of-prompt,-which-one-block-does-not-hold |
 
   Scenario: an identifier is started once
     A start is repeated after its reply was lost, long after the stream has
--- a/packages/gentianpoint-standins/features/steps/engine_steps.py
+++ b/packages/gentianpoint-standins/features/steps/engine_steps.py
@@ -50,7 +50,27 @@
         set_faults(context, faults)
 
 
-@behave.when("stream {name} starts with prompt {prompt}")
+@behave.when(
+    "stream {name} starts with prompt tokens:{count:d} and its connection "
+    "is dropped"
+)
+def start_and_drop(context, name, count):
+    async def drop(engine):
+        request = standin_builders.make_request(name, f"tokens:{count}")
+        events = []
+        try:
+            async with engine.start_stream(request) as stream:
+                context.deployment.set_faults(context.engine, drop=["*"])
+                async for event in stream:
+                    events.append(event)
+        except ports.PortError as error:
+            return standin_builders.CollectedStream(events, error)
+        return standin_builders.CollectedStream(events, None)
+
+    context.got = _run(context, drop)
+
+
+@behave.when("stream {name} starts with prompt {prompt:S}")
 def start_stream(context, name, prompt):
     request = standin_builders.make_request(name, prompt)
     context.got = _run(context, standin_builders.start_stream, request)
--- a/packages/gentianpoint-standins/src/gentianpoint_standins/engine.py
+++ b/packages/gentianpoint-standins/src/gentianpoint_standins/engine.py
@@ -3,7 +3,7 @@
 Run as ``python -m gentianpoint_standins.engine --listen 127.0.0.1:0 --model
 modelo-taller``. It serves what docs/design/platform-interfaces.md says, and
 for tests ``GET /witness``, ``POST /distributions`` and ``POST /faults`` with
-the fields of :class:`gentianpoint_standins.engine_service.EngineFaults`.
+the fields of :class:`gentianpoint_standins.engine_faults.EngineFaults`.
 
 Markers in a prompt: ``kind:report`` draws the length from that class,
 ``tokens:7`` asks for exactly 7 tokens, ``stamp:yes`` makes each token name
@@ -123,7 +123,7 @@
             "engine",
             listen,
             service.run_steps,
-            service.await_reclaim,
+            service.faults.await_reclaim,
             service.orders.fulfil_orders,
         )
 
--- a/packages/gentianpoint-standins/src/gentianpoint_standins/engine_service.py
+++ b/packages/gentianpoint-standins/src/gentianpoint_standins/engine_service.py
@@ -1,6 +1,5 @@
 """The calls of the stand-in engine, and its steps."""
 
-from collections import abc
 import itertools
 import os
 import typing
@@ -11,61 +10,20 @@
 import quart_trio
 import trio
 
+from gentianpoint_standins import engine_faults
 from gentianpoint_standins import engine_lengths
 from gentianpoint_standins import engine_orders
 from gentianpoint_standins import engine_reports
 from gentianpoint_standins import engine_scheduler
 from gentianpoint_standins import engine_streams
 from gentianpoint_standins import engine_witness
-from gentianpoint_standins import faults
 from gentianpoint_standins import serving
 
-__all__ = ("EngineFaults", "EngineReports", "EngineService")
+__all__ = ("EngineService",)
 
-_ANY: typing.Final = "*"
 _STREAM_TYPE: typing.Final = "application/x-ndjson"
 
 
-class EngineFaults(typing.NamedTuple):
-    """Faults of an engine; ``*`` stands for all streams."""
-
-    freeze: bool = False
-    """True when no step is made; calls are still answered."""
-    slow_factor: float = 1.0
-    """Factor on the time of each step."""
-    slow_ms: int = 0
-    """Delay before each call is looked at, milliseconds."""
-    die: bool = False
-    """True ends the process now."""
-    die_after_tokens: int = 0
-    """Tokens ever generated after which the process ends; 0 for never."""
-    drop: tuple[str, ...] = ()
-    """Streams whose connections of this moment are broken off."""
-    drop_after: dict[str, int] = {}
-    """Token after which a connection that delivers it is broken off."""
-    lose_start_replies: int = 0
-    """Number of starts to come that take effect without a good reply."""
-    lose_by: typing.Literal["status", "drop"] = "drop"
-    """Whether a lost reply is a 503 or a connection that breaks off."""
-    reclaim_in_ms: typing.Optional[int] = None
-    """Time until the platform takes the engine away, milliseconds."""
-    refuse_starts: bool = False
-    """True when each start is refused as if the engine were full."""
-    pause_output: tuple[str, ...] = ()
-    """Streams whose lines are held back; they run on."""
-
-
-class EngineReports(typing.NamedTuple):
-    """How late and how gappy an engine's reports are."""
-
-    load_lag_ms: int = 0
-    """Age of the load figures, milliseconds."""
-    cache_lag_ms: int = 0
-    """Delay of cache events, milliseconds."""
-    cache_gap_share: float = 0.0
-    """Share of cache events that are lost."""
-
-
 class EngineService:
     """One engine."""
 
@@ -91,11 +49,8 @@
         ] = {}
         self._ended: typing.Final[list[str]] = []
         self._arrivals: typing.Final = itertools.count(1)
-        self._faults = EngineFaults()
-        self._drops = 0
-        self._dropped: tuple[str, ...] = ()
-        self._reclaim_at: typing.Optional[float] = None
-        self._changed = trio.Event()
+        self.faults: typing.Final = engine_faults.FaultBoard()
+        self._work_came = trio.Event()
         self.orders: engine_orders.OrderBook
         self._note_load()
 
@@ -124,10 +79,6 @@
             )
         return app
 
-    def _wake(self) -> None:
-        self._changed.set()
-        self._changed = trio.Event()
-
     def _note_load(self) -> None:
         self._reports.add(self._scheduler.figures())
         if change := self._scheduler.memory.take_change():
@@ -140,17 +91,24 @@
         next_at = trio.current_time()
         while True:
             await self._wait_for_work()
-            step_ms = self._scheduler.begin_step() * self._faults.slow_factor
+            step_ms = self._scheduler.begin_step()
+            step_ms *= self.faults.current.slow_factor
             self._note_load()
             next_at = max(next_at, trio.current_time()) + step_ms / 1000
             await trio.sleep_until(next_at)
-            while self._faults.freeze:
-                await self._changed.wait()
+            await self._wait_while_frozen()
             self._finish_step()
 
     async def _wait_for_work(self) -> None:
-        while self._faults.freeze or not self._scheduler.has_work():
-            await self._changed.wait()
+        await self._wait_while_frozen()
+        while not self._scheduler.has_work():
+            self._work_came = trio.Event()
+            await self._work_came.wait()
+            await self._wait_while_frozen()
+
+    async def _wait_while_frozen(self) -> None:
+        while self.faults.current.freeze:
+            await self.faults.wait_changed()
 
     def _finish_step(self) -> None:
         before = self._scheduler.tokens
@@ -158,7 +116,7 @@
             self._bury(stream, stream.end)
         self._note_load()
         self._witness.counts.add("tokens", self._scheduler.tokens - before)
-        limit = self._faults.die_after_tokens
+        limit = self.faults.current.die_after_tokens
         if limit and self._scheduler.tokens >= limit:
             os._exit(1)
 
@@ -172,7 +130,7 @@
 
     async def _read_body(self) -> bytes:
         body = await serving.read_body()
-        await trio.sleep(self._faults.slow_ms / 1000)
+        await self.faults.delay_call()
         return body
 
     async def start(self) -> quart.Response:
@@ -186,7 +144,7 @@
             return serving.answer_refusal(409, "exists")
         if not self._serves(start):
             return serving.answer_refusal(409, "not_loaded")
-        if self._faults.refuse_starts or self._scheduler.is_full():
+        if self._refuses_starts():
             return serving.answer_refusal(429, "full")
         stream = self._make_stream(start)
         if not self._scheduler.fits(stream):
@@ -195,11 +153,15 @@
         self._scheduler.add(stream)
         self._witness.count_start(start)
         self._note_load()
-        self._wake()
-        if self._faults.lose_start_replies > 0:
+        self._work_came.set()
+        if self.faults.take_lost_reply():
             return self._lose_reply()
         return self._answer_lines(stream, 0)
 
+    def _refuses_starts(self) -> bool:
+        refuses = self.faults.current.refuse_starts
+        return refuses or self._scheduler.is_full()
+
     def _serves(self, start: engine_streams.StreamStart) -> bool:
         loaded = self.orders.loaded
         return bool(
@@ -218,9 +180,7 @@
         )
 
     def _lose_reply(self) -> quart.Response:
-        left = self._faults.lose_start_replies - 1
-        self._faults = self._faults._replace(lose_start_replies=left)
-        if self._faults.lose_by == "drop":
+        if self.faults.current.lose_by == "drop":
             return serving.drop_reply()
         return serving.answer_refusal(503, "out")
 
@@ -228,57 +188,13 @@
         self, stream: engine_streams.EngineStream, after: int
     ) -> quart.Response:
         return quart.Response(
-            self._iterate_lines(stream, after), content_type=_STREAM_TYPE
+            self.faults.iterate_lines(stream, after),
+            content_type=_STREAM_TYPE,
         )
 
-    async def _iterate_lines(
-        self, stream: engine_streams.EngineStream, after: int
-    ) -> abc.AsyncIterator[bytes]:
-        index = stream.find_line_after(after)
-        drops = self._drops
-        while True:
-            if drops != self._drops and self._names(self._dropped, stream):
-                raise serving.DroppedConnectionError
-            drops = self._drops
-            if not self._names(self._faults.pause_output, stream):
-                stop = self._find_drop(stream, index)
-                lines = stream.lines[index:stop]
-                index += len(lines)
-                if lines:
-                    yield b"".join(lines)
-                if stop is not None and index >= stop:
-                    raise serving.DroppedConnectionError
-                if stream.is_over() and index == len(stream.lines):
-                    break
-                if index < len(stream.lines):
-                    continue
-            await stream.changed.wait()
-        if stream.died:
-            raise serving.DroppedConnectionError
-
-    def _names(
-        self, names: abc.Container[str], stream: engine_streams.EngineStream
-    ) -> bool:
-        return _ANY in names or stream.identifier in names
-
-    def _find_drop(
-        self, stream: engine_streams.EngineStream, index: int
-    ) -> typing.Optional[int]:
-        """Return the line after which this connection breaks off, if any.
-
-        A connection that begins after that line, as one that resumes does,
-        is left alone.
-        """
-        after = self._faults.drop_after
-        token = after.get(stream.identifier, after.get(_ANY, 0))
-        if not token or stream.generated < token:
-            return None
-        stop = stream.find_line_after(token)
-        return stop if index < stop else None
-
     async def resume(self, identifier: str) -> quart.Response:
         """Send the lines of a stream after a token."""
-        await trio.sleep(self._faults.slow_ms / 1000)
+        await self.faults.delay_call()
         stream = self._streams.get(identifier)
         if stream is None:
             return serving.answer_refusal(404, "unknown")
@@ -288,7 +204,7 @@
 
     async def cancel(self, identifier: str) -> quart.Response:
         """End a stream, if it is known."""
-        await trio.sleep(self._faults.slow_ms / 1000)
+        await self.faults.delay_call()
         stream = self._streams.get(identifier)
         if stream is None:
             return serving.answer_json({"known": False})
@@ -302,7 +218,7 @@
 
     async def list_streams(self) -> quart.Response:
         """List the streams that run or wait."""
-        await trio.sleep(self._faults.slow_ms / 1000)
+        await self.faults.delay_call()
         rows = [
             {"id": stream.identifier, "n": stream.generated}
             for stream in self._scheduler.streams()
@@ -322,12 +238,8 @@
 
     async def show_load(self) -> quart.Response:
         """Show the load as it was a while ago."""
-        await trio.sleep(self._faults.slow_ms / 1000)
+        await self.faults.delay_call()
         seen = self._reports.read()
-        left = None
-        if self._reclaim_at is not None:
-            left_s = self._reclaim_at - trio.current_time()
-            left = max(0, int(left_s * 1000))
         return serving.answer_json(
             {
                 "boot": self._boot,
@@ -337,7 +249,7 @@
                 **seen.figures._asdict(),
                 **self.orders.loaded._asdict(),
                 "loading": self.orders.is_loading(),
-                "reclaim_in_ms": left,
+                "reclaim_in_ms": self.faults.measure_reclaim_ms(),
             }
         )
 
@@ -345,7 +257,7 @@
         """Show published events, and wait for one when there are none."""
         after = int(quart.request.args.get("after", "0"))
         wait_ms = int(quart.request.args.get("wait_ms", "0"))
-        await trio.sleep(self._faults.slow_ms / 1000)
+        await self.faults.delay_call()
         with trio.move_on_after(wait_ms / 1000):
             await self._cache_log.wait_past(after)
         events, last = self._cache_log.read(after)
@@ -414,27 +326,7 @@
 
     async def change_faults(self) -> quart.Response:
         """Change the faults."""
-        body = await serving.read_body()
-        changed = faults.change_faults(self._faults, body)
-        if changed.die:
-            os._exit(1)
-        if changed.reclaim_in_ms is not None:
-            within_s = changed.reclaim_in_ms / 1000
-            self._reclaim_at = trio.current_time() + within_s
-        if changed.drop:
-            self._dropped = changed.drop
-            self._drops += 1
-        self._faults = changed._replace(drop=(), reclaim_in_ms=None)
+        self.faults.change(await serving.read_body())
         for stream in self._streams.values():
             stream.wake_readers()
-        self._wake()
-        return serving.answer_json(self._faults._asdict())
-
-    async def await_reclaim(self) -> None:
-        """End the process when the platform takes the engine away."""
-        while True:
-            if self._reclaim_at is None:
-                await self._changed.wait()
-            else:
-                await trio.sleep_until(self._reclaim_at)
-                os._exit(0)
+        return serving.answer_json(self.faults.current._asdict())
--- a/packages/gentianpoint-standins/src/gentianpoint_standins/engine_streams.py
+++ b/packages/gentianpoint-standins/src/gentianpoint_standins/engine_streams.py
@@ -1,6 +1,5 @@
 """One stream of an engine: its lines, and what its readers wait for."""
 
-from collections import abc
 import typing
 
 import msgspec
@@ -98,7 +97,7 @@
         self.end = ""
         self.died = False
         self.lines: typing.Final[list[bytes]] = []
-        self.changed = trio.Event()
+        self._changed = trio.Event()
         self._token_ends: typing.Final[list[int]] = []
         self._word: typing.Final = xxhash.xxh64_intdigest(prompt.encode())
         self._stamp: typing.Final = (
@@ -157,11 +156,9 @@
 
     def wake_readers(self) -> None:
         """Let the readers look again."""
-        self.changed.set()
-        self.changed = trio.Event()
-
-    def slice_lines(
-        self, index: int, stop: typing.Optional[int]
-    ) -> abc.Sequence[bytes]:
-        """Return the lines from ``index`` to before ``stop``."""
-        return self.lines[index:stop]
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def wait_for_change(self) -> None:
+        """Wait until there is more to read."""
+        await self._changed.wait()
