Time decisions, and forecast all kinds in one pass

Cause: a forecast of 64 streams of 20 kinds took 1831 us, most of it numpy's cost for each call, kind by kind. Change: tables of survival are stacked and read in one pass; the mean is a dot product. bench/decision_times.py prints what decisions take against running streams, queue, customers and targets. The builders of links follow the new argument of AgentLink.

--- /dev/null
+++ b/bench/decision_times.py
@@ -0,0 +1,312 @@
+"""Time that a decision takes, and how it grows.
+
+``python -m bench.decision_times`` times the admission of a call against the
+number of running streams, the choice in the queue against its length, the
+outlook of a call and the state behind it against the number of customers, a
+token against the number of running streams, and placement against the number
+of targets. Each figure is the median over rounds of the processor time of
+one decision. One JSON line for each, then a table.
+"""
+
+from collections import abc
+import json
+import statistics
+import sys
+import time
+import typing
+
+import trio
+
+from gentianpoint_agent import admission_policy
+from gentianpoint_agent import fair_queue
+from gentianpoint_agent import memory_forecasts
+from gentianpoint_agent import outlooks
+from gentianpoint_agent import predictive_policy
+from gentianpoint_agent import service_in_force
+from gentianpoint_core import deadlines
+from gentianpoint_core import ports
+from gentianpoint_core.generated import messages
+from gentianpoint_entry import agent_links
+from gentianpoint_entry import placement
+
+_ROUNDS: typing.Final = 15
+_RUNNING: typing.Final = (16, 64, 256, 1024)
+_QUEUED: typing.Final = (16, 256, 4096)
+_CUSTOMERS: typing.Final = (100, 5_000, 48_000)
+_TARGETS: typing.Final = (8, 64, 512)
+_PROMPT: typing.Final = "word " * 800
+_PREFIXES: typing.Final = 64
+_BLOCK_TOKENS: typing.Final = 16
+_NEVER: typing.Final = deadlines.NO_DEADLINE
+
+
+class DecisionTime(typing.NamedTuple):
+    """What one kind of decision took at one size."""
+
+    decision: str
+    """Kind of decision."""
+    grows_with: str
+    """What the size counts."""
+    size: int
+    """Size."""
+    median_us: float
+    """Median of the rounds, microseconds of processor time."""
+    worst_us: float
+    """Largest of the rounds, microseconds."""
+
+
+def _time_rounds(
+    decision: str,
+    grows_with: str,
+    size: int,
+    times: int,
+    act: abc.Callable[[], typing.Any],
+) -> DecisionTime:
+    """Time rounds of ``times`` calls of ``act``, which is one decision."""
+    act()
+    rounds = []
+    for _ in range(_ROUNDS):
+        began = time.process_time_ns()
+        for _ in range(times):
+            act()
+        rounds.append((time.process_time_ns() - began) / times / 1000)
+    return DecisionTime(
+        decision, grows_with, size, statistics.median(rounds), max(rounds)
+    )
+
+
+def _make_profile(number: int) -> admission_policy.CallProfile:
+    return admission_policy.CallProfile(
+        f"customer-{number}", 1.0, 0, 5, _PROMPT, 0, _NEVER
+    )
+
+
+def _make_load() -> ports.EngineLoad:
+    return ports.EngineLoad(
+        boot="b",
+        age_ms=200,
+        blocks=10**7,
+        blocks_used=0,
+        block_tokens=_BLOCK_TOKENS,
+        running=0,
+        waiting=0,
+        preemptions=0,
+        redone_tokens=0,
+        model="m",
+        adapter="",
+        version="1",
+        role="serve",
+        loading=False,
+        reclaim_in_ms=None,
+    )
+
+
+class _DeafWatcher(admission_policy.SlotWatcher):
+    """Passes tokens to the policy as the control does."""
+
+    def __init__(self, policy: admission_policy.AdmissionPolicy) -> None:
+        self._policy: typing.Final = policy
+
+    def note_token(
+        self,
+        slot: admission_policy.Slot,
+        gap_ms: typing.Optional[float],
+        *,
+        new_class: bool,
+    ) -> None:
+        self._policy.note_token(slot, gap_ms)
+
+    def note_preemption(self, slot: admission_policy.Slot) -> None:
+        pass
+
+    def note_end(
+        self, slot: admission_policy.Slot, prompt_tokens: int
+    ) -> None:
+        pass
+
+
+def _teach(maker: outlooks.OutlookMaker, customers: int) -> None:
+    """Let a customer in ten come back, with answers of different lengths."""
+    for number in range(customers):
+        profile = _make_profile(number % max(1, customers * 9 // 10))
+        length = maker.make_outlook(profile, 0).length
+        for _ in range(1 + number % 7):
+            length.add_token()
+        length.end()
+
+
+def measure_admission() -> abc.Iterator[DecisionTime]:
+    """Time the policy's word, with a forecast made anew, and one token."""
+    for size in _RUNNING:
+        service = service_in_force.ServiceInForce("s")
+        policy = predictive_policy.PredictivePolicy(service)
+        maker = outlooks.OutlookMaker()
+        _teach(maker, 200)
+        policy.note_load(_make_load(), ())
+        running: dict[admission_policy.Slot, None] = {}
+        watcher = _DeafWatcher(policy)
+        for number in range(size):
+            profile = _make_profile(number % 20)
+            slot = admission_policy.Slot(
+                profile, maker.make_outlook(profile, 0), watcher, 0.0
+            )
+            policy.note_start(slot)
+            running[slot] = None
+        for slot in running:
+            slot.note_token()
+        first = next(iter(running))
+        streams = [
+            memory_forecasts.StreamMemory(
+                slot.outlook.length.distribution, 1000, slot.tokens, 0
+            )
+            for slot in running
+        ]
+        forecast = memory_forecasts.MemoryForecast(streams, _BLOCK_TOKENS)
+
+        def decide_anew(
+            policy: predictive_policy.PredictivePolicy = policy,
+            slot: admission_policy.Slot = first,
+            running: dict[admission_policy.Slot, None] = running,
+        ) -> None:
+            # A release is what makes the next decision forecast anew.
+            policy.note_release(slot)
+            policy.predict_memory(running.keys())
+
+        def decide_again(
+            forecast: memory_forecasts.MemoryForecast = forecast,
+            stream: memory_forecasts.StreamMemory = streams[0],
+        ) -> None:
+            forecast.find_peak_with(stream, 3.0)
+
+        yield _time_rounds(
+            "forecast made anew", "running streams", size, 20, decide_anew
+        )
+        yield _time_rounds(
+            "one more call, same forecast",
+            "running streams",
+            size,
+            50,
+            decide_again,
+        )
+        yield _time_rounds(
+            "one token", "running streams", size, 2000, first.note_token
+        )
+
+
+def _always(ticket: fair_queue.Ticket) -> bool:
+    return True
+
+
+def measure_queue() -> abc.Iterator[DecisionTime]:
+    """Time the choice of the next call when each customer has one."""
+    for size in _QUEUED:
+        queue = fair_queue.FairQueue()
+        maker = outlooks.OutlookMaker()
+        outlook = maker.make_outlook(_make_profile(0), 0)
+        for number in range(size):
+            profile = _make_profile(number)
+            queue.add(fair_queue.Ticket(profile, outlook, 0.0, _NEVER))
+
+        def choose(queue: fair_queue.FairQueue = queue) -> None:
+            queue.find_next(1.0, _always)
+
+        yield _time_rounds(
+            "next in the queue", "calls queued", size, 5, choose
+        )
+
+
+def measure_outlooks() -> abc.Iterator[DecisionTime]:
+    """Time the outlook of a call after many customers were seen."""
+    for size in _CUSTOMERS:
+        maker = outlooks.OutlookMaker()
+        _teach(maker, size)
+        kinds = maker.lengths.count_kinds()
+
+        def make(maker: outlooks.OutlookMaker = maker) -> None:
+            maker.make_outlook(_make_profile(1), 0)
+
+        yield _time_rounds(
+            f"outlook of a call ({kinds} kinds kept)",
+            "customers",
+            size,
+            50,
+            make,
+        )
+
+
+def _make_report(number: int) -> messages.Report:
+    return {
+        "type": "report",
+        "running": 10,
+        "queued": 0,
+        "memory_used": 0.3,
+        "memory_predicted": number % 10 / 10,
+        "pace_ms": 20.0,
+        "queue_wait_ms": 0.0,
+        "age_ms": 200,
+        "prefixes": list(range(number, number + _PREFIXES)),
+    }
+
+
+def _do_nothing() -> None:
+    pass
+
+
+def _make_link(
+    number: int, settings: agent_links.LinkSettings
+) -> agent_links.AgentLink:
+    name = f"agent-{number}"
+    data_centre = "north" if number % 2 else "south"
+    host = ports.Host(name, "agent", "s", name, "", data_centre, "live")
+    link = agent_links.AgentLink(host, settings, _do_nothing)
+    link.take_report(_make_report(number))
+    return link
+
+
+def measure_placement() -> abc.Iterator[DecisionTime]:
+    """Time the choice of a target for a prompt of 4000 characters."""
+    settings = agent_links.LinkSettings(
+        "entry", "run", "north", "", 1000, 3000, 64, 2**20
+    )
+    for size in _TARGETS:
+        links = [_make_link(number, settings) for number in range(size)]
+        policy = placement.make_placement_policy("two_choices", "north", "1")
+
+        def choose(
+            policy: typing.Any = policy,
+            links: abc.Sequence[agent_links.AgentLink] = links,
+        ) -> None:
+            policy.choose(links, _PROMPT)
+
+        yield _time_rounds("target of a call", "targets", size, 20, choose)
+
+
+async def measure_all() -> abc.Sequence[DecisionTime]:
+    """Return all figures; in a trio run, whose clock the code reads."""
+    return [
+        *measure_admission(),
+        *measure_queue(),
+        *measure_outlooks(),
+        *measure_placement(),
+    ]
+
+
+def main() -> int:
+    """Print the figures."""
+    rows = trio.run(measure_all)
+    for row in rows:
+        print(json.dumps(row._asdict()))
+    print()
+    print(
+        f"{'decision':40}{'grows with':>18}{'size':>8}{'us':>10}{'worst':>10}"
+    )
+    for row in rows:
+        print(
+            f"{row.decision:40}{row.grows_with:>18}{row.size:>8}"
+            f"{row.median_us:>10.1f}{row.worst_us:>10.1f}"
+        )
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/packages/gentianpoint-agent/features/report_reader.py
+++ b/packages/gentianpoint-agent/features/report_reader.py
@@ -36,7 +36,8 @@
         "zona-norte",
         "live",
     )
-    link = agent_links.AgentLink(host, _SETTINGS._replace(peer_key=peer_key))
+    settings = _SETTINGS._replace(peer_key=peer_key)
+    link = agent_links.AgentLink(host, settings, lambda: None)
     with trio.fail_after(_WITHIN_S):
         async with trio.open_nursery() as nursery:
             nursery.start_soon(link.run, _configure)
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/length_distributions.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/length_distributions.py
@@ -45,6 +45,9 @@
 )
 _REFRESH_CHANGES: typing.Final = 32
 _LEAST_SURVIVAL: typing.Final = 1e-9
+_CLASS_WIDTHS: typing.Final = numpy.diff(
+    2.0 ** (numpy.arange(CLASSES + 1) / _CLASSES_PER_DOUBLING)
+)
 
 
 def find_class(tokens: int) -> int:
@@ -69,15 +72,19 @@
     return result
 
 
-def read_survival(table: FloatArray, positions: FloatArray) -> FloatArray:
-    """Return the chances to reach positions, by a table of survival.
+def read_survival(
+    tables: FloatArray, rows: typing.Any, positions: FloatArray
+) -> FloatArray:
+    """Return the chances to reach positions, by tables of survival.
 
-    ``table`` has the chance to reach each class; between two classes the
-    chance is interpolated.
+    Each row of ``tables`` has the chance to reach each class; between two
+    classes the chance is interpolated. ``rows`` tells the table of each
+    position.
     """
     place = positions.astype(numpy.int64)
     share = positions - place
-    result: FloatArray = table[place] * (1 - share) + table[place + 1] * share
+    low, high = tables[rows, place], tables[rows, place + 1]
+    result: FloatArray = low + share * (high - low)
     return result
 
 
@@ -161,7 +168,7 @@
         """
         table = self.read_table()
         start = find_positions(numpy.array([float(tokens)]))
-        reached = float(read_survival(table, start)[0])
+        reached = float(read_survival(table[None, :], 0, start)[0])
         if reached < _LEAST_SURVIVAL:
             return find_class_end(find_class(tokens))
         below = table <= reached * (1 - share)
@@ -171,6 +178,4 @@
     def find_mean(self) -> float:
         """Return the mean length in tokens."""
         table = self.read_table()
-        scale = numpy.arange(CLASSES + 1) / _CLASSES_PER_DOUBLING
-        widths = numpy.diff(2.0**scale)
-        return float(numpy.sum(widths * (table[:-1] + table[1:]) / 2))
+        return float(numpy.dot(_CLASS_WIDTHS, table[:-1] + table[1:]) / 2)
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/memory_forecasts.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/memory_forecasts.py
@@ -17,7 +17,7 @@
 
 from gentianpoint_agent import length_distributions
 
-__all__ = ("HORIZONS", "MemoryForecast", "StreamMemory", "forecast_stream")
+__all__ = ("HORIZONS", "MemoryForecast", "StreamMemory")
 
 _FIRST_HORIZON: typing.Final = 8
 _HORIZONS_PER_DOUBLING: typing.Final = 3
@@ -75,45 +75,50 @@
         return float(numpy.max(numpy.minimum(highest, self.most)))
 
 
-def _sum_alike(
-    distribution: length_distributions.LengthDistribution,
-    streams: abc.Sequence[StreamMemory],
-    block_tokens: int,
+def _sum_streams(
+    streams: abc.Sequence[StreamMemory], block_tokens: int
 ) -> _Sums:
-    rows = numpy.array(
+    sums = _Sums()
+    if not streams:
+        return sums
+    figures = numpy.array(
         [(row.prompt_tokens, row.tokens, row.max_tokens) for row in streams],
         dtype=numpy.float64,
     )
-    prompts, tokens, limits = rows[:, 0:1], rows[:, 1:2], rows[:, 2:3]
+    prompts, tokens = figures[:, 0:1], figures[:, 1:2]
+    limits = figures[:, 2:3]
     lengths = tokens + HORIZONS
-    table = distribution.read_table()
-    reach = length_distributions.read_survival(
-        table, length_distributions.find_positions(lengths)
-    )
-    now = numpy.maximum(reach[:, 0:1], _LEAST_SURVIVAL)
-    alive = numpy.minimum(reach / now, 1.0)
-    alive[alive < _LEAST_CHANCE] = 0.0
-    # Where the table knows of no stream this long, its end is near but has
-    # not come: what is there now counts.
-    alive[:, 0] = 1.0
+    alive = _find_chances(streams, lengths)
     allowed = (limits <= 0) | (lengths <= limits)
     allowed[:, 0] = True
     alive = numpy.where(allowed, alive, 0.0)
     blocks = numpy.ceil((prompts + lengths + 1) / block_tokens)
-    sums = _Sums()
     sums.means = numpy.sum(alive * blocks, axis=0)
     sums.variances = numpy.sum(alive * (1 - alive) * blocks**2, axis=0)
     sums.most = numpy.sum(numpy.where(allowed, blocks, 0.0), axis=0)
     return sums
 
 
-def forecast_stream(
-    stream: StreamMemory, block_tokens: int, deviations: float
-) -> float:
-    """Return the forecast peak of one stream alone, in blocks."""
-    return _sum_alike(stream.distribution, (stream,), block_tokens).find_peak(
-        deviations
+def _find_chances(
+    streams: abc.Sequence[StreamMemory],
+    lengths: length_distributions.FloatArray,
+) -> length_distributions.FloatArray:
+    """Return for each stream and horizon the chance that it is there."""
+    places: dict[length_distributions.LengthDistribution, int] = {}
+    for stream in streams:
+        places.setdefault(stream.distribution, len(places))
+    tables = numpy.stack([kind.read_table() for kind in places])
+    rows = numpy.array([[places[row.distribution]] for row in streams])
+    reach = length_distributions.read_survival(
+        tables, rows, length_distributions.find_positions(lengths)
     )
+    now = numpy.maximum(reach[:, 0:1], _LEAST_SURVIVAL)
+    alive: length_distributions.FloatArray = numpy.minimum(reach / now, 1.0)
+    alive[alive < _LEAST_CHANCE] = 0.0
+    # Where the table knows of no stream this long, its end is near but has
+    # not come: what is there now counts.
+    alive[:, 0] = 1.0
+    return alive
 
 
 class MemoryForecast:
@@ -124,14 +129,7 @@
     ) -> None:
         """Forecast ``streams`` with blocks of ``block_tokens`` tokens."""
         self._block_tokens: typing.Final = block_tokens
-        self._sums: typing.Final = _Sums()
-        alike: dict[
-            length_distributions.LengthDistribution, list[StreamMemory]
-        ] = {}
-        for stream in streams:
-            alike.setdefault(stream.distribution, []).append(stream)
-        for distribution, rows in alike.items():
-            self._sums.add(_sum_alike(distribution, rows, block_tokens))
+        self._sums: typing.Final = _sum_streams(tuple(streams), block_tokens)
 
     def find_peak(self, deviations: float) -> float:
         """Return the peak in blocks, at ``deviations`` over the mean."""
@@ -141,13 +139,9 @@
         """Return the peak in blocks if ``stream`` started now."""
         sums = _Sums()
         sums.add(self._sums)
-        sums.add(
-            _sum_alike(stream.distribution, (stream,), self._block_tokens)
-        )
+        sums.add(_sum_streams((stream,), self._block_tokens))
         return sums.find_peak(deviations)
 
     def add(self, stream: StreamMemory) -> None:
         """Count a stream that starts now."""
-        self._sums.add(
-            _sum_alike(stream.distribution, (stream,), self._block_tokens)
-        )
+        self._sums.add(_sum_streams((stream,), self._block_tokens))
--- a/packages/gentianpoint-entry/features/link_builders.py
+++ b/packages/gentianpoint-entry/features/link_builders.py
@@ -17,7 +17,7 @@
     host = ports.Host(
         name, "agent", "service", name, "127.0.0.1:1", data_centre, "live"
     )
-    return agent_links.AgentLink(host, _SETTINGS)
+    return agent_links.AgentLink(host, _SETTINGS, lambda: None)
 
 
 def make_report(**more: typing.Any) -> messages.Report:
