Send fewer heartbeats and reports, over fewer connections

An entry with 11 services had 88 connections.

Ruled out: only longer periods, since a stream on a silent connection would stand still longer; a fixed smaller number of connections, since one entry before 20 targets would use a few of them.

Now any message is a sign of life, a connection without calls beats each fifth tick and is judged as seldom, an entry takes at least 4 agents of a service and more when entries are few, and tells agents in its greeting how seldom it needs reports (5.5 s with 44 connections, 500 ms with 4).

Silence on a connection with calls is noticed as soon as before.

--- a/bench/message_costs.py
+++ b/bench/message_costs.py
@@ -66,6 +66,7 @@
         "data_centre": "zona-norte-1",
         "offset": 123456,
         "window": 256,
+        "report_ms": 5500,
     },
     "welcome": {
         "type": "welcome",
@@ -94,6 +95,7 @@
     "offer": {
         "type": "offer",
         "call": 123456,
+        "attempt": "0a1b2c3d4e5f-123456-1",
         "customer": "customer-012345",
         "weight": 1.0,
         "customer_limit": 4,
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/entry_connections.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/entry_connections.py
@@ -25,6 +25,7 @@
 __all__ = ("EntryConnection",)
 
 _MAX_WINDOW: typing.Final = 65536
+_LONGEST_REPORT_MS: typing.Final = 60_000
 _LEAVING_RETRY_MS: typing.Final = 500
 
 
@@ -43,6 +44,7 @@
         self._dirty: set[call_feeds.CallFeed] = set()
         self._wake = trio.Event()
         self._window = 1
+        self._report_ms = state.settings.report_ms
         self._incarnation = ""
         self._scope: typing.Final = trio.CancelScope()
         self._ended: typing.Final = trio.Event()
@@ -62,7 +64,7 @@
 
     async def _serve_greeted(self) -> None:
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._connection.keep_alive)
+            nursery.start_soon(self._connection.keep_alive, self._has_calls)
             nursery.start_soon(self._send_items)
             nursery.start_soon(self._send_reports)
             nursery.start_soon(self._tell_leaving)
@@ -93,6 +95,9 @@
         self._scope.cancel()
         await self._ended.wait()
 
+    def _has_calls(self) -> bool:
+        return bool(self._feeds)
+
     async def _greet(self) -> None:
         hello = await self._connection.receive()
         reason = ""
@@ -107,6 +112,10 @@
             )
         self._connection.peer = hello["peer"]
         self._window = min(max(1, hello["window"]), _MAX_WINDOW)
+        self._report_ms = max(
+            self._state.settings.report_ms,
+            min(hello["report_ms"], _LONGEST_REPORT_MS),
+        )
         await self._supersede(hello["incarnation"])
         await self._connection.send(self._make_welcome())
         logs.log_event(
@@ -387,7 +396,7 @@
     async def _send_reports(self) -> None:
         while True:
             await self._connection.send(self._state.make_report())
-            await trio.sleep(self._state.settings.report_ms / 1000)
+            await trio.sleep(self._report_ms / 1000)
 
     async def _tell_leaving(self) -> None:
         await self._state.lifecycle.wait_leaving()
--- a/packages/gentianpoint-core/src/gentianpoint_core/peer_connections.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/peer_connections.py
@@ -6,6 +6,11 @@
 nothing during several of its own ticks gives the connection up. Ticks are
 counted instead of time, so that a process that was paused first gets to read
 what waits for it before it judges the other end.
+
+Heartbeats are most of what control costs a node, so they are sent only when
+nothing else was: any message is a sign of life. A connection that carries no
+call beats seldom and is judged as seldom. Both ends know which calls are
+open, and the first message of a call reaches the other end at once.
 """
 
 from collections import abc
@@ -17,10 +22,17 @@
 
 from gentianpoint_core import codec
 
-__all__ = ("PEER_KEY_HEADER", "PeerConnection", "PeerConnectionError")
+__all__ = (
+    "IDLE_TICKS",
+    "PEER_KEY_HEADER",
+    "PeerConnection",
+    "PeerConnectionError",
+)
 
 PEER_KEY_HEADER: typing.Final = "Gentianpoint-Peer-Key"
 """Header of the websocket handshake that carries the shared key."""
+IDLE_TICKS: typing.Final = 5
+"""Times longer than with calls that a connection without any may be quiet."""
 
 
 class PeerConnectionError(Exception):
@@ -55,6 +67,8 @@
         self._silence_s: typing.Final = silence_ms / 1000
         self._allowed_ticks: typing.Final = max(2, silence_ms // heartbeat_ms)
         self._quiet_ticks = 0
+        self._unsent_ticks = 0
+        self._sent_in_tick = False
         self._highest_received = 0
 
     async def send(self, message: abc.Mapping[str, typing.Any]) -> None:
@@ -71,6 +85,7 @@
                 raise PeerConnectionError(
                     "send message", self.peer, str(error)
                 ) from error
+        self._sent_in_tick = True
         if scope.cancelled_caught:
             raise PeerConnectionError(
                 "send message", self.peer, "the peer reads nothing"
@@ -100,16 +115,24 @@
                 return message
             self._highest_received = message["number"]
 
-    async def keep_alive(self) -> None:
-        """Send heartbeats for ever; raises when the peer is silent."""
+    async def keep_alive(self, is_busy: abc.Callable[[], bool]) -> None:
+        """Send heartbeats for ever; raises when the peer is silent.
+
+        ``is_busy`` tells whether the connection carries calls.
+        """
         number = 0
+        was_busy = True
         while True:
             await trio.sleep(self._heartbeat_s)
-            self._quiet_ticks += 1
-            if self._quiet_ticks > self._allowed_ticks:
-                raise PeerConnectionError(
-                    "keep connection alive", self.peer, "the peer is silent"
-                )
+            busy = is_busy()
+            if busy and not was_busy:
+                # The quiet before the first call was allowed to be longer.
+                self._quiet_ticks = 0
+            was_busy = busy
+            ticks = 1 if busy else IDLE_TICKS
+            self._judge_silence(self._allowed_ticks * ticks)
+            if not self._is_beat_due(ticks):
+                continue
             number += 1
             await self.send(
                 {
@@ -118,3 +141,21 @@
                     "echo": self._highest_received,
                 }
             )
+            self._sent_in_tick = False
+
+    def _judge_silence(self, allowed_ticks: int) -> None:
+        self._quiet_ticks += 1
+        if self._quiet_ticks > allowed_ticks:
+            raise PeerConnectionError(
+                "keep connection alive", self.peer, "the peer is silent"
+            )
+
+    def _is_beat_due(self, ticks: int) -> bool:
+        """Tell whether nothing was sent for ``ticks`` of our ticks."""
+        self._unsent_ticks = 0 if self._sent_in_tick else self._unsent_ticks
+        self._unsent_ticks += not self._sent_in_tick
+        self._sent_in_tick = False
+        if self._unsent_ticks < ticks:
+            return False
+        self._unsent_ticks = 0
+        return True
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/agent_links.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/agent_links.py
@@ -20,7 +20,7 @@
 from gentianpoint_core.generated import events
 from gentianpoint_core.generated import messages
 
-__all__ = ("AgentLink", "LinkCall", "LinkSettings")
+__all__ = ("AgentLink", "LinkCall", "LinkSettings", "compute_report_ms")
 
 _CLOSE_TIMEOUT_S: typing.Final = 0.2
 _OPEN_TIMEOUT_S: typing.Final = 2
@@ -29,6 +29,11 @@
 _RECOVERY_WITHIN_MS: typing.Final = 5000
 _SPARE_MESSAGES: typing.Final = 16
 _LONGEST_REFUSAL_MS: typing.Final = 1000
+_REPORT_WIRE_BYTES: typing.Final = 250
+_REPORT_BUDGET_BYTES_S: typing.Final = 2000
+_LAST_MESSAGES: typing.Final = frozenset(
+    ("ended", "refused", "prepared", "cancelled")
+)
 
 
 def _is_refusal(error: BaseException) -> bool:
@@ -37,6 +42,20 @@
     return any(isinstance(cause, ConnectionRefusedError) for cause in causes)
 
 
+
+def compute_report_ms(links: int) -> int:
+    """Return the least time between reports of an agent, milliseconds.
+
+    An entry's control traffic has a budget, of which reports may take about
+    half. With many links each one gets a smaller share, so reports come less
+    often; the entry's own sends since the last report fill the gap.
+
+    >>> compute_report_ms(4)
+    500
+    """
+    return round(links * _REPORT_WIRE_BYTES * 1000 / _REPORT_BUDGET_BYTES_S)
+
+
 class LinkSettings(typing.NamedTuple):
     """What all links of an entry have in common."""
 
@@ -107,13 +126,16 @@
         host: ports.Host,
         settings: LinkSettings,
         notify: abc.Callable[[], None],
+        links: int = 1,
     ) -> None:
         """Make the link to ``host``; :meth:`run` connects.
 
         ``notify`` is called when the link is connected, lost, or could not
-        be connected.
+        be connected; ``links`` is the number of links of this entry, which
+        decides how often the agent is to report.
         """
         self.host = host
+        self.links = links
         self.welcome: typing.Optional[messages.Welcome] = None
         self.report: typing.Optional[messages.Report] = None
         self.report_received = deadlines.Deadline(0.0)
@@ -128,6 +150,7 @@
             None
         )
         self._calls: typing.Final[dict[int, LinkCall]] = {}
+        self._open: typing.Final[set[int]] = set()
         self._last_call = 0
         self._notify: typing.Final = notify
         self._refused = False
@@ -229,6 +252,7 @@
                 "data_centre": self._settings.data_centre,
                 "offset": 0,
                 "window": self._settings.window,
+                "report_ms": compute_report_ms(self.links),
             }
         )
         with trio.move_on_after(self._settings.silence_ms / 1000):
@@ -276,13 +300,21 @@
         self._notify()
         try:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(connection.keep_alive)
+                nursery.start_soon(connection.keep_alive, self._has_calls)
                 nursery.start_soon(configure, self)
                 while True:
                     self._handle(await connection.receive())
         finally:
             self._lose_connection()
 
+    def _has_calls(self) -> bool:
+        """Tell whether the agent still has to say something on a call.
+
+        A call whose last message came may stay open here while a slow
+        caller reads it, but the agent has forgotten it.
+        """
+        return bool(self._open)
+
     def _lose_connection(self) -> None:
         self._connection = None
         self._refused = False
@@ -291,6 +323,7 @@
         self.prefixes = frozenset()
         calls = tuple(self._calls.values())
         self._calls.clear()
+        self._open.clear()
         for call in calls:
             call.lose()
         self._notify()
@@ -307,6 +340,8 @@
             case "configured":
                 self.configured_offset = message["offset"]
             case _ if "call" in message:
+                if message["type"] in _LAST_MESSAGES:
+                    self._open.discard(message["call"])
                 self._push(message["call"], message)
             case other:
                 raise peer_connections.PeerConnectionError(
@@ -357,11 +392,13 @@
         self._last_call += 1
         call = LinkCall(self, self._last_call, self._settings.window)
         self._calls[call.number] = call
+        self._open.add(call.number)
         return call
 
     def forget_call(self, number: int) -> None:
         """Drop what still comes for a call."""
         self._calls.pop(number, None)
+        self._open.discard(number)
 
     async def send(self, message: abc.Mapping[str, typing.Any]) -> None:
         """Send a message; raises when the link is lost."""
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/link_pool.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/link_pool.py
@@ -1,6 +1,7 @@
 """Which agents this entry keeps connections to."""
 
 from collections import abc
+import math
 import typing
 
 import trio
@@ -9,7 +10,27 @@
 from gentianpoint_core import ports
 from gentianpoint_entry import agent_links
 
-__all__ = ("LinkPool", "choose_hosts")
+__all__ = ("LinkPool", "choose_hosts", "count_links")
+
+_ENTRIES_FOR_AN_AGENT: typing.Final = 6
+
+
+def count_links(agents: int, entries: int, fewest: int) -> int:
+    """Return the number of a service's agents an entry connects to.
+
+    At least ``fewest``, and so many that an agent has connections from
+    about six entries: with few entries and many agents a fixed number would
+    leave agents idle, and with many entries a large one costs each of them
+    heartbeats and reports that it has no use for.
+
+    >>> count_links(agents=245, entries=380, fewest=4)
+    4
+    >>> count_links(agents=12, entries=2, fewest=4)
+    36
+    """
+    return max(
+        fewest, math.ceil(_ENTRIES_FOR_AN_AGENT * agents / max(1, entries))
+    )
 
 
 def choose_hosts(
@@ -20,7 +41,8 @@
 ) -> abc.Sequence[ports.Host]:
     """Return the agents to which an entry keeps connections.
 
-    Of each service up to ``links_per_service``, its own data centre first;
+    Of each service ``links_per_service`` or more, see :func:`count_links`,
+    its own data centre first;
     among equals the highest hash of entry and host (rendezvous hashing), so
     that entries spread over agents and one host's coming or going moves few.
 
@@ -33,13 +55,16 @@
         weight = xxhash.xxh64_intdigest(f"{entry}/{host.host}".encode())
         return host.data_centre != data_centre, -weight
 
+    entries = 0
     by_service: dict[str, list[ports.Host]] = {}
     for host in hosts:
         if host.role == "agent" and host.state == "live":
             by_service.setdefault(host.service, []).append(host)
+        entries += host.role == "entry"
     chosen: list[ports.Host] = []
     for candidates in by_service.values():
-        chosen += sorted(candidates, key=rank)[:links_per_service]
+        count = count_links(len(candidates), entries, links_per_service)
+        chosen += sorted(candidates, key=rank)[:count]
     return chosen
 
 
@@ -61,6 +86,7 @@
         self._links: typing.Final[dict[str, agent_links.AgentLink]] = {}
         self._scopes: typing.Final[dict[str, trio.CancelScope]] = {}
         self._hosts: dict[str, ports.Host] = {}
+        self._wanted = 0
         self._changed = trio.Event()
 
     async def wait_changed(self) -> None:
@@ -112,6 +138,7 @@
             self._links_per_service,
         )
         wanted = {host.host: host for host in chosen}
+        self._wanted = len(wanted)
         for name, host in wanted.items():
             link = self._links.get(name)
             if link is not None and link.host.address != host.address:
@@ -120,6 +147,7 @@
             if link is None:
                 self._open(host)
         for name, link in tuple(self._links.items()):
+            link.links = self._wanted
             listed = self._hosts.get(name)
             if listed is None or listed.state != "live":
                 link.mark_leaving("the host list says so")
@@ -127,7 +155,9 @@
                 self._close(name)
 
     def _open(self, host: ports.Host) -> agent_links.AgentLink:
-        link = agent_links.AgentLink(host, self._settings, self._notify)
+        link = agent_links.AgentLink(
+            host, self._settings, self._notify, self._wanted
+        )
         scope = trio.CancelScope()
         self._links[host.host] = link
         self._scopes[host.host] = scope
