Pause after a reading of the host list in proportion to its bytes

Ruled out: reading only the own data centre or only what changed, which needs a word of the platform that it may not have.

Now a reader offers to take gzip (16.5 B a host, 51 KB) and waits until the reading is paid off at 500 B/s; lists of a dozen hosts are read as often as before.

--- a/packages/gentianpoint-core/src/gentianpoint_core/http_host_list.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/http_host_list.py
@@ -20,6 +20,7 @@
         """Use ``client`` for requests to the list at ``url``."""
         self._url: typing.Final = url
         self._client: typing.Final = client
+        self._read_bytes = 0
 
     async def read_hosts(self) -> abc.Sequence[ports.Host]:
         """Read the list; see :meth:`ports.HostList.read_hosts`."""
@@ -28,6 +29,7 @@
                 f"{self._url}/hosts", timeout=_ANSWER_TIMEOUT_S
             )
             answer.raise_for_status()
+            self._read_bytes = answer.num_bytes_downloaded
             body = msgspec.json.decode(answer.content)
             return msgspec.convert(
                 [
@@ -40,3 +42,7 @@
             raise ports.PortError(
                 "read hosts", self._url, repr(error), took_effect=False
             ) from error
+
+    def count_read_bytes(self) -> int:
+        """Count; see :meth:`ports.HostList.count_read_bytes`."""
+        return self._read_bytes
--- a/packages/gentianpoint-core/src/gentianpoint_core/ports.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/ports.py
@@ -117,6 +117,14 @@
     async def read_hosts(self) -> collections_abc.Sequence[Host]:
         """Return the hosts as the platform knows them."""
 
+    def count_read_bytes(self) -> int:
+        """Return the bytes that the last reading took on the wire.
+
+        Readers pause for longer after a long answer; 0 is for adapters that
+        can't tell.
+        """
+        return 0
+
 
 class WeightStore(abc.ABC):
     """The platform's rate-limited store of weights."""
--- /dev/null
+++ b/packages/gentianpoint-entry/features/link_pool.feature
@@ -0,0 +1,46 @@
+Feature: Connections enough for every agent, and no more
+  An entry connects to some agents of each service. With few of them agents
+  stand idle beside a crowded one; with many, heartbeats and reports alone
+  break a node's budget for control.
+
+  Scenario Outline: the number of connections follows the deployment
+  A deployment grows from one entry to hundreds. An operator of a small one
+  would notice targets that never get a call, one of a large one would notice
+  control traffic that grows with the product of both.
+
+    Given <entries> entries and <agents> agents of a service
+    When each entry chooses its agents with at least <fewest>
+    Then each entry has <links> connections
+    And every agent has at least <least> connections
+
+    Examples:
+      | entries | agents | fewest | links | least |
+      | 1       | 1      | 4      | 1     | 1     |
+      | 1       | 30     | 4      | 30    | 1     |
+      | 2       | 12     | 4      | 12    | 2     |
+      | 60      | 40     | 4      | 4     | 1     |
+
+  Scenario Outline: reports come less often to an entry with many connections
+  Reports are the largest part of control traffic. An operator would notice
+  an entry whose control traffic grows with every service.
+
+    When an entry with <links> connections greets its agents
+    Then it asks for reports at least <period> ms apart
+
+    Examples:
+      | links | period |
+      | 4     | 500    |
+      | 44    | 5500   |
+
+  Scenario Outline: a long host list is read less often
+  Thousands of hosts make a list of hundreds of kilobytes. Read each second
+  it would be nearly all of an entry's traffic without callers.
+
+    When a reading of the host list took <size> bytes with 1000 ms to wait
+    Then the next reading comes after <pause> ms
+
+    Examples:
+      | size   | pause  |
+      | 0      | 1000   |
+      | 2048   | 1000   |
+      | 32048  | 60000  |
--- /dev/null
+++ b/packages/gentianpoint-entry/features/steps/link_pool_steps.py
@@ -0,0 +1,72 @@
+"""Steps for the choice of connections and their upkeep."""
+
+import collections
+
+import behave
+
+from gentianpoint_core import ports
+from gentianpoint_entry import agent_links
+from gentianpoint_entry import host_watch
+from gentianpoint_entry import link_pool
+
+DATA_CENTRE = "zona-norte"
+
+
+def make_host(role, number):
+    service = "modelo-taller" if role == "agent" else ""
+    target = f"target-{number}" if role == "agent" else ""
+    name = f"{role}-{number}"
+    return ports.Host(
+        name, role, service, target, f"a:{number}", DATA_CENTRE, "live"
+    )
+
+
+@behave.given("{entries:d} entries and {agents:d} agents of a service")
+def make_hosts(context, entries, agents):
+    context.entries = [make_host("entry", number) for number in range(entries)]
+    context.agents = [make_host("agent", number) for number in range(agents)]
+
+
+@behave.when("each entry chooses its agents with at least {fewest:d}")
+def choose_agents(context, fewest):
+    context.chosen = [
+        link_pool.choose_hosts(
+            context.entries + context.agents, entry.host, DATA_CENTRE, fewest
+        )
+        for entry in context.entries
+    ]
+
+
+@behave.then("each entry has {count:d} connections")
+def check_links(context, count):
+    assert {len(row) for row in context.chosen} == {count}
+
+
+@behave.then("every agent has at least {least:d} connections")
+def check_agents(context, least):
+    found = collections.Counter(
+        host.host for row in context.chosen for host in row
+    )
+    assert min(found[host.host] for host in context.agents) >= least, found
+
+
+@behave.when("an entry with {links:d} connections greets its agents")
+def greet(context, links):
+    context.period_ms = agent_links.compute_report_ms(links)
+
+
+@behave.then("it asks for reports at least {period:d} ms apart")
+def check_period(context, period):
+    assert context.period_ms == period
+
+
+@behave.when(
+    "a reading of the host list took {size:d} bytes with {poll:d} ms to wait"
+)
+def read_list(context, size, poll):
+    context.pause_ms = host_watch.compute_pause_ms(poll, size)
+
+
+@behave.then("the next reading comes after {pause:d} ms")
+def check_pause(context, pause):
+    assert context.pause_ms == pause
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/host_watch.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/host_watch.py
@@ -10,7 +10,28 @@
 from gentianpoint_entry import link_pool
 from gentianpoint_entry import live_hosts
 
-__all__ = ("watch_hosts",)
+__all__ = ("compute_pause_ms", "watch_hosts")
+
+_FREE_BYTES: typing.Final = 2048
+_BUDGET_BYTES_S: typing.Final = 500
+
+
+def compute_pause_ms(poll_ms: int, read_bytes: int) -> int:
+    """Return the time to the next reading of the list, milliseconds.
+
+    The list of some thousand hosts is longer than what a node may spend on
+    control in a minute, if it is read each second. So a reading of more
+    than a few hosts is paid off before the next one. What the list says
+    comes late anyway: agents tell themselves that they leave, and one that
+    is gone is noticed by its silence.
+
+    >>> compute_pause_ms(1000, 2048)
+    1000
+    >>> compute_pause_ms(1000, 32048)
+    60000
+    """
+    owed_ms = (read_bytes - _FREE_BYTES) * 1000 // _BUDGET_BYTES_S
+    return max(poll_ms, owed_ms)
 
 
 async def watch_hosts(
@@ -43,4 +64,5 @@
             available = True
             pool.update_hosts(hosts)
             live.update_hosts(hosts)
-        await trio.sleep(poll_ms / 1000)
+        pause_ms = compute_pause_ms(poll_ms, host_list.count_read_bytes())
+        await trio.sleep(pause_ms / 1000)
--- a/packages/gentianpoint-standins/src/gentianpoint_standins/hosts.py
+++ b/packages/gentianpoint-standins/src/gentianpoint_standins/hosts.py
@@ -6,6 +6,7 @@
 """
 
 from collections import abc
+import gzip
 import typing
 
 import msgspec
@@ -20,6 +21,7 @@
 __all__ = ("HostFaults", "HostRow", "HostService", "main")
 
 _KEPT_S: typing.Final = 120.0
+_COMPRESSION_LEVEL: typing.Final = 1
 
 
 class HostRow(typing.TypedDict):
@@ -50,6 +52,15 @@
     """Delay before each reader's call is looked at, milliseconds."""
 
 
+def _answer_compressed(body: bytes) -> quart.Response:
+    """Return a JSON answer, compressed if the reader takes that."""
+    answer = quart.Response(body, content_type="application/json")
+    if "gzip" in quart.request.headers.get("Accept-Encoding", ""):
+        answer.set_data(gzip.compress(body, _COMPRESSION_LEVEL))
+        answer.headers["Content-Encoding"] = "gzip"
+    return answer
+
+
 class _Version(typing.NamedTuple):
     made_at: float
     hosts: abc.Mapping[str, HostRow]
@@ -95,7 +106,7 @@
             if version.made_at <= seen_at:
                 seen = version.hosts
         rows = [{"host": host, **row} for host, row in sorted(seen.items())]
-        return serving.answer_json({"hosts": rows})
+        return _answer_compressed(msgspec.json.encode({"hosts": rows}))
 
     async def put(self, host: str) -> quart.Response:
         """Register a host, or change it."""
