--- a/bench/configuration_fold.py
+++ b/bench/configuration_fold.py
@@ -1,19 +1,20 @@
 """Cost of the configuration: a record folded, the state kept and started.
 
 The state is measured at 1,000, 10,000 and 48,000 customers. Memory is what
-a fresh child of this program gains by decoding the state.
+a new process gains by decoding the state.
 """
 
 from collections import abc
 import hashlib
-import os
 import time
 import typing
 
 from bench import measures
+from bench import memory_gains
 from gentianpoint_core import configuration
+from gentianpoint_core import snapshots
 
-__all__ = ("measure",)
+__all__ = ("decode_state", "measure")
 
 _CUSTOMERS: typing.Final = (1000, 10_000, 48_000)
 _SERVICES: typing.Final = 11
@@ -21,7 +22,6 @@
 _REPEATS: typing.Final = 3
 _MICROSECONDS: typing.Final = 1e6
 _MILLISECONDS: typing.Final = 1e3
-_PAGE_BYTES: typing.Final = 8
 
 
 def _make_record(number: int) -> bytes:
@@ -82,37 +82,22 @@
     return values
 
 
-def measure_gain(work: abc.Callable[[], object]) -> int:
-    """Return the bytes that a child of this process gains by ``work``.
-
-    The result of the work is kept until memory is read.
-    """
-    reader, writer = os.pipe()
-    child = os.fork()
-    if not child:
-        before = measures.read_memory(os.getpid())
-        kept: list[object] = []
-        kept.append(work())
-        gained = measures.read_memory(os.getpid()) - before
-        os.write(writer, gained.to_bytes(_PAGE_BYTES, "big", signed=True))
-        os._exit(0)
-    os.waitpid(child, 0)
-    gained = int.from_bytes(os.read(reader, _PAGE_BYTES), "big", signed=True)
-    os.close(reader)
-    os.close(writer)
-    return gained
-
-
 def measure() -> list[measures.Series]:
     """Return the series of this program."""
     folded = [_fold(count) for count in _CUSTOMERS]
     encoded = [row.state.encode_state() for row in folded]
     fold_costs = [row.last_us for row in folded]
     encode = [_time_ms(row.state.encode_state) for row in folded]
+    write = [_time_ms(_make_snapshot_writer(row.state)) for row in folded]
     del folded
+    digests = [configuration.digest_state(data) for data in encoded]
+    packed = [snapshots.compress_state(data) for data in encoded]
+
+    def make_start(data: bytes, digest: str) -> abc.Callable[[], object]:
+        return lambda: snapshots.expand_state(data, digest, "snapshot").ok
 
     def make_decode(data: bytes) -> abc.Callable[[], object]:
-        return lambda: configuration.Configuration.decode_state(data)
+        return lambda: decode_state(data)
 
     def make_digest(data: bytes) -> abc.Callable[[], object]:
         return lambda: configuration.digest_state(data)
@@ -127,10 +112,26 @@
             "digest_cpu", "ms", [_time_ms(make_digest(d)) for d in encoded]
         ),
         _make_series("state_bytes", "bytes", [[len(d)] for d in encoded]),
+        _make_series("snapshot_bytes", "bytes", [[len(d)] for d in packed]),
+        _make_series("snapshot_write_cpu", "ms", write),
+        _make_series(
+            "snapshot_start_cpu",
+            "ms",
+            [
+                _time_ms(make_start(data, digest))
+                for data, digest in zip(packed, digests, strict=True)
+            ],
+        ),
         _make_series(
             "memory",
             "bytes",
-            [[measure_gain(make_decode(d))] for d in encoded],
+            [[memory_gains.measure_gain(decode_state, d)] for d in encoded],
+        ),
+        measures.make_figure(
+            "configuration.fold_cpu_mean",
+            "us",
+            [cost for costs in fold_costs for cost in costs],
+            "record",
         ),
         measures.make_figure(
             "configuration.record_bytes",
@@ -141,6 +142,19 @@
     ]
 
 
+def decode_state(data: bytes) -> object:
+    """Return the state in ``data``."""
+    return configuration.Configuration.decode_state(data)
+
+
+def _make_snapshot_writer(
+    state: configuration.Configuration,
+) -> abc.Callable[[], object]:
+    return lambda: snapshots.split_state(
+        snapshots.encode_state(state), "0a1b2c3d4e5f"
+    )
+
+
 def _make_series(
     name: str, unit: str, values: abc.Sequence[abc.Sequence[float]]
 ) -> measures.Series:
--- a/bench/host_list.py
+++ b/bench/host_list.py
@@ -1,6 +1,7 @@
 """Cost of one reading of the host list against its length."""
 
 import gzip
+import hashlib
 import time
 import typing
 
@@ -9,6 +10,7 @@
 import trio
 
 from bench import measures
+from bench import memory_gains
 from gentianpoint_core import http_host_list
 from gentianpoint_core import ports
 from gentianpoint_entry import link_pool
@@ -24,6 +26,11 @@
 _MICROSECONDS: typing.Final = 1e6
 
 
+def _scramble(number: int) -> str:
+    """Return a name that compresses as badly as names of real hosts."""
+    return hashlib.sha256(str(number).encode()).hexdigest()[:6]
+
+
 def make_hosts(count: int) -> list[ports.Host]:
     """Return hosts with names and addresses of the usual length."""
     hosts = []
@@ -31,11 +38,11 @@
         is_agent = number % 10 < _AGENTS_IN_TEN
         hosts.append(
             ports.Host(
-                f"host-{number:05}",
+                f"host-{_scramble(number)}",
                 "agent" if is_agent else "entry",
                 f"modelo-{number % _SERVICES}" if is_agent else "",
-                f"modelo-{number:05}" if is_agent else "",
-                f"10.{number % 200}.{number % 250}.17:8090",
+                f"modelo-{_scramble(-number)}" if is_agent else "",
+                f"10.{number * 7 % 256}.{number * 31 % 251}.17:8090",
                 f"zona-norte-{number % _DATA_CENTRES}",
                 "live",
             )
@@ -62,6 +69,10 @@
     return [trio.run(read) for _ in range(_REPEATS)]
 
 
+def _measure_memory(count: int) -> int:
+    return memory_gains.measure_gain(make_hosts, count)
+
+
 def measure() -> list[measures.Series]:
     """Return the series of this program."""
     bodies = [
@@ -92,6 +103,13 @@
             _HOSTS,
             [_time_reading(body) for body in bodies],
         ),
+        measures.Series(
+            "hosts.memory",
+            "bytes",
+            "host",
+            _HOSTS,
+            [[_measure_memory(count)] for count in _HOSTS],
+        ),
     ]
 
 
--- a/bench/memory.py
+++ b/bench/memory.py
@@ -12,14 +12,14 @@
 
 import trio
 
-from bench import configuration_fold
 from bench import deployments
 from bench import loads
 from bench import measures
+from bench import memory_gains
 from gentianpoint_agent import generations
 from gentianpoint_standins import processes
 
-__all__ = ("measure",)
+__all__ = ("keep_generations", "measure")
 
 _STREAMS: typing.Final = (32, 96, 192)
 _BUFFERED: typing.Final = (20_000, 100_000, 400_000)
@@ -57,7 +57,8 @@
     return series
 
 
-def _keep_generations(tokens: int) -> list[generations.Generation]:
+def keep_generations(tokens: int) -> list[generations.Generation]:
+    """Return ended answers that together have so many tokens."""
     kept = []
     for number in range(tokens // _GENERATION_TOKENS):
         generation = generations.Generation(
@@ -70,16 +71,13 @@
 
 
 def _measure_buffered() -> measures.Series:
-    def make_work(tokens: int) -> abc.Callable[[], object]:
-        return lambda: _keep_generations(tokens)
-
     return measures.Series(
         "memory.buffered_token",
         "bytes",
         "token",
         _BUFFERED,
         [
-            [configuration_fold.measure_gain(make_work(count))]
+            [memory_gains.measure_gain(keep_generations, count)]
             for count in _BUFFERED
         ],
     )
