--- a/bench/admission_trials.py
+++ b/bench/admission_trials.py
@@ -421,7 +421,9 @@
                 run_trial(variant, policy, seed)
                 for seed in range(1, chosen.seeds + 1)
             ]
-            medians = [statistics.median(column) for column in zip(*rows)]
+            medians = [
+                statistics.median(column) for column in zip(*rows, strict=True)
+            ]
             values = "".join(f"{value:>14.2f}" for value in medians)
             print(f"{variant.name:>14}{policy:>14}{values}", flush=True)
             line = {
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/agent_links.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/agent_links.py
@@ -42,7 +42,6 @@
     return any(isinstance(cause, ConnectionRefusedError) for cause in causes)
 
 
-
 def compute_report_ms(links: int) -> int:
     """Return the least time between reports of an agent, milliseconds.
 
