--- a/packages/gentianpoint-entry/src/gentianpoint_entry/cli.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/cli.py
@@ -4,6 +4,7 @@
 import typer
 
 from gentianpoint_entry import entry
+from gentianpoint_entry import load_command
 from gentianpoint_entry import operator_commands
 from gentianpoint_entry.generated import settings as entry_settings
 
@@ -28,6 +29,7 @@
 
 entry_settings.register_entry_command(app, _run)
 operator_commands.register_operator_commands(app)
+load_command.register_load_command(app)
 
 
 def main() -> None:
