Judge plain targets by their calls

Cause: a plain service reports no memory, so all of them had the same score and own sends counted nothing.

--- a/packages/gentianpoint-entry/features/link_builders.py
+++ b/packages/gentianpoint-entry/features/link_builders.py
@@ -43,6 +43,10 @@
             link.take_report(make_report(memory_predicted=value))
         case "wait":
             link.take_report(make_report(queue_wait_ms=value))
+        case "calls":
+            link.take_report(
+                make_report(memory_predicted=0.0, running=int(value))
+            )
         case "pace":
             link.take_report(make_report(pace_ms=value))
         case "refusal":
--- a/packages/gentianpoint-entry/features/placement.feature
+++ b/packages/gentianpoint-entry/features/placement.feature
@@ -15,6 +15,7 @@
       | memory 0.9     | memory 0.2     | none    |
       | memory 0.4     | memory 0.4     | some    |
       | wait 3000      | wait 0         | none    |
+      | calls 12       | calls 3        | none    |
       | memory 0.2     | nothing        | all     |
       | memory 0.9     | nothing        | none    |
       | refusal        | memory 0.9     | none    |
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/link_scores.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/link_scores.py
@@ -47,11 +47,13 @@
         return _NEUTRAL + refused + _CALL_SHARE * link.count_calls()
     freshness = math.pow(0.5, _measure_age_ms(link) / _HALF_LIFE_MS)
     memory = max(report["memory_used"], report["memory_predicted"])
+    running = report["running"]
+    # A plain service has no cache memory: it is judged by its calls.
+    memory = memory or running * _CALL_SHARE
     reported = memory + report["queue_wait_ms"] / _WAIT_OF_FULL_MS
     known = freshness * reported + (1 - freshness) * _NEUTRAL
     # One call's share of memory is that of those that run there, so small
     # and large targets are not taken for equal.
-    running = report["running"]
     share = memory / running if running else _CALL_SHARE
     return known + refused + share * link.sent_since_report
 
