--- a/bench/admission_trials.py
+++ b/bench/admission_trials.py
@@ -123,7 +123,7 @@
 def make_load(variant: Variant, seed: int) -> abc.Sequence[_Caller]:
     """Return the calls of a run; the first customer sends half of them."""
     source = random.Random(seed)
-    callers = []
+    callers: list[_Caller] = []
     at = 0.0
     while at < _RUN_S:
         at += source.expovariate(variant.calls_a_second)
