Exempt the configuration from full collections around a decoding

Ruled out: switching the collector off for the time, since calls that run meanwhile leave cycles behind.

--- a/packages/gentianpoint-entry/src/gentianpoint_entry/configuration_tail.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/configuration_tail.py
@@ -15,6 +15,7 @@
 from gentianpoint_core import logs
 from gentianpoint_core import ports
 from gentianpoint_core.generated import events
+from gentianpoint_entry import collection_pauses
 from gentianpoint_entry import peer_state
 from gentianpoint_entry import snapshot_store
 
@@ -160,6 +161,7 @@
         if state.offset > self.state.offset:
             self.state = state
             self._in_hole = False
+            collection_pauses.exempt_live_objects()
             self._announce()
 
     def _announce(self) -> None:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/peer_state.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/peer_state.py
@@ -12,6 +12,7 @@
 from gentianpoint_core import ports
 from gentianpoint_core import snapshots
 from gentianpoint_core.generated import events
+from gentianpoint_entry import collection_pauses
 from gentianpoint_entry import live_hosts
 
 __all__ = (
@@ -91,6 +92,7 @@
     async def _check_state(
         self, host: ports.Host, offset: int, answer: httpx.Response
     ) -> PeerAnswer:
+        collection_pauses.exempt_live_objects()
         result = await trio.to_thread.run_sync(
             snapshots.expand_state,
             answer.content,
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/snapshot_store.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/snapshot_store.py
@@ -12,6 +12,7 @@
 from gentianpoint_core import ports
 from gentianpoint_core import snapshots
 from gentianpoint_core.generated import events
+from gentianpoint_entry import collection_pauses
 
 __all__ = ("read_newest_entry", "read_state_above", "write_snapshot")
 
@@ -61,6 +62,7 @@
         if entry.offset <= offset:
             return None
         records = await _read_parts(log, entry)
+        collection_pauses.exempt_live_objects()
         result = await trio.to_thread.run_sync(
             snapshots.join_parts, entry, records
         )
