--- a/bench/configuration_fold.py
+++ b/bench/configuration_fold.py
@@ -151,7 +151,7 @@
     state: configuration.Configuration,
 ) -> abc.Callable[[], object]:
     return lambda: snapshots.split_state(
-        snapshots.encode_state(state), "0a1b2c3d4e5f"
+        snapshots.encode_state(state.copy_state()), "0a1b2c3d4e5f"
     )
 
 
--- a/bench/memory_gains.py
+++ b/bench/memory_gains.py
@@ -39,6 +39,8 @@
         target=_work_in_child, args=(work, argument, theirs)
     )
     child.start()
+    # Without this a child that dies would leave us waiting for ever.
+    theirs.close()
     gained = ours.recv()
     child.join()
     return int(gained)
