--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -49,6 +49,8 @@
 LOG_POLL_S: typing.Final = 2.0
 LOG_POLL_BYTES: typing.Final = 600
 """One idle long poll of the log: worked out from its two HTTP heads."""
+REPORTED_PREFIXES: typing.Final = 64
+"""Prefixes that an agent names in a report once its cache is warm."""
 STATUS_AGAIN_S: typing.Final = 60.0
 """Time after which an entry writes its status again unchanged."""
 RECONNECT_BYTES: typing.Final = 900
@@ -149,10 +151,16 @@
         return sum(values) / len(values)
 
     def wire(self, message: str) -> float:
-        """Return a message's bytes with frame, header and half an ack."""
+        """Return a message's bytes on the wire with all that goes with it."""
         payload = self.slope(f"message.{message}_bytes")
         return payload + FRAME_BYTES + SEGMENT_HEADER * self.segments
 
+    def report_wire(self, prefixes: int) -> float:
+        """Return the bytes on the wire of a report with prefixes."""
+        name = "message.report_by_prefix_bytes"
+        payload = self.intercept(name) + prefixes * self.slope(name)
+        return payload + FRAME_BYTES + SEGMENT_HEADER * self.segments
+
     @property
     def segments(self) -> float:
         """Segments for each message, acknowledgements included."""
@@ -221,6 +229,9 @@
         """Return parts of an entry's control: messages, bytes, cpu share."""
         beats = self.links / self.idle_beat_s
         reports = self.links / self.report_s
+        prefixes_s = reports * (
+            self.report_wire(REPORTED_PREFIXES) - self.report_wire(0)
+        )
         polls = 1 / LOG_POLL_S
         readings = 1 / self.hosts_pause_s()
         changes = CHANGES_DAY / DAY_S
@@ -233,11 +244,17 @@
                 beats * self.slope("idle.entry_heartbeat_cpu") / 1e6,
             ),
             (
-                "load reports received",
+                "load reports received, without prefixes",
                 reports,
-                reports * self.wire("report"),
+                reports * self.report_wire(0),
                 reports * self.slope("idle.entry_report_cpu") / 1e6,
             ),
+            (
+                f"up to {REPORTED_PREFIXES} prefixes in each report",
+                0.0,
+                prefixes_s,
+                0.0,
+            ),
             (
                 "long polls of the log, host list poll and idle loop",
                 polls,
@@ -315,9 +332,9 @@
                 beats * self.slope("idle.entry_heartbeat_cpu") / 1e6,
             ),
             (
-                "load reports sent",
+                f"load reports sent, with {REPORTED_PREFIXES} prefixes",
                 reports,
-                reports * self.wire("report"),
+                reports * self.report_wire(REPORTED_PREFIXES),
                 reports * self.slope("idle.agent_report_cpu") / 1e6,
             ),
             (
--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -425,8 +425,9 @@
             f"{model.report_s:.1f} s at the target; own sends since the "
             "last report fill the gap",
             "built",
-            "placement works with older reports the more services there "
-            "are; reports riding on `admitted` and `ended` would end that",
+            "the period counts reports without prefixes; with them the "
+            "bytes of an entry break their budget, see there: prefixes "
+            "would have to be sent less often than the load",
         ),
         (
             "who reads the log",
@@ -490,10 +491,9 @@
             "admission and placement",
             "predicted lengths at the agent; choices at the entry by reports "
             "and own sends",
-            "admission built, placement by fewest calls built, two choices "
-            "in progress",
-            "its share of a request's cost is in the slopes; "
-            "`bench/decision_times.py` is to measure it alone",
+            "built",
+            "its share of a request's cost is in the slopes; reports are "
+            f"up to {model.report_s:.1f} s old at the target",
         ),
         (
             "entry processes a host",
@@ -543,7 +543,7 @@
         "process uses one core. Entries share nothing, so "
         f"{_count_processes(entry)} processes on a host, each an entry of "
         "its own behind the balancer, carry it; their number multiplies the "
-        "connections and the control of the host. Most of the time goes to "
+        "connections and the control of the host. most of the time goes to "
         "the web server's and the kernel's work for one write to one "
         "caller, so what would lower it is fewer writes. An agent needs "
         f"{agent.carrying_cpu:.0%} of a core.\n\n"
