Order engines to what is declared, under claims, leases and turns

Cause: agents gave engines no orders; a declared version never took hold, and nothing kept two agents of one target apart. Ruled out: renewing leases all the time (2,700 agents each 10 s are 270 appends a second; a lease is renewed only for an order); claiming when an order is needed (a paused agent would wake up with the newest claim); all targets loading at once (the service would be gone meanwhile). Change: one claim a run, its offset is the fencing number; renewals that are read back; for engines that ignore numbers the old lease is waited out; turns for a quarter of a service's targets; a target that loads takes nothing new and lets its calls end first. After: 6 passed in 43 s. Conclusion: holds for these cases; roles and unload orders are not built.

--- a/bench/message_costs.py
+++ b/bench/message_costs.py
@@ -86,6 +86,7 @@
         "offset": 123456,
         "revision": 123456,
         "service": b"x" * _SERVICE_SPEC_BYTES,
+        "replicas": 245,
     },
     "configured": {
         "type": "configured",
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/agent.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/agent.py
@@ -15,13 +15,16 @@
 from gentianpoint_agent import admission_policies
 from gentianpoint_agent import agent_state
 from gentianpoint_agent import call_runner
+from gentianpoint_agent import engine_orders
 from gentianpoint_agent import engine_runner
 from gentianpoint_agent import entry_connections
+from gentianpoint_agent import order_leases
 from gentianpoint_agent import plain_runner
 from gentianpoint_agent import prefix_beliefs
 from gentianpoint_agent import service_in_force
 from gentianpoint_agent.generated import settings as agent_settings
 from gentianpoint_core import http_engine
+from gentianpoint_core import http_log
 from gentianpoint_core import http_plain_service
 from gentianpoint_core import logs
 from gentianpoint_core import option_types
@@ -158,6 +161,24 @@
         await trio.sleep(_DRAIN_POLL_S)
 
 
+def _make_orders(
+    state: agent_state.AgentState,
+    engine: ports.Engine,
+    client: httpx.AsyncClient,
+) -> engine_orders.EngineOrders:
+    settings = state.settings
+    lease = order_leases.OrderLease(
+        http_log.HttpLog(settings.log_url, client),
+        settings.service,
+        settings.target,
+        state.table.incarnation,
+        settings.lease_ms,
+    )
+    return engine_orders.EngineOrders(
+        state, engine, lease, settings.fencing == "checked"
+    )
+
+
 async def run_agent(settings: agent_settings.AgentSettings) -> None:
     """Run the agent until it is told to stop and its calls have ended."""
     logs.configure_logs(settings.name, settings.log_level)
@@ -201,6 +222,7 @@
         nursery.start_soon(_keep_house, state)
         if settings.target_kind == "engine":
             nursery.start_soon(_watch_engine, state, engine)
+            nursery.start_soon(_make_orders(state, engine, client).run)
             nursery.start_soon(
                 prefix_beliefs.watch_cache_events, engine, state.prefixes
             )
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/agent_state.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/agent_state.py
@@ -59,6 +59,7 @@
         self.control: typing.Final = control
         self.connections: typing.Final[set[OpenConnection]] = set()
         self.prefixes: typing.Final = prefix_beliefs.PrefixBelief()
+        self.hold_reason = ""
         self._nursery: typing.Final = nursery
         self._runner: typing.Final = runner
 
@@ -66,6 +67,14 @@
         """Tell whether the target is a plain service."""
         return self.settings.target_kind == "plain"
 
+    def hold(self, reason: str) -> None:
+        """Take no new calls until the hold is released."""
+        self.hold_reason = reason
+
+    def release_hold(self) -> None:
+        """Take new calls again."""
+        self.hold_reason = ""
+
     def start_call(
         self,
         generation: generations.Generation,
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/engine_runner.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/engine_runner.py
@@ -105,14 +105,22 @@
         asked = order.offer["request"]["max_tokens"]
         limit = spec.get("max_tokens", 0)
         most = min(asked, limit) if asked and limit else asked or limit
+        model = spec.get("model", "")
+        adapter = spec.get("adapter", "")
+        version = spec.get("version", "")
+        load = self._control.load
+        if load is not None and load.model == model:
+            # Until the target's turn to load comes it serves the version it
+            # holds; asked for the declared one, the engine would refuse all.
+            adapter, version = load.adapter, load.version
         return ports.StreamRequest(
             generation.identifier,
             order.offer["request"]["prompt"],
             most,
             order.offer["priority"],
-            spec.get("model", ""),
-            spec.get("adapter", ""),
-            spec.get("version", ""),
+            model,
+            adapter,
+            version,
         )
 
     async def _read_first_stream(
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/entry_connections.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/entry_connections.py
@@ -218,13 +218,7 @@
             known = table.find_attempt(offer["attempt"], customer)
         if known is not None:
             return known, False
-        if self._state.lifecycle.is_leaving():
-            raise errors.CallError(
-                errors.NOT_RUN,
-                "the target is leaving",
-                step="take offer",
-                retry_after_ms=_LEAVING_RETRY_MS,
-            )
+        self._require_taking("take offer")
         if is_plain != self._state.is_plain():
             raise errors.CallError(
                 errors.INVALID_REQUEST,
@@ -240,6 +234,19 @@
         )
         return created, True
 
+    def _require_taking(self, step: str) -> None:
+        reason = self._state.hold_reason
+        if self._state.lifecycle.is_leaving():
+            reason = "the target is leaving"
+        if reason:
+            raise errors.CallError(
+                errors.NOT_RUN,
+                reason,
+                step=step,
+                peer=self._state.settings.target,
+                retry_after_ms=_LEAVING_RETRY_MS,
+            )
+
     def _make_order(self, offer: messages.Offer) -> call_runner.StartOrder:
         finish_ms = offer["finish_within_ms"] or math.inf
         return call_runner.StartOrder(
@@ -263,13 +270,7 @@
         self._wake.set()
 
     async def _prepare(self, message: messages.Prepare) -> None:
-        if self._state.lifecycle.is_leaving():
-            raise errors.CallError(
-                errors.NOT_RUN,
-                "the target is leaving",
-                step="prepare generation",
-                retry_after_ms=_LEAVING_RETRY_MS,
-            )
+        self._require_taking("prepare generation")
         prepared = self._state.table.prepare(message["customer"])
         logs.log_event(
             events.CALL_PREPARED,
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/service_in_force.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/service_in_force.py
@@ -31,6 +31,7 @@
         self.name: typing.Final = name
         self.offset = 0
         self.revision = 0
+        self.replicas = 0
         self.spec: resources.ServiceSpec = _UNDECLARED
         self._changed = trio.Event()
 
@@ -39,6 +40,7 @@
         if message["offset"] <= self.offset:
             return False
         self.offset = message["offset"]
+        self.replicas = message["replicas"]
         if message["revision"] != self.revision:
             self.revision = message["revision"]
             self.spec = (
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/entry.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/entry.py
@@ -104,8 +104,13 @@
 class _ConfigurationSender:
     """Sends each agent the resource of its service whenever it changes."""
 
-    def __init__(self, tail: configuration_tail.ConfigurationTail) -> None:
+    def __init__(
+        self,
+        tail: configuration_tail.ConfigurationTail,
+        hosts: live_hosts.LiveHosts,
+    ) -> None:
         self._tail: typing.Final = tail
+        self._hosts: typing.Final = hosts
 
     async def send_for_ever(self, link: agent_links.AgentLink) -> None:
         """Send now and after each change, until the link is lost."""
@@ -121,6 +126,7 @@
                     "offset": state.offset,
                     "revision": found.revision if found else 0,
                     "service": found.spec if found else b"",
+                    "replicas": self._hosts.count_targets(link.host.service),
                 }
             )
             await self._tail.wait_changed()
@@ -186,7 +192,7 @@
         peers = peer_state.PeerStates(live, client, settings.peer_key)
         tail = configuration_tail.ConfigurationTail(log, peers)
         writer = snapshot_writer.SnapshotWriter(log, tail, live, settings)
-        sender = _ConfigurationSender(tail)
+        sender = _ConfigurationSender(tail, live)
         pool = link_pool.LinkPool(
             nursery,
             _make_link_settings(settings, incarnation),
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/live_hosts.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/live_hosts.py
@@ -51,6 +51,10 @@
         """Return the number of live entries, this one included."""
         return len(self.list_other_entries()) + 1
 
+    def count_targets(self, service: str) -> int:
+        """Return the number of live targets of a service."""
+        return sum(host.service == service for host in self._hosts)
+
     def find_own_rank(self, subject: str) -> int:
         """Return this entry's place, from 0, among those for ``subject``.
 
