Log the attempt with which a call was admitted

The replay can't tell which request a generation belongs to when the offer names none, so a false not run of a repeatable request went unseen. The agent's event names the attempt of the offer; the entry's event has it already.

--- a/packages/gentianpoint-agent/src/gentianpoint_agent/entry_connections.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/entry_connections.py
@@ -188,6 +188,7 @@
             generation=generation.identifier,
             entry=self._connection.peer,
             repeatable=generation.repeatable,
+            attempt=offer["attempt"],
             attached=not is_new,
         )
         if is_new:
