Keep the pace steadier, and let the objective say how caution grows

Cause: in the trials on a virtual clock 'mixed x1.3' with steady_pace had 56 preemptions and 31 ms of stall a call, and a 99th percentile between tokens of 25.6 ms where fixed concurrency had 21.6; 'drift' 37 preemptions. Change: steady_pace 1.8/0.5/0.5, fewest_preemptions 5/1/0.25, no reserve.

--- a/packages/gentianpoint-agent/features/predictive_policy.feature
+++ b/packages/gentianpoint-agent/features/predictive_policy.feature
@@ -12,8 +12,8 @@
 
     Examples:
       | objective          | low | high |
-      | fewest_preemptions | 8   | 10   |
-      | steady_pace        | 10  | 12   |
+      | fewest_preemptions | 7   | 9    |
+      | steady_pace        | 9   | 11   |
 
   Scenario: fewest preemptions admits fewer than steady pace
     Given both objectives with 200 blocks and the same answers
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/predictive_policy.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/predictive_policy.py
@@ -24,7 +24,6 @@
 _NEARLY_OUT: typing.Final = 0.97
 _FORECAST_MS: typing.Final = 50.0
 _WINDOW_MS: typing.Final = 500.0
-_CAUTION_STEP: typing.Final = 0.25
 _MOST_CAUTION: typing.Final = 3.0
 _CAUTION_KEPT: typing.Final = 0.997
 
@@ -37,15 +36,15 @@
 
     Caution that grows with each preemption and fades comes on top.
     """
-    reserve: float
-    """Share of memory that is never promised."""
+    caution_step: float
+    """Standard deviations that a preemption adds."""
     pace_factor: float
     """How much slower than the empty engine tokens may come."""
 
 
 _OBJECTIVES: typing.Final[abc.Mapping[str, _Objective]] = {
-    "fewest_preemptions": _Objective(0.5, 0.01, 5.0),
-    "steady_pace": _Objective(0.0, 0.0, 2.0),
+    "fewest_preemptions": _Objective(1.0, 0.25, 5.0),
+    "steady_pace": _Objective(0.5, 0.5, 1.8),
 }
 _DEFAULT_OBJECTIVE: typing.Final = "fewest_preemptions"
 
@@ -92,8 +91,7 @@
         peak = self._read_forecast(running, load).find_peak_with(
             self._describe(outlook, 0), objective.deviations + self._caution
         )
-        allowed = load.blocks * (1 - objective.reserve)
-        return peak + self._ledger.foreign_blocks <= allowed
+        return peak + self._ledger.foreign_blocks <= load.blocks
 
     def _is_nearly_out(self, load: ports.EngineLoad) -> bool:
         return self._ledger.estimate_used() >= _NEARLY_OUT * load.blocks
@@ -153,7 +151,8 @@
         """Grow more cautious: the forecast was too low."""
         self._preempted += 1
         self._ledger.remove(slot, deadlines.read_clock_ms())
-        self._caution = min(_MOST_CAUTION, self._caution + _CAUTION_STEP)
+        more = self._caution + self._find_objective().caution_step
+        self._caution = min(_MOST_CAUTION, more)
 
     def note_release(self, slot: admission_policy.Slot) -> None:
         """Take the call out of the ledger; the forecast is made anew."""
