--- a/bench/admission_trials.py
+++ b/bench/admission_trials.py
@@ -1,12 +1,12 @@
 """Trials of admission policies on a virtual clock.
 
-``python -m bench.admission_trials [seeds]`` runs the agent's admission with
+``python -m bench.admission_trials --seeds 3`` runs the agent's admission with
 the stand-in engine's scheduler in one process, on a clock that jumps from
 event to event, so that a busy machine changes no figure. All policies get
 the same arrivals and lengths, as an open loop. Runs of one seed still differ
-a little, since trio runs tasks that are ready in random order. What crosses the
-network in truth (late tokens, lost links, several entries) is left out, so
-these are trials beside the experiments with real processes, not instead.
+a little, since trio runs tasks that are ready in random order. What crosses
+the network in truth (late tokens, lost links, several entries) is left out,
+so these are trials beside the experiments with real processes, not instead.
 
 The engine's sizes differ from one variant to the next; the policies see
 streams, late load reports and nothing else.
