List resources page by page, and let streams run while a batch is folded

A list of 48,000 customers was sorted, decoded and encoded in one go between two tokens of every stream. Pages hold at most 500 by name and are chosen in a thread; the command reads them all. A batch of 500 records took up to 0.1 s without a pause; there is one every 16 records now.

Resources are kept by kind and name, which makes a look at the services independent of the number of customers.

--- a/features/commands.feature
+++ b/features/commands.feature
@@ -29,6 +29,13 @@
     Then the exit code is 3
     And the output says there is no customers/eva
 
+  Scenario: more resources than one answer holds
+    When 620 customers more are declared
+    And the operator runs get customers
+    Then the output has 622 lines
+    When the operator asks for a page of 501 customers
+    Then the page is refused naming limit
+
   Scenario: the next entry is tried when one can't be reached
     When the first entry is killed
     And the operator applies the file
--- a/features/steps/commands_steps.py
+++ b/features/steps/commands_steps.py
@@ -1,5 +1,6 @@
 """Steps for the operators' commands."""
 
+import json
 import os
 import pathlib
 import shlex
@@ -8,6 +9,9 @@
 import tempfile
 
 import behave
+import httpx
+
+from features import administration
 
 COMMAND = pathlib.Path(sys.executable).parent / "gentianpoint"
 
@@ -142,6 +146,52 @@
     assert text in output, output
 
 
+@behave.when("{count:d} customers more are declared")
+def declare_more(context, count):
+    url = f"{context.fixture.log.url}/streams/configuration/records"
+    with httpx.Client() as client:
+        for number in range(count):
+            record = {
+                "version": 1,
+                "change": f"more-{number}",
+                "action": "put",
+                "kind": "customer",
+                "name": f"more-{number}",
+                "base": 0,
+                "spec": {"key_hashes": []},
+            }
+            answer = client.post(url, content=json.dumps(record))
+            while answer.status_code == 429:
+                answer = client.post(url, content=json.dumps(record))
+            assert answer.status_code == 200, answer.text
+    last = answer.json()["offset"]
+    for entry in context.entries:
+        administration.wait_for_offset(entry, last)
+
+
+@behave.then("the output has {count:d} lines")
+def check_lines(context, count):
+    names = [line.split()[0] for line in context.done.stdout.splitlines()]
+    assert len(names) == count, len(names)
+    assert names == sorted(set(names)), names
+
+
+@behave.when("the operator asks for a page of {limit:d} customers")
+def ask_page(context, limit):
+    context.answer = administration.call(
+        context.deployment,
+        context.entries[0],
+        "GET",
+        f"customers?limit={limit}",
+    )
+
+
+@behave.then("the page is refused naming {reason}")
+def check_page(context, reason):
+    assert context.answer.status_code == 400, context.answer.text
+    assert reason in context.answer.json()["error"]["message"]
+
+
 @behave.when("the last entry is killed")
 def kill_last(context):
     context.deployment.kill(context.entries[-1])
--- a/packages/gentianpoint-core/src/gentianpoint_core/configuration.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/configuration.py
@@ -15,6 +15,7 @@
 
 from collections import abc
 import hashlib
+import heapq
 import typing
 import zlib
 
@@ -40,6 +41,7 @@
     "digest_state",
     "encode_change",
     "encode_state",
+    "list_page",
     "validate_change",
     "validate_specification",
 )
@@ -200,19 +202,20 @@
     def __init__(self) -> None:
         """Make the state before the first record."""
         self.offset = 0
-        self._resources: typing.Final[dict[tuple[str, str], Resource]] = {}
+        self._resources: typing.Final[
+            abc.Mapping[str, dict[str, Resource]]
+        ] = {SERVICE: {}, CUSTOMER: {}}
         self._outcomes: typing.Final[dict[str, ChangeOutcome]] = {}
         self._customer_of_key: typing.Final[dict[str, str]] = {}
 
     def find_resource(self, kind: str, name: str) -> typing.Optional[Resource]:
         """Return a resource, or None when it is not declared."""
-        return self._resources.get((kind, name))
+        return self._resources[kind].get(name)
 
     def list_resources(self, kind: str) -> abc.Sequence[Resource]:
         """Return the resources of a kind in the order of their names."""
         return sorted(
-            (item for item in self._resources.values() if item.kind == kind),
-            key=lambda item: item.name,
+            self._resources[kind].values(), key=lambda item: item.name
         )
 
     def find_outcome(self, change: str) -> typing.Optional[ChangeOutcome]:
@@ -307,8 +310,8 @@
     def _put_in_force(
         self, record: resources.ChangeRecord, offset: int
     ) -> None:
-        place = (record["kind"], record["name"])
-        self._forget_keys(self._resources.pop(place, None))
+        named = self._resources[record["kind"]]
+        self._forget_keys(named.pop(record["name"], None))
         if record["action"] == "delete":
             return
         resource = Resource(
@@ -320,7 +323,7 @@
         self._add_resource(resource)
 
     def _add_resource(self, resource: Resource) -> None:
-        self._resources[resource.kind, resource.name] = resource
+        self._resources[resource.kind][resource.name] = resource
         if resource.kind == CUSTOMER:
             for key_hash in decode_customer(resource.spec)["key_hashes"]:
                 self._customer_of_key[key_hash] = resource.name
@@ -335,7 +338,10 @@
         """Return the state as it is now, for a thread to encode."""
         return StateCopy(
             self.offset,
-            tuple(self._resources.values()),
+            (
+                *self._resources[SERVICE].values(),
+                *self._resources[CUSTOMER].values(),
+            ),
             tuple(self._outcomes.values()),
         )
 
@@ -367,6 +373,18 @@
         return expression.Ok(state)
 
 
+def list_page(
+    state: StateCopy, kind: str, after: str, limit: int
+) -> abc.Sequence[Resource]:
+    """Return up to ``limit`` resources of a kind, by name above ``after``."""
+    found = (
+        item
+        for item in state.resources
+        if item.kind == kind and item.name > after
+    )
+    return heapq.nsmallest(limit, found, key=lambda item: item.name)
+
+
 def _decode_counts(line: bytes) -> tuple[int, int, int]:
     return msgspec.json.decode(line, type=tuple[int, int, int])
 
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/administration_client.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/administration_client.py
@@ -7,6 +7,7 @@
 
 from collections import abc
 import typing
+import urllib.parse
 import uuid
 
 import httpx
@@ -113,6 +114,21 @@
             )
         return msgspec.json.decode(answer.content)
 
+    def list_resources(self, plural: str) -> dict[str, typing.Any]:
+        """Return all resources of a kind, read page by page.
+
+        The revision is that of the first page, so that a watch from there
+        tells whatever changed while the pages were read.
+        """
+        first = self.read(plural)
+        following = first.pop("next")
+        while following:
+            query = urllib.parse.urlencode({"after_name": following})
+            page = self.read(f"{plural}?{query}")
+            first["items"] += page["items"]
+            following = page["next"]
+        return typing.cast(dict[str, typing.Any], first)
+
     def put(self, manifest: manifests.Manifest, change: str) -> WriteAnswer:
         """Declare a resource under the identifier ``change``."""
         plural = _PLURALS[manifest.kind]
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/administration_routes.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/administration_routes.py
@@ -5,6 +5,7 @@
 
 import msgspec
 import quart
+import trio
 
 from gentianpoint_core import configuration
 from gentianpoint_entry import administration_state
@@ -25,6 +26,7 @@
     change_answers.PENDING: 202,
     change_answers.REFUSED: 409,
 }
+_PAGE: typing.Final = 500
 _RETRY_AFTER_S: typing.Final = 1
 _JSON_LINES: typing.Final = "application/x-ndjson"
 
@@ -69,10 +71,22 @@
 
     @routes.get("/v1/<plural>")
     async def list_resources(plural: str) -> quart.Response:
-        items = state.tail.state.list_resources(_find_kind(plural))
-        rows = [change_answers.describe_resource(item) for item in items]
+        kind = _find_kind(plural)
+        arguments = quart.request.args
+        limit = request_options.read_limit(arguments, _PAGE)
+        # Sorting tens of thousands of customers here would stall streams.
+        copy = state.tail.state.copy_state()
+        page = await trio.to_thread.run_sync(
+            configuration.list_page,
+            copy,
+            kind,
+            arguments.get("after_name", ""),
+            limit,
+        )
+        rows = [change_answers.describe_resource(item) for item in page]
+        following = page[-1].name if len(page) == limit else ""
         return change_answers.make_json_answer(
-            {"revision": state.tail.state.offset, "items": rows}
+            {"revision": copy.offset, "items": rows, "next": following}
         )
 
     @routes.get("/v1/<plural>/<name>")
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/configuration_tail.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/configuration_tail.py
@@ -23,6 +23,7 @@
 
 _BATCH: typing.Final = 500
 _WAIT_MS: typing.Final = 2000
+_FOLDED_AT_ONCE: typing.Final = 16
 _PAUSE_S: typing.Final = 0.3
 _STALE_MS: typing.Final = _WAIT_MS + 1500
 _PEERS_PAUSE_S: typing.Final = 1.0
@@ -113,6 +114,9 @@
         self._in_hole = False
         for record in piece.records:
             self._fold(record)
+            # A batch takes up to 0.1 s, and streams must not stall as long.
+            if not record.offset % _FOLDED_AT_ONCE:
+                await trio.sleep(0)
         if piece.records:
             self._announce()
         if self.state.offset + 1 >= piece.next:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/operator_commands.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/operator_commands.py
@@ -210,9 +210,11 @@
 ) -> None:
     """Show the resources of a kind, or one of them."""
     plural = _find_plural(kind)
-    path = f"{plural}/{name}" if name else plural
     with _connect(entry, key) as client:
-        found = client.read(path)
+        if name:
+            found = client.read(f"{plural}/{name}")
+        else:
+            found = client.list_resources(plural)
     if output == "json":
         typer.echo(msgspec.json.format(msgspec.json.encode(found)).decode())
         return
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/request_options.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/request_options.py
@@ -11,6 +11,7 @@
 __all__ = (
     "read_after",
     "read_body",
+    "read_limit",
     "read_options",
     "wants_prepare",
     "wants_stream",
@@ -75,3 +76,13 @@
 def read_after(arguments: datastructures.MultiDict[str, str]) -> int:
     """Return the number of the last item that the caller has."""
     return _read_number("after", arguments.get("after", "0"))
+
+
+def read_limit(
+    arguments: datastructures.MultiDict[str, str], most: int
+) -> int:
+    """Return how many rows of a list are wanted, from 1 to ``most``."""
+    wanted = _read_number("limit", arguments.get("limit", str(most)))
+    if not 1 <= wanted <= most:
+        raise _refuse("limit", f"not between 1 and {most}")
+    return wanted
