Tell operators when the log ends below what is in force

A log that was replaced, or lost records, was read in vain for ever: writes stayed pending and nothing said why. Event 1410 log_behind does. The end is compared with the offset that was asked for, since a peer's state may come meanwhile.

New event, so its scenario had nothing to pass on before.

--- a/features/configuration_outages.feature
+++ b/features/configuration_outages.feature
@@ -102,3 +102,15 @@
     Given 2 entries and 1 target that serve while the log is fine
     When an operator revokes the key of a customer through the first entry
     Then the key is refused everywhere
+
+  Scenario: the log comes back with nothing in it
+    The log service was replaced and lost its records. What was accepted
+    stays in force, and operators are told why their writes stay pending.
+
+    Given 1 entry that writes a snapshot every 1000 records
+    When the log's process is killed
+    And an empty log starts in its place
+    Then the first entry says that the log is behind
+    And all customers are still known
+    When an operator declares the customer ana with the change lost
+    Then the change lost is answered pending with a time to come back
--- a/features/steps/configuration_outages_steps.py
+++ b/features/steps/configuration_outages_steps.py
@@ -89,6 +89,18 @@
     context.deployment.kill(context.fixture.log)
 
 
+@behave.when("an empty log starts in its place")
+def start_empty_log(context):
+    address = context.fixture.log.address
+    context.deployment.start_log("log-2", listen=address)
+
+
+@behave.then("the first entry says that the log is behind")
+def check_behind(context):
+    event = context.entries[0].log.wait_for_event("log_behind")
+    assert event["next"] <= event["offset"], event
+
+
 @behave.when("the log goes out and the first entry is killed")
 def lose_all(context):
     set_out(context, True)
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/configuration_tail.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/configuration_tail.py
@@ -43,6 +43,7 @@
         self._snapshot_read = False
         self._expired_at = 0
         self._in_hole = False
+        self._log_behind = False
         self._stale_at = deadlines.make_deadline(_STALE_MS)
         self._unready_reason = _STARTING
         self._ready: typing.Final = trio.Event()
@@ -112,6 +113,7 @@
             await self._bridge_hole(self.state.offset + 1, piece.first)
             return
         self._in_hole = False
+        self._note_end(start, piece.next)
         for record in piece.records:
             self._fold(record)
             # A batch takes up to 0.1 s, and streams must not stall as long.
@@ -189,6 +191,18 @@
             reason=outcome.reason,
         )
 
+    def _note_end(self, start: int, end: int) -> None:
+        """Tell once when the log ends below what is in force.
+
+        The configuration never goes back, so nothing of such a log is
+        folded, and without this line operators would see their writes stay
+        pending and not learn why.
+        """
+        behind = end < start
+        if behind and not self._log_behind:
+            logs.log_event(events.LOG_BEHIND, offset=start - 1, next=end)
+        self._log_behind = behind
+
     def _note_available(self) -> None:
         if not self._available:
             self._available = True
