--- a/packages/gentianpoint-entry/src/gentianpoint_entry/configuration_tail.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/configuration_tail.py
@@ -23,6 +23,7 @@
 
 _BATCH: typing.Final = 500
 _WAIT_MS: typing.Final = 2000
+_FOLDED_AT_ONCE: typing.Final = 16
 _PAUSE_S: typing.Final = 0.3
 _STALE_MS: typing.Final = _WAIT_MS + 1500
 _PEERS_PAUSE_S: typing.Final = 1.0
@@ -42,6 +43,7 @@
         self._snapshot_read = False
         self._expired_at = 0
         self._in_hole = False
+        self._log_behind = False
         self._stale_at = deadlines.make_deadline(_STALE_MS)
         self._unready_reason = _STARTING
         self._ready: typing.Final = trio.Event()
@@ -111,8 +113,12 @@
             await self._bridge_hole(self.state.offset + 1, piece.first)
             return
         self._in_hole = False
+        self._note_end(start, piece.next)
         for record in piece.records:
             self._fold(record)
+            # A batch takes up to 0.1 s, and streams must not stall as long.
+            if not record.offset % _FOLDED_AT_ONCE:
+                await trio.sleep(0)
         if piece.records:
             self._announce()
         if self.state.offset + 1 >= piece.next:
@@ -185,6 +191,18 @@
             reason=outcome.reason,
         )
 
+    def _note_end(self, start: int, end: int) -> None:
+        """Tell once when the log ends below what is in force.
+
+        The configuration never goes back, so nothing of such a log is
+        folded, and without this line operators would see their writes stay
+        pending and not learn why.
+        """
+        behind = end < start
+        if behind and not self._log_behind:
+            logs.log_event(events.LOG_BEHIND, offset=start - 1, next=end)
+        self._log_behind = behind
+
     def _note_available(self) -> None:
         if not self._available:
             self._available = True
