--- a/features/serving.feature
+++ b/features/serving.feature
@@ -40,3 +40,8 @@
       | {"model": "modelo-taller", "prompt": "a", "x": 1} | own | 400 | invalid_request |
       | {"model": "modelo-taller", "prompt": "a", "n": 2} | own | 400 | invalid_request |
       | no JSON                                   | own | 400    | invalid_request |
+
+  Scenario: an idempotency key is refused, not ignored
+    Given a deployment of 1 entry and 1 target
+    When a caller sends a request with an idempotency key
+    Then the status is 400 and the code is invalid_request
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -124,3 +124,10 @@
     answer = context.answer
     assert answer.status_code == status, answer.text
     assert json.loads(answer.text)["error"]["code"] == code
+
+
+@behave.when("a caller sends a request with an idempotency key")
+def send_idempotency_key(context):
+    headers = {**builders.make_headers(), "Idempotency-Key": "report-17"}
+    entry = context.fixture.entries[0]
+    context.answer = builders.complete(entry, "report tokens:3", headers)
--- a/packages/gentianpoint-agent/features/agent_builders.py
+++ b/packages/gentianpoint-agent/features/agent_builders.py
@@ -5,6 +5,8 @@
 from gentianpoint_agent import admission
 from gentianpoint_agent import admission_policy
 from gentianpoint_agent import baseline_policies
+from gentianpoint_agent import generation_table
+from gentianpoint_agent import generations
 from gentianpoint_agent import predictive_policy
 from gentianpoint_agent import service_in_force
 from gentianpoint_core import deadlines
@@ -69,3 +71,13 @@
     return admission.AdmissionControl(
         predictive_policy.PredictivePolicy(service), service
     )
+
+
+def make_table(retain_bytes: int) -> generation_table.GenerationTable:
+    """Return an empty table that keeps ended generations for a minute."""
+    return generation_table.GenerationTable("target-1", 60_000, retain_bytes)
+
+
+def make_end(reason: str) -> generations.GenerationEnd:
+    """Return an end with a reason."""
+    return generations.GenerationEnd(reason)
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/request_options.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/request_options.py
@@ -50,7 +50,16 @@
 
 
 def read_options(headers: datastructures.Headers) -> entry_state.CallOptions:
-    """Return what a request's headers say."""
+    """Return what a request's headers say.
+
+    A caller that sends an idempotency key counts on it: taken silently, its
+    second try would run a billed report twice. So the header is refused.
+    """
+    if "Idempotency-Key" in headers:
+        raise _refuse(
+            "Idempotency-Key",
+            "not served; prepare the request and start its identifier",
+        )
     within = headers.get("Gentianpoint-Deadline-Ms", "0")
     return entry_state.CallOptions(
         _read_flag(headers, "Gentianpoint-Repeatable"),
