Never start what is cancelled in the same moment or before any start

Cause: reading the code against the specification showed two holes. A turn and a cancel in the same moment left to chance which task went on first, so a cancelled report could start; a cancel of a prepared identifier was answered 'unknown' and did not spend it, so a start on the way ran it. Ruled out: an order between the two tasks (trio gives none). Change: the last check before a start looks at the cancel; a cancelled identifier is treated as a refused one. Conclusion: mended; the specification's 'a cancel spends the identifier' holds.

--- a/packages/gentianpoint-agent/features/call_runner.feature
+++ b/packages/gentianpoint-agent/features/call_runner.feature
@@ -24,6 +24,15 @@
     Then the target was called 0 times
     And the call ended with not_run
 
+  Scenario: a call is withdrawn in the moment its turn comes
+  The turn and the withdrawal come in the same moment, and which task goes on
+  first is chance. A customer who cancelled must not find the work billed.
+
+    Given a call that must start within 1000 ms
+    When its turn comes and it is withdrawn in the same moment
+    Then the target was called 0 times
+    And the call ended with not_run
+
   Scenario: a call that runs can't be withdrawn
     Given a call that must start within 1000 ms
     When its turn comes after 0 ms and the target takes long
--- a/packages/gentianpoint-agent/features/generation_table.feature
+++ b/packages/gentianpoint-agent/features/generation_table.feature
@@ -23,6 +23,7 @@
       | 601 seconds go by                      | rebobinados | outcome_unknown |
       | the agent is run again                 | rebobinados | outcome_unknown |
       | it was started and did not run         | rebobinados | not_run         |
+      | it was cancelled before any start      | rebobinados | not_run         |
       | it was started, ended and was forgotten | rebobinados | outcome_unknown |
 
   Scenario: a refused identifier stays refused
--- a/packages/gentianpoint-agent/features/steps/call_runner_steps.py
+++ b/packages/gentianpoint-agent/features/steps/call_runner_steps.py
@@ -25,6 +25,16 @@
     context.stage.call(context.run.give_turn)
 
 
+@behave.when("its turn comes and it is withdrawn in the same moment")
+def withdraw_at_turn(context):
+    def do_both():
+        context.run.give_turn()
+        context.run.generation.retract()
+
+    context.run.answer_at_once()
+    context.stage.call(do_both)
+
+
 @behave.when("it is withdrawn while it waits")
 @behave.when("it is withdrawn while it runs")
 def withdraw(context):
--- a/packages/gentianpoint-agent/features/steps/generation_table_steps.py
+++ b/packages/gentianpoint-agent/features/steps/generation_table_steps.py
@@ -87,6 +87,13 @@
     end_first(context, "not_run")
 
 
+@behave.when("it was cancelled before any start")
+def cancel_prepared(context):
+    table = context.generation_table
+    assert not table.cancel(context.identifier, "another")
+    assert table.cancel(context.identifier, OWNER)
+
+
 @behave.when("it was started, ended and was forgotten")
 def forget_first(context):
     end_first(context, "stop")
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/call_runner.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/call_runner.py
@@ -128,7 +128,27 @@
     def _check_start(
         self, generation: generations.Generation, order: StartOrder
     ) -> None:
-        """Refuse to start past the deadline, and mark the start.
+        if generation.is_cancelled():
+            # The turn came in the same moment as the cancel, whose task has
+            # not run yet; a customer who cancelled must not be billed.
+            raise errors.CallError(
+                errors.NOT_RUN,
+                "the offer was withdrawn",
+                step="start generation",
+            )
+        self._check_start_deadline(generation, order)
+        generation.started = True
+        logs.log_event(
+            events.GENERATION_STARTED,
+            generation=generation.identifier,
+            entry=order.entry,
+            repeatable=generation.repeatable,
+        )
+
+    def _check_start_deadline(
+        self, generation: generations.Generation, order: StartOrder
+    ) -> None:
+        """Refuse to start past the deadline.
 
         A process that was paused wakes up here long after the entry has
         given the call up and perhaps had it run elsewhere. A caller would
@@ -148,13 +168,6 @@
                 step="start generation",
                 retry_after_ms=1,
             )
-        generation.started = True
-        logs.log_event(
-            events.GENERATION_STARTED,
-            generation=generation.identifier,
-            entry=order.entry,
-            repeatable=generation.repeatable,
-        )
 
     def _log_end(
         self,
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/entry_connections.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/entry_connections.py
@@ -319,17 +319,11 @@
             feed.generation.retract()
 
     async def _cancel(self, message: messages.Cancel) -> None:
-        generation = self._state.table.find(
+        known = self._state.table.cancel(
             message["generation"], message["customer"]
         )
-        if generation is not None:
-            generation.cancel()
         await self._connection.send(
-            {
-                "type": "cancelled",
-                "call": message["call"],
-                "known": generation is not None,
-            }
+            {"type": "cancelled", "call": message["call"], "known": known}
         )
 
     def _release(self, call: int) -> None:
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/generation_table.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/generation_table.py
@@ -149,6 +149,22 @@
         generation.prepared = True
         return self._add(generation), True
 
+    def cancel(self, identifier: str, customer: str) -> bool:
+        """Cancel a customer's generation; False when it is not held.
+
+        A prepared identifier is spent: a start of it that is still on the
+        way would else run what its customer has cancelled.
+        """
+        generation = self.find(identifier, customer)
+        if generation is not None:
+            generation.cancel()
+            return True
+        prepared = self._prepared.get(identifier)
+        if prepared is None or prepared.customer != customer:
+            return False
+        self._refused[identifier] = self._prepared.pop(identifier)
+        return True
+
     def _check_not_refused(self, identifier: str, customer: str) -> None:
         refused = self._refused.get(identifier)
         if refused is not None and refused.customer == customer:
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/generations.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/generations.py
@@ -154,6 +154,10 @@
         """Tell whether it was withdrawn before its start."""
         return self._retracted
 
+    def is_cancelled(self) -> bool:
+        """Tell whether it was cancelled or retracted."""
+        return self._cancelled.is_set()
+
     async def wait_cancelled(self) -> None:
         """Wait until it is cancelled or retracted."""
         await self._cancelled.wait()
