--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -252,6 +252,13 @@
     )
 
 
+def _find_load(model: capacity.Model, program: str) -> str:
+    for run in model.results["runs"]:
+        if run["program"] == program:
+            return f"{run['load_before'][0]} to {run['load_after'][0]}"
+    raise KeyError(program)
+
+
 def _write_share(model: capacity.Model) -> str:
     sizes = measures.find_series(
         model.series, "eight_links.added_median"
@@ -263,7 +270,9 @@
         rows.append(f"{late - median:.0f} ms at {size:.0f} streams")
     alone = model.mean_at("one_link.first_median", 0)
     return (
-        "So gaps stretch, in 95 of 100 and with eight agents, by up to "
+        "So gaps stretch, in 95 of 100, with eight agents and at a load "
+        f"average of {_find_load(model, 'entry_spread')} on this machine, by "
+        "up to "
         + ", ".join(rows)
         + f", against {model.entry.streams:.0f} streams of an entry host at "
         "the target. 30 ms between tokens holds with an engine that steps "
