Pass plain calls as they came, whatever their bytes

Cause: a plain call's path was decoded and encoded again, so an encoded question mark in it began the query; the headers passed on held one more with the caller's address, those named by Connection were passed, and a header with a byte beyond ASCII raised UnicodeEncodeError outside the adapter's handling, which ended the agent's process: one customer's header stopped the calls of all others, and was answered outcome_unknown.

Change: the entry passes the raw path and the raw headers; the agent writes headers as Latin-1, and a request that HTTP has no form for is a PortError that did not take effect. A path whose slashes before the service's part are encoded is refused, since its raw form can't be cut.

Tests: features/interface.feature with the client library that callers use and with plain calls.

Not covered: headers that the agent's HTTP client adds by itself (Accept, Accept-Encoding, User-Agent) when the caller sent none.

--- a/packages/gentianpoint-core/src/gentianpoint_core/http_plain_service.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/http_plain_service.py
@@ -40,13 +40,7 @@
     ) -> abc.AsyncIterator[ports.PlainAnswer]:
         """Send one call; see :meth:`ports.PlainService.send_call`."""
         step = "send call"
-        request = self._client.build_request(
-            method,
-            self._url + path,
-            headers=list(headers),
-            content=body,
-            timeout=self._timeout,
-        )
+        request = self._build_request(method, path, headers, body)
         try:
             answer = await self._client.send(request, stream=True)
         except (httpx.ConnectError, httpx.ConnectTimeout) as error:
@@ -66,6 +60,35 @@
         finally:
             await answer.aclose()
 
+    def _build_request(
+        self,
+        method: str,
+        path: str,
+        headers: abc.Sequence[tuple[str, str]],
+        body: bytes,
+    ) -> httpx.Request:
+        """Return the request, or raise if HTTP has no form for it.
+
+        Callers write any bytes into paths and headers. An error of the
+        client library that is no :class:`ports.PortError` would end the
+        agent's process, and with it the calls of all other customers.
+        """
+        try:
+            return self._client.build_request(
+                method,
+                self._url + path,
+                headers=[
+                    (name.encode("latin-1"), value.encode("latin-1"))
+                    for name, value in headers
+                ],
+                content=body,
+                timeout=self._timeout,
+            )
+        except (httpx.InvalidURL, ValueError) as error:
+            raise ports.PortError(
+                "build call", self._url, repr(error), took_effect=False
+            ) from error
+
     async def _iterate_chunks(
         self, answer: httpx.Response
     ) -> abc.AsyncIterator[bytes]:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/plain_routes.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/plain_routes.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import typing
+from urllib import parse
 
 import cbor2
 import quart
@@ -28,6 +29,7 @@
 _IDEMPOTENT_METHODS: typing.Final = frozenset(
     ("GET", "HEAD", "PUT", "DELETE", "OPTIONS")
 )
+_PREFIX: typing.Final = "/services/"
 # Headers of one connection, which must not travel to the next (RFC 9110),
 # and those that are this system's own.
 _OWN_HEADERS: typing.Final = frozenset(
@@ -39,6 +41,7 @@
         "keep-alive",
         "proxy-authenticate",
         "proxy-authorization",
+        "proxy-connection",
         "te",
         "trailer",
         "transfer-encoding",
@@ -52,19 +55,48 @@
     return lower not in _OWN_HEADERS and not lower.startswith("gentianpoint-")
 
 
-def _make_request(path: str, body: bytes) -> messages.Request:
+def _list_passed_headers() -> abc.Sequence[abc.Sequence[str]]:
+    """Return the caller's headers as they came, but for those of one hop.
+
+    The framework's own list would have one more, with the caller's address.
+    """
+    named = quart.request.headers.get("Connection", "").lower().split(",")
+    one_hop = {name.strip() for name in named}
+    return [
+        [name, value.decode("latin-1")]
+        for raw_name, value in quart.request.scope["headers"]
+        if _is_passed(name := raw_name.decode("latin-1"))
+        and name.lower() not in one_hop
+    ]
+
+
+def _read_target(service: str) -> str:
+    """Return the path below the service, and the query, as they came.
+
+    A decoded path can't be encoded again as it was: an encoded question
+    mark in it would start the query, and the service would see another
+    call than the caller made.
+    """
+    raw = quart.request.scope["raw_path"].decode("latin-1")
+    before, _, path = raw.removeprefix(_PREFIX).partition("/")
+    if not raw.startswith(_PREFIX) or parse.unquote(before) != service:
+        raise errors.CallError(
+            errors.INVALID_REQUEST,
+            "a slash before the path of the service is encoded",
+            step="read path",
+        )
     query = quart.request.query_string.decode("latin-1")
+    return f"/{path}?{query}" if query else f"/{path}"
+
+
+def _make_request(service: str, body: bytes) -> messages.Request:
     return {
         "kind": "plain",
         "prompt": "",
         "max_tokens": 0,
         "method": quart.request.method,
-        "path": f"/{path}?{query}" if query else f"/{path}",
-        "headers": [
-            [name, value]
-            for name, value in quart.request.headers.items()
-            if _is_passed(name)
-        ],
+        "path": _read_target(service),
+        "headers": _list_passed_headers(),
         "body": body,
     }
 
@@ -128,7 +160,7 @@
         request = state.make_call_request(
             service,
             customer,
-            _make_request(path, body),
+            _make_request(service, body),
             request_options.read_options(quart.request.headers),
             quart.request.method in _IDEMPOTENT_METHODS,
         )
