--- a/packages/gentianpoint-entry/src/gentianpoint_entry/entry.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/entry.py
@@ -11,7 +11,6 @@
 import quart_trio
 import trio
 
-from gentianpoint_core import configuration
 from gentianpoint_core import errors
 from gentianpoint_core import http_host_list
 from gentianpoint_core import http_log
@@ -22,6 +21,7 @@
 from gentianpoint_entry import administration_state
 from gentianpoint_entry import agent_links
 from gentianpoint_entry import calls
+from gentianpoint_entry import configuration_sender
 from gentianpoint_entry import configuration_tail
 from gentianpoint_entry import entry_state
 from gentianpoint_entry import error_answers
@@ -101,31 +101,6 @@
     return app
 
 
-class _ConfigurationSender:
-    """Sends each agent the resource of its service whenever it changes."""
-
-    def __init__(self, tail: configuration_tail.ConfigurationTail) -> None:
-        self._tail: typing.Final = tail
-
-    async def send_for_ever(self, link: agent_links.AgentLink) -> None:
-        """Send now and after each change, until the link is lost."""
-        await self._tail.wait_ready()
-        while True:
-            state = self._tail.state
-            found = state.find_resource(
-                configuration.SERVICE, link.host.service
-            )
-            await link.send(
-                {
-                    "type": "configure",
-                    "offset": state.offset,
-                    "revision": found.revision if found else 0,
-                    "service": found.spec if found else b"",
-                }
-            )
-            await self._tail.wait_changed()
-
-
 async def _serve_http(
     state: entry_state.EntryState,
     board: status_board.StatusBoard,
@@ -186,7 +161,7 @@
         peers = peer_state.PeerStates(live, client, settings.peer_key)
         tail = configuration_tail.ConfigurationTail(log, peers)
         writer = snapshot_writer.SnapshotWriter(log, tail, live, settings)
-        sender = _ConfigurationSender(tail)
+        sender = configuration_sender.ConfigurationSender(tail)
         pool = link_pool.LinkPool(
             nursery,
             _make_link_settings(settings, incarnation),
