Let a message that can't be obeyed end its connection only

Cause: several well-formed messages raised errors that left the task of the connection, or of the call, and so ended the agent's process with the calls of all entries: a resource that is no JSON (DecodeError), a deadline of hundreds of digits (OverflowError), a header that is no pair (IndexError in the call's task). A weight of no finite number and a resume after a negative item were obeyed, and a resume under a call number in use left the first reader subscribed for ever.

Change: such messages are refused as messages; the connection ends and nothing else does. A resource that is none changes nothing in force.

Tests: entry_connections.feature, without processes, on a fake socket. Guards taken out one at a time: without the new checks the rows 1, 3, 4 and 5 of broken messages and the fuzzing failed, and row 2 ended the run in which the scenario stands, so that it gave no verdict within 30 s. Rows 6 and 7 passed before. With all guards 13 passed.

--- /dev/null
+++ b/packages/gentianpoint-agent/features/entry_connections.feature
@@ -0,0 +1,62 @@
+Feature: Connections of entries
+
+  Scenario: the answer to an offer can't be sent
+    The connection breaks between an offer's arrival and the answer to it.
+    The entry offers the attempt again, which attaches to what the agent
+    holds; a caller would wait for ever for a call that was held but not run.
+    Given an agent with a connection of the run r1
+    When the connection breaks at its next "admitted"
+    And an offer of the attempt a1 comes on connection 1
+    Then the target ran 1 call
+
+  Scenario Outline: an entry connects again while its old connection lives
+    A connection fell silent with an offer on it that the agent has not
+    read; the entry connected again. The entry may have told the caller since
+    that the offer did not run.
+    Given an agent with a connection of the run r1
+    When another connection of the run <run> is greeted
+    And an offer of the attempt a1 comes on connection 1
+    Then the target ran <count> call
+
+    Examples:
+      | run | count |
+      | r1  | 0     |
+      | r2  | 1     |
+
+  Scenario Outline: a message that breaks the rules ends its connection only
+    A faulty entry, or one of another make, sends a message that is well
+    formed but can't be obeyed. If the error left the connection, the agent
+    would end and all entries would lose their calls.
+    Given an agent with a connection of the run r1
+    When another connection of the run r2 is greeted
+    And connection 1 brings <message>
+    And an offer of the attempt a1 comes on connection 2
+    Then connection 1 has ended as refused
+    And the target ran 1 call
+
+    Examples:
+      | message                                |
+      | a resource that is no JSON             |
+      | an offer whose header is no pair       |
+      | an offer with a deadline of 400 digits |
+      | an offer of no finite weight           |
+      | a resume after item -1                 |
+      | a message that only agents send        |
+      | a second hello                         |
+
+  Scenario: a call number is used by two offers
+    Given an agent with a connection of the run r1
+    When an offer of the attempt a1 comes on connection 1
+    And an offer of the attempt a2 comes on connection 1
+    Then the target ran 1 call
+
+  Scenario: a call number in use is given to a resume
+    Two readers under one number would leave the first one reading for ever;
+    the agent would never be drained when it is told to stop.
+    Given an agent with a connection of the run r1
+    When an offer of the attempt a1 comes on connection 1
+    And connection 1 is given a resume under the number of that offer
+    Then connection 1 has ended as refused
+
+  Scenario: any messages of the right types
+    Then whatever messages come, only a connection's error leaves it
--- /dev/null
+++ b/packages/gentianpoint-agent/features/entry_stage.py
@@ -0,0 +1,201 @@
+"""An agent's connections of entries, without processes or sockets."""
+
+from collections import abc
+import contextlib
+import math
+import typing
+
+import trio
+import websockets.exceptions
+
+from gentianpoint_agent import admission
+from gentianpoint_agent import agent_state
+from gentianpoint_agent import baseline_policies
+from gentianpoint_agent import entry_connections
+from gentianpoint_agent import plain_runner
+from gentianpoint_agent import service_in_force
+from gentianpoint_agent.generated import settings
+from gentianpoint_core import codec
+from gentianpoint_core import peer_connections
+from gentianpoint_core import ports
+
+SETTINGS: typing.Final = settings.AgentSettings(
+    "agent-1",
+    "zona-norte",
+    "",
+    "key",
+    "app-banco",
+    "target-1",
+    "",
+    target_kind="plain",
+)
+
+
+def make_hello(run: str) -> dict[str, typing.Any]:
+    """Return the greeting of a run of an entry."""
+    return {
+        "type": "hello",
+        "version": codec.PROTOCOL_VERSION,
+        "peer": "entry-1",
+        "incarnation": run,
+        "data_centre": "zona-norte",
+        "offset": 0,
+        "window": 8,
+        "report_ms": 500,
+    }
+
+
+def make_offer(attempt: str, **more: typing.Any) -> dict[str, typing.Any]:
+    """Return the offer of a plain call, of number 1."""
+    request = {
+        "kind": "plain",
+        "prompt": "",
+        "max_tokens": 0,
+        "method": "GET",
+        "path": "/",
+        "headers": more.pop("headers", []),
+        "body": b"",
+    }
+    return {
+        "type": "offer",
+        "call": 1,
+        "attempt": attempt,
+        "customer": "one",
+        "weight": 1.0,
+        "customer_limit": 0,
+        "priority": 5,
+        "repeatable": True,
+        "start_within_ms": 1000,
+        "finish_within_ms": 0,
+        "request": request,
+        "trace": "",
+        **more,
+    }
+
+
+def make_resume(after: int) -> dict[str, typing.Any]:
+    """Return the resume of a generation that is not held."""
+    return {
+        "type": "resume",
+        "call": 2,
+        "generation": "none",
+        "customer": "one",
+        "after": after,
+    }
+
+
+def make_broken_messages() -> abc.Mapping[str, abc.Mapping[str, typing.Any]]:
+    """Return messages that can't be obeyed, by the words of a table."""
+    return {
+        "a resource that is no JSON": {
+            "type": "configure",
+            "offset": 9,
+            "revision": 9,
+            "service": b"{",
+        },
+        "an offer whose header is no pair": make_offer("b", headers=[["a"]]),
+        "an offer with a deadline of 400 digits": make_offer(
+            "b", start_within_ms=10**400
+        ),
+        "an offer of no finite weight": make_offer("b", weight=math.nan),
+        "a resume after item -1": make_resume(-1),
+        "a message that only agents send": {"type": "leaving", "reason": ""},
+        "a second hello": make_hello("r3"),
+    }
+
+
+class FakeWebsocket:
+    """Brings what is put in; notes what is sent, or breaks at a type."""
+
+    def __init__(self) -> None:
+        """Make one that breaks nowhere."""
+        self.sent: typing.Final[list[codec.MessageMap]] = []
+        self.breaks_at = ""
+        self._put, self._taken = trio.open_memory_channel[bytes](math.inf)
+
+    def bring(self, message: abc.Mapping[str, typing.Any]) -> None:
+        """Let a message come."""
+        self._put.send_nowait(codec.encode_message(message))
+
+    async def send(self, data: bytes) -> None:
+        """Note a message."""
+        message = codec.decode_message(data, "agent").ok
+        if message["type"] == self.breaks_at:
+            raise websockets.exceptions.ConnectionClosedError(None, None)
+        self.sent.append(message)
+
+    async def recv(self) -> bytes:
+        """Return the next message."""
+        return await self._taken.receive()
+
+
+class FakeService(ports.PlainService):
+    """Notes the calls that run."""
+
+    def __init__(self) -> None:
+        """Have no call."""
+        self.calls: typing.Final[list[abc.Sequence[tuple[str, str]]]] = []
+
+    @contextlib.asynccontextmanager
+    async def send_call(
+        self,
+        method: str,
+        path: str,
+        headers: abc.Sequence[tuple[str, str]],
+        body: bytes,
+    ) -> abc.AsyncIterator[ports.PlainAnswer]:
+        """Run a call, which answers nothing."""
+        self.calls.append(headers)
+        yield ports.PlainAnswer(200, (), self._iterate())
+
+    async def _iterate(self) -> abc.AsyncIterator[bytes]:
+        yield b"part"
+
+
+class EntryStage:
+    """One agent's state with its connections; make it in a trio run."""
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        """Run connections and calls in ``nursery``."""
+        service = service_in_force.ServiceInForce("app-banco")
+        control = admission.AdmissionControl(
+            baseline_policies.FixedPolicy(8), service
+        )
+        self.target: typing.Final = FakeService()
+        self.websockets: typing.Final[list[FakeWebsocket]] = []
+        self.ends: typing.Final[dict[int, str]] = {}
+        self._nursery: typing.Final = nursery
+        self._state: typing.Final = agent_state.AgentState(
+            SETTINGS,
+            nursery,
+            control,
+            plain_runner.PlainRunner(control, self.target),
+            service,
+        )
+
+    def connect(self, run: str) -> None:
+        """Open a connection of a run of an entry."""
+        websocket = FakeWebsocket()
+        self.websockets.append(websocket)
+        websocket.bring(make_hello(run))
+        self._nursery.start_soon(self._serve, len(self.websockets))
+
+    async def _serve(self, number: int) -> None:
+        connection = peer_connections.PeerConnection(
+            typing.cast(typing.Any, self.websockets[number - 1]),
+            "entry",
+            1000,
+            3000,
+        )
+        try:
+            await entry_connections.EntryConnection(
+                connection, self._state
+            ).serve()
+        except* peer_connections.PeerConnectionError as group:
+            error = group.exceptions[0]
+            assert isinstance(error, peer_connections.PeerConnectionError)
+            self.ends[number] = error.step
+        except* Exception as group:
+            # In the process it would end the agent; here the step that looks
+            # for it fails, and says which it was.
+            self.ends[number] = f"left the connection: {group.exceptions[0]!r}"
--- /dev/null
+++ b/packages/gentianpoint-agent/features/steps/entry_connections_steps.py
@@ -0,0 +1,115 @@
+"""Steps for the connections of entries."""
+
+import functools
+
+import behave
+import entry_stage
+import hypothesis
+from hypothesis import strategies
+import trio
+import trio.testing
+import trio_stage
+
+from gentianpoint_core.generated import messages
+
+EXAMPLES = 150
+REFUSED = ("decode message", "read message")
+CLASSES = (
+    messages.Offer,
+    messages.Prepare,
+    messages.Resume,
+    messages.Retract,
+    messages.Cancel,
+    messages.Release,
+    messages.Acknowledge,
+    messages.Configure,
+)
+
+
+@behave.given("an agent with a connection of the run {run}")
+def make_stage(context, run):
+    context.stage = trio_stage.TrioStage()
+    context.scene = context.stage.call(
+        entry_stage.EntryStage, context.stage.nursery
+    )
+    context.stage.call(context.scene.connect, run)
+
+
+@behave.when('the connection breaks at its next "{kind}"')
+def break_at(context, kind):
+    context.scene.websockets[0].breaks_at = kind
+
+
+@behave.when("another connection of the run {run} is greeted")
+def connect_again(context, run):
+    context.stage.call(context.scene.connect, run)
+    sent = context.scene.websockets[-1].sent
+    assert sent[0]["type"] == "welcome", sent
+
+
+@behave.when(
+    "an offer of the attempt {attempt} comes on connection {number:d}"
+)
+def bring_offer(context, attempt, number):
+    websocket = context.scene.websockets[number - 1]
+    context.stage.call(websocket.bring, entry_stage.make_offer(attempt))
+
+
+@behave.when("connection {number:d} brings {words}")
+def bring_broken(context, number, words):
+    websocket = context.scene.websockets[number - 1]
+    message = entry_stage.make_broken_messages()[words]
+    context.stage.call(websocket.bring, message)
+
+
+@behave.when("connection 1 is given a resume under the number of that offer")
+def bring_resume(context):
+    websocket = context.scene.websockets[0]
+    admitted = [row for row in websocket.sent if row["type"] == "admitted"]
+    message = entry_stage.make_resume(0)
+    message["generation"] = admitted[0]["generation"]
+    message["call"] = admitted[0]["call"]
+    context.stage.call(websocket.bring, message)
+
+
+@behave.then("the target ran {count:d} call")
+def check_ran(context, count):
+    assert len(context.scene.target.calls) == count
+
+
+@behave.then("connection {number:d} has ended as refused")
+def check_refused(context, number):
+    assert context.scene.ends.get(number) in REFUSED, context.scene.ends
+
+
+async def bring_all(rows):
+    async with trio.open_nursery() as nursery:
+        scene = entry_stage.EntryStage(nursery)
+        scene.connect("r1")
+        for row in rows:
+            scene.websockets[0].bring(row)
+        await trio.testing.wait_all_tasks_blocked()
+        nursery.cancel_scope.cancel()
+    # Whatever came, the connection lives or was ended as refused.
+    end = scene.ends.get(1, "read message")
+    assert end in REFUSED, end
+
+
+def make_rows():
+    kinds = [strategies.from_type(kind) for kind in CLASSES]
+    return strategies.lists(strategies.one_of(kinds), max_size=6)
+
+
+@behave.then("whatever messages come, only a connection's error leaves it")
+def check_all(context):
+    @hypothesis.settings(
+        max_examples=EXAMPLES,
+        deadline=None,
+        derandomize=True,
+        database=None,
+    )
+    @hypothesis.given(make_rows())
+    def check(rows):
+        trio.run(functools.partial(bring_all, rows))
+
+    check()
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/entry_connections.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/entry_connections.py
@@ -8,6 +8,7 @@
 import math
 import typing
 
+import msgspec
 import trio
 
 from gentianpoint_agent import agent_state
@@ -26,6 +27,7 @@
 __all__ = ("EntryConnection",)
 
 _MAX_WINDOW: typing.Final = 65536
+_MAX_NUMBER: typing.Final = 2**53
 _LEAVING_RETRY_MS: typing.Final = 500
 
 
@@ -152,7 +154,38 @@
                     error.retry_after_ms,
                 )
 
+    def _refuse_message(
+        self, reason: str
+    ) -> peer_connections.PeerConnectionError:
+        """Return the error that ends this connection only.
+
+        Any other error would leave the task of the connection and end the
+        agent's process, and with it the calls of all other entries.
+        """
+        return peer_connections.PeerConnectionError(
+            "decode message", self._connection.peer, reason
+        )
+
+    def _check(self, message: codec.MessageMap) -> None:
+        """Refuse numbers and headers that the code below can't work with.
+
+        A number beyond 64 bits is not to be had as a float or in JSON, and
+        items before the first would be read from the end of a generation.
+        """
+        values = [*message.values(), *message.get("request", {}).values()]
+        for value in values:
+            if isinstance(value, int) and abs(value) > _MAX_NUMBER:
+                raise self._refuse_message("a number is too large")
+        if message["type"] == "resume" and message["after"] < 0:
+            raise self._refuse_message("an item before the first is wanted")
+        if message["type"] == "offer":
+            if not math.isfinite(message["weight"]):
+                raise self._refuse_message("the weight is no finite number")
+            if any(len(row) != 2 for row in message["request"]["headers"]):
+                raise self._refuse_message("a header is no pair")
+
     async def _handle(self, message: codec.MessageMap) -> None:
+        self._check(message)
         match message["type"]:
             case "offer":
                 await self._take_offer(typing.cast(messages.Offer, message))
@@ -289,6 +322,11 @@
         )
 
     async def _resume(self, message: messages.Resume) -> None:
+        if message["call"] in self._feeds:
+            # A second feed under the number would leave the first one
+            # subscribed for ever: its generation would always count as
+            # read, and the agent would never be drained.
+            raise self._refuse_message("the call number is in use")
         generation = self._state.table.find(
             message["generation"], message["customer"]
         )
@@ -332,7 +370,10 @@
             feed.close(self._state.settings.orphan_ms)
 
     async def _configure(self, message: messages.Configure) -> None:
-        self._state.service.take(message)
+        try:
+            self._state.service.take(message)
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+            raise self._refuse_message(str(error)) from error
         await self._connection.send(
             {
                 "type": "configured",
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/service_in_force.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/service_in_force.py
@@ -18,6 +18,12 @@
 }
 
 
+def _decode(service: bytes) -> resources.ServiceSpec:
+    if not service:
+        return _UNDECLARED
+    return configuration.decode_service(service)
+
+
 class ServiceInForce:
     """What entries told about the service, of which the newest counts.
 
@@ -36,18 +42,21 @@
         self._changed = trio.Event()
 
     def take(self, message: messages.Configure) -> bool:
-        """Take the resource if it is newer; tell whether it was."""
+        """Take the resource if it is newer; tell whether it was.
+
+        Raises :class:`msgspec.DecodeError`, and changes nothing, when the
+        resource is none.
+        """
         if message["offset"] <= self.offset:
             return False
+        spec = self.spec
+        if message["revision"] != self.revision:
+            spec = _decode(message["service"])
         self.offset = message["offset"]
         self.replicas = message["replicas"]
         if message["revision"] != self.revision:
             self.revision = message["revision"]
-            self.spec = (
-                configuration.decode_service(message["service"])
-                if message["service"]
-                else _UNDECLARED
-            )
+            self.spec = spec
             logs.log_event(
                 events.CONFIGURATION_APPLIED,
                 offset=self.offset,
