Answer errors of the HTTP server in our JSON form

Cause: an oversized body, an unknown path and another method were answered with the framework's HTML page, in which callers' tools find no code.

Change: each HTTPException becomes an error body with the code invalid_request, its own status and its own headers. The time in which a request's head must be whole, 5 s, and its body, 30 s, are said in our code; the first equals the server's default, the second was 60 s.

Tests: features/bad_input.feature, callers' input and a bad peer beside a stream.

Not covered: the limit of 30 s on a body was not run.

--- a/packages/gentianpoint-entry/src/gentianpoint_entry/entry.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/entry.py
@@ -10,6 +10,7 @@
 import quart
 import quart_trio
 import trio
+from werkzeug import exceptions
 
 from gentianpoint_core import errors
 from gentianpoint_core import http_host_list
@@ -45,6 +46,8 @@
 _MAX_AGENT_MESSAGE_BYTES: typing.Final = 16 * 1024 * 1024
 _DRAIN_POLL_S: typing.Final = 0.05
 _CLOSE_WITHIN_S: typing.Final = 2.0
+_HEAD_WITHIN_S: typing.Final = 5.0
+_BODY_WITHIN_S: typing.Final = 30.0
 _HEALTH_PATH: typing.Final = "/health"
 _UNREADY_RETRY_MS: typing.Final = 1000
 
@@ -54,6 +57,7 @@
 ) -> quart_trio.QuartTrio:
     app = quart_trio.QuartTrio(__name__)
     app.config["MAX_CONTENT_LENGTH"] = state.settings.max_body_bytes
+    app.config["BODY_TIMEOUT"] = _BODY_WITHIN_S
     app.register_blueprint(generation_routes.make_generation_routes(state))
     app.register_blueprint(plain_routes.make_plain_routes(state))
     app.register_blueprint(
@@ -89,6 +93,12 @@
     async def answer_error(error: errors.CallError) -> quart.Response:
         return error_answers.make_error_answer(error)
 
+    @app.errorhandler(exceptions.HTTPException)
+    async def answer_http_error(
+        error: exceptions.HTTPException,
+    ) -> quart.Response:
+        return error_answers.make_http_error_answer(error)
+
     @app.get(_HEALTH_PATH)
     async def tell_health() -> quart.Response:
         if state.leaving:
@@ -111,6 +121,10 @@
     config.graceful_timeout = _CLOSE_WITHIN_S
     config.errorlog = None
     config.accesslog = None
+    # A caller that sends half a request's head and stops would hold its
+    # connection for ever; this long after the last answer, or its start, a
+    # connection without a whole head is closed.
+    config.keep_alive_timeout = _HEAD_WITHIN_S
     config.h11_max_incomplete_size = 64 * 1024
     app = _make_app(state, board)
     await hypercorn.trio.serve(
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/error_answers.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/error_answers.py
@@ -5,10 +5,11 @@
 
 import msgspec
 import quart
+from werkzeug import exceptions
 
 from gentianpoint_core import errors
 
-__all__ = ("describe_error", "make_error_answer")
+__all__ = ("describe_error", "make_error_answer", "make_http_error_answer")
 
 _MS_IN_S: typing.Final = 1000
 _TYPES: typing.Final = {
@@ -51,3 +52,29 @@
     if generation:
         answer.headers["Gentianpoint-Generation"] = generation
     return answer
+
+
+def make_http_error_answer(
+    error: exceptions.HTTPException,
+) -> quart.Response:
+    """Return an error of the HTTP server in the form of all others.
+
+    Callers' tools read the code from JSON; they could tell nothing from the
+    page that the server would write. Headers that belong to the status, such
+    as ``Allow``, stay.
+    """
+    answer = quart.Response(
+        describe_error(
+            errors.CallError(
+                errors.INVALID_REQUEST,
+                error.description or error.name,
+                step="take request",
+            )
+        ),
+        status=error.code,
+    )
+    for name, value in error.get_headers():
+        if name.lower() != "content-type":
+            answer.headers.add(name, value)
+    answer.content_type = "application/json"
+    return answer
