--- a/features/interface.feature
+++ b/features/interface.feature
@@ -33,8 +33,8 @@
       | for two answers       | BadRequestError     | 400    | invalid_request |
       | with an unknown field | BadRequestError     | 400    | invalid_request |
 
-  Scenario: an engine that refuses gives an error that says when to come back
-    The only engine of a model answers each start with a refusal. A caller
+  Scenario: an engine that is gone gives an error that says when to come back
+    The only engine of a model has ended; its agent can't start a call. A caller
     who isn't told when to come back would ask again at once and often.
     Given a deployment of 1 entry and 1 target
     And the agent's target has gone
