Keep more memory free until lengths are learned

At the start nothing is known of lengths, and the forecast that the burst is admitted on is a guess. Ruled out: easing the check; starting with the caution that preemptions add (it fades with time, not with what is learned). Change: two more standard deviations that shrink as answers are seen to end (halved at 13 answers, a tenth at 70).

--- a/packages/gentianpoint-agent/src/gentianpoint_agent/length_distributions.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/length_distributions.py
@@ -117,6 +117,11 @@
         self.streams += 1
         self._settle(place, 1.0)
 
+    def count_known(self) -> int:
+        """Return how many streams the widest kind has seen end."""
+        parent = self._parent
+        return self.streams if parent is None else parent.count_known()
+
     def _settle(self, place: int, ended: float) -> None:
         self._settled[place] = self._settled[place] * _FORGET + 1
         self._ends[place] = self._ends[place] * _FORGET + ended
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/predictive_policy.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/predictive_policy.py
@@ -25,6 +25,8 @@
 _FORECAST_MS: typing.Final = 50.0
 _WINDOW_MS: typing.Final = 500.0
 _MOST_CAUTION: typing.Final = 3.0
+_UNLEARNED_DEVIATIONS: typing.Final = 2.0
+_LEARNING_STREAMS: typing.Final = 32
 _CAUTION_KEPT: typing.Final = 0.997
 
 
@@ -87,12 +89,26 @@
             return False
         if not self._pace.allows(len(running), is_short=outlook.is_short):
             return False
-        objective = self._find_objective()
         peak = self._read_forecast(running, load).find_peak_with(
-            self._describe(outlook, 0), objective.deviations + self._caution
+            self._describe(outlook, 0), self._find_deviations(outlook)
         )
         return peak + self._ledger.foreign_blocks <= load.blocks
 
+    def _find_deviations(self, outlook: admission_policy.CallOutlook) -> float:
+        """Return the standard deviations to keep free for one more call.
+
+        While few answers have been seen to end, the forecast itself is a
+        guess: a first burst of calls would be admitted on it and preempt
+        one another. So more is kept free until lengths are learned.
+        """
+        known = outlook.length.distribution.count_known()
+        unlearned = _LEARNING_STREAMS / (_LEARNING_STREAMS + known)
+        return (
+            self._find_objective().deviations
+            + self._caution
+            + _UNLEARNED_DEVIATIONS * unlearned**2
+        )
+
     def _is_nearly_out(self, load: ports.EngineLoad) -> bool:
         return self._ledger.estimate_used() >= _NEARLY_OUT * load.blocks
 
