Split the calls and the answers of generations into modules of one job

Cause: read as a newcomer would, calls.py held 730 lines: what a call asks, how a link is found, the call itself, cancelling and preparing; the routes of generations held the writing of answers besides. Ruled out: an abstract dispatcher; there is one. Change: call_requests, dispatch, calls and generation_answers; preparing and cancelling are functions; nothing else changes. Before: 730 lines in one module.

--- a/packages/gentianpoint-entry/src/gentianpoint_entry/answer_formats.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/answer_formats.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from gentianpoint_entry import calls
+from gentianpoint_entry import call_requests
 
 __all__ = (
     "AnswerFormat",
@@ -56,7 +56,7 @@
             "choices": choices,
         }
 
-    def encode_whole(self, text: str, end: calls.CallPart) -> bytes:
+    def encode_whole(self, text: str, end: call_requests.CallPart) -> bytes:
         """Return a whole answer."""
         frame = self._make_frame(
             self.object_name, [self.make_choice(text, end.end)]
@@ -64,7 +64,7 @@
         frame["usage"] = _make_usage(end)
         return msgspec.json.encode(frame)
 
-    def encode_events(self, part: calls.CallPart) -> bytes:
+    def encode_events(self, part: call_requests.CallPart) -> bytes:
         """Return the events of a part's tokens, to be written at once."""
         pieces = []
         for number, text in enumerate(part.texts, part.first):
@@ -76,7 +76,9 @@
             pieces.append(b"\n\n")
         return b"".join(pieces)
 
-    def encode_end(self, end: calls.CallPart, include_usage: bool) -> bytes:
+    def encode_end(
+        self, end: call_requests.CallPart, include_usage: bool
+    ) -> bytes:
         """Return the closing events of a regular stream."""
         frame = self._make_frame(
             self.chunk_name, [self.make_delta(None, end.end)]
@@ -89,7 +91,7 @@
         return events + STREAM_DONE
 
 
-def _make_usage(end: calls.CallPart) -> dict[str, int]:
+def _make_usage(end: call_requests.CallPart) -> dict[str, int]:
     return {
         "prompt_tokens": end.prompt_tokens,
         "completion_tokens": end.completion_tokens,
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/calls.py
@@ -10,87 +10,28 @@
 neither a second run nor a guess is needed.
 """
 
-import math
 import typing
 
 from opentelemetry import trace
 import trio
 
 from gentianpoint_core import codec
-from gentianpoint_core import deadlines
 from gentianpoint_core import errors
-from gentianpoint_core import generation_ids
 from gentianpoint_core import logs
 from gentianpoint_core import peer_connections
 from gentianpoint_core import telemetry
 from gentianpoint_core.generated import events
 from gentianpoint_core.generated import messages
 from gentianpoint_entry import agent_links
-from gentianpoint_entry import link_pool
-from gentianpoint_entry import placement_policy
-from gentianpoint_entry import retry_budgets
-
-__all__ = (
-    "Call",
-    "CallPart",
-    "CallRequest",
-    "Dispatcher",
-    "HomeLostError",
-)
+from gentianpoint_entry import call_requests
+from gentianpoint_entry import dispatch
+
+__all__ = ("Call", "cancel_generation", "prepare_generation")
 
 _MOST_ATTEMPTS: typing.Final = 3
-_HOME_WITHIN_MS: typing.Final = 15_000
-_HOME_FIRST_MS: typing.Final = 1500
-_RETRY_AFTER_MS: typing.Final = 1000
 _ACKNOWLEDGE_SHARE: typing.Final = 4
 
 
-class CallRequest(typing.NamedTuple):
-    """What a caller asked and what its service and customer allow."""
-
-    identifier: str
-    """Identifier of the request at this entry, for the log."""
-    service: str
-    """Service that answers."""
-    customer: str
-    """Customer who asks."""
-    weight: float
-    """The customer's share in fair queues."""
-    customer_limit: int
-    """Most calls of the customer on one target at once; 0 for no limit."""
-    priority: int
-    """Priority, larger is more urgent."""
-    repeatable: bool
-    """False when it may run at most once."""
-    request: messages.Request
-    """The request as agents get it."""
-    start_by: deadlines.Deadline
-    """After this it must not start."""
-    finish_by: deadlines.Deadline
-    """After this the caller has no use for the answer."""
-    generation: str
-    """Prepared identifier to start; empty for none."""
-    retry_share: float
-    """Retries of the service as a share of fresh requests."""
-
-
-class CallPart(typing.NamedTuple):
-    """What came next: items, or the end."""
-
-    first: int
-    """Number of the first item; 0 at the end."""
-    texts: typing.Sequence[str]
-    """Token texts."""
-    chunks: typing.Sequence[bytes]
-    """Chunks of a plain answer."""
-    end: str
-    """``stop`` or ``length`` at the end, else empty."""
-    prompt_tokens: int
-    """Tokens of the prompt, at the end."""
-    completion_tokens: int
-    """Tokens generated, at the end."""
-
-
 class _LostLink(typing.NamedTuple):
     """A link that was lost with an attempt on it."""
 
@@ -100,193 +41,13 @@
     """Run of the agent that got the attempt."""
 
 
-class HomeLostError(Exception):
-    """The home of a generation is gone, or does not come back in time."""
-
-
-class Dispatcher:
-    """Opens calls on the links of one entry."""
-
-    def __init__(
-        self,
-        pool: link_pool.LinkPool,
-        policy: placement_policy.PlacementPolicy,
-        window: int,
-    ) -> None:
-        """Offer calls on the links of ``pool`` as ``policy`` chooses."""
-        self.pool: typing.Final = pool
-        self.window: typing.Final = window
-        self._policy: typing.Final = policy
-        self._open_calls: typing.Final[set[Call]] = set()
-        self._budgets: typing.Final = retry_budgets.RetryBudgets()
-
-    def open_call(self, request: CallRequest) -> "Call":
-        """Return a call that is placed when its first part is received."""
-        self._budgets.note_request(request.service, request.retry_share)
-        return self._remember_call(Call(self, request))
-
-    def resume_call(self, request: CallRequest, after: int) -> "Call":
-        """Return a call that reads a generation after an item."""
-        return self._remember_call(Call(self, request, after))
-
-    def _remember_call(self, call: "Call") -> "Call":
-        self._open_calls.add(call)
-        return call
-
-    def forget_call(self, call: "Call") -> None:
-        """Count a call no more."""
-        self._open_calls.discard(call)
-
-    def count_calls(self) -> int:
-        """Return the number of calls that were not closed yet.
-
-        All count, also those whose first item has not come, so that an entry
-        which is told to stop cuts none of them.
-        """
-        return len(self._open_calls)
-
-    async def prepare(self, request: CallRequest) -> str:
-        """Return an identifier that a later call starts, once.
-
-        Raises :class:`errors.CallError` with ``not_run`` when no target
-        gives one out.
-        """
-        call = self.open_call(request)
-        try:
-            while not call.generation:
-                await call.prepare_somewhere()
-        finally:
-            self.forget_call(call)
-        return call.generation
-
-    async def cancel(self, request: CallRequest) -> bool:
-        """Cancel a generation; False when its home does not hold it.
-
-        A lost link is tried again until the caller gives up: cancelling is
-        idempotent.
-        """
-        while True:
-            try:
-                link = await self.wait_home(request.generation)
-                call = link.open_call()
-                try:
-                    await link.send(
-                        {
-                            "type": "cancel",
-                            "call": call.number,
-                            "generation": request.generation,
-                            "customer": request.customer,
-                        }
-                    )
-                    answer = await call.receive()
-                finally:
-                    call.close()
-            except HomeLostError:
-                return False
-            except peer_connections.PeerConnectionError:
-                continue
-            if answer is not None:
-                return bool(answer["known"])
-
-    async def choose_link(
-        self, request: CallRequest, tried: typing.Collection[str]
-    ) -> agent_links.AgentLink:
-        """Return an agent's link that was not tried yet.
-
-        A link that was lost a moment ago is waited for, since one cut would
-        otherwise refuse all calls of that moment. Raises
-        :class:`errors.CallError` with ``not_run`` when there is none.
-        """
-        usable: list[agent_links.AgentLink] = []
-        with trio.move_on_at(request.start_by.at):
-            while True:
-                links = [
-                    link
-                    for link in self.pool.list_links(request.service)
-                    if link.host.host not in tried
-                ]
-                usable = [link for link in links if link.is_usable()]
-                if usable or not any(link.is_recovering() for link in links):
-                    break
-                await self.pool.wait_changed()
-        if not usable:
-            raise errors.CallError(
-                errors.NOT_RUN,
-                "no target of the service takes calls now",
-                step="choose target",
-                peer=request.service,
-                retry_after_ms=_RETRY_AFTER_MS,
-            )
-        return self._policy.choose(usable, request.request["prompt"])
-
-    def may_retry(self, request: CallRequest) -> bool:
-        """Take a retry from the service's budget, if there is one."""
-        if self._budgets.take_retry(request.service):
-            return True
-        logs.log_event(
-            events.RETRY_BUDGET_SPENT,
-            service=request.service,
-            request=request.identifier,
-        )
-        return False
-
-    async def wait_home(self, generation: str) -> agent_links.AgentLink:
-        """Return a connected link to the home of a generation.
-
-        Raises :class:`HomeLostError` when another run of the agent answers,
-        or none does in time.
-        """
-        parsed = generation_ids.parse_generation_id(generation)
-        if parsed.is_error():
-            raise HomeLostError(str(parsed.error))
-        home = parsed.ok
-        with trio.move_on_after(_HOME_WITHIN_MS / 1000):
-            while True:
-                link = self.pool.find_target(home.target)
-                if link is None:
-                    raise HomeLostError(f"no agent of target {home.target}")
-                if link.is_connected() and link.welcome is not None:
-                    if link.welcome["incarnation"] != home.incarnation:
-                        raise HomeLostError("its agent was restarted")
-                    return link
-                await self.pool.wait_changed()
-        raise HomeLostError("its agent can't be reached")
-
-    async def wait_recovery(
-        self,
-        request: CallRequest,
-        link: agent_links.AgentLink,
-        incarnation: str,
-    ) -> bool:
-        """Wait for a lost link; tell whether the same run answers again.
-
-        While the work could be done elsewhere the wait is short.
-        """
-        wait_ms = math.inf
-        others = [
-            other
-            for other in self.pool.list_links(request.service)
-            if other.is_usable()
-        ]
-        if others and self._budgets.has_retry(request.service):
-            wait_ms = _HOME_FIRST_MS
-        with trio.move_on_after(wait_ms / 1000):
-            while link.is_recovering():
-                await self.pool.wait_changed()
-        return (
-            link.is_connected()
-            and link.welcome is not None
-            and link.welcome["incarnation"] == incarnation
-        )
-
-
 class Call:
     """One request from its first offer to its final answer."""
 
     def __init__(
         self,
-        dispatcher: Dispatcher,
-        request: CallRequest,
+        dispatcher: dispatch.Dispatcher,
+        request: call_requests.CallRequest,
         resume_after: typing.Optional[int] = None,
     ) -> None:
         """Make a call that has not been offered yet.
@@ -307,11 +68,12 @@
         self._lost_link: typing.Optional[_LostLink] = None
         self._incarnation = ""
         self._lost_attempt = self._resumes
+        dispatcher.add_call(self, request)
         self._span: typing.Final = telemetry.get_tracer().start_span(
             "entry call", attributes={"service": request.service}
         )
 
-    async def receive(self) -> CallPart:
+    async def receive(self) -> call_requests.CallPart:
         """Return the next items, or the regular end.
 
         Raises :class:`errors.CallError` with the final answer when there is
@@ -344,7 +106,7 @@
             retry_after_ms=error.retry_after_ms,
         )
 
-    async def _receive_part(self) -> CallPart:
+    async def _receive_part(self) -> call_requests.CallPart:
         while True:
             if self._link_call is None:
                 await self._place()
@@ -415,7 +177,7 @@
                 "the deadline to start was past",
                 step="choose target",
                 peer=self.request.service,
-                retry_after_ms=_RETRY_AFTER_MS,
+                retry_after_ms=dispatch.RETRY_AFTER_MS,
             )
         link = await self._dispatcher.choose_link(self.request, self._tried)
         self._tried.add(link.host.host)
@@ -447,7 +209,7 @@
         try:
             link = await self._dispatcher.wait_home(self.generation)
             await self._send_offer(link)
-        except HomeLostError as error:
+        except dispatch.HomeLostError as error:
             raise self._make_unknown(str(error)) from error
         except peer_connections.PeerConnectionError:
             self._drop_link_call()
@@ -494,7 +256,7 @@
 
     async def _handle(
         self, message: codec.MessageMap
-    ) -> typing.Optional[CallPart]:
+    ) -> typing.Optional[call_requests.CallPart]:
         match message["type"]:
             case "admitted":
                 self.generation = message["generation"]
@@ -506,7 +268,9 @@
                 return self._take_end(message)
         return None
 
-    def _take_run(self, run: messages.Run) -> typing.Optional[CallPart]:
+    def _take_run(
+        self, run: messages.Run
+    ) -> typing.Optional[call_requests.CallPart]:
         # After a resume the first items may be known already; a hole would
         # mean that the agent broke the protocol.
         known = self.delivered + 1 - run["first"]
@@ -523,7 +287,7 @@
             return None
         first = self.delivered + 1
         self.delivered += len(texts) + len(chunks)
-        return CallPart(first, texts, chunks, "", 0, 0)
+        return call_requests.CallPart(first, texts, chunks, "", 0, 0)
 
     def _take_refusal(self, message: codec.MessageMap) -> None:
         code = message["code"]
@@ -554,10 +318,10 @@
 
     def _take_end(
         self, message: codec.MessageMap
-    ) -> typing.Optional[CallPart]:
+    ) -> typing.Optional[call_requests.CallPart]:
         reason = message["reason"]
         if reason in ("stop", "length"):
-            return CallPart(
+            return call_requests.CallPart(
                 0,
                 (),
                 (),
@@ -613,7 +377,7 @@
             reason,
             step="offer call",
             peer=self.request.service,
-            retry_after_ms=retry_after_ms or _RETRY_AFTER_MS,
+            retry_after_ms=retry_after_ms or dispatch.RETRY_AFTER_MS,
         )
 
     def _recover_from_loss(self) -> None:
@@ -646,7 +410,7 @@
                 peer=link.host.host,
                 after=self.delivered,
             )
-        except HomeLostError as error:
+        except dispatch.HomeLostError as error:
             raise self._make_unknown(str(error)) from error
         except peer_connections.PeerConnectionError:
             self._drop_link_call()
@@ -728,3 +492,58 @@
                 await call.link.send({"type": "release", "call": call.number})
             except peer_connections.PeerConnectionError:
                 return
+
+
+async def prepare_generation(
+    dispatcher: dispatch.Dispatcher, request: call_requests.CallRequest
+) -> str:
+    """Return an identifier that a later call starts, once.
+
+    Raises :class:`errors.CallError` with ``not_run`` when no target gives
+    one out.
+    """
+    call = Call(dispatcher, request)
+    try:
+        while not call.generation:
+            await call.prepare_somewhere()
+    finally:
+        dispatcher.forget_call(call)
+    return call.generation
+
+
+async def cancel_generation(
+    dispatcher: dispatch.Dispatcher, request: call_requests.CallRequest
+) -> bool:
+    """Cancel a generation; False when its home does not hold it.
+
+    A lost link is tried again until the caller gives up: cancelling is
+    idempotent.
+    """
+    while True:
+        try:
+            link = await dispatcher.wait_home(request.generation)
+            answer = await _ask_to_cancel(link, request)
+        except dispatch.HomeLostError:
+            return False
+        except peer_connections.PeerConnectionError:
+            continue
+        if answer is not None:
+            return bool(answer["known"])
+
+
+async def _ask_to_cancel(
+    link: agent_links.AgentLink, request: call_requests.CallRequest
+) -> typing.Optional[codec.MessageMap]:
+    call = link.open_call()
+    try:
+        await link.send(
+            {
+                "type": "cancel",
+                "call": call.number,
+                "generation": request.generation,
+                "customer": request.customer,
+            }
+        )
+        return await call.receive()
+    finally:
+        call.close()
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/entry.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/entry.py
@@ -21,9 +21,9 @@
 from gentianpoint_entry import administration_routes
 from gentianpoint_entry import administration_state
 from gentianpoint_entry import agent_links
-from gentianpoint_entry import calls
 from gentianpoint_entry import configuration_sender
 from gentianpoint_entry import configuration_tail
+from gentianpoint_entry import dispatch
 from gentianpoint_entry import entry_state
 from gentianpoint_entry import error_answers
 from gentianpoint_entry import generation_routes
@@ -184,7 +184,7 @@
             settings.links_per_service,
             sender.send_for_ever,
         )
-        dispatcher = calls.Dispatcher(
+        dispatcher = dispatch.Dispatcher(
             pool,
             placement.make_placement_policy(
                 settings.placement, settings.data_centre, incarnation
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/entry_state.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/entry_state.py
@@ -9,8 +9,9 @@
 from gentianpoint_core import ports
 from gentianpoint_core.generated import messages
 from gentianpoint_core.generated import resources
-from gentianpoint_entry import calls
+from gentianpoint_entry import call_requests
 from gentianpoint_entry import configuration_tail
+from gentianpoint_entry import dispatch
 from gentianpoint_entry import retry_budgets
 from gentianpoint_entry.generated import settings as entry_settings
 
@@ -40,7 +41,7 @@
         settings: entry_settings.EntrySettings,
         tail: configuration_tail.ConfigurationTail,
         log: ports.Log,
-        dispatcher: calls.Dispatcher,
+        dispatcher: dispatch.Dispatcher,
         incarnation: str,
     ) -> None:
         """Serve by ``dispatcher`` what ``tail`` says is declared."""
@@ -82,7 +83,7 @@
         request: messages.Request,
         options: CallOptions,
         repeatable_by_default: bool = True,
-    ) -> calls.CallRequest:
+    ) -> call_requests.CallRequest:
         """Return the request with all that resources say about it."""
         self._check_room(options.generation)
         spec = self.find_service(service, customer)
@@ -102,7 +103,7 @@
         repeatable = options.repeatable
         if repeatable is None:
             repeatable = spec.get("repeatable", repeatable_by_default)
-        return calls.CallRequest(
+        return call_requests.CallRequest(
             self.make_request_identifier(),
             service,
             customer,
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/generation_routes.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/generation_routes.py
@@ -1,6 +1,5 @@
 """Routes for generations: completions, chat, models, resume and cancel."""
 
-from collections import abc
 import typing
 
 import msgspec
@@ -14,16 +13,15 @@
 from gentianpoint_core.generated import messages
 from gentianpoint_entry import answer_formats
 from gentianpoint_entry import authentication
+from gentianpoint_entry import call_requests
 from gentianpoint_entry import caller_bodies
 from gentianpoint_entry import calls
 from gentianpoint_entry import entry_state
-from gentianpoint_entry import error_answers
+from gentianpoint_entry import generation_answers
 from gentianpoint_entry import request_options
 
 __all__ = ("make_generation_routes",)
 
-_GENERATION_HEADER: typing.Final = "Gentianpoint-Generation"
-_EVENT_STREAM: typing.Final = "text/event-stream"
 _JSON: typing.Final = "application/json"
 _CANCEL_WITHIN_S: typing.Final = 10
 _EMPTY_REQUEST: typing.Final[messages.Request] = {
@@ -37,86 +35,6 @@
 }
 
 
-class _Answerer:
-    """Writes the answer of one call."""
-
-    def __init__(
-        self,
-        state: entry_state.EntryState,
-        call: calls.Call,
-        form: type[answer_formats.AnswerFormat],
-    ) -> None:
-        self._state: typing.Final = state
-        self._call: typing.Final = call
-        self._form: typing.Final = form
-
-    def _make_format(self) -> answer_formats.AnswerFormat:
-        return self._form(self._call.generation, self._call.request.service)
-
-    async def answer_whole(self) -> quart.Response:
-        """Return the whole answer, or the error."""
-        texts: list[str] = []
-        try:
-            while True:
-                part = await self._call.receive()
-                texts += part.texts
-                if part.end:
-                    break
-        except errors.CallError as error:
-            return error_answers.make_error_answer(
-                error, self._call.generation
-            )
-        finally:
-            await self._call.close()
-        body = self._make_format().encode_whole("".join(texts), part)
-        return self._make_answer(body, _JSON)
-
-    async def answer_streamed(self, include_usage: bool) -> quart.Response:
-        """Return a stream that starts when the first item is there.
-
-        Until then an error still has its own HTTP status.
-        """
-        try:
-            first = await self._call.receive()
-        except errors.CallError as error:
-            await self._call.close()
-            return error_answers.make_error_answer(
-                error, self._call.generation
-            )
-        except BaseException:
-            await self._call.close()
-            raise
-        events = self._write_events(first, include_usage)
-        return self._make_answer(events, _EVENT_STREAM)
-
-    async def _write_events(
-        self, part: calls.CallPart, include_usage: bool
-    ) -> abc.AsyncGenerator[bytes, None]:
-        form = self._make_format()
-        try:
-            while not part.end:
-                yield form.encode_events(part)
-                part = await self._call.receive()
-            yield form.encode_end(part, include_usage)
-        except errors.CallError as error:
-            # The status is sent already: an explicit error event tells the
-            # caller that the answer is not whole, and no [DONE] follows.
-            body = error_answers.describe_error(error, self._call.generation)
-            yield b"data: " + body + b"\n\n"
-        finally:
-            await self._call.close()
-
-    def _make_answer(
-        self,
-        body: typing.Union[bytes, abc.AsyncGenerator[bytes, None]],
-        content_type: str,
-    ) -> quart.Response:
-        answer = quart.Response(body, content_type=content_type)
-        answer.headers[_GENERATION_HEADER] = self._call.generation
-        answer.timeout = None
-        return answer
-
-
 def make_generation_routes(state: entry_state.EntryState) -> quart.Blueprint:
     """Return the routes under ``/v1``."""
     routes = quart.Blueprint("generations", __name__, url_prefix="/v1")
@@ -141,8 +59,8 @@
         )
         if request_options.wants_prepare(quart.request.headers):
             return await prepare(request)
-        call = state.dispatcher.open_call(request)
-        answerer = _Answerer(state, call, form)
+        call = calls.Call(state.dispatcher, request)
+        answerer = generation_answers.GenerationAnswerer(call, form)
         if body.stream:
             usage = body.stream_options
             return await answerer.answer_streamed(
@@ -150,15 +68,15 @@
             )
         return await answerer.answer_whole()
 
-    async def prepare(request: calls.CallRequest) -> quart.Response:
-        prepared = await state.dispatcher.prepare(request)
+    async def prepare(request: call_requests.CallRequest) -> quart.Response:
+        prepared = await calls.prepare_generation(state.dispatcher, request)
         answer = quart.Response(
             msgspec.json.encode(
                 {"id": prepared, "object": "generation.prepared"}
             ),
             content_type=_JSON,
         )
-        answer.headers[_GENERATION_HEADER] = prepared
+        answer.headers[generation_answers.GENERATION_HEADER] = prepared
         return answer
 
     @routes.post("/completions")
@@ -195,7 +113,9 @@
         body = msgspec.json.encode({"object": "list", "data": rows})
         return quart.Response(body, content_type=_JSON)
 
-    def find_generation(identifier: str, customer: str) -> calls.CallRequest:
+    def find_generation(
+        identifier: str, customer: str
+    ) -> call_requests.CallRequest:
         parsed = generation_ids.parse_generation_id(identifier)
         if parsed.is_error():
             raise errors.CallError(
@@ -205,7 +125,7 @@
             )
         link = state.dispatcher.pool.find_target(parsed.ok.target)
         service = link.host.service if link is not None else ""
-        return calls.CallRequest(
+        return call_requests.CallRequest(
             state.make_request_identifier(),
             service,
             customer,
@@ -225,8 +145,10 @@
         customer = authenticate()
         request = find_generation(identifier, customer)
         after = request_options.read_after(quart.request.args)
-        call = state.dispatcher.resume_call(request, after)
-        answerer = _Answerer(state, call, answer_formats.CompletionFormat)
+        call = calls.Call(state.dispatcher, request, after)
+        answerer = generation_answers.GenerationAnswerer(
+            call, answer_formats.CompletionFormat
+        )
         if request_options.wants_stream(
             quart.request.headers, quart.request.args
         ):
@@ -239,7 +161,7 @@
         request = find_generation(identifier, customer)
         known = False
         with trio.move_on_after(_CANCEL_WITHIN_S):
-            known = await state.dispatcher.cancel(request)
+            known = await calls.cancel_generation(state.dispatcher, request)
         if not known:
             raise errors.CallError(
                 errors.UNKNOWN_GENERATION,
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/plain_routes.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/plain_routes.py
@@ -159,10 +159,12 @@
             quart.request.method in _IDEMPOTENT_METHODS,
         )
         if request_options.wants_prepare(quart.request.headers):
-            prepared = await state.dispatcher.prepare(request)
+            prepared = await calls.prepare_generation(
+                state.dispatcher, request
+            )
             return quart.Response(
                 "", headers={"Gentianpoint-Generation": prepared}
             )
-        return await _answer(state, state.dispatcher.open_call(request))
+        return await _answer(state, calls.Call(state.dispatcher, request))
 
     return routes
