Import the collector's exporters only where there is a collector

Cause: whole processes break the 64 MB of the target (docs/CAPACITY.md); exporters and their libraries are loaded where nothing is exported. Ruled out: dropping numpy at the entry (it holds none; only the load tool imports it), httpx's own command line (it can't be left out from here).

--- a/packages/gentianpoint-core/src/gentianpoint_core/telemetry.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/telemetry.py
@@ -7,13 +7,12 @@
 """
 
 from collections import abc
+import importlib
 import typing
 
 from opentelemetry import metrics
 from opentelemetry import propagate
 from opentelemetry import trace
-from opentelemetry.exporter.otlp.proto.http import metric_exporter
-from opentelemetry.exporter.otlp.proto.http import trace_exporter
 from opentelemetry.sdk import metrics as sdk_metrics
 from opentelemetry.sdk import resources as sdk_resources
 from opentelemetry.sdk import trace as sdk_trace
@@ -32,6 +31,7 @@
 )
 
 _SCOPE: typing.Final = "gentianpoint"
+_EXPORTERS: typing.Final = "opentelemetry.exporter.otlp.proto.http"
 _TRACE_PARENT: typing.Final = "traceparent"
 _NANOSECONDS_IN_MS: typing.Final = 1_000_000
 
@@ -57,6 +57,14 @@
         return trace_export.SpanExportResult.SUCCESS
 
 
+def _import_exporter(name: str) -> typing.Any:
+    """Import an exporter, which no process without a collector has to hold.
+
+    They bring some 6 MB of libraries, a tenth of what a node may spend.
+    """
+    return importlib.import_module(f"{_EXPORTERS}.{name}")
+
+
 def configure_telemetry(
     host: str, service: str, otlp_url: str, trace_log: bool
 ) -> None:
@@ -76,13 +84,17 @@
         if otlp_url:
             provider.add_span_processor(
                 trace_export.BatchSpanProcessor(
-                    trace_exporter.OTLPSpanExporter(f"{otlp_url}/v1/traces")
+                    _import_exporter("trace_exporter").OTLPSpanExporter(
+                        f"{otlp_url}/v1/traces"
+                    )
                 )
             )
         trace.set_tracer_provider(provider)
     if otlp_url:
         reader = metrics_export.PeriodicExportingMetricReader(
-            metric_exporter.OTLPMetricExporter(f"{otlp_url}/v1/metrics")
+            _import_exporter("metric_exporter").OTLPMetricExporter(
+                f"{otlp_url}/v1/metrics"
+            )
         )
         metrics.set_meter_provider(
             sdk_metrics.MeterProvider([reader], resource=resource)
