Check that every event of the catalogue is logged somewhere

Cause: the check was written at the start and could not run before the code was there. Change: it runs with the style checks. After: no event is unused.

--- a/tools/check_style.py
+++ b/tools/check_style.py
@@ -70,6 +70,7 @@
     faults = [
         fault for path in find_sources() for fault in find_object_imports(path)
     ]
+    faults += find_unused_events()
 
     for fault in faults:
         print(fault)
