--- a/bench/policies.py
+++ b/bench/policies.py
@@ -292,12 +292,20 @@
         "--at-once", type=int, default=1, help="Runs beside each other."
     )
     parser.add_argument("--output", type=pathlib.Path, default=_RESULTS)
+    parser.add_argument(
+        "--show",
+        action="store_true",
+        help="Run nothing; print the table of the output file.",
+    )
     return parser.parse_args()
 
 
 def main() -> int:
     """Run all combinations and write the results."""
     arguments = _read_arguments()
+    if arguments.show:
+        print_table(json.loads(arguments.output.read_text()))
+        return 0
     keys = [
         RunKey(user, scenario, variant, policy, seed)
         for seed in range(1, arguments.seeds + 1)
