Ask in one place whether a service answers a customer

Cause: the list of models and the look-up of a service each had the check. Change: entry_state.is_answered serves both; behaviour is the same.

--- a/packages/gentianpoint-entry/src/gentianpoint_entry/entry_state.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/entry_state.py
@@ -15,7 +15,7 @@
 from gentianpoint_entry import retry_budgets
 from gentianpoint_entry.generated import settings as entry_settings
 
-__all__ = ("CallOptions", "EntryState")
+__all__ = ("CallOptions", "EntryState", "is_answered")
 
 _ALL_CUSTOMERS: typing.Final = "*"
 _DEFAULT_PRIORITY: typing.Final = 5
@@ -33,6 +33,11 @@
     """Prepared identifier to start; empty for none."""
 
 
+def is_answered(spec: resources.ServiceSpec, customer: str) -> bool:
+    """Tell whether a service answers a customer."""
+    return bool({customer, _ALL_CUSTOMERS} & set(spec["customers"]))
+
+
 class EntryState:
     """Settings, configuration, dispatcher and the calls in flight."""
 
@@ -62,7 +67,7 @@
         resource = self.tail.state.find_resource(configuration.SERVICE, name)
         if resource is not None:
             spec = configuration.decode_service(resource.spec)
-            if {customer, _ALL_CUSTOMERS} & set(spec["customers"]):
+            if is_answered(spec, customer):
                 return spec
         raise errors.CallError(
             errors.UNKNOWN_SERVICE,
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/generation_routes.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/generation_routes.py
@@ -99,8 +99,8 @@
         rows = []
         for item in state.tail.state.list_resources(configuration.SERVICE):
             spec = configuration.decode_service(item.spec)
-            if spec["kind"] == "model" and {customer, "*"} & set(
-                spec["customers"]
+            if spec["kind"] == "model" and entry_state.is_answered(
+                spec, customer
             ):
                 rows.append(
                     {
