Give each local address out once on a machine

That was not our entry but a process of another feature at the same port: a port was looked at, found free and promised about a second before its process listened, and five features that run at once choose among 22,000 ports some two thousand times.

Ruled out: the entry itself (its own log shows that it could not bind), and ports that the system gives to connections (the range is below them).

--- a/features/builders.py
+++ b/features/builders.py
@@ -7,6 +7,7 @@
 import httpx
 
 from gentianpoint_entry import authentication
+from gentianpoint_standins import addresses
 from gentianpoint_standins import processes
 
 CUSTOMER_KEY: typing.Final = "key-of-rebobinados"
@@ -76,9 +77,9 @@
     relay stands before the agent and one before its target.
     """
     data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
-    address = processes.choose_free_address()
+    address = addresses.reserve_address()
     agent.setdefault("log_level", "debug")
-    agent.setdefault("listen", processes.choose_free_address())
+    agent.setdefault("listen", addresses.reserve_address())
     start = deployment.start_engine
     name = f"engine-{number}"
     if service == PLAIN:
--- a/packages/gentianpoint-standins/src/gentianpoint_standins/processes.py
+++ b/packages/gentianpoint-standins/src/gentianpoint_standins/processes.py
@@ -22,7 +22,6 @@
 import hashlib
 import os
 import pathlib
-import secrets
 import signal
 import socket
 import subprocess
@@ -34,21 +33,19 @@
 
 import httpx
 
+from gentianpoint_standins import addresses
 from gentianpoint_standins import process_logs
 
 __all__ = (
     "DeploymentError",
     "LocalDeployment",
     "ProcessHandle",
-    "choose_free_address",
     "make_flags",
 )
 
 Option: typing.TypeAlias = typing.Union[str, int, float, bool]
 """Value of a process's option."""
 
-_FIRST_PORT: typing.Final = 10_000
-_PORT_COUNT: typing.Final = 22_000
 _READY_WITHIN_S: typing.Final = 30.0
 _STOP_WITHIN_S: typing.Final = 5.0
 _POLL_S: typing.Final = 0.02
@@ -79,20 +76,6 @@
     """Base URL that controls a relay; empty for others."""
 
 
-def choose_free_address() -> str:
-    """Return a local address whose port is free now.
-
-    The port is below those that the system gives to connections. One of
-    those could be taken by a connection before the process listens, which
-    then fails to start with "address already in use".
-    """
-    while True:
-        port = _FIRST_PORT + secrets.randbelow(_PORT_COUNT)
-        with socket.socket() as listener, contextlib.suppress(OSError):
-            listener.bind(("127.0.0.1", port))
-            return f"127.0.0.1:{port}"
-
-
 def make_flags(options: typing.Mapping[str, Option]) -> list[str]:
     """Return the flags for ``options``."""
     flags = []
@@ -262,7 +245,7 @@
         self, name: str, data_centre: str, **options: Option
     ) -> ProcessHandle:
         """Start an entry without waiting, as when it can't get ready."""
-        options.setdefault("listen", choose_free_address())
+        options.setdefault("listen", addresses.reserve_address())
         options.setdefault("log_url", self.log_url)
         options.setdefault("peer_key", self.peer_key)
         options.setdefault("hosts_url", self.hosts_url)
@@ -286,7 +269,7 @@
 
         Its target has the agent's name unless ``target`` says otherwise.
         """
-        options.setdefault("listen", choose_free_address())
+        options.setdefault("listen", addresses.reserve_address())
         options.setdefault("log_url", self.log_url)
         options.setdefault("peer_key", self.peer_key)
         options.setdefault("target", name)
