Let two versions fold and speak side by side while hosts are replaced

Cause: an upgrade replaces 380 entries and 2,700 agents one by one. The fold checked specifications against its own version's schema, so a record with a field of a later version was accepted by new entries and refused by old ones: two configurations for good, and no event. Peers of two versions refused one another, so half of the entries would have half of the targets.

Ruled out: a version raised in the log (an operator's step, and a forgotten host stops), records that name their rules (one upgraded entry stops all old ones), a fold that checks nothing (operators append to the log as well). The note docs/design/upgrades.md weighs them.

Change: the fold's rules are frozen in schema/fold.json, writers' rules grow in schema/resources.json, readers ignore what they can't read and say 1411 field_ignored.

Not shown: two binaries of different releases, since there is one release.

--- a/packages/gentianpoint-agent/features/entry_connections.feature
+++ b/packages/gentianpoint-agent/features/entry_connections.feature
@@ -60,3 +60,24 @@
 
   Scenario: any messages of the right types
     Then whatever messages come, only a connection's error leaves it
+
+  Scenario Outline: an entry of another version connects
+    Hosts are replaced one by one. An entry of a later version that still
+    speaks ours is greeted in ours; were it refused, its callers would find
+    no target until the last agent is replaced.
+    Given an agent with a connection of the run r1
+    When an entry that speaks versions <oldest> to <newest> connects
+    Then the agent answers <answer>
+
+    Examples:
+      | oldest | newest | answer  |
+      | 1      | 1      | welcome |
+      | 1      | 7      | welcome |
+      | 2      | 7      | reject  |
+      | 0      | 0      | reject  |
+
+  Scenario: an entry of a later version that names no oldest one
+    The first version named only one; what names only one speaks only that.
+    Given an agent with a connection of the run r1
+    When an entry that speaks only version 7 connects
+    Then the agent answers reject
--- a/packages/gentianpoint-agent/features/entry_stage.py
+++ b/packages/gentianpoint-agent/features/entry_stage.py
@@ -31,7 +31,7 @@
 )
 
 
-def make_hello(run: str) -> dict[str, typing.Any]:
+def make_hello(run: str, **more: typing.Any) -> dict[str, typing.Any]:
     """Return the greeting of a run of an entry."""
     return {
         "type": "hello",
@@ -42,6 +42,7 @@
         "offset": 0,
         "window": 8,
         "report_ms": 500,
+        **more,
     }
 
 
@@ -173,11 +174,11 @@
             service,
         )
 
-    def connect(self, run: str) -> None:
-        """Open a connection of a run of an entry."""
+    def connect(self, run: str, versions: abc.Mapping[str, int] = {}) -> None:
+        """Open a connection of a run of an entry, of ours or ``versions``."""
         websocket = FakeWebsocket()
         self.websockets.append(websocket)
-        websocket.bring(make_hello(run))
+        websocket.bring(make_hello(run, **versions))
         self._nursery.start_soon(self._serve, len(self.websockets))
 
     async def _serve(self, number: int) -> None:
--- a/packages/gentianpoint-agent/features/steps/entry_connections_steps.py
+++ b/packages/gentianpoint-agent/features/steps/entry_connections_steps.py
@@ -10,6 +10,7 @@
 import trio.testing
 import trio_stage
 
+from gentianpoint_core import codec
 from gentianpoint_core.generated import messages
 
 EXAMPLES = 150
@@ -47,6 +48,25 @@
     assert sent[0]["type"] == "welcome", sent
 
 
+@behave.when("an entry that speaks versions {oldest:d} to {newest:d} connects")
+def connect_versions(context, oldest, newest):
+    versions = {"oldest_version": oldest, "version": newest}
+    context.stage.call(context.scene.connect, "r2", versions)
+
+
+@behave.when("an entry that speaks only version {version:d} connects")
+def connect_version(context, version):
+    context.stage.call(context.scene.connect, "r2", {"version": version})
+
+
+@behave.then("the agent answers {kind}")
+def check_answer(context, kind):
+    first = context.scene.websockets[-1].sent[0]
+    assert first["type"] == kind, first
+    if kind == "welcome":
+        assert first["version"] == codec.PROTOCOL_VERSION, first
+
+
 @behave.when(
     "an offer of the attempt {attempt} comes on connection {number:d}"
 )
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/entry_connections.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/entry_connections.py
@@ -104,34 +104,40 @@
 
     async def _greet(self) -> None:
         hello = await self._connection.receive()
-        reason = ""
         if hello["type"] != "hello":
-            reason = f"the first message is {hello['type']}, not hello"
-        elif hello["version"] != codec.PROTOCOL_VERSION:
-            reason = f"protocol version {hello['version']} is not spoken here"
-        if reason:
-            await self._connection.send({"type": "reject", "reason": reason})
-            raise peer_connections.PeerConnectionError(
-                "greet", self._connection.peer, reason
+            await self._reject(
+                f"the first message is {hello['type']}, not hello"
             )
+        newest = hello["version"]
+        version = codec.choose_version(
+            newest, hello.get("oldest_version", newest)
+        )
+        if version is None:
+            await self._reject(f"protocol version {newest} is not spoken here")
         self._connection.peer = hello["peer"]
         self._window = min(max(1, hello["window"]), _MAX_WINDOW)
         self._periods = report_periods.choose_periods(
             self._state.settings.report_ms, hello["report_ms"]
         )
         await self._supersede(hello["incarnation"])
-        await self._connection.send(self._make_welcome())
+        await self._connection.send(self._make_welcome(version))
         logs.log_event(
             events.CONNECTION_OPENED,
             peer=hello["peer"],
             incarnation=hello["incarnation"],
         )
 
-    def _make_welcome(self) -> messages.Welcome:
+    async def _reject(self, reason: str) -> typing.NoReturn:
+        await self._connection.send({"type": "reject", "reason": reason})
+        raise peer_connections.PeerConnectionError(
+            "greet", self._connection.peer, reason
+        )
+
+    def _make_welcome(self, version: int) -> messages.Welcome:
         settings = self._state.settings
         return {
             "type": "welcome",
-            "version": codec.PROTOCOL_VERSION,
+            "version": version,
             "peer": settings.name,
             "incarnation": self._state.table.incarnation,
             "data_centre": settings.data_centre,
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/service_in_force.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/service_in_force.py
@@ -4,8 +4,8 @@
 
 import trio
 
-from gentianpoint_core import configuration
 from gentianpoint_core import logs
+from gentianpoint_core import specifications
 from gentianpoint_core.generated import events
 from gentianpoint_core.generated import messages
 from gentianpoint_core.generated import resources
@@ -21,7 +21,7 @@
 def _decode(service: bytes) -> resources.ServiceSpec:
     if not service:
         return _UNDECLARED
-    return configuration.decode_service(service)
+    return specifications.decode_service(service)
 
 
 class ServiceInForce:
@@ -63,10 +63,23 @@
                 revision=self.revision,
                 service=self.name,
             )
+            self._note_ignored(message["service"])
             self._changed.set()
             self._changed = trio.Event()
         return True
 
+    def _note_ignored(self, service: bytes) -> None:
+        """Tell which fields of the resource this version does not read."""
+        for field in specifications.list_ignored_fields(
+            specifications.SERVICE, service or b"{}"
+        ):
+            logs.log_event(
+                events.FIELD_IGNORED,
+                kind=specifications.SERVICE,
+                name=self.name,
+                field=field,
+            )
+
     async def wait_changed(self) -> None:
         """Wait until another revision is in force."""
         await self._changed.wait()
--- a/packages/gentianpoint-core/features/configuration_builders.py
+++ b/packages/gentianpoint-core/features/configuration_builders.py
@@ -28,6 +28,13 @@
     return msgspec.json.encode(record)
 
 
+def make_specification(kind: str) -> dict[str, typing.Any]:
+    """Return the specification of a service or a customer."""
+    if kind == "service":
+        return {"kind": "model", "customers": ["*"], "priority": 3}
+    return {"key_hashes": [make_key_hash("k1")], "weight": 2.0}
+
+
 def make_configuration(customers: int) -> configuration.Configuration:
     """Return the state after that many customers were declared."""
     state = configuration.Configuration()
--- a/packages/gentianpoint-core/src/gentianpoint_core/codec.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/codec.py
@@ -17,14 +17,18 @@
 from gentianpoint_core.generated import messages
 
 __all__ = (
+    "OLDEST_VERSION",
     "PROTOCOL_VERSION",
     "MessageMap",
+    "choose_version",
     "decode_message",
     "encode_message",
 )
 
 PROTOCOL_VERSION: typing.Final = 1
-"""Version in the greeting; a peer of another version is refused."""
+"""Newest version of the messages that this code speaks."""
+OLDEST_VERSION: typing.Final = 1
+"""Oldest version that this code still speaks."""
 
 MessageMap = abc.Mapping[str, typing.Any]
 """A decoded message; its ``type`` tells which generated class it is."""
@@ -54,6 +58,22 @@
 }
 
 
+def choose_version(newest: int, oldest: int) -> typing.Optional[int]:
+    """Return the newest version that a peer and this code both speak.
+
+    None when there is none. While hosts are replaced one by one, entries and
+    agents of two versions have to work together; were only equal versions
+    let in, each side of the replacement would lose the other's targets.
+
+    >>> choose_version(newest=7, oldest=1)
+    1
+    """
+    version = min(newest, PROTOCOL_VERSION)
+    if version < max(oldest, OLDEST_VERSION):
+        return None
+    return version
+
+
 def encode_message(message: abc.Mapping[str, typing.Any]) -> bytes:
     """Return the CBOR bytes of a message."""
     return cbor2.dumps(message)
--- a/packages/gentianpoint-core/src/gentianpoint_core/configuration.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/configuration.py
@@ -8,9 +8,11 @@
 
 The rule, in this order: bytes that are no change record are passed over; a
 change whose identifier was seen before changes nothing; a specification that
-breaks the schema is refused; a write whose base revision is not the
-resource's current one is refused; a bearer key that another customer has is
-refused; all else is accepted, and the record's offset becomes the revision.
+breaks the frozen rules of ``schema/fold.json`` is refused; a write whose base
+revision is not the resource's current one is refused; a bearer key that
+another customer has is refused; all else is accepted, and the record's offset
+becomes the revision. Nothing of it may differ between two versions, which
+fold side by side while hosts are replaced: docs/design/upgrades.md.
 """
 
 from collections import abc
@@ -20,11 +22,11 @@
 import zlib
 
 import expression
-import jsonschema
 import msgspec
 
 from gentianpoint_core import errors
-from gentianpoint_core.generated import resource_schema
+from gentianpoint_core import resource_rules
+from gentianpoint_core import specifications
 from gentianpoint_core.generated import resources
 
 __all__ = (
@@ -36,21 +38,17 @@
     "Configuration",
     "Resource",
     "StateCopy",
-    "decode_customer",
-    "decode_service",
     "digest_state",
     "encode_change",
     "encode_state",
     "list_page",
-    "validate_change",
-    "validate_specification",
 )
 
 CONFIGURATION_STREAM: typing.Final = "configuration"
 """Stream of the log that holds operators' writes."""
-SERVICE: typing.Final = "service"
+SERVICE: typing.Final = specifications.SERVICE
 """Kind of a service resource."""
-CUSTOMER: typing.Final = "customer"
+CUSTOMER: typing.Final = specifications.CUSTOMER
 """Kind of a customer resource."""
 ANY_REVISION: typing.Final = -1
 """Base revision of a write that replaces whatever is there."""
@@ -107,46 +105,6 @@
 _OUTCOME_DECODER: typing.Final = msgspec.json.Decoder(ChangeOutcome)
 
 
-def _make_validator(definition: str) -> jsonschema.protocols.Validator:
-    schema = dict(resource_schema.RESOURCE_SCHEMA)
-    schema["$ref"] = f"#/$defs/{definition}"
-    return jsonschema.Draft202012Validator(schema)
-
-
-_VALIDATORS: typing.Final = {
-    SERVICE: _make_validator("ServiceSpec"),
-    CUSTOMER: _make_validator("CustomerSpec"),
-}
-_RECORD_VALIDATOR: typing.Final = _make_validator("ChangeRecord")
-
-
-def _describe_fault(
-    validator: jsonschema.protocols.Validator, value: typing.Any
-) -> str:
-    fault = jsonschema.exceptions.best_match(validator.iter_errors(value))
-    if fault is None:
-        return ""
-    path = fault.json_path.removeprefix("$").removeprefix(".")
-    return f"{path or 'spec'}: {fault.message}"
-
-
-def validate_specification(
-    kind: str, spec: typing.Any
-) -> expression.Result[bytes, errors.Failure]:
-    """Return ``spec`` as sorted JSON, or the field's path and the reason."""
-    validator = _VALIDATORS.get(kind)
-    if validator is None:
-        return expression.Error(
-            errors.Failure("validate resource", kind, "unknown kind")
-        )
-    fault = _describe_fault(validator, spec)
-    if fault:
-        return expression.Error(
-            errors.Failure("validate resource", kind, fault)
-        )
-    return expression.Ok(msgspec.json.encode(spec, order="sorted"))
-
-
 def encode_change(
     change: str,
     action: typing.Literal["put", "delete"],
@@ -168,30 +126,6 @@
     return msgspec.json.encode(record, order="sorted")
 
 
-def validate_change(record: bytes) -> expression.Result[None, errors.Failure]:
-    """Tell why the fold would pass over a change record, if it would.
-
-    Such a record has no outcome: its writer would wait for one in vain.
-    """
-    try:
-        fault = _describe_fault(_RECORD_VALIDATOR, msgspec.json.decode(record))
-    except (msgspec.DecodeError, RecursionError) as error:
-        fault = str(error)
-    if fault:
-        return expression.Error(errors.Failure("validate change", "", fault))
-    return expression.Ok(None)
-
-
-def decode_service(spec: bytes) -> resources.ServiceSpec:
-    """Return the specification of an accepted service resource."""
-    return msgspec.json.decode(spec, type=resources.ServiceSpec)
-
-
-def decode_customer(spec: bytes) -> resources.CustomerSpec:
-    """Return the specification of an accepted customer resource."""
-    return msgspec.json.decode(spec, type=resources.CustomerSpec)
-
-
 class Configuration:
     """The state after all records up to an offset.
 
@@ -275,7 +209,7 @@
             record = msgspec.json.decode(data)
         except (msgspec.DecodeError, RecursionError):
             return None
-        if _describe_fault(_RECORD_VALIDATOR, record):
+        if resource_rules.find_record_fault(record):
             return None
         return typing.cast(resources.ChangeRecord, record)
 
@@ -298,7 +232,7 @@
             )
         if record["action"] == "delete":
             return "" if current else "no such resource"
-        fault = _describe_fault(_VALIDATORS[record["kind"]], record["spec"])
+        fault = resource_rules.find_fold_fault(record["kind"], record["spec"])
         if fault or record["kind"] != CUSTOMER:
             return fault
         for key_hash in record["spec"]["key_hashes"]:
@@ -325,13 +259,17 @@
     def _add_resource(self, resource: Resource) -> None:
         self._resources[resource.kind][resource.name] = resource
         if resource.kind == CUSTOMER:
-            for key_hash in decode_customer(resource.spec)["key_hashes"]:
+            for key_hash in specifications.decode_customer(resource.spec)[
+                "key_hashes"
+            ]:
                 self._customer_of_key[key_hash] = resource.name
 
     def _forget_keys(self, resource: typing.Optional[Resource]) -> None:
         if resource is None or resource.kind != CUSTOMER:
             return
-        for key_hash in decode_customer(resource.spec)["key_hashes"]:
+        for key_hash in specifications.decode_customer(resource.spec)[
+            "key_hashes"
+        ]:
             self._customer_of_key.pop(key_hash, None)
 
     def copy_state(self) -> StateCopy:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/agent_links.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/agent_links.py
@@ -246,6 +246,7 @@
             {
                 "type": "hello",
                 "version": codec.PROTOCOL_VERSION,
+                "oldest_version": codec.OLDEST_VERSION,
                 "peer": self._settings.name,
                 "incarnation": self._settings.incarnation,
                 "data_centre": self._settings.data_centre,
@@ -273,7 +274,8 @@
 
     def _check_welcome(self, welcome: messages.Welcome) -> None:
         reason = ""
-        if welcome["version"] != codec.PROTOCOL_VERSION:
+        spoken = range(codec.OLDEST_VERSION, codec.PROTOCOL_VERSION + 1)
+        if welcome["version"] not in spoken:
             reason = f"it speaks protocol version {welcome['version']}"
         elif welcome["target"] != self.host.target:
             # The host list lags: the address may belong to another agent by
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/change_writer.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/change_writer.py
@@ -10,6 +10,7 @@
 from gentianpoint_core import configuration
 from gentianpoint_core import errors
 from gentianpoint_core import ports
+from gentianpoint_core import resource_rules
 from gentianpoint_entry import administration_state
 from gentianpoint_entry import pending_changes
 
@@ -75,7 +76,7 @@
         record = configuration.encode_change(
             change, action, kind, name, body.base, body.spec
         )
-        checked = configuration.validate_change(record)
+        checked = resource_rules.validate_change(record)
         if checked.is_error():
             raise refuse_call(checked.error.reason)
         sure = await self._append(wanted, record)
@@ -102,7 +103,7 @@
     ) -> None:
         if wanted.action != "put":
             return
-        checked = configuration.validate_specification(wanted.kind, body.spec)
+        checked = resource_rules.validate_specification(wanted.kind, body.spec)
         if checked.is_error():
             raise refuse_call(checked.error.reason)
 
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/configuration_tail.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/configuration_tail.py
@@ -14,6 +14,7 @@
 from gentianpoint_core import deadlines
 from gentianpoint_core import logs
 from gentianpoint_core import ports
+from gentianpoint_core import specifications
 from gentianpoint_core.generated import events
 from gentianpoint_entry import collection_pauses
 from gentianpoint_entry import peer_state
@@ -190,6 +191,23 @@
             name=outcome.name,
             reason=outcome.reason,
         )
+        if outcome.accepted:
+            self._note_ignored(outcome)
+
+    def _note_ignored(self, outcome: configuration.ChangeOutcome) -> None:
+        """Tell which fields of a resource this version does not read."""
+        resource = self.state.find_resource(outcome.kind, outcome.name)
+        if resource is None:
+            return
+        for field in specifications.list_ignored_fields(
+            resource.kind, resource.spec
+        ):
+            logs.log_event(
+                events.FIELD_IGNORED,
+                kind=resource.kind,
+                name=resource.name,
+                field=field,
+            )
 
     def _note_end(self, start: int, end: int) -> None:
         """Tell once when the log ends below what is in force.
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/manifests.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/manifests.py
@@ -21,6 +21,7 @@
 
 from gentianpoint_core import configuration
 from gentianpoint_core import errors
+from gentianpoint_core import resource_rules
 
 __all__ = ("Manifest", "parse_manifests")
 
@@ -59,7 +60,7 @@
             manifest = msgspec.convert(document, Manifest)
         except (msgspec.ValidationError, RecursionError) as error:
             return _fail(place, str(error))
-        checked = configuration.validate_specification(
+        checked = resource_rules.validate_specification(
             manifest.kind, manifest.spec
         )
         if checked.is_error():
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -72,14 +72,14 @@
         return output.read_text()
 
 
-def write_resource_schema() -> str:
-    """Return a module that holds the JSON Schema of the resources."""
-    schema = json.dumps(_load("resources.json"), indent=4)
+def write_json_schema(schema_name: str, constant: str) -> str:
+    """Return a module that holds a JSON Schema file as a constant."""
+    schema = json.dumps(_load(schema_name), indent=4)
     return (
         f"{DO_NOT_EDIT}\n"
         "from collections import abc\n"
         "import typing\n\n"
-        "RESOURCE_SCHEMA: typing.Final[abc.Mapping[str, typing.Any]] = "
+        f"{constant}: typing.Final[abc.Mapping[str, typing.Any]] = "
         f"{schema.replace(': false', ': False').replace(': true', ': True')}"
         "\n"
     )
@@ -276,7 +276,12 @@
     files = {
         CORE / "messages.py": _format(write_typed_dicts("messages.json")),
         CORE / "resources.py": _format(write_typed_dicts("resources.json")),
-        CORE / "resource_schema.py": _format(write_resource_schema()),
+        CORE / "resource_schema.py": _format(
+            write_json_schema("resources.json", "RESOURCE_SCHEMA")
+        ),
+        CORE / "fold_schema.py": _format(
+            write_json_schema("fold.json", "FOLD_SCHEMA")
+        ),
         CORE / "events.py": _format(write_events()),
         ROOT / "docs/EVENTS.md": write_events_page(),
         ROOT / "docs/SETTINGS.md": write_settings_page(),
