Import for an entry and an agent only what serving needs

Import times and the maps of a started process showed four parts that serving does not need: the SDK of OpenTelemetry; pydantic, which typer builds one adapter from for each option; the certificates of public authorities, which httpx reads for every client; and the operators' tools with yaml. The agent held the validator of the fold.

Ruled out: leaving out rich, which structlog and httpx import where it is installed (3.3 MB, found with it blocked in a trial): it comes with typer, which the operators' commands keep. Another HTTP client, for the same 3 MB.

Change: spans and metrics are exported by a module of its own, imported when asked for. The commands that serve read settings with click, and each command of `gentianpoint` is imported when it is called. The client reads certificates only when one of its URLs has TLS. Specifications are decoded apart from the fold. A range's message is click's now, so the feature of the settings names the whole range where it named one end of it.

--- a/bench/measures.py
+++ b/bench/measures.py
@@ -30,11 +30,13 @@
     "read_cpu_s",
     "read_memory",
     "read_process_cpu_s",
+    "read_proportional_memory",
     "write_series",
 )
 
 _TICKS_A_SECOND: typing.Final = os.sysconf("SC_CLK_TCK")
 _PAGE_BYTES: typing.Final = os.sysconf("SC_PAGE_SIZE")
+_KILOBYTE: typing.Final = 1024
 _USER_TICKS_FIELD: typing.Final = 11
 _SYSTEM_TICKS_FIELD: typing.Final = 12
 
@@ -129,6 +131,16 @@
     return int(text.split()[1]) * _PAGE_BYTES
 
 
+def read_proportional_memory(pid: int) -> int:
+    """Return the proportional share of memory of a process, bytes."""
+    text = pathlib.Path(f"/proc/{pid}/smaps_rollup").read_text()
+    for line in text.splitlines():
+        name, _, rest = line.partition(":")
+        if name == "Pss":
+            return int(rest.split()[0]) * _KILOBYTE
+    raise ValueError("the kernel gives no proportional share")
+
+
 def print_series(rows: abc.Iterable[Series]) -> None:
     """Print a table of the fits."""
     print(
--- a/bench/run_all.py
+++ b/bench/run_all.py
@@ -23,6 +23,7 @@
     "host_list",
     "configuration_fold",
     "memory",
+    "start_costs",
     "idle_connections",
     "token_path",
     "entry_spread",
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/agent.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/agent.py
@@ -23,6 +23,7 @@
 from gentianpoint_agent import prefix_beliefs
 from gentianpoint_agent import service_in_force
 from gentianpoint_agent.generated import settings as agent_settings
+from gentianpoint_core import http_clients
 from gentianpoint_core import http_engine
 from gentianpoint_core import http_log
 from gentianpoint_core import http_plain_service
@@ -190,7 +191,9 @@
     )
     limits = httpx.Limits(max_connections=None, max_keepalive_connections=64)
     async with (
-        httpx.AsyncClient(limits=limits, trust_env=False) as client,
+        http_clients.make_client(
+            (settings.log_url, settings.target_url), limits
+        ) as client,
         trio.open_nursery() as calls,
         trio.open_nursery() as nursery,
     ):
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/service_in_force.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/service_in_force.py
@@ -4,8 +4,8 @@
 
 import trio
 
-from gentianpoint_core import configuration
 from gentianpoint_core import logs
+from gentianpoint_core import specifications
 from gentianpoint_core.generated import events
 from gentianpoint_core.generated import messages
 from gentianpoint_core.generated import resources
@@ -21,7 +21,7 @@
 def _decode(service: bytes) -> resources.ServiceSpec:
     if not service:
         return _UNDECLARED
-    return configuration.decode_service(service)
+    return specifications.decode_service(service)
 
 
 class ServiceInForce:
--- a/packages/gentianpoint-core/src/gentianpoint_core/configuration.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/configuration.py
@@ -24,6 +24,7 @@
 import msgspec
 
 from gentianpoint_core import errors
+from gentianpoint_core import specifications
 from gentianpoint_core.generated import resource_schema
 from gentianpoint_core.generated import resources
 
@@ -36,8 +37,6 @@
     "Configuration",
     "Resource",
     "StateCopy",
-    "decode_customer",
-    "decode_service",
     "digest_state",
     "encode_change",
     "encode_state",
@@ -182,16 +181,6 @@
     return expression.Ok(None)
 
 
-def decode_service(spec: bytes) -> resources.ServiceSpec:
-    """Return the specification of an accepted service resource."""
-    return msgspec.json.decode(spec, type=resources.ServiceSpec)
-
-
-def decode_customer(spec: bytes) -> resources.CustomerSpec:
-    """Return the specification of an accepted customer resource."""
-    return msgspec.json.decode(spec, type=resources.CustomerSpec)
-
-
 class Configuration:
     """The state after all records up to an offset.
 
@@ -325,13 +314,15 @@
     def _add_resource(self, resource: Resource) -> None:
         self._resources[resource.kind][resource.name] = resource
         if resource.kind == CUSTOMER:
-            for key_hash in decode_customer(resource.spec)["key_hashes"]:
+            customer = specifications.decode_customer(resource.spec)
+            for key_hash in customer["key_hashes"]:
                 self._customer_of_key[key_hash] = resource.name
 
     def _forget_keys(self, resource: typing.Optional[Resource]) -> None:
         if resource is None or resource.kind != CUSTOMER:
             return
-        for key_hash in decode_customer(resource.spec)["key_hashes"]:
+        customer = specifications.decode_customer(resource.spec)
+        for key_hash in customer["key_hashes"]:
             self._customer_of_key.pop(key_hash, None)
 
     def copy_state(self) -> StateCopy:
--- a/packages/gentianpoint-core/src/gentianpoint_core/option_types.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/option_types.py
@@ -1,4 +1,4 @@
-"""Types of command line options that typer does not bring.
+"""Values of command line options that the libraries do not check.
 
 Addresses and URLs name IP numbers, never host names: the platform gives no
 name service that can be relied on while it fails.
@@ -9,8 +9,6 @@
 import typing
 import urllib.parse
 
-import typer
-
 __all__ = ("parse_address", "parse_digest", "parse_url", "split_address")
 
 
@@ -33,11 +31,11 @@
 
 
 def parse_address(value: str) -> str:
-    """Return an address, or tell the user what is wrong with it."""
+    """Return an address; the ValueError tells what is wrong with it."""
     try:
         split_address(value)
     except ValueError as error:
-        raise typer.BadParameter(
+        raise ValueError(
             f"{value!r} is no IP number with port: {error}"
         ) from error
     return value
@@ -46,30 +44,26 @@
 def parse_url(value: str) -> str:
     """Return an HTTP URL of an IP number without a closing slash.
 
-    Empty text stands for no URL.
+    Empty text stands for no URL. The ValueError tells what is wrong.
     """
     if not value:
         return value
     parts = urllib.parse.urlsplit(value)
     if parts.scheme not in ("http", "https"):
-        raise typer.BadParameter(
-            f"{value!r} does not start with http:// or https://"
-        )
+        raise ValueError(f"{value!r} does not start with http:// or https://")
     try:
         ipaddress.ip_address(parts.hostname or "")
     except ValueError as error:
-        raise typer.BadParameter(
-            f"{value!r} names no IP number: {error}"
-        ) from error
+        raise ValueError(f"{value!r} names no IP number: {error}") from error
     return value.rstrip("/")
 
 
 def parse_digest(value: str) -> str:
-    """Return a SHA-256 digest in hex, or tell what is wrong with it.
+    """Return a SHA-256 digest in hex; the ValueError tells what is wrong.
 
     The text is not shown: who gives the key itself in its place would find
     it in the logs.
     """
     if not _DIGEST.fullmatch(value):
-        raise typer.BadParameter("it is no SHA-256 digest in lower-case hex")
+        raise ValueError("it is no SHA-256 digest in lower-case hex")
     return value
--- a/packages/gentianpoint-core/src/gentianpoint_core/telemetry.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/telemetry.py
@@ -6,21 +6,12 @@
 a collector nothing is exported and the instruments cost next to nothing.
 """
 
-from collections import abc
 import importlib
 import typing
 
 from opentelemetry import metrics
 from opentelemetry import propagate
 from opentelemetry import trace
-from opentelemetry.sdk import metrics as sdk_metrics
-from opentelemetry.sdk import resources as sdk_resources
-from opentelemetry.sdk import trace as sdk_trace
-from opentelemetry.sdk.metrics import export as metrics_export
-from opentelemetry.sdk.trace import export as trace_export
-
-from gentianpoint_core import logs
-from gentianpoint_core.generated import events
 
 __all__ = (
     "GenerationInstruments",
@@ -31,38 +22,8 @@
 )
 
 _SCOPE: typing.Final = "gentianpoint"
-_EXPORTERS: typing.Final = "opentelemetry.exporter.otlp.proto.http"
+_EXPORTS: typing.Final = "gentianpoint_core.telemetry_exports"
 _TRACE_PARENT: typing.Final = "traceparent"
-_NANOSECONDS_IN_MS: typing.Final = 1_000_000
-
-
-class _LogSpanExporter(trace_export.SpanExporter):
-    """Writes each finished span as an event to the log."""
-
-    def export(
-        self, spans: abc.Sequence[sdk_trace.ReadableSpan]
-    ) -> trace_export.SpanExportResult:
-        """Write the spans."""
-        for span in spans:
-            began = span.start_time or 0
-            ended = span.end_time or began
-            logs.log_event(
-                events.SPAN_FINISHED,
-                span=span.name,
-                trace=format(span.context.trace_id, "032x"),
-                began_ns=began,
-                duration_ms=round((ended - began) / _NANOSECONDS_IN_MS, 3),
-                attributes=dict(span.attributes or {}),
-            )
-        return trace_export.SpanExportResult.SUCCESS
-
-
-def _import_exporter(name: str) -> typing.Any:
-    """Import an exporter, which no process without a collector has to hold.
-
-    They bring some 6 MB of libraries, a tenth of what a node may spend.
-    """
-    return importlib.import_module(f"{_EXPORTERS}.{name}")
 
 
 def configure_telemetry(
@@ -72,33 +33,14 @@
 
     An empty ``otlp_url`` and a false ``trace_log`` leave everything off.
     """
-    resource = sdk_resources.Resource.create(
-        {"service.name": service, "host.name": host}
-    )
-    if otlp_url or trace_log:
-        provider = sdk_trace.TracerProvider(resource=resource)
-        if trace_log:
-            provider.add_span_processor(
-                trace_export.SimpleSpanProcessor(_LogSpanExporter())
-            )
-        if otlp_url:
-            provider.add_span_processor(
-                trace_export.BatchSpanProcessor(
-                    _import_exporter("trace_exporter").OTLPSpanExporter(
-                        f"{otlp_url}/v1/traces"
-                    )
-                )
-            )
-        trace.set_tracer_provider(provider)
+    if not otlp_url and not trace_log:
+        return
+    # The SDK takes memory and a part of each start, which a process that
+    # exports nothing would pay for without use.
+    exports = importlib.import_module(_EXPORTS)
+    exports.export_spans(host, service, otlp_url, trace_log)
     if otlp_url:
-        reader = metrics_export.PeriodicExportingMetricReader(
-            _import_exporter("metric_exporter").OTLPMetricExporter(
-                f"{otlp_url}/v1/metrics"
-            )
-        )
-        metrics.set_meter_provider(
-            sdk_metrics.MeterProvider([reader], resource=resource)
-        )
+        exports.export_metrics(host, service, otlp_url)
 
 
 def get_tracer() -> trace.Tracer:
--- a/packages/gentianpoint-entry/features/settings.feature
+++ b/packages/gentianpoint-entry/features/settings.feature
@@ -12,10 +12,10 @@
       | --log-url              | ftp://127.0.0.1 | http://                |
       | --log-url              | http://log:1 | names no IP number        |
       | --hosts-url            | 127.0.0.1:80 | http://                   |
-      | --heartbeat-ms         | 1            | greater than or equal to 50 |
+      | --heartbeat-ms         | 1            | not in the range 50<=x<=60000 |
       | --heartbeat-ms         | often        | a valid integer              |
-      | --snapshot-records     | 0            | greater than or equal to 1 |
-      | --snapshot-interval-ms | 99           | greater than or equal to 100 |
+      | --snapshot-records     | 0            | not in the range 1<=x<=1000000 |
+      | --snapshot-interval-ms | 99           | not in the range 100<=x<=86400000 |
       | --log-level            | loud         | is not one of             |
       | --operator-key-hash    | the-key      | no SHA-256 digest         |
       | --placement            | best         | is not one of             |
@@ -25,7 +25,7 @@
     When an entry is started with these variables
       | variable                         | flag                   | value | reason |
       | GENTIANPOINT_LISTEN              | --listen               | x     | no IP number with port |
-      | GENTIANPOINT_HEARTBEAT_MS        | --heartbeat-ms         | 0     | greater than or equal to 50 |
+      | GENTIANPOINT_HEARTBEAT_MS        | --heartbeat-ms         | 0     | not in the range 50<=x<=60000 |
       | GENTIANPOINT_SNAPSHOT_INTERVAL_MS | --snapshot-interval-ms | soon | a valid integer |
       | GENTIANPOINT_LOG_LEVEL           | --log-level            | loud  | is not one of |
     Then each run ends with 2 and names the flag and the reason
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/entry.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/entry.py
@@ -13,6 +13,7 @@
 from werkzeug import exceptions
 
 from gentianpoint_core import errors
+from gentianpoint_core import http_clients
 from gentianpoint_core import http_host_list
 from gentianpoint_core import http_log
 from gentianpoint_core import logs
@@ -48,6 +49,9 @@
 _CLOSE_WITHIN_S: typing.Final = 2.0
 _HEAD_WITHIN_S: typing.Final = 5.0
 _BODY_WITHIN_S: typing.Final = 30.0
+_CLIENT_LIMITS: typing.Final = httpx.Limits(
+    max_connections=100, max_keepalive_connections=20
+)
 _HEALTH_PATH: typing.Final = "/health"
 _UNREADY_RETRY_MS: typing.Final = 1000
 
@@ -168,7 +172,9 @@
         settings.trace_log,
     )
     async with (
-        httpx.AsyncClient(trust_env=False) as client,
+        http_clients.make_client(
+            (settings.log_url, settings.hosts_url), _CLIENT_LIMITS
+        ) as client,
         trio.open_nursery() as nursery,
     ):
         incarnation = secrets.token_hex(_INCARNATION_BYTES)
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/entry_state.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/entry_state.py
@@ -7,6 +7,7 @@
 from gentianpoint_core import deadlines
 from gentianpoint_core import errors
 from gentianpoint_core import ports
+from gentianpoint_core import specifications
 from gentianpoint_core.generated import messages
 from gentianpoint_core.generated import resources
 from gentianpoint_entry import call_requests
@@ -66,7 +67,7 @@
         """
         resource = self.tail.state.find_resource(configuration.SERVICE, name)
         if resource is not None:
-            spec = configuration.decode_service(resource.spec)
+            spec = specifications.decode_service(resource.spec)
             if is_answered(spec, customer):
                 return spec
         raise errors.CallError(
@@ -79,7 +80,7 @@
         resource = self.tail.state.find_resource(configuration.CUSTOMER, name)
         if resource is None:
             return {"key_hashes": []}
-        return configuration.decode_customer(resource.spec)
+        return specifications.decode_customer(resource.spec)
 
     def make_call_request(
         self,
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/generation_routes.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/generation_routes.py
@@ -10,6 +10,7 @@
 from gentianpoint_core import deadlines
 from gentianpoint_core import errors
 from gentianpoint_core import generation_ids
+from gentianpoint_core import specifications
 from gentianpoint_core.generated import messages
 from gentianpoint_entry import answer_formats
 from gentianpoint_entry import authentication
@@ -98,7 +99,7 @@
         customer = authenticate()
         rows = []
         for item in state.tail.state.list_resources(configuration.SERVICE):
-            spec = configuration.decode_service(item.spec)
+            spec = specifications.decode_service(item.spec)
             if spec["kind"] == "model" and entry_state.is_answered(
                 spec, customer
             ):
--- /dev/null
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/operator_app.py
@@ -0,0 +1,27 @@
+"""The operators' tools: commands that drive a deployment from outside."""
+
+import typing
+
+import typer
+
+from gentianpoint_entry import load_command
+from gentianpoint_entry import operator_commands
+
+__all__ = ("app",)
+
+app: typing.Final = typer.Typer(
+    add_completion=False,
+    rich_markup_mode=None,
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+)
+"""The tools."""
+
+
+@app.callback()
+def describe() -> None:
+    """Administer the service."""
+
+
+operator_commands.register_operator_commands(app)
+load_command.register_load_command(app)
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -1,7 +1,7 @@
 """Writes the code and reference pages that come from the files in schema/.
 
 Messages and resources become TypedDict classes, written by
-datamodel-code-generator. Settings become a NamedTuple and a typer command;
+datamodel-code-generator. Settings become a NamedTuple and a click command;
 events become constants. Reference pages in docs/ come from the same files,
 so that page and code can't differ.
 
@@ -110,31 +110,44 @@
     return "\n".join(lines) + "\n"
 
 
-def _write_option(setting: typing.Any) -> str:
-    flag = "--" + setting["name"]
-    variable = _variable(setting)
-    kind = PYTHON_TYPES[setting["type"]]
-    arguments = [repr(flag), f"envvar={variable!r}", "show_envvar=True"]
-    if setting["type"] == "boolean":
-        arguments[0] = repr(f"{flag}/--no-{setting['name']}")
-    for bound in ("min", "max"):
-        if bound in setting:
-            arguments.append(f"{bound}={setting[bound]}")
+def _write_kind(setting: typing.Any) -> str:
+    """Return the type of an option, as click takes it."""
     if "choices" in setting:
         choices = ", ".join(repr(choice) for choice in setting["choices"])
-        kind = f"typing.Literal[{choices}]"
+        return f"click.Choice([{choices}])"
     if setting["type"] == "address":
-        arguments.append("parser=option_types.parse_address")
+        return "option_kinds.ADDRESS"
     if setting["name"].endswith("-url"):
-        arguments.append("parser=option_types.parse_url")
+        return "option_kinds.URL"
     if setting["name"].endswith("-key-hash"):
-        arguments.append("parser=option_types.parse_digest")
+        return "option_kinds.DIGEST"
+    kind = PYTHON_TYPES[setting["type"]]
+    bounds = [
+        f"{bound}={setting[bound]}"
+        for bound in ("min", "max")
+        if bound in setting
+    ]
+    if bounds:
+        return f"click.{kind.title()}Range({', '.join(bounds)})"
+    return kind
+
+
+def _write_option(setting: typing.Any) -> str:
+    flag = "--" + setting["name"]
+    if setting["type"] == "boolean":
+        flag = f"{flag}/--no-{setting['name']}"
+    arguments = [
+        repr(flag),
+        f"type={_write_kind(setting)}",
+        f"envvar={_variable(setting)!r}",
+        "show_envvar=True",
+    ]
+    if setting["default"] is None:
+        arguments.append("required=True")
+    else:
+        arguments += [f"default={setting['default']!r}", "show_default=True"]
     arguments.append(f"help={setting['description']!r}")
-    option = f"typer.Option({', '.join(arguments)})"
-    line = f"{_field(setting)}: typing.Annotated[{kind}, {option}]"
-    if setting["default"] is not None:
-        line += f" = {setting['default']!r}"
-    return line
+    return f"@click.option({', '.join(arguments)})"
 
 
 def _variable(setting: typing.Any) -> str:
@@ -160,8 +173,9 @@
         "from collections import abc",
         "import typing",
         "",
-        "from gentianpoint_core import option_types",
-        "import typer",
+        "import click",
+        "",
+        "from gentianpoint_core import option_kinds",
         "",
         "",
         f"class {name}(typing.NamedTuple):",
@@ -177,18 +191,19 @@
     lines += [
         "",
         "",
-        f"def register_{process}_command(app: typer.Typer, "
-        f"run: abc.Callable[[{name}], None]) -> None:",
-        f'    """Add the command that runs the {process} to app."""',
-        f"    @app.command({process!r})",
-        f"    def {process}(",
+        f"def make_{process}_command("
+        f"run: abc.Callable[[{name}], None]) -> click.Command:",
+        f'    """Return the command that runs the {process}."""',
+        "",
+        f"    @click.command({process!r})",
     ]
-    lines += [f"        {_write_option(item)}," for item in settings]
-    fields = ", ".join(f"{_field(i)}={_field(i)}" for i in settings)
+    lines += [f"    {_write_option(item)}" for item in settings]
     lines += [
-        "    ) -> None:",
+        f"    def {process}(**values: typing.Any) -> None:",
         f'        """{described["description"]}"""',
-        f"        run({name}({fields}))",
+        f"        run({name}(**values))",
+        "",
+        f"    return {process}",
     ]
     return "\n".join(lines) + "\n"
 
