Share a host's budget for control among its entries

Cause: two entry processes on a host, which the peak's tokens need, spent 9.7 of 5 KB/s, since each took the budget of a host.

Ruled out: one process that holds the connections for all (a hop more, one failure for all); counting processes by addresses of the host list, behind which relays may stand; sending the offset without the resource, which saves a third of that row where nothing at all need be sent.

Change: `processes-on-host` shares out links per service, report periods and the pause between readings of the host list. Idle connections beat at two thirds of the silence allowed, not a third. Agents are told their service, and nothing when a record does not concern it; the link notes how far that holds, and starts anew with each connection, behind which another run of the agent may be. Agents that can't be reached three times are passed over before the host list tells, since two links are lost sooner than four. An agent takes a new number of targets at an unchanged offset.

--- a/packages/gentianpoint-agent/src/gentianpoint_agent/service_in_force.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/service_in_force.py
@@ -48,6 +48,9 @@
         resource is none.
         """
         if message["offset"] <= self.offset:
+            if message["offset"] == self.offset:
+                # Targets come and go without a change of the configuration.
+                self.replicas = message["replicas"]
             return False
         spec = self.spec
         if message["revision"] != self.revision:
--- a/packages/gentianpoint-core/features/peer_connections.feature
+++ b/packages/gentianpoint-core/features/peer_connections.feature
@@ -17,7 +17,7 @@
       | calls      | period | heartbeats |
       | open calls | 0      | 20         |
       | open calls | 500    | 0          |
-      | no calls   | 0      | 4          |
+      | no calls   | 0      | 2          |
       | no calls   | 500    | 0          |
 
   Scenario Outline: a silent peer is given up, sooner while calls are open
--- a/packages/gentianpoint-core/src/gentianpoint_core/peer_connections.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/peer_connections.py
@@ -27,12 +27,31 @@
     "PEER_KEY_HEADER",
     "PeerConnection",
     "PeerConnectionError",
+    "count_idle_beat_ticks",
 )
 
 PEER_KEY_HEADER: typing.Final = "Gentianpoint-Peer-Key"
 """Header of the websocket handshake that carries the shared key."""
 IDLE_TICKS: typing.Final = 5
 """Times longer than with calls that a connection without any may be quiet."""
+_LONGEST_BEAT_TICKS: typing.Final = 10
+
+
+def count_idle_beat_ticks(allowed_ticks: int) -> int:
+    """Return the ticks between heartbeats of a connection without calls.
+
+    Two thirds of what the other end allows: nothing on the way loses a
+    heartbeat without losing the connection too, so one within that time is
+    enough, and the last third is for a process that is slow. An agent whose
+    reports come within that time needs no heartbeats at all.
+
+    >>> count_idle_beat_ticks(allowed_ticks=3)
+    10
+    >>> count_idle_beat_ticks(allowed_ticks=2)
+    6
+    """
+    allowed = allowed_ticks * IDLE_TICKS
+    return min(_LONGEST_BEAT_TICKS, allowed * 2 // 3)
 
 
 class PeerConnectionError(Exception):
@@ -66,6 +85,9 @@
         self._heartbeat_s: typing.Final = heartbeat_ms / 1000
         self._silence_s: typing.Final = silence_ms / 1000
         self._allowed_ticks: typing.Final = max(2, silence_ms // heartbeat_ms)
+        self._idle_beat_ticks: typing.Final = count_idle_beat_ticks(
+            self._allowed_ticks
+        )
         self._quiet_ticks = 0
         self._unsent_ticks = 0
         self._sent_in_tick = False
@@ -129,9 +151,10 @@
                 # The quiet before the first call was allowed to be longer.
                 self._quiet_ticks = 0
             was_busy = busy
-            ticks = 1 if busy else IDLE_TICKS
-            self._judge_silence(self._allowed_ticks * ticks)
-            if not self._is_beat_due(ticks):
+            self._judge_silence(
+                self._allowed_ticks * (1 if busy else IDLE_TICKS)
+            )
+            if not self._is_beat_due(1 if busy else self._idle_beat_ticks):
                 continue
             number += 1
             await self.send(
--- a/packages/gentianpoint-entry/features/link_pool.feature
+++ b/packages/gentianpoint-entry/features/link_pool.feature
@@ -32,6 +32,32 @@
       | 3     | 500    |
       | 44    | 7333   |
 
+  Scenario Outline: the entries of a host share its connections
+  A host runs several entry processes to carry its tokens. If each took what
+  one alone may, its operator would see control traffic of several hosts; if
+  they took too few, agents would stand idle.
+
+    Given a host with <processes> entry processes among <entries> entries
+    When each entry chooses among <agents> agents of a service
+    Then the host has <links> connections
+    And every agent has at least 1 connections
+
+    Examples:
+      | processes | entries | agents | links |
+      | 1         | 60      | 30     | 4     |
+      | 2         | 120     | 30     | 4     |
+      | 3         | 180     | 30     | 6     |
+
+  Scenario: all agents that an entry has of a service are gone at once
+  A switch takes the few agents that an entry has connections to. The host
+  list shows it minutes later. Until then callers would be refused, though
+  other agents of the service are idle.
+
+    Given an entry with 2 connections to a service of 5 agents
+    When nobody listens at the addresses of its agents
+    Then it connects to the 2 agents next in its order
+    And it tries no more than 4 agents at a time
+
   Scenario: a report without prefixes keeps those that were told before
   Prefixes come less often than the load. An entry that forgot them with each
   report between would place calls as if no cache were warm.
--- a/packages/gentianpoint-entry/features/steps/link_pool_steps.py
+++ b/packages/gentianpoint-entry/features/steps/link_pool_steps.py
@@ -11,6 +11,7 @@
 from gentianpoint_entry import link_pool
 
 DATA_CENTRE = "zona-norte"
+WITHIN_S = 20
 
 
 def make_host(role, number):
@@ -73,6 +74,86 @@
     assert context.pause_ms == pause
 
 
+@behave.given(
+    "a host with {processes:d} entry processes among {entries:d} entries"
+)
+def make_processes(context, processes, entries):
+    context.processes = processes
+    context.entries = [make_host("entry", number) for number in range(entries)]
+
+
+@behave.when("each entry chooses among {agents:d} agents of a service")
+def share_agents(context, agents):
+    context.agents = [make_host("agent", number) for number in range(agents)]
+    choose_agents(context, link_pool.share_links(4, context.processes))
+
+
+@behave.then("the host has {count:d} connections")
+def check_host_links(context, count):
+    links = {len(row) * context.processes for row in context.chosen}
+    assert links == {count}, links
+
+
+@behave.given(
+    "an entry with {links:d} connections to a service of {agents:d} agents"
+)
+def make_unreachable(context, links, agents):
+    context.links = links
+    others = [make_host("entry", number) for number in range(60)]
+    context.hosts = others + [
+        make_host("agent", number)._replace(address="127.0.0.1:1")
+        for number in range(agents)
+    ]
+
+
+async def sleep_for_ever(link):
+    await trio.sleep_forever()
+
+
+def list_hosts(pool):
+    return [link.host.host for link in pool.list_links("modelo-taller")]
+
+
+@behave.when("nobody listens at the addresses of its agents")
+def lose_agents(context):
+    settings = agent_links.LinkSettings(
+        "entry-1", "run", DATA_CENTRE, "", 1000, 3000, 256, 1024
+    )
+
+    async def follow():
+        async with trio.open_nursery() as nursery:
+            pool = link_pool.LinkPool(
+                nursery, settings, context.links, sleep_for_ever
+            )
+            pool.update_hosts(context.hosts)
+            context.first = list_hosts(pool)
+            context.tried = [context.first]
+            with trio.fail_after(WITHIN_S):
+                # The agents taken in place of the first fail too, and are
+                # passed over in their turn if there is room for more.
+                while min(row.failures for row in pool.list_all_links()) < 4:
+                    await pool.wait_changed()
+                    context.tried.append(list_hosts(pool))
+            nursery.cancel_scope.cancel()
+
+    trio.run(follow)
+
+
+@behave.then("it connects to the {count:d} agents next in its order")
+def check_next(context, count):
+    agents = [host for host in context.hosts if host.role == "agent"]
+    order = link_pool.choose_hosts(agents, "entry-1", DATA_CENTRE, 5)
+    names = [host.host for host in order]
+    assert context.first == names[: context.links], context.first
+    expected = set(names[: context.links + count])
+    assert set(context.tried[-1]) == expected, context.tried
+
+
+@behave.then("it tries no more than {most:d} agents at a time")
+def check_most(context, most):
+    assert max(map(len, context.tried)) <= most, context.tried
+
+
 def make_report(**more):
     return {
         "type": "report",
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/agent_links.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/agent_links.py
@@ -45,9 +45,10 @@
 def compute_report_ms(links: int) -> int:
     """Return the least time between reports of an agent, milliseconds.
 
-    An entry's control traffic has a budget, of which reports may take about
-    a third. With many links each one gets a smaller share, so reports come
-    less often; the entry's own sends since the last report fill the gap.
+    ``links`` counts those of all entry processes on the host, which share
+    its budget for control traffic, and reports may take about a third of it.
+    With many links each one gets a smaller share, so reports come less
+    often; the entry's own sends since the last report fill the gap.
 
     >>> compute_report_ms(3)
     500
@@ -74,6 +75,8 @@
     """Items of a call that may be on the way."""
     max_message_bytes: int
     """Largest message taken from an agent, bytes."""
+    processes_on_host: int = 1
+    """Entry processes on this entry's host."""
 
 
 class LinkCall:
@@ -142,7 +145,6 @@
         self.refused_until = deadlines.Deadline(0.0)
         self.prefixes: frozenset[int] = frozenset()
         self.leaving = False
-        self.configured_offset = 0
         self.failures = 0
         self._settings: typing.Final = settings
         self._connection: typing.Optional[peer_connections.PeerConnection] = (
@@ -152,6 +154,9 @@
         self._open: typing.Final[set[int]] = set()
         self._last_call = 0
         self._notify: typing.Final = notify
+        self._told_offset = 0
+        self._covered_offset = 0
+        self._confirmed_offset = 0
         self._refused = False
         self._recover_by = deadlines.Deadline(0.0)
 
@@ -251,7 +256,9 @@
                 "data_centre": self._settings.data_centre,
                 "offset": 0,
                 "window": self._settings.window,
-                "report_ms": compute_report_ms(self.links),
+                "report_ms": compute_report_ms(
+                    self.links * self._settings.processes_on_host
+                ),
             }
         )
         with trio.move_on_after(self._settings.silence_ms / 1000):
@@ -290,6 +297,9 @@
         configure: abc.Callable[["AgentLink"], abc.Awaitable[None]],
     ) -> None:
         self._connection = connection
+        # Behind the address may be another run of the agent, which has
+        # nothing yet of what the one before it had confirmed.
+        self._told_offset = self._covered_offset = self._confirmed_offset = 0
         assert self.welcome is not None
         logs.log_event(
             events.CONNECTION_OPENED,
@@ -337,7 +347,7 @@
             case "leaving":
                 self.mark_leaving(message["reason"])
             case "configured":
-                self.configured_offset = message["offset"]
+                self._confirmed_offset = message["offset"]
             case _ if "call" in message:
                 if message["type"] in _LAST_MESSAGES:
                     self._open.discard(message["call"])
@@ -349,6 +359,25 @@
                     f"an agent does not send {other}",
                 )
 
+    def note_told(self, offset: int) -> None:
+        """Note that the agent was sent its resource at ``offset``."""
+        self._told_offset = offset
+        self._covered_offset = offset
+
+    def note_covered(self, offset: int) -> None:
+        """Note that up to ``offset`` nothing changed for the agent."""
+        self._covered_offset = offset
+
+    def find_offset_in_force(self) -> int:
+        """Return the offset through which the agent has all it needs.
+
+        Once it has confirmed what it was told last, that is as far as
+        nothing else came up for it.
+        """
+        if self._told_offset and self._confirmed_offset >= self._told_offset:
+            return max(self._confirmed_offset, self._covered_offset)
+        return self._confirmed_offset
+
     def mark_leaving(self, reason: str) -> None:
         """Offer nothing new on the link; ``reason`` is for people."""
         if not self.leaving:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/entry.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/entry.py
@@ -187,7 +187,9 @@
         pool = link_pool.LinkPool(
             nursery,
             _make_link_settings(settings, incarnation),
-            settings.links_per_service,
+            link_pool.share_links(
+                settings.links_per_service, settings.processes_on_host
+            ),
             sender.send_for_ever,
         )
         dispatcher = dispatch.Dispatcher(
@@ -203,7 +205,12 @@
         hosts = http_host_list.HttpHostList(settings.hosts_url, client)
         nursery.start_soon(tail.run)
         nursery.start_soon(
-            host_watch.watch_hosts, hosts, pool, live, settings.hosts_poll_ms
+            host_watch.watch_hosts,
+            hosts,
+            pool,
+            live,
+            settings.hosts_poll_ms,
+            settings.processes_on_host,
         )
         board = status_board.StatusBoard(log, tail, live, pool.list_all_links)
         nursery.start_soon(writer.run)
@@ -237,4 +244,5 @@
         settings.silence_ms,
         settings.window_items,
         _MAX_AGENT_MESSAGE_BYTES,
+        settings.processes_on_host,
     )
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/host_watch.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/host_watch.py
@@ -16,12 +16,15 @@
 _BUDGET_BYTES_S: typing.Final = 500
 
 
-def compute_pause_ms(poll_ms: int, read_bytes: int) -> int:
+def compute_pause_ms(
+    poll_ms: int, read_bytes: int, processes_on_host: int = 1
+) -> int:
     """Return the time to the next reading of the list, milliseconds.
 
     The list of some thousand hosts is longer than what a node may spend on
     control in a minute, if it is read each second. So a reading of more
-    than a few hosts is paid off before the next one. What the list says
+    than a few hosts is paid off before the next one, from the share of one
+    of the host's entry processes. What the list says
     comes late anyway: agents tell themselves that they leave, and one that
     is gone is noticed by its silence.
 
@@ -30,8 +33,8 @@
     >>> compute_pause_ms(1000, 32048)
     60000
     """
-    owed_ms = (read_bytes - _FREE_BYTES) * 1000 // _BUDGET_BYTES_S
-    return max(poll_ms, owed_ms)
+    owed_bytes = (read_bytes - _FREE_BYTES) * processes_on_host
+    return max(poll_ms, owed_bytes * 1000 // _BUDGET_BYTES_S)
 
 
 async def watch_hosts(
@@ -39,6 +42,7 @@
     pool: link_pool.LinkPool,
     live: live_hosts.LiveHosts,
     poll_ms: int,
+    processes_on_host: int,
 ) -> None:
     """Read the host list for ever and tell the pool and ``live``.
 
@@ -64,5 +68,7 @@
             available = True
             pool.update_hosts(hosts)
             live.update_hosts(hosts)
-        pause_ms = compute_pause_ms(poll_ms, host_list.count_read_bytes())
+        pause_ms = compute_pause_ms(
+            poll_ms, host_list.count_read_bytes(), processes_on_host
+        )
         await trio.sleep(pause_ms / 1000)
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/link_pool.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/link_pool.py
@@ -7,12 +7,31 @@
 import trio
 import xxhash
 
+from gentianpoint_core import deadlines
 from gentianpoint_core import ports
 from gentianpoint_entry import agent_links
 
-__all__ = ("LinkPool", "choose_hosts", "count_links")
+__all__ = ("LinkPool", "choose_hosts", "count_links", "share_links")
 
 _ENTRIES_FOR_AN_AGENT: typing.Final = 6
+_LEAST_SHARE: typing.Final = 2
+_FAILURES_TO_PASS_OVER: typing.Final = 3
+_PASSED_OVER_MS: typing.Final = 30_000
+
+
+def share_links(links_per_service: int, processes_on_host: int) -> int:
+    """Return the fewest links per service of one of a host's entries.
+
+    The processes of a host share its budget for control, so they share its
+    links; two are the fewest among which a placement can choose.
+
+    >>> share_links(links_per_service=4, processes_on_host=2)
+    2
+    >>> share_links(links_per_service=4, processes_on_host=8)
+    2
+    """
+    shared = math.ceil(links_per_service / processes_on_host)
+    return max(min(_LEAST_SHARE, links_per_service), shared)
 
 
 def count_links(agents: int, entries: int, fewest: int) -> int:
@@ -38,6 +57,7 @@
     entry: str,
     data_centre: str,
     links_per_service: int,
+    passed_over: abc.Container[str] = (),
 ) -> abc.Sequence[ports.Host]:
     """Return the agents to which an entry keeps connections.
 
@@ -45,15 +65,17 @@
     its own data centre first;
     among equals the highest hash of entry and host (rendezvous hashing), so
     that entries spread over agents and one host's coming or going moves few.
+    Hosts that are ``passed_over`` come last.
 
     >>> host = ports.Host("h1", "agent", "s", "t", "a:1", "north", "live")
     >>> [item.host for item in choose_hosts([host], "e1", "north", 2)]
     ['h1']
     """
 
-    def rank(host: ports.Host) -> tuple[bool, int]:
+    def rank(host: ports.Host) -> tuple[bool, bool, int]:
         weight = xxhash.xxh64_intdigest(f"{entry}/{host.host}".encode())
-        return host.data_centre != data_centre, -weight
+        is_far = host.data_centre != data_centre
+        return host.host in passed_over, is_far, -weight
 
     entries = 0
     by_service: dict[str, list[ports.Host]] = {}
@@ -86,6 +108,7 @@
         self._links: typing.Final[dict[str, agent_links.AgentLink]] = {}
         self._scopes: typing.Final[dict[str, trio.CancelScope]] = {}
         self._hosts: dict[str, ports.Host] = {}
+        self._passed_over: typing.Final[dict[str, deadlines.Deadline]] = {}
         self._wanted = 0
         self._changed = trio.Event()
 
@@ -96,6 +119,30 @@
     def _notify(self) -> None:
         self._changed.set()
         self._changed = trio.Event()
+        self._replace_lost()
+
+    def _replace_lost(self) -> None:
+        """Take other agents for those that can't be reached for a while.
+
+        An entry has few agents of a service, two when its host runs several
+        entries, and a switch takes them all at once. The host list shows it
+        minutes later; until then callers would be refused though other
+        agents of the service are idle.
+        """
+        lost = [
+            name
+            for name, link in self._links.items()
+            if link.failures >= _FAILURES_TO_PASS_OVER
+            and name not in self._passed_over
+        ]
+        # An entry that is itself cut off reaches nobody, and would else end
+        # up trying every agent there is each second.
+        spare = max(0, self._wanted - len(self._passed_over))
+        lost = lost[:spare]
+        for name in lost:
+            self._passed_over[name] = deadlines.make_deadline(_PASSED_OVER_MS)
+        if lost:
+            self._follow_choice()
 
     def list_links(self, service: str) -> abc.Sequence[agent_links.AgentLink]:
         """Return the links to agents of a service."""
@@ -131,11 +178,19 @@
         its link stays while calls run on it.
         """
         self._hosts = {host.host: host for host in hosts}
+        for name, until in tuple(self._passed_over.items()):
+            if until.is_past() or name not in self._hosts:
+                del self._passed_over[name]
+        self._follow_choice()
+
+    def _follow_choice(self) -> None:
+        """Open the links that are missing and close those not wanted."""
         chosen = choose_hosts(
             self._hosts.values(),
             self._settings.name,
             self._settings.data_centre,
             self._links_per_service,
+            self._passed_over,
         )
         wanted = {host.host: host for host in chosen}
         self._wanted = len(wanted)
@@ -151,7 +206,10 @@
             listed = self._hosts.get(name)
             if listed is None or listed.state != "live":
                 link.mark_leaving("the host list says so")
-            if name not in wanted and not link.count_calls():
+            # A link that is passed over goes on trying: calls that were cut
+            # with it wait for its agent to come back.
+            is_kept = name in wanted or name in self._passed_over
+            if not is_kept and not link.count_calls():
                 self._close(name)
 
     def _open(self, host: ports.Host) -> agent_links.AgentLink:
