--- a/packages/gentianpoint-core/src/gentianpoint_core/configuration.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/configuration.py
@@ -259,17 +259,15 @@
     def _add_resource(self, resource: Resource) -> None:
         self._resources[resource.kind][resource.name] = resource
         if resource.kind == CUSTOMER:
-            for key_hash in specifications.decode_customer(resource.spec)[
-                "key_hashes"
-            ]:
+            customer = specifications.decode_customer(resource.spec)
+            for key_hash in customer["key_hashes"]:
                 self._customer_of_key[key_hash] = resource.name
 
     def _forget_keys(self, resource: typing.Optional[Resource]) -> None:
         if resource is None or resource.kind != CUSTOMER:
             return
-        for key_hash in specifications.decode_customer(resource.spec)[
-            "key_hashes"
-        ]:
+        customer = specifications.decode_customer(resource.spec)
+        for key_hash in customer["key_hashes"]:
             self._customer_of_key.pop(key_hash, None)
 
     def copy_state(self) -> StateCopy:
--- a/packages/gentianpoint-core/src/gentianpoint_core/specifications.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/specifications.py
@@ -3,7 +3,9 @@
 The configuration may hold fields of a later version: while hosts are
 replaced one by one, an operator's write through a new entry reaches old
 processes too. A reader takes the fields that it knows and can read, and
-ignores the others; it must neither fail nor refuse what is in force. ::
+ignores the others; it must neither fail nor refuse what is in force. Agents
+read the one resource that they get without the rules that it was checked
+against, whose validator would cost each of them memory. ::
 
     >>> decode_service(b'{"kind":"model","customers":["*"],"later":1}')
     {'kind': 'model', 'customers': ['*']}
@@ -34,6 +36,8 @@
     CUSTOMER: resources.CustomerSpec,
 }
 
+_SERVICE_DECODER: typing.Final = msgspec.json.Decoder(resources.ServiceSpec)
+_CUSTOMER_DECODER: typing.Final = msgspec.json.Decoder(resources.CustomerSpec)
 _Spec = typing.TypeVar("_Spec", resources.ServiceSpec, resources.CustomerSpec)
 
 
@@ -42,7 +46,7 @@
 
     Raises :class:`msgspec.DecodeError` when the bytes are none.
     """
-    return _decode(spec, resources.ServiceSpec)
+    return _decode(spec, _SERVICE_DECODER, resources.ServiceSpec)
 
 
 def decode_customer(spec: bytes) -> resources.CustomerSpec:
@@ -50,12 +54,14 @@
 
     Raises :class:`msgspec.DecodeError` when the bytes are none.
     """
-    return _decode(spec, resources.CustomerSpec)
+    return _decode(spec, _CUSTOMER_DECODER, resources.CustomerSpec)
 
 
-def _decode(spec: bytes, form: type[_Spec]) -> _Spec:
+def _decode(
+    spec: bytes, decoder: msgspec.json.Decoder[_Spec], form: type[_Spec]
+) -> _Spec:
     try:
-        return msgspec.json.decode(spec, type=form)
+        return decoder.decode(spec)
     except msgspec.ValidationError:
         # A later version may give a field more values than are known here.
         fields = msgspec.json.decode(spec, type=dict[str, typing.Any])
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/entry.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/entry.py
@@ -13,6 +13,7 @@
 from werkzeug import exceptions
 
 from gentianpoint_core import errors
+from gentianpoint_core import http_clients
 from gentianpoint_core import http_host_list
 from gentianpoint_core import http_log
 from gentianpoint_core import logs
@@ -48,6 +49,9 @@
 _CLOSE_WITHIN_S: typing.Final = 2.0
 _HEAD_WITHIN_S: typing.Final = 5.0
 _BODY_WITHIN_S: typing.Final = 30.0
+_CLIENT_LIMITS: typing.Final = httpx.Limits(
+    max_connections=100, max_keepalive_connections=20
+)
 _HEALTH_PATH: typing.Final = "/health"
 _UNREADY_RETRY_MS: typing.Final = 1000
 
@@ -168,7 +172,9 @@
         settings.trace_log,
     )
     async with (
-        httpx.AsyncClient(trust_env=False) as client,
+        http_clients.make_client(
+            (settings.log_url, settings.hosts_url), _CLIENT_LIMITS
+        ) as client,
         trio.open_nursery() as nursery,
     ):
         incarnation = secrets.token_hex(_INCARNATION_BYTES)
@@ -181,7 +187,9 @@
         pool = link_pool.LinkPool(
             nursery,
             _make_link_settings(settings, incarnation),
-            settings.links_per_service,
+            link_pool.share_links(
+                settings.links_per_service, settings.processes_on_host
+            ),
             sender.send_for_ever,
         )
         dispatcher = dispatch.Dispatcher(
@@ -197,7 +205,12 @@
         hosts = http_host_list.HttpHostList(settings.hosts_url, client)
         nursery.start_soon(tail.run)
         nursery.start_soon(
-            host_watch.watch_hosts, hosts, pool, live, settings.hosts_poll_ms
+            host_watch.watch_hosts,
+            hosts,
+            pool,
+            live,
+            settings.hosts_poll_ms,
+            settings.processes_on_host,
         )
         board = status_board.StatusBoard(log, tail, live, pool.list_all_links)
         nursery.start_soon(writer.run)
@@ -231,4 +244,5 @@
         settings.silence_ms,
         settings.window_items,
         _MAX_AGENT_MESSAGE_BYTES,
+        settings.processes_on_host,
     )
