Order engines to unload and change role, and take turns at the weight store

Only loads were ordered, and only a quarter of a service's targets at a time; services did not share the weight store.

--- a/packages/gentianpoint-agent/src/gentianpoint_agent/agent.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/agent.py
@@ -19,13 +19,19 @@
 from gentianpoint_agent import engine_runner
 from gentianpoint_agent import entry_connections
 from gentianpoint_agent import order_leases
+from gentianpoint_agent import order_records
+from gentianpoint_agent import order_stream
+from gentianpoint_agent import order_turns
 from gentianpoint_agent import plain_runner
 from gentianpoint_agent import prefix_beliefs
 from gentianpoint_agent import service_in_force
+from gentianpoint_agent import weight_reads
 from gentianpoint_agent.generated import settings as agent_settings
+from gentianpoint_core import deadlines
 from gentianpoint_core import http_engine
 from gentianpoint_core import http_log
 from gentianpoint_core import http_plain_service
+from gentianpoint_core import http_weight_store
 from gentianpoint_core import logs
 from gentianpoint_core import option_types
 from gentianpoint_core import peer_connections
@@ -137,7 +143,7 @@
             last = state.control.load
             if last is not None and last.boot != load.boot:
                 state.prefixes.forget()
-            state.control.note_load(load)
+            state.note_report(load)
             if load.reclaim_in_ms is not None:
                 state.lifecycle.start_leaving("the engine is reclaimed")
         await trio.sleep(_LOAD_POLL_S)
@@ -167,15 +173,30 @@
     client: httpx.AsyncClient,
 ) -> engine_orders.EngineOrders:
     settings = state.settings
-    lease = order_leases.OrderLease(
+    stream = order_stream.OrderStream(
         http_log.HttpLog(settings.log_url, client),
-        settings.service,
         settings.target,
         state.table.incarnation,
-        settings.lease_ms,
+    )
+    store: typing.Optional[ports.WeightStore] = None
+    if settings.weights_url:
+        store = http_weight_store.HttpWeightStore(settings.weights_url, client)
+    reads = weight_reads.WeightReads(
+        store,
+        settings.weights_rate,
+        order_turns.Turns(stream, order_records.WEIGHTS, settings.turn_ms),
     )
     return engine_orders.EngineOrders(
-        state, engine, lease, settings.fencing == "checked"
+        state,
+        engine,
+        stream,
+        order_leases.OrderLease(stream, settings.lease_ms),
+        order_turns.Turns(
+            stream,
+            order_records.name_service_turns(settings.service),
+            settings.turn_ms,
+        ),
+        reads,
     )
 
 
@@ -194,7 +215,10 @@
         trio.open_nursery() as calls,
         trio.open_nursery() as nursery,
     ):
-        service = service_in_force.ServiceInForce(settings.service)
+        service = service_in_force.ServiceInForce(
+            settings.service,
+            deadlines.make_deadline(settings.unload_undeclared_ms),
+        )
         control = admission.AdmissionControl(
             admission_policies.make_admission_policy(settings, service),
             service,
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/agent_state.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/agent_state.py
@@ -13,7 +13,9 @@
 from gentianpoint_agent import prefix_beliefs
 from gentianpoint_agent import service_in_force
 from gentianpoint_agent.generated import settings as agent_settings
+from gentianpoint_core import deadlines
 from gentianpoint_core import logs
+from gentianpoint_core import ports
 from gentianpoint_core.generated import events
 from gentianpoint_core.generated import messages
 
@@ -36,6 +38,7 @@
 
 
 _PREFIXES_REPORTED: typing.Final = 64
+_REPORT_LASTS_MS: typing.Final = 5000
 
 
 class AgentState:
@@ -60,6 +63,7 @@
         self.connections: typing.Final[set[OpenConnection]] = set()
         self.prefixes: typing.Final = prefix_beliefs.PrefixBelief()
         self.hold_reason = ""
+        self._report_until = deadlines.Deadline(0.0)
         self._nursery: typing.Final = nursery
         self._runner: typing.Final = runner
 
@@ -75,6 +79,15 @@
         """Take new calls again."""
         self.hold_reason = ""
 
+    def note_report(self, load: ports.EngineLoad) -> None:
+        """Take a load report of the engine."""
+        self._report_until = deadlines.make_deadline(_REPORT_LASTS_MS)
+        self.control.note_load(load)
+
+    def is_report_stale(self) -> bool:
+        """Tell whether the engine has not reported for a while."""
+        return self._report_until.is_past()
+
     def start_call(
         self,
         generation: generations.Generation,
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/service_in_force.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/service_in_force.py
@@ -4,7 +4,9 @@
 
 import trio
 
+from gentianpoint_agent import wanted_states
 from gentianpoint_core import configuration
+from gentianpoint_core import deadlines
 from gentianpoint_core import logs
 from gentianpoint_core.generated import events
 from gentianpoint_core.generated import messages
@@ -32,14 +34,35 @@
     accepted change revert. So only a higher configuration offset counts.
     """
 
-    def __init__(self, name: str) -> None:
-        """Start with nothing declared for the service ``name``."""
+    def __init__(
+        self,
+        name: str,
+        unload_at: deadlines.Deadline = deadlines.NO_DEADLINE,
+    ) -> None:
+        """Start with nothing declared for the service ``name``.
+
+        When it is still undeclared at ``unload_at`` its engine is to be
+        unloaded.
+        """
         self.name: typing.Final = name
         self.offset = 0
         self.revision = 0
         self.replicas = 0
         self.spec: resources.ServiceSpec = _UNDECLARED
         self._changed = trio.Event()
+        self._unload_at = unload_at
+
+    def read_wanted(self) -> wanted_states.WantedState:
+        """Return what the service's engines are to hold.
+
+        A service that was deleted is to be unloaded at once. One that was
+        not declared since this process started may have been deleted
+        before, or may be declared soon: its engine is left for a while.
+        """
+        wanted = wanted_states.read_spec(self.spec)
+        if self.offset and not self.revision:
+            return wanted._replace(unloaded=self._unload_at.is_past())
+        return wanted
 
     def take(self, message: messages.Configure) -> bool:
         """Take the resource if it is newer; tell whether it was.
@@ -57,6 +80,7 @@
         if message["revision"] != self.revision:
             self.revision = message["revision"]
             self.spec = spec
+            self._unload_at = deadlines.Deadline(0.0)
             logs.log_event(
                 events.CONFIGURATION_APPLIED,
                 offset=self.offset,
--- a/packages/gentianpoint-core/src/gentianpoint_core/ports.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/ports.py
@@ -35,17 +35,25 @@
     """An outside service failed or refused."""
 
     def __init__(
-        self, step: str, peer: str, reason: str, *, took_effect: bool
+        self,
+        step: str,
+        peer: str,
+        reason: str,
+        *,
+        took_effect: bool,
+        retry_after_ms: int = 0,
     ) -> None:
         """Make the error.
 
         ``took_effect`` is False only when the service truly did nothing;
-        True means that it may have done what was asked.
+        True means that it may have done what was asked. ``retry_after_ms``
+        is the wait that the service asked for, 0 for none.
         """
         self.step: typing.Final = step
         self.peer: typing.Final = peer
         self.reason: typing.Final = reason
         self.took_effect: typing.Final = took_effect
+        self.retry_after_ms: typing.Final = retry_after_ms
         super().__init__(f"{step} with {peer}: {reason}")
 
 
--- a/packages/gentianpoint-standins/src/gentianpoint_standins/engine_faults.py
+++ b/packages/gentianpoint-standins/src/gentianpoint_standins/engine_faults.py
@@ -34,6 +34,8 @@
     """Token after which a connection that delivers it is broken off."""
     lose_start_replies: int = 0
     """Number of starts to come that take effect without a good reply."""
+    lose_order_replies: int = 0
+    """Number of orders to come that are taken without a good reply."""
     lose_by: typing.Literal["status", "drop"] = "drop"
     """Whether a lost reply is a 503 or a connection that breaks off."""
     reclaim_in_ms: typing.Optional[int] = None
@@ -96,6 +98,14 @@
         self.current = self.current._replace(lose_start_replies=left - 1)
         return True
 
+    def take_lost_order_reply(self) -> bool:
+        """Tell whether the order just taken gets no good reply."""
+        left = self.current.lose_order_replies
+        if left <= 0:
+            return False
+        self.current = self.current._replace(lose_order_replies=left - 1)
+        return True
+
     def measure_reclaim_ms(self) -> typing.Optional[int]:
         """Return the time until the engine is taken away, if it is."""
         if self._reclaim_at is None:
--- a/packages/gentianpoint-standins/src/gentianpoint_standins/engine_orders.py
+++ b/packages/gentianpoint-standins/src/gentianpoint_standins/engine_orders.py
@@ -2,7 +2,9 @@
 
 Orders are carried out one after another. A load reads the weights from the
 weight store, at the rate that the store gives, while the old model goes on
-serving; then the old model's streams die with it.
+serving; then the old model's streams die with it. So do they when the role
+changes. A read that the store refuses is tried again after the time that
+the store names.
 """
 
 from collections import abc
@@ -104,7 +106,7 @@
         """Carry out orders for ever."""
         async for order in self._receive:
             if order["order"] == "role":
-                self.loaded = self.loaded._replace(role=order["role"])
+                self._change(self.loaded._replace(role=order["role"]))
             elif order["order"] == "unload":
                 self._change(self.loaded._replace(model="", adapter=""))
             else:
@@ -135,15 +137,22 @@
             return
         url = f"{self._weights_url}/weights/{name}/{version}"
         async with httpx.AsyncClient(timeout=_READ_TIMEOUT_S) as client:
-            while not await self._read_once(client, url):
-                await trio.sleep(_RETRY_S)
-
-    async def _read_once(self, client: httpx.AsyncClient, url: str) -> bool:
+            wait_s: typing.Optional[float] = 0.0
+            while wait_s is not None:
+                await trio.sleep(wait_s)
+                wait_s = await self._read_once(client, url)
+
+    async def _read_once(
+        self, client: httpx.AsyncClient, url: str
+    ) -> typing.Optional[float]:
+        """Read weights; return how long to wait when that failed."""
         try:
             async with client.stream("GET", url) as answer:
+                if answer.status_code == 429:
+                    return float(answer.headers["retry-after"])
                 answer.raise_for_status()
                 async for _ in answer.aiter_raw():
                     pass
         except httpx.HTTPError:
-            return False
-        return True
+            return _RETRY_S
+        return None
--- a/packages/gentianpoint-standins/src/gentianpoint_standins/engine_service.py
+++ b/packages/gentianpoint-standins/src/gentianpoint_standins/engine_service.py
@@ -272,7 +272,10 @@
         order = msgspec.json.decode(
             await self._read_body(), type=engine_orders.Order
         )
-        if self.orders.take(order):
+        taken = self.orders.take(order)
+        if taken and self.faults.take_lost_order_reply():
+            return self._lose_reply()
+        if taken:
             return serving.answer_json({}, 202)
         return serving.answer_json(
             {"error": "old_fence", "highest": self.orders.highest}, 409
--- a/packages/gentianpoint-standins/src/gentianpoint_standins/weights.py
+++ b/packages/gentianpoint-standins/src/gentianpoint_standins/weights.py
@@ -1,9 +1,11 @@
 """Stand-in for the platform's rate-limited store of weights.
 
 Run as ``python -m gentianpoint_standins.weights --listen 127.0.0.1:0``. All
-models have the same size, and all readers share one rate. ``GET /witness``
-gives the number of bytes sent of each model; ``POST /faults`` takes the
-fields of :class:`WeightFaults`.
+models have the same size, and all readers share one rate. With a limit of
+readers it refuses more with 429 and ``Retry-After``. ``GET /witness`` gives
+the number of bytes sent of each model, of refusals, and the most readers
+that were there at once; ``POST /faults`` takes the fields of
+:class:`WeightFaults`.
 """
 
 import collections
@@ -22,6 +24,7 @@
 __all__ = ("SharedRate", "WeightFaults", "WeightService", "main")
 
 _CHUNK_BYTES: typing.Final = 64 * 1024
+_RETRY_AFTER_S: typing.Final = 1
 _WEIGHTS_TYPE: typing.Final = "application/octet-stream"
 
 
@@ -53,13 +56,21 @@
 class WeightService:
     """The calls of the weight store."""
 
-    def __init__(self, size: int, rate: float) -> None:
-        """Serve models of ``size`` bytes at ``rate`` bytes a second."""
+    def __init__(self, size: int, rate: float, max_readers: int) -> None:
+        """Serve models of ``size`` bytes at ``rate`` bytes a second.
+
+        ``max_readers`` may read at once; 0 stands for no limit.
+        """
         self._size: typing.Final = size
+        self._max_readers: typing.Final = max_readers
+        self._readers = 0
+        self._most_readers = 0
         self._usual_rate: typing.Final = rate
         self._shared: typing.Final = SharedRate()
         self._faults = WeightFaults()
-        self._counts: typing.Final = counts.Counts(("reads", "whole", "bytes"))
+        self._counts: typing.Final = counts.Counts(
+            ("reads", "whole", "bytes", "refused", "sizes")
+        )
         self._sent: typing.Final[collections.Counter[str]] = (
             collections.Counter()
         )
@@ -84,7 +95,13 @@
         if quart.request.method == "HEAD":
             answer = quart.Response(b"", content_type=_WEIGHTS_TYPE)
             answer.headers.update(headers)
+            self._counts.add("sizes")
             return answer
+        if 0 < self._max_readers <= self._readers:
+            self._counts.add("refused")
+            refusal = serving.answer_refusal(429, "too many readers")
+            refusal.headers["Retry-After"] = str(_RETRY_AFTER_S)
+            return refusal
         self._counts.add("reads")
         return quart.Response(
             self._iterate_chunks(f"{model}/{version}"),
@@ -93,6 +110,15 @@
         )
 
     async def _iterate_chunks(self, name: str) -> abc.AsyncIterator[bytes]:
+        self._readers += 1
+        self._most_readers = max(self._most_readers, self._readers)
+        try:
+            async for chunk in self._send_chunks(name):
+                yield chunk
+        finally:
+            self._readers -= 1
+
+    async def _send_chunks(self, name: str) -> abc.AsyncIterator[bytes]:
         left = self._size
         while left:
             size = min(_CHUNK_BYTES, left)
@@ -118,7 +144,11 @@
         if refusal := await self._counts.wait_as_asked():
             return refusal
         return serving.answer_json(
-            {"sent": dict(self._sent), **self._counts.read()}
+            {
+                "sent": dict(self._sent),
+                "most_readers": self._most_readers,
+                **self._counts.read(),
+            }
         )
 
 
@@ -130,11 +160,14 @@
     rate: typing.Annotated[
         float, typer.Option(help="Bytes a second for all readers together.")
     ] = 16 * 1024 * 1024,
+    max_readers: typing.Annotated[
+        int, typer.Option(help="Most readers at once; 0 for any number.")
+    ] = 0,
 ) -> None:
     """Serve a weight store."""
 
     async def serve() -> None:
-        app = WeightService(size, rate).make_app()
+        app = WeightService(size, rate, max_readers).make_app()
         await serving.serve_app(app, "weights", listen)
 
     trio.run(serve)
