--- a/packages/gentianpoint-standins/src/gentianpoint_standins/weights.py
+++ b/packages/gentianpoint-standins/src/gentianpoint_standins/weights.py
@@ -90,7 +90,7 @@
     async def read(self, model: str, version: str) -> quart.Response:
         """Send weights, or their size alone."""
         if self._faults.out:
-            return serving.answer_refusal(503, "out")
+            return self._refuse(503, "out")
         headers = {"Content-Length": str(self._size)}
         if quart.request.method == "HEAD":
             answer = quart.Response(b"", content_type=_WEIGHTS_TYPE)
@@ -98,10 +98,7 @@
             self._counts.add("sizes")
             return answer
         if 0 < self._max_readers <= self._readers:
-            self._counts.add("refused")
-            refusal = serving.answer_refusal(429, "too many readers")
-            refusal.headers["Retry-After"] = str(_RETRY_AFTER_S)
-            return refusal
+            return self._refuse(429, "too many readers")
         self._counts.add("reads")
         return quart.Response(
             self._iterate_chunks(f"{model}/{version}"),
@@ -109,6 +106,12 @@
             content_type=_WEIGHTS_TYPE,
         )
 
+    def _refuse(self, status: int, reason: str) -> quart.Response:
+        self._counts.add("refused")
+        refusal = serving.answer_refusal(status, reason)
+        refusal.headers["Retry-After"] = str(_RETRY_AFTER_S)
+        return refusal
+
     async def _iterate_chunks(self, name: str) -> abc.AsyncIterator[bytes]:
         self._readers += 1
         self._most_readers = max(self._most_readers, self._readers)
