--- a/features/steps/orders_steps.py
+++ b/features/steps/orders_steps.py
@@ -1,29 +1,33 @@
 """Steps for orders to engines."""
 
+from concurrent import futures
 import time
 
 import behave
 
+from features import administration
 from features import builders
 
 _WITHIN_S = 60.0
 
 
-def make_spec(version):
-    return builders.make_service(model="base", version=version)
+def make_spec(version, **more):
+    more.setdefault("role", "serve")
+    return builders.make_service(model="base", version=version, **more)
 
 
-def start(context, targets, fencing, **engine):
+def start(context, targets, fencing, entries=1, agent=None, **engine):
+    context.fencing = "checked" if fencing else "ignored"
     context.fixture = builders.start_fixture(
         context.deployment,
-        1,
+        entries,
         targets,
         engine={"model": "base", "version": "1", "fencing": fencing, **engine},
         spec=make_spec("1"),
-        fencing="checked" if fencing else "ignored",
+        fencing=context.fencing,
         lease_ms=1000,
         entry=builders.FAST,
-        **builders.FAST,
+        **{**builders.FAST, **(agent or {})},
     )
 
 
@@ -34,6 +38,9 @@
     start(context, targets, way == "checks")
 
 
+@behave.given(
+    "a deployment with {targets:d} target whose loads take {load:d} ms"
+)
 @behave.given(
     "a deployment with {targets:d} targets whose loads take {load:d} ms"
 )
@@ -52,19 +59,29 @@
     declare_version(context, version)
 
 
+def read_load(context, row):
+    return context.deployment.call("GET", f"{row.target.url}/load")
+
+
 def read_version(context, row):
-    url = f"{row.target.url}/load"
-    return context.deployment.call("GET", url)["version"]
+    return read_load(context, row)["version"]
+
+
+def wait_until(is_true, describe):
+    """Wait for a state that processes come to by themselves."""
+    deadline = time.monotonic() + _WITHIN_S
+    while not is_true():
+        assert time.monotonic() < deadline, describe()
+        time.sleep(0.05)
 
 
 @behave.then("the engine holds version {version}")
 @behave.when("the engine has loaded version {version}")
 def wait_for_version(context, version):
     row = context.fixture.targets[0]
-    deadline = time.monotonic() + _WITHIN_S
-    while read_version(context, row) != version:
-        assert time.monotonic() < deadline, row.agent.log.tail()
-        time.sleep(0.05)
+    wait_until(
+        lambda: read_version(context, row) == version, row.agent.log.tail
+    )
 
 
 @behave.when("the agent is frozen")
@@ -87,7 +104,7 @@
         builders.MODEL,
         row.target.url,
         target=context.older.name,
-        fencing="checked",
+        fencing=context.fencing,
         lease_ms=1000,
         log_level="debug",
     )
@@ -147,3 +164,282 @@
     assert context.answers
     for answer in context.answers:
         assert answer.status_code == 200, answer.text
+
+
+# Unload and role.
+
+
+@behave.given(
+    "a deployment with {targets:d} targets that wait {wait:d} ms for running "
+    "calls"
+)
+def start_with_wait(context, targets, wait):
+    start(context, targets, True, agent={"drain_within_ms": wait})
+
+
+@behave.given("a deployment with {entries:d} entries and 1 target")
+def start_with_entries(context, entries):
+    start(context, 1, True, entries)
+
+
+@behave.given("the engine loses the answer to {count:d} order by {lose_by}")
+def lose_order_replies(context, count, lose_by):
+    engine = context.fixture.targets[0].target
+    context.deployment.set_faults(
+        engine, lose_order_replies=count, lose_by=lose_by
+    )
+
+
+def declare(context, **more):
+    context.deployment.declare(
+        "services", builders.MODEL, make_spec("1", **more)
+    )
+
+
+@behave.when("an operator declares the service unloaded")
+def declare_unloaded(context):
+    declare(context, state="unloaded")
+
+
+@behave.when("an operator declares the role {role}")
+def declare_role(context, role):
+    declare(context, role=role)
+
+
+@behave.when(
+    "after {count:d} tokens an operator declares the service unloaded"
+)
+def declare_unloaded_under_stream(context, count):
+    context.reader.wait_for_tokens(count)
+    declare_unloaded(context)
+
+
+@behave.when("after {count:d} tokens an operator declares the role {role}")
+def declare_role_under_stream(context, count, role):
+    context.reader.wait_for_tokens(count)
+    declare_role(context, role)
+
+
+@behave.when("an operator deletes the service")
+def delete_service(context):
+    answer = administration.call(
+        context.deployment,
+        context.fixture.entries[0],
+        "DELETE",
+        f"services/{builders.MODEL}",
+        {},
+    )
+    assert answer.status_code == 200, answer.text
+
+
+@behave.when("the agent is killed and an operator deletes the service")
+def kill_and_delete(context):
+    context.deployment.kill(context.fixture.targets[0].agent)
+    delete_service(context)
+
+
+@behave.when("an agent takes the place of the killed one")
+def start_again(context):
+    row = context.fixture.targets[0]
+    context.deployment.start_agent(
+        row.agent.name,
+        builders.DATA_CENTRES[0],
+        builders.MODEL,
+        row.target.url,
+        listen=row.agent.address,
+        log_level="debug",
+        unload_undeclared_ms=1000,
+    )
+
+
+@behave.then("new calls are refused as not run, since it is declared unloaded")
+def check_refused(context):
+    entry = context.fixture.entries[0]
+    answers = []
+
+    def is_refused():
+        answers.append(builders.complete(entry, "probe tokens:1"))
+        return answers[-1].status_code == 503
+
+    wait_until(is_refused, lambda: answers[-1].text)
+    error = answers[-1].json()["error"]
+    assert error["code"] == "not_run", error
+    assert "declared unloaded" in error["message"], error
+    assert "Retry-After" in answers[-1].headers
+
+
+@behave.then("the engine holds nothing")
+def wait_for_nothing(context):
+    wait_for_change(context, "the service unloaded")
+
+
+@behave.then("the engine has the role {role}")
+def wait_for_role(context, role):
+    wait_for_change(context, f"the role {role}")
+
+
+@behave.then("the engine has carried out {change}")
+@behave.when("the engine has carried out {change}")
+def wait_for_change(context, change):
+    row = context.fixture.targets[0]
+    wanted = {"model": ""}
+    if change.startswith("the role "):
+        wanted = {"model": "base", "role": change.rpartition(" ")[2]}
+    wait_until(
+        lambda: wanted.items() <= read_load(context, row).items(),
+        row.agent.log.tail,
+    )
+
+
+@behave.then("a new call is answered")
+def check_answered(context):
+    entry = context.fixture.entries[0]
+    answers = []
+
+    def is_answered():
+        answers.append(builders.complete(entry, "again tokens:2"))
+        return answers[-1].status_code == 200
+
+    wait_until(is_answered, lambda: answers[-1].text)
+
+
+def read_orders(context, row):
+    return [
+        order
+        for order in context.deployment.read_witness(row.target)["orders"]
+        if not order["refused"]
+    ]
+
+
+@behave.then("the engine took no order of the older agent")
+def check_older_orders(context):
+    fence = context.older.log.find_events("lease_acquired")[0]["fence"]
+    orders = read_orders(context, context.fixture.targets[0])
+    assert orders
+    assert all(order["fence"] > fence for order in orders), orders
+
+
+# Lost answers, engines that die, long streams.
+
+
+@behave.then("no answer of theirs was cut")
+def check_not_cut(context):
+    assert context.answers
+    for answer in context.answers:
+        if answer.status_code != 200:
+            assert answer.json()["error"]["code"] == "not_run", answer.text
+
+
+@behave.then("the agent logged {name}")
+@behave.when("the agent has logged {name}")
+def check_logged(context, name):
+    context.fixture.targets[0].agent.log.wait_for_event(name)
+
+
+@behave.then("the engine took {count:d} order")
+def check_order_count(context, count):
+    orders = read_orders(context, context.fixture.targets[0])
+    assert len(orders) == count, orders
+
+
+@behave.when("the first engine that gets an order is killed")
+def kill_first_ordered(context):
+    rows = context.fixture.targets
+
+    def find_ordered():
+        return [row for row in rows if read_orders(context, row)]
+
+    wait_until(find_ordered, lambda: "no orders")
+    # Its agent has to hear that it loads before it dies.
+    row = find_ordered()[0]
+    context.deployment.read_witness(row.target, loading_reports=1)
+    context.deployment.kill(row.target)
+    context.rest = [other for other in rows if other is not row]
+
+
+@behave.then("the other engine holds version {version}")
+def check_others(context, version):
+    for row in context.rest:
+        wait_until(
+            lambda row=row: read_version(context, row) == version,
+            row.agent.log.tail,
+        )
+
+
+def split_by_stream(context):
+    home = context.reader.generation.partition("~")[0]
+    rows = context.fixture.targets
+    busy = next(row for row in rows if row.agent.name == home)
+    return busy, [row for row in rows if row is not busy]
+
+
+@behave.then("the engine without the stream holds version {version}")
+def check_idle_engine(context, version):
+    context.rest = split_by_stream(context)[1]
+    check_others(context, version)
+
+
+@behave.then("the agent with the stream logged {name}")
+def check_busy_agent(context, name):
+    split_by_stream(context)[0].agent.log.wait_for_event(name, _WITHIN_S)
+
+
+@behave.then("all engines hold version {version}")
+def check_all(context, version):
+    context.rest = context.fixture.targets
+    check_others(context, version)
+
+
+@behave.when(
+    "two operators declare conflicting states at once {count:d} times each"
+)
+def race(context, count):
+    wishes = (
+        [make_spec("2", state="unloaded")] * count,
+        [
+            make_spec(str(3 + turn % 2), role=("decode", "prefill")[turn % 2])
+            for turn in range(count)
+        ],
+    )
+
+    def write(entry, specs):
+        for spec in specs:
+            answer = administration.call(
+                context.deployment,
+                entry,
+                "PUT",
+                f"services/{builders.MODEL}",
+                {"spec": spec, "base": -1},
+            )
+            assert answer.status_code == 200, answer.text
+            time.sleep(0.2)
+
+    with futures.ThreadPoolExecutor() as pool:
+        writes = [
+            pool.submit(write, entry, specs)
+            for entry, specs in zip(
+                context.fixture.entries, wishes, strict=True
+            )
+        ]
+        for done in writes:
+            done.result()
+
+
+@behave.then("the engine ends in the state that was accepted last")
+def check_last(context):
+    spec = administration.call(
+        context.deployment,
+        context.fixture.entries[0],
+        "GET",
+        f"services/{builders.MODEL}",
+    ).json()["spec"]
+    row = context.fixture.targets[0]
+    wanted = {"model": ""}
+    if spec.get("state") != "unloaded":
+        wanted = {key: spec[key] for key in ("model", "version", "role")}
+    wait_until(
+        lambda: wanted.items() <= read_load(context, row).items(),
+        lambda: f"{wanted}\n{row.agent.log.tail()}",
+    )
+    fulfilled = row.agent.log.find_events("order_fulfilled")
+    assert fulfilled
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/entry_state.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/entry_state.py
@@ -20,6 +20,8 @@
 _ALL_CUSTOMERS: typing.Final = "*"
 _DEFAULT_PRIORITY: typing.Final = 5
 _LEAVING_RETRY_MS: typing.Final = 500
+_UNLOADED: typing.Final = "unloaded"
+_UNLOADED_RETRY_MS: typing.Final = 10_000
 
 
 class CallOptions(typing.NamedTuple):
@@ -38,6 +40,22 @@
     return bool({customer, _ALL_CUSTOMERS} & set(spec["customers"]))
 
 
+def _check_loaded(service: str, spec: resources.ServiceSpec) -> None:
+    """Refuse what the service's engines are not to run.
+
+    Only for calls without an identifier: one with an identifier may have
+    run already, which its home alone can tell.
+    """
+    if spec.get("state") == _UNLOADED:
+        raise errors.CallError(
+            errors.NOT_RUN,
+            "the service is declared unloaded",
+            step="find service",
+            peer=service,
+            retry_after_ms=_UNLOADED_RETRY_MS,
+        )
+
+
 class EntryState:
     """Settings, configuration, dispatcher and the calls in flight."""
 
@@ -99,6 +117,8 @@
                 f"the service {service} is of kind {spec['kind']}",
                 step="find service",
             )
+        if not options.generation:
+            _check_loaded(service, spec)
         owner = self._find_customer(customer)
         start_ms = self.settings.start_within_ms
         finish_by = deadlines.NO_DEADLINE
--- a/packages/gentianpoint-standins/src/gentianpoint_standins/engine_service.py
+++ b/packages/gentianpoint-standins/src/gentianpoint_standins/engine_service.py
@@ -240,6 +240,8 @@
         """Show the load as it was a while ago."""
         await self.faults.delay_call()
         seen = self._reports.read()
+        if self.orders.is_loading():
+            self._witness.counts.add("loading_reports")
         return serving.answer_json(
             {
                 "boot": self._boot,
--- a/packages/gentianpoint-standins/src/gentianpoint_standins/engine_witness.py
+++ b/packages/gentianpoint-standins/src/gentianpoint_standins/engine_witness.py
@@ -26,7 +26,14 @@
     def __init__(self) -> None:
         """Start with nothing seen."""
         self.counts: typing.Final = counts.Counts(
-            ("started", "ended", "cancels", "resumes", "tokens")
+            (
+                "started",
+                "ended",
+                "cancels",
+                "resumes",
+                "tokens",
+                "loading_reports",
+            )
         )
         self._starts: typing.Final[collections.Counter[str]] = (
             collections.Counter()
