--- a/spec/turns.py
+++ b/spec/turns.py
@@ -51,6 +51,8 @@
     """What it does."""
     seen: int = 0
     """Records of the log that it has read."""
+    written: int = 0
+    """Records up to its own last one."""
     alive: bool = True
     """Whether it still runs."""
     own_past: bool = False
@@ -168,7 +170,8 @@
 
 
 def _append(state: State, kind: str, number: int) -> State:
-    return state._replace(log=(*state.log, Record(kind, number)))
+    log = (*state.log, Record(kind, number))
+    return _put(state._replace(log=log), number, written=len(log))
 
 
 def _spend(state: State, kind: str) -> typing.Optional[State]:
@@ -231,17 +234,10 @@
     return {
         target: place
         for target, place in places.items()
-        if target == number or not _is_dropped(state.targets[target], place)
+        if target == number or not state.targets[target].others_past
     }
 
 
-def _is_dropped(target: Target, place: _Place) -> bool:
-    # A place that ended for the others counts again once its start is read.
-    if place.started >= 0:
-        return target.others_past and target.own_past
-    return target.others_past
-
-
 def _move(rules: _Rules, state: State, number: int) -> abc.Iterator[_Action]:
     target = state.targets[number]
     if target.phase == Phase.IDLE:
@@ -259,14 +255,15 @@
 
 
 def _start(state: State, number: int) -> abc.Iterator[_Action]:
+    target = state.targets[number]
     view = _view(state, number)
     own = view.get(number)
-    if own is None:
+    if own is None or target.seen < target.written:
         return
     ahead = [
         place
-        for target, place in view.items()
-        if target != number and (place.started >= 0 or place.asked < own.asked)
+        for other, place in view.items()
+        if other != number and (place.started >= 0 or place.asked < own.asked)
     ]
     if not ahead:
         after = _append(state, "start", number)
@@ -277,16 +274,13 @@
 
 
 def _decide(rules: _Rules, state: State, number: int) -> abc.Iterator[_Action]:
-    view = _view(state, number)
-    own = view.get(number)
-    has_read = own is not None and own.started >= 0
-    if not has_read and rules.keep(Guard.READ_BACK):
+    target = state.targets[number]
+    if target.seen < target.written and rules.keep(Guard.READ_BACK):
         return
-    own_start = own.started if own and has_read else len(state.log)
     earlier = [
         place
-        for target, place in view.items()
-        if target != number and 0 <= place.started < own_start
+        for other, place in _view(state, number).items()
+        if other != number and 0 <= place.started < target.written - 1
     ]
     if not earlier or not rules.keep(Guard.EARLIER_START_WINS):
         yield f"{number} has the turn", _put(state, number, phase=Phase.HOLDS)
