--- a/bench/run_all.py
+++ b/bench/run_all.py
@@ -29,6 +29,7 @@
     "entry_spread",
     "propagation",
     "recovery",
+    "weight_turns",
 )
 _PLAIN_PROGRAMS: typing.Final = ("decision_times",)
 """Programs that print their own table and leave no series."""
--- a/features/steps/upgrades_steps.py
+++ b/features/steps/upgrades_steps.py
@@ -11,7 +11,7 @@
 PRIORITY = 7
 
 
-@behave.given("a deployment with {entries:d} entries and {targets:d} target")
+@behave.given("{entries:d} entries and {targets:d} target of this version")
 def start_fixture(context, entries, targets):
     context.fixture = builders.start_fixture(
         context.deployment, entries, targets
--- a/features/upgrades.feature
+++ b/features/upgrades.feature
@@ -7,7 +7,7 @@
   that this version does not know. If this one refused the record, callers of
   old and new entries would from then on be served by different resources.
 
-    Given a deployment with 2 entries and 1 target
+    Given 2 entries and 1 target of this version
     When a later version writes the service with the field "later" to the log
     Then entries and agents have it in force without the field "later"
     And an operator who reads it through this version sees the field "later"
--- a/packages/gentianpoint-standins/src/gentianpoint_standins/engine_service.py
+++ b/packages/gentianpoint-standins/src/gentianpoint_standins/engine_service.py
@@ -240,6 +240,8 @@
         """Show the load as it was a while ago."""
         await self.faults.delay_call()
         seen = self._reports.read()
+        if self.orders.is_loading():
+            self._witness.counts.add("loading_reports")
         return serving.answer_json(
             {
                 "boot": self._boot,
@@ -272,7 +274,10 @@
         order = msgspec.json.decode(
             await self._read_body(), type=engine_orders.Order
         )
-        if self.orders.take(order):
+        taken = self.orders.take(order)
+        if taken and self.faults.take_lost_order_reply():
+            return self._lose_reply()
+        if taken:
             return serving.answer_json({}, 202)
         return serving.answer_json(
             {"error": "old_fence", "highest": self.orders.highest}, 409
