--- a/features/orders.feature
+++ b/features/orders.feature
@@ -159,6 +159,18 @@
     And the engine is restarted with version 1
     Then the engine holds version 2
 
+  Scenario: an agent is replaced while its engine loads
+  The agent that gave the order dies, and the next one finds an engine that
+  still serves the old version and is about to drop it. Calls taken in between
+  would be cut.
+
+    Given a deployment with 1 target whose loads take 6000 ms
+    When an operator declares version 2
+    And the agent has logged order_sent
+    And the agent is killed and replaced
+    And callers ask for 40 tokens until all engines hold version 2
+    Then no answer of theirs was cut
+
   Scenario: an engine that dies while it loads does not stop the others
   The last that its agent heard of it is that it loads. If that were waited
   for, with the turn in hand, no other target would get the new version.
--- a/features/steps/orders_steps.py
+++ b/features/steps/orders_steps.py
@@ -252,6 +252,12 @@
     )
 
 
+@behave.when("the agent is killed and replaced")
+def kill_and_replace(context):
+    context.deployment.kill(context.fixture.targets[0].agent)
+    start_again(context)
+
+
 @behave.then("new calls are refused as not run, since it is declared unloaded")
 def check_refused(context):
     entry = context.fixture.entries[0]
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/engine_orders.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/engine_orders.py
@@ -113,9 +113,13 @@
         self._state.release_hold()
 
     def _log_refusal(self, error: ports.PortError) -> None:
-        is_store = error.step == "read weights"
+        event = events.ORDER_REFUSED
+        if isinstance(error, order_stream.LogUnavailableError):
+            event = events.LOG_UNAVAILABLE
+        elif error.step == "read weights":
+            event = events.WEIGHTS_UNAVAILABLE
         logs.log_event(
-            events.WEIGHTS_UNAVAILABLE if is_store else events.ORDER_REFUSED,
+            event,
             step=error.step,
             peer=error.peer,
             reason=error.reason,
@@ -137,11 +141,15 @@
         return found is not None and found[:2] == task[:2]
 
     def _hold_if_useless(self) -> None:
-        """Refuse calls at once that the engine could only refuse."""
+        """Refuse calls at once that the engine would refuse or cut."""
         load = self._state.control.load
         wanted = self._state.service.read_wanted()
         if wanted.unloaded:
             self._state.hold(_HOLDS[wanted_states.UNLOAD])
+        elif load is not None and load.loading:
+            # An earlier run of this agent gave an order that is still being
+            # carried out; calls taken now would be cut by its effect.
+            self._state.hold(_HOLDS[wanted_states.LOAD])
         elif wanted.model and load is not None and not load.model:
             self._state.hold(_EMPTY)
         else:
@@ -154,7 +162,8 @@
         if task.is_first_load():
             await self._load_first(task, size)
             return
-        await self._lease.wait_claimed()
+        if not await self._has_claim():
+            return
         is_wanted = functools.partial(self._is_still_wanted, task)
         if task.order != wanted_states.UNLOAD and not await self._turns.take(
             1, self._count_turns, is_wanted
@@ -170,6 +179,12 @@
         ):
             await self._send_under_lease(task, size)
 
+    async def _has_claim(self) -> bool:
+        """Wait a moment for the claim; False while the log is out."""
+        with trio.move_on_after(_CLAIM_WITHIN_S):
+            await self._lease.wait_claimed()
+        return self._lease.fence > 0
+
     def _count_turns(self) -> int:
         return self._state.service.replicas // _REPLICAS_A_TURN
 
@@ -203,9 +218,7 @@
     async def _load_first(self, task: _Task, size: int) -> None:
         """Load into an engine that holds nothing, also without the log."""
         is_wanted = functools.partial(self._is_still_wanted, task)
-        with trio.move_on_after(_CLAIM_WITHIN_S):
-            await self._lease.wait_claimed()
-        if not self._lease.fence:
+        if not await self._has_claim():
             await self._load_without_turn(task, size)
             return
         try:
