Try the users' scenarios on the virtual clock too

Cause: the comparison with real processes takes minutes, is disturbed by other work on the machine, and tells nothing of how full the engine was, so causes of what it missed could not be told apart.

Change: the trials take the arrivals of bench/scenarios at a third of their rate for one engine, on the users' engine and on one with more memory, slower steps, dearer prompts and later reports; runs go beside each other; figures for occupancy, steps that computed prompts, and goodput as the real comparison counts it.

--- a/bench/admission_trials.py
+++ b/bench/admission_trials.py
@@ -9,18 +9,23 @@
 so these are trials beside the experiments with real processes, not instead.
 
 The engine's sizes differ from one variant to the next; the policies see
-streams, late load reports and nothing else.
+streams, late load reports and nothing else. The variants named after a user
+take the arrivals of ``bench/scenarios`` at a third of their rate, for one of
+three engines, run from a cold start and end with the last answer.
 """
 
 import argparse
 from collections import abc
+from concurrent import futures
 import functools
 import json
+import pathlib
 import random
 import statistics
 import sys
 import typing
 
+import msgspec
 import numpy
 import trio
 import trio.testing
@@ -33,6 +38,9 @@
 from gentianpoint_core import deadlines
 from gentianpoint_core import errors
 from gentianpoint_core import ports
+from gentianpoint_entry.load import arrivals
+from gentianpoint_entry.load import scenarios
+from gentianpoint_standins import engine_lengths
 from gentianpoint_standins import engine_scheduler
 from gentianpoint_standins import engine_streams
 
@@ -41,6 +49,10 @@
 _REPORT_S: typing.Final = 0.2
 _DEADLINE_MS: typing.Final = 20_000
 _LIMIT_TOKENS: typing.Final = 4000
+_SCENARIO_LIMIT_TOKENS: typing.Final = 1500
+_SCENARIO_DEADLINE_MS: typing.Final = 15_000
+_SCENARIO_ENGINES: typing.Final = 3
+_SCENARIOS: typing.Final = pathlib.Path(__file__).parent / "scenarios"
 _CUSTOMERS: typing.Final = 12
 _STALL_FACTOR: typing.Final = 2.0
 _PREEMPTED: typing.Final = b'{"preempted":true}\n'
@@ -73,12 +85,52 @@
     """Mean length of the other answers, tokens."""
     drift: float = 1.0
     """Factor on long answers in the second half of the run."""
+    scenario: str = ""
+    """File of a user's scenario, which then gives arrivals and lengths."""
+
+
+_LENGTHS: typing.Final[abc.Mapping[str, engine_lengths.LengthClass]] = {
+    "ticket": engine_lengths.LengthClass(6.0, 0.5, 32),
+    "report": engine_lengths.LengthClass(200.0, 0.9, 1500),
+    "phrase": engine_lengths.LengthClass(16.0, 0.6, 128),
+    "check": engine_lengths.LengthClass(40.0, 0.6, 256),
+    "script": engine_lengths.LengthClass(180.0, 1.0, 1500),
+}
+_DRIFT_A_MINUTE: typing.Final = 2.0
+_OBJECTIVES: typing.Final = {
+    "taller": "fewest_preemptions",
+    "guia": "steady_pace",
+}
+_LOADS: typing.Final = ("quiet", "busy", "overload", "burst", "drift")
+
+
+def _make_scenario_variants(
+    suffix: str, limits: engine_scheduler.SchedulerLimits, lag_s: float
+) -> abc.Iterator[Variant]:
+    for user, objective in _OBJECTIVES.items():
+        for load in _LOADS:
+            yield Variant(
+                f"{user} {load}{suffix}",
+                objective,
+                limits,
+                lag_s,
+                0.0,
+                0.0,
+                0.0,
+                scenario=f"{user}-{load}",
+            )
 
 
 _ENGINE: typing.Final = engine_scheduler.SchedulerLimits(blocks=1400)
 _SLOW: typing.Final = engine_scheduler.SchedulerLimits(
     blocks=2000, step_ms=20.0, stream_ms=0.5
 )
+_USERS: typing.Final = engine_scheduler.SchedulerLimits(
+    blocks=120, stream_ms=0.2
+)
+_CHANGED: typing.Final = engine_scheduler.SchedulerLimits(
+    blocks=200, step_ms=16.0, stream_ms=0.4, prefill_ms=0.05
+)
 VARIANTS: typing.Final = (
     Variant("reports", "fewest_preemptions", _ENGINE, 0.2, 3.0, 0.0, 600.0),
     Variant("reports x1.3", "fewest_preemptions", _ENGINE, 0.2, 4.5, 0, 600.0),
@@ -86,6 +138,8 @@
     Variant("mixed", "steady_pace", _ENGINE, 0.2, 14.0, 0.8, 600.0),
     Variant("mixed x1.3", "steady_pace", _ENGINE, 0.2, 20.0, 0.8, 600.0),
     Variant("mixed, slow", "steady_pace", _SLOW, 0.6, 9.0, 0.8, 600.0),
+    *_make_scenario_variants("", _USERS, 0.2),
+    *_make_scenario_variants(", changed", _CHANGED, 0.6),
 )
 
 
@@ -102,6 +156,8 @@
     """99th percentile of the time between tokens."""
     first_token_s: float
     """Median time to the first token of calls that got one."""
+    late_first_token_s: float
+    """95th percentile of it."""
     slow_first_token_s: float
     """99th percentile of it."""
     tokens_a_second: float
@@ -110,6 +166,12 @@
     """Calls refused."""
     least_share: float
     """Least fair customer: its share of calls answered over the mean one."""
+    occupied: float
+    """Mean share of the engine's blocks in use while calls came."""
+    slow_steps: float
+    """Share of the steps that computed a prompt beside decoding."""
+    good_a_second: float
+    """Tokens of whole answers a second, until the last answer."""
 
 
 class _Caller(typing.NamedTuple):
@@ -119,10 +181,13 @@
     customer: str
     prompt: str
     length: int
+    max_tokens: int = 0
 
 
 def make_load(variant: Variant, seed: int) -> abc.Sequence[_Caller]:
     """Return the calls of a run; the first customer sends half of them."""
+    if variant.scenario:
+        return _draw_scenario(variant, seed)
     source = random.Random(seed)
     callers: list[_Caller] = []
     at = 0.0
@@ -150,6 +215,31 @@
     return callers
 
 
+def _draw_scenario(variant: Variant, seed: int) -> abc.Sequence[_Caller]:
+    """Return an engine's part of a user's scenario."""
+    path = _SCENARIOS / f"{variant.scenario}.yaml"
+    scenario = scenarios.load_scenario(path)
+    rate = scenario.rate / _SCENARIO_ENGINES
+    scenario = msgspec.structs.replace(scenario, rate=rate)
+    drift = _DRIFT_A_MINUTE if variant.scenario.endswith("drift") else 0.0
+    classes = {
+        name: row._replace(drift=drift) for name, row in _LENGTHS.items()
+    }
+    lengths = engine_lengths.LengthTable(
+        seed, {**engine_lengths.DEFAULT_CLASSES, **classes}, 0.0
+    )
+    return [
+        _Caller(
+            row.at_s,
+            row.customer,
+            row.prompt,
+            lengths.draw(row.prompt, row.at_s),
+            row.kind.max_tokens,
+        )
+        for row in arrivals.draw_arrivals(scenario, seed)
+    ]
+
+
 class _Reader:
     """Reads one stream's lines and takes its figures."""
 
@@ -197,11 +287,18 @@
     def __init__(self, variant: Variant, policy: str, seed: int) -> None:
         self._variant: typing.Final = variant
         self._seed: typing.Final = seed
+        self._limit = _LIMIT_TOKENS
+        self._deadline_ms = _DEADLINE_MS
+        self._warm_s = _WARM_S
+        if variant.scenario:
+            self._limit = _SCENARIO_LIMIT_TOKENS
+            self._deadline_ms = _SCENARIO_DEADLINE_MS
+            self._warm_s = 0.0
         service = service_in_force.ServiceInForce("service")
         service.spec = {
             "kind": "model",
             "customers": ["*"],
-            "max_tokens": _LIMIT_TOKENS,
+            "max_tokens": self._limit,
             "objective": typing.cast(typing.Any, variant.objective),
         }
         self._control: typing.Final = admission.AdmissionControl(
@@ -223,26 +320,37 @@
         self._answered: typing.Final[dict[str, int]] = {}
         self._tokens = 0
         self._count_from = 0.0
+        self._started = 0.0
+        self._coming = True
+        self._occupied: typing.Final[list[float]] = []
+        self._steps = 0
+        self._slow_steps = 0
+        self._good_tokens = 0
+        self._last_end_s = 0.0
 
     async def run(self) -> TrialFigures:
         """Run the load, and return the figures."""
-        start = trio.current_time()
-        self._count_from = start + _WARM_S
+        start = self._started = trio.current_time()
+        self._count_from = start + self._warm_s
         with trio.move_on_at(start + _RUN_S):
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._run_engine)
                 nursery.start_soon(self._report)
-                for caller in make_load(self._variant, self._seed):
-                    await trio.sleep_until(start + caller.at)
-                    nursery.start_soon(self._call, caller)
-                await trio.sleep_forever()
+                async with trio.open_nursery() as calls:
+                    for caller in make_load(self._variant, self._seed):
+                        await trio.sleep_until(start + caller.at)
+                        calls.start_soon(self._call, caller)
+                    self._coming = False
+                nursery.cancel_scope.cancel()
         return self._sum_up()
 
     async def _run_engine(self) -> None:
         while True:
             while not self._scheduler.has_work():
                 await self._work.wait()
-            await trio.sleep(self._scheduler.begin_step() / 1000)
+            step_ms = self._scheduler.begin_step()
+            self._note_step(step_ms)
+            await trio.sleep(step_ms / 1000)
             self._scheduler.finish_step()
             now = trio.current_time()
             self._history.append((now, self._scheduler.figures()))
@@ -251,6 +359,14 @@
                 if now >= self._count_from:
                     self._tokens += reader.counted
 
+    def _note_step(self, step_ms: float) -> None:
+        figures, limits = self._scheduler.figures(), self._variant.limits
+        usual_ms = limits.step_ms + limits.stream_ms * figures.running
+        self._steps += 1
+        self._slow_steps += step_ms > usual_ms
+        if self._coming:
+            self._occupied.append(figures.blocks_used / limits.blocks)
+
     async def _report(self) -> None:
         while True:
             now = trio.current_time()
@@ -286,7 +402,7 @@
 
     async def _call(self, caller: _Caller) -> None:
         arrived = trio.current_time()
-        counts = caller.at >= _WARM_S
+        counts = caller.at >= self._warm_s
         if counts:
             self._asked[caller.customer] = (
                 self._asked.get(caller.customer, 0) + 1
@@ -297,8 +413,8 @@
             0,
             5,
             caller.prompt,
-            0,
-            deadlines.make_deadline(_DEADLINE_MS),
+            caller.max_tokens,
+            deadlines.make_deadline(self._deadline_ms),
         )
         try:
             async with self._control.enter(profile) as slot:
@@ -322,7 +438,7 @@
             {
                 "id": str(self._arrived),
                 "prompt": caller.prompt,
-                "max_tokens": _LIMIT_TOKENS,
+                "max_tokens": caller.max_tokens or self._limit,
                 "priority": 5,
                 "model": "",
                 "adapter": "",
@@ -349,6 +465,8 @@
                 sum(gap - usual / 2 for gap in reader.gaps_ms if gap > usual)
             )
         if reader.done.is_set():
+            self._good_tokens += reader.stream.generated
+            self._last_end_s = trio.current_time() - self._count_from
             self._answered[caller.customer] = (
                 self._answered.get(caller.customer, 0) + 1
             )
@@ -374,10 +492,14 @@
             statistics.fmean(self._stalls_ms or [0.0]),
             float(numpy.percentile(self._gaps_ms or [0.0], 99)),
             statistics.median(self._first_s or [0.0]),
+            float(numpy.percentile(self._first_s or [0.0], 95)),
             float(numpy.percentile(self._first_s or [0.0], 99)),
-            self._tokens / (_RUN_S - _WARM_S),
+            self._tokens / (_RUN_S - self._warm_s),
             1 - answered / max(1, asked),
             min(small, default=0.0) / max(statistics.fmean(shares), 1e-9),
+            statistics.fmean(self._occupied or [0.0]),
+            self._slow_steps / max(1, self._steps),
+            self._good_tokens / max(1.0, self._last_end_s),
         )
 
 
@@ -409,30 +531,42 @@
     )
 
 
+def _read_arguments() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=2)
+    parser.add_argument("--first-seed", type=int, default=1)
+    parser.add_argument("--variants", nargs="+", default=[])
+    parser.add_argument("--policies", nargs="+", default=list(_POLICIES))
+    parser.add_argument(
+        "--at-once", type=int, default=1, help="Runs beside each other."
+    )
+    return parser.parse_args()
+
+
 def main() -> int:
     """Run all and print a table of medians over the seeds."""
-    parser = argparse.ArgumentParser()
-    parser.add_argument("--seeds", type=int, default=2)
-    parser.add_argument("--variant", default="")
-    parser.add_argument("--policy", default="")
-    chosen = parser.parse_args()
+    chosen = _read_arguments()
     names = TrialFigures._fields
     print("".join(f"{name[:13]:>14}" for name in ("", "", *names)))
-    for variant in VARIANTS:
-        if chosen.variant not in ("", variant.name):
-            continue
-        for policy in _POLICIES:
-            if chosen.policy not in ("", policy):
-                continue
-            rows = [
-                run_trial(variant, policy, seed)
-                for seed in range(1, chosen.seeds + 1)
-            ]
+    jobs = [
+        (variant, policy)
+        for variant in VARIANTS
+        if not chosen.variants or variant.name in chosen.variants
+        for policy in chosen.policies
+    ]
+    seeds = range(chosen.first_seed, chosen.first_seed + chosen.seeds)
+    with futures.ProcessPoolExecutor(chosen.at_once) as pool:
+        runs = [
+            [pool.submit(run_trial, *job, seed) for seed in seeds]
+            for job in jobs
+        ]
+        for (variant, policy), waiting in zip(jobs, runs, strict=True):
+            rows = [run.result() for run in waiting]
             medians = [
                 statistics.median(column) for column in zip(*rows, strict=True)
             ]
-            values = "".join(f"{value:>14.2f}" for value in medians)
-            print(f"{variant.name:>14}{policy:>14}{values}", flush=True)
+            values = "".join(f"{value:>14.3f}" for value in medians)
+            print(f"{variant.name:>22}{policy:>16}{values}", flush=True)
             line = {
                 "variant": variant.name,
                 "policy": policy,
