Learn lengths by the limit asked for and by templates of all customers

Ruled out: the pace limit's slow start (a first limit of 64 instead of 16 changed nothing) and the pace limit as a whole (neither did none at all).

Change: kinds go from the service to the limit that the caller asked for, to the opening of the prompt, then to the customer with it. Where openings don't come again, the customer comes after the limit.

--- a/packages/gentianpoint-agent/features/lengths.feature
+++ b/packages/gentianpoint-agent/features/lengths.feature
@@ -86,3 +86,22 @@
     Given answers that all have 400 tokens
     When 20 streams with prompts of 160 tokens have 0 out
     Then each of 20 streams is read anew in its turn
+
+  Scenario: a template is learned from all who use it
+    An app's template reaches an agent through many customers, each of whom
+    sends it only now and then. If each customer taught the agent alone, the
+    next one's tag would wait behind reports as if it were one.
+    When 30 customers get 2 answers of 8 tokens to "tag for" each
+    And 30 customers get 2 answers of 900 tokens to "report of" each
+    Then an answer for newcomer to "tag for" is at most 12 tokens
+    And an answer for newcomer to "report of" is at most 1100 tokens
+
+  Scenario: programs that set a limit are told from those that set none
+    The service's limit is that of its longest answers. A program for reports
+    asks for as many; one for tags sets no limit, and the service's is in
+    force. Were both taken for one kind, tags would wait behind reports.
+    Given a service whose answers have at most 1500 tokens
+    When 60 answers of 6 tokens end whose callers set no limit
+    And 60 answers of 700 tokens end whose callers set 1500
+    Then an answer whose caller sets no limit is taken to be short
+    And an answer whose caller sets 1500 is taken to be long
--- a/packages/gentianpoint-agent/features/steps/lengths_steps.py
+++ b/packages/gentianpoint-agent/features/steps/lengths_steps.py
@@ -1,9 +1,11 @@
 """Steps for lengths of answers and forecasts of memory."""
 
+import agent_builders
 import behave
 
 from gentianpoint_agent import length_classes
 from gentianpoint_agent import memory_forecasts
+from gentianpoint_agent import outlooks
 
 _DEVIATIONS = 2.3
 
@@ -167,3 +169,65 @@
             seen.add(key)
     assert len(seen) == streams, seen
     assert not context.forecast.find_due(1.0)
+
+
+@behave.when(
+    "{customers:d} customers get {count:d} answers of {length:d} tokens"
+    ' to "{prompt}" each'
+)
+def run_customers(context, customers, count, length, prompt):
+    for number in range(customers * count):
+        run_stream(
+            get_learner(context),
+            length,
+            whole=True,
+            customer=f"customer-{number // count}",
+            prompt=f"{prompt:30} {number}",
+        )
+
+
+@behave.given("a service whose answers have at most {most:d} tokens")
+def make_outlooks(context, most):
+    context.service_limit = most
+    context.outlooks = outlooks.OutlookMaker()
+
+
+def make_outlook(context, customer, limit):
+    profile = agent_builders.make_profile(
+        customer, prompt=f"{customer} asks", max_tokens=limit
+    )
+    return context.outlooks.make_outlook(profile, context.service_limit)
+
+
+def end_answers(context, count, length, limit):
+    for number in range(count):
+        outlook = make_outlook(context, f"c-{number}", limit)
+        for _ in range(length - 1):
+            outlook.length.add_token()
+        outlook.length.end()
+
+
+@behave.when(
+    "{count:d} answers of {length:d} tokens end whose callers set no limit"
+)
+def end_unlimited(context, count, length):
+    end_answers(context, count, length, 0)
+
+
+@behave.when(
+    "{count:d} answers of {length:d} tokens end whose callers set {limit:d}"
+)
+def end_limited(context, count, length, limit):
+    end_answers(context, count, length, limit)
+
+
+@behave.then("an answer whose caller sets no limit is taken to be short")
+def check_short(context):
+    assert make_outlook(context, "newcomer", 0).is_short
+
+
+@behave.then("an answer whose caller sets {limit:d} is taken to be long")
+def check_long(context, limit):
+    outlook = make_outlook(context, "newcomer", limit)
+    assert not outlook.is_short
+    assert outlook.expected_tokens > 500, outlook.expected_tokens
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/length_classes.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/length_classes.py
@@ -1,11 +1,12 @@
 """Which streams are alike: kinds of answers and what is known of each.
 
 A stream belongs to a chain of kinds, from wide to narrow: the service, the
-class of its limit, the customer, and the opening of its prompt, which
-streams of one template share. Each kind leans on the next wider one until it
-has seen enough itself. Only the kinds seen most are kept apart, so that the
-state is bounded whatever the number of customers; all others share the wide
-ones.
+class of the limit that its caller asked for, the opening of its prompt,
+which streams of one template share, and the customer. Where an opening is
+not seen again, the customer comes right after the limit. Each kind leans on
+the next wider one until it has seen enough itself. Only the kinds seen most
+are kept apart, so that the state is bounded whatever the number of
+customers; all others share the wide ones.
 """
 
 from collections import abc
@@ -111,23 +112,32 @@
         ] = {}
         self._customers: typing.Final = _KindTable()
         self._openings: typing.Final = _KindTable()
+        self._templates: typing.Final = _KindTable()
 
     def find_stream(
         self, customer: str, prompt: str, max_tokens: int
     ) -> StreamLength:
-        """Return the length of a new stream, not started yet."""
+        """Return the length of a new stream, not started yet.
+
+        ``max_tokens`` is the limit that the caller asked for; 0 for none.
+        """
         limit = length_distributions.find_class(max_tokens)
         by_limit = self._limits.get(limit)
         if by_limit is None:
             by_limit = length_distributions.LengthDistribution(self.service)
             self._limits[limit] = by_limit
-        by_customer = self._customers.note((customer, limit), by_limit)
         opening = prompt[:_OPENING_CHARACTERS]
-        by_opening = self._openings.note(
-            (customer, limit, opening), by_customer
-        )
+        by_opening = self._openings.note((limit, opening), by_limit)
+        # A template tells more of a length than the customer does, and all
+        # customers together teach it sooner than each alone would.
+        if by_opening is by_limit:
+            by_customer = self._customers.note((customer, limit), by_limit)
+        else:
+            by_customer = self._templates.note(
+                (customer, limit, opening), by_opening
+            )
         chain = [self.service, by_limit]
-        for kind in (by_customer, by_opening):
+        for kind in (by_opening, by_customer):
             if kind is not chain[-1]:
                 chain.append(kind)
         return StreamLength(chain)
@@ -138,4 +148,5 @@
             len(self._limits)
             + self._customers.count_kinds()
             + self._openings.count_kinds()
+            + self._templates.count_kinds()
         )
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/outlooks.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/outlooks.py
@@ -33,8 +33,10 @@
             row for row in (profile.max_tokens, service_limit) if row > 0
         ]
         limit = min(limits, default=0)
+        # By the limit that was asked for, not the one in force: a program
+        # that sets none is another than one that sets the service's.
         length = self.lengths.find_stream(
-            profile.customer, profile.prompt, limit
+            profile.customer, profile.prompt, profile.max_tokens
         )
         expected = length.distribution.find_mean()
         likely = length.distribution.find_quantile(0, _SHORT_SHARE)
