--- a/packages/gentianpoint-agent/features/admission.feature
+++ b/packages/gentianpoint-agent/features/admission.feature
@@ -107,3 +107,14 @@
     Given a queue before 1 place
     When 48000 customers send one call each and it ends at once
     Then fewer than 5000 customers are remembered
+
+  Scenario: a moment with one long answer refuses nobody
+    Many calls run most of the time. For a moment one long answer has the
+    engine alone while the others wait for its memory. Were the wait told by
+    that moment, callers would be refused and sent away for minutes, just
+    before the queue moves on.
+    Given a queue before 8 places where calls usually take 2 s
+    When 1 long answer runs alone for 1 s
+    Then a call with 20 before it is told to expect less than 10 s
+    When 1 long answer runs alone for 60 s
+    Then a call with 20 before it is told to expect more than 30 s
--- a/packages/gentianpoint-agent/features/steps/admission_steps.py
+++ b/packages/gentianpoint-agent/features/steps/admission_steps.py
@@ -4,6 +4,7 @@
 import behave
 import call_stage
 
+from gentianpoint_agent import drain_rates
 from gentianpoint_core import deadlines
 
 
@@ -213,3 +214,37 @@
 def check_remembered(context, most):
     remembered = context.calls.control.count_customers()
     assert 0 < remembered < most, remembered
+
+
+@behave.given("a queue before {places:d} places where calls usually take 2 s")
+def make_usual_drain(context, places):
+    context.drain = drain_rates.DrainRate()
+    context.drained_ms = 0.0
+    context.drain.note_running(places, context.drained_ms)
+    for _ in range(60):
+        context.drained_ms += 1000.0
+        context.drain.note_running(places, context.drained_ms)
+        context.drain.note_release(2000.0)
+
+
+@behave.when("{count:d} long answer runs alone for {seconds:d} s")
+def run_alone(context, count, seconds):
+    context.drain.note_running(count, context.drained_ms)
+    context.drained_ms += seconds * 1000.0
+    context.drain.note_running(count, context.drained_ms)
+
+
+@behave.then(
+    "a call with {ahead:d} before it is told to expect less than 10 s"
+)
+def check_short_wait(context, ahead):
+    wait_ms = context.drain.predict_wait_ms(ahead)
+    assert wait_ms < 10_000, wait_ms
+
+
+@behave.then(
+    "a call with {ahead:d} before it is told to expect more than 30 s"
+)
+def check_long_wait(context, ahead):
+    wait_ms = context.drain.predict_wait_ms(ahead)
+    assert wait_ms > 30_000, wait_ms
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/admission.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/admission.py
@@ -74,9 +74,7 @@
         """Return how long a call would wait that came now, milliseconds."""
         if not self._queue.count():
             return 0.0
-        return self._drain.predict_wait_ms(
-            self._queue.count(), len(self._running)
-        )
+        return self._drain.predict_wait_ms(self._queue.count())
 
     def read_pace_ms(self) -> float:
         """Return the median time between tokens of late; 0 if unknown.
@@ -158,7 +156,7 @@
             self._refuse(ticket, "the wait would be too long", excess_ms)
 
     def _predict_wait_ms(self, ahead: int) -> float:
-        return self._drain.predict_wait_ms(ahead, len(self._running))
+        return self._drain.predict_wait_ms(ahead)
 
     def _make_refusal(self, reason: str, excess_ms: float) -> errors.CallError:
         excess_ms = max(excess_ms, self._predict_wait_ms(0))
@@ -192,7 +190,9 @@
         self._by_customer[customer] -= 1
         if not self._by_customer[customer]:
             del self._by_customer[customer]
-        self._drain.note_release(deadlines.read_clock_ms() - slot.started_ms)
+        now_ms = deadlines.read_clock_ms()
+        self._drain.note_release(now_ms - slot.started_ms)
+        self._drain.note_running(len(self._running), now_ms)
         cost = self._outlooks.find_cost(
             slot.outlook.prompt_tokens, slot.tokens
         )
@@ -250,6 +250,7 @@
         )
         self._policy.note_start(slot)
         self._running[slot] = None
+        self._drain.note_running(len(self._running), now_ms)
         customer = ticket.profile.customer
         self._by_customer[customer] = self._by_customer.get(customer, 0) + 1
         ticket.slot = slot
