Count a shortage of memory once in caution, and forget it sooner

Change: preemptions within 2 s count once; caution halves in 14 s; what is kept free while lengths are unlearned is 1 standard deviation instead of 2, since kinds are learned sooner; steady_pace adds 0.25 for a shortage instead of 0.5 for each preemption.

--- a/packages/gentianpoint-agent/features/predictive_policy.feature
+++ b/packages/gentianpoint-agent/features/predictive_policy.feature
@@ -94,3 +94,28 @@
     Given a pace limit that has grown to 40 streams
     When the slower tokens take 100 ms for 400 windows
     Then the limit rises again
+
+  Scenario Outline: a shortage counts once, however many it preempts
+    An engine that runs out of memory preempts several streams one after
+    another, all for the same forecast that was too low. Counted one by one
+    they would make the agent so careful that callers wait for minutes before
+    an engine that is half empty.
+    Given a predictive policy for fewest_preemptions with 200 blocks
+    And answers known to have between 100 and 1000 tokens
+    When as many calls as it admits have started
+    And <preempted> of them are preempted, come back and end with the others
+    And as many calls as it admits have started
+    Then between 6 and 8 run
+
+    Examples:
+      | preempted |
+      | 1         |
+      | 6         |
+
+  Scenario: shortages one after another add up
+    Given a predictive policy for fewest_preemptions with 200 blocks
+    And answers known to have between 100 and 1000 tokens
+    When as many calls as it admits have started
+    And they are short of memory 6 times, 5 s apart, and end
+    And as many calls as it admits have started
+    Then between 3 and 5 run
--- a/packages/gentianpoint-agent/features/steps/predictive_policy_steps.py
+++ b/packages/gentianpoint-agent/features/steps/predictive_policy_steps.py
@@ -218,3 +218,39 @@
 @behave.then("the limit rises again")
 def check_rises(context):
     assert context.limit.get_limit() > context.least
+
+
+def preempt_first(calls, count):
+    slots = [call.slot for call in calls.running[:count]]
+    for slot in slots:
+        calls.stage.call(slot.note_preemption)
+    for slot in slots:
+        calls.stage.call(slot.note_token)
+
+
+def end_all(calls):
+    while calls.running:
+        calls.end_first()
+    calls.pass_time(1)
+
+
+@behave.when(
+    "{count:d} of them are preempted, come back and end with the others"
+)
+def preempt_at_once(context, count):
+    preempt_first(context.calls, count)
+    for scope in context.calls.scopes:
+        context.calls.stage.call(scope.cancel)
+    end_all(context.calls)
+
+
+@behave.when(
+    "they are short of memory {times:d} times, {seconds:d} s apart, and end"
+)
+def preempt_often(context, times, seconds):
+    for _ in range(times):
+        preempt_first(context.calls, 2)
+        context.calls.pass_time(seconds)
+    for scope in context.calls.scopes:
+        context.calls.stage.call(scope.cancel)
+    end_all(context.calls)
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/predictive_policy.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/predictive_policy.py
@@ -25,9 +25,10 @@
 _RENEWED_EACH_MS: typing.Final = 100.0
 _WINDOW_MS: typing.Final = 500.0
 _MOST_CAUTION: typing.Final = 3.0
-_UNLEARNED_DEVIATIONS: typing.Final = 2.0
+_UNLEARNED_DEVIATIONS: typing.Final = 1.0
 _LEARNING_STREAMS: typing.Final = 32
-_CAUTION_KEPT: typing.Final = 0.997
+_CAUTION_KEPT: typing.Final = 0.99
+_SHORTAGE_MS: typing.Final = 2000.0
 
 
 class _Objective(typing.NamedTuple):
@@ -46,7 +47,7 @@
 
 _OBJECTIVES: typing.Final[abc.Mapping[str, _Objective]] = {
     "fewest_preemptions": _Objective(1.0, 0.25, 5.0),
-    "steady_pace": _Objective(0.5, 0.5, 1.8),
+    "steady_pace": _Objective(0.5, 0.25, 1.8),
 }
 _DEFAULT_OBJECTIVE: typing.Final = "fewest_preemptions"
 
@@ -66,6 +67,7 @@
         self._preempted = 0
         self._stuck = False
         self._caution = 0.0
+        self._shortage_until_ms = 0.0
 
     def _find_objective(self) -> _Objective:
         name = self._service.spec.get("objective", _DEFAULT_OBJECTIVE)
@@ -176,9 +178,19 @@
             self._meter.note_gap(gap_ms)
 
     def note_preemption(self, slot: admission_policy.Slot) -> None:
-        """Grow more cautious: the forecast was too low."""
+        """Grow more cautious: the forecast was too low.
+
+        An engine that is out of memory preempts several streams one after
+        another. Counted one by one they would make one low forecast look
+        like many, and calls would wait before memory that stays empty for
+        long after; so those of a short while count once.
+        """
+        now_ms = deadlines.read_clock_ms()
         self._preempted += 1
-        self._ledger.remove(slot, deadlines.read_clock_ms())
+        self._ledger.remove(slot, now_ms)
+        if now_ms < self._shortage_until_ms:
+            return
+        self._shortage_until_ms = now_ms + _SHORTAGE_MS
         more = self._caution + self._find_objective().caution_step
         self._caution = min(_MOST_CAUTION, more)
 
