--- a/packages/gentianpoint-agent/features/drain_rates.feature
+++ b/packages/gentianpoint-agent/features/drain_rates.feature
@@ -8,7 +8,7 @@
   moment after a preemption. Callers of that moment would all be refused.
 
     When 12 calls of <held> s have ended while <usual> ran
-    And <now> calls run now
+    And <now> calls run for a moment now
     Then a call behind <ahead> others waits <wait> s
 
     Examples:
--- a/packages/gentianpoint-agent/features/steps/lengths_steps.py
+++ b/packages/gentianpoint-agent/features/steps/lengths_steps.py
@@ -1,9 +1,11 @@
 """Steps for lengths of answers and forecasts of memory."""
 
+import agent_builders
 import behave
 
 from gentianpoint_agent import length_classes
 from gentianpoint_agent import memory_forecasts
+from gentianpoint_agent import outlooks
 
 _DEVIATIONS = 2.3
 
@@ -113,6 +115,13 @@
         run_stream(get_learner(context), length, whole=True)
 
 
+def make_forecast(row, streams):
+    forecast = memory_forecasts.MemoryForecast(16)
+    for number in range(streams):
+        forecast.add(number, row, 0.0)
+    return forecast
+
+
 @behave.when(
     "{streams:d} streams with prompts of {prompt:d} tokens have {tokens:d} out"
 )
@@ -120,16 +129,105 @@
     row = memory_forecasts.StreamMemory(
         context.learner.service, prompt, tokens, 0
     )
-    context.forecast = memory_forecasts.MemoryForecast([row] * streams, 16)
+    context.forecast = make_forecast(row, streams)
 
 
 @behave.when("{streams:d} streams limited to {limit:d} tokens are forecast")
 def forecast_limited(context, streams, limit):
     row = memory_forecasts.StreamMemory(context.learner.service, 0, 0, limit)
-    context.forecast = memory_forecasts.MemoryForecast([row] * streams, 16)
+    context.forecast = make_forecast(row, streams)
 
 
 @behave.then("the peak in blocks of 16 is between {low:d} and {high:d}")
 def check_peak(context, low, high):
     peak = context.forecast.find_peak(_DEVIATIONS)
     assert low <= peak <= high, peak
+
+
+@behave.when("other lengths are learned and half of the streams end")
+def end_half(context):
+    for _ in range(400):
+        run_stream(context.learner, 2000, whole=True)
+    for number in range(5):
+        context.forecast.remove(number)
+
+
+@behave.when("all streams end")
+def end_all(context):
+    for number in range(100):
+        context.forecast.remove(number)
+
+
+@behave.then("each of {streams:d} streams is read anew in its turn")
+def check_turns(context, streams):
+    seen = set()
+    row = memory_forecasts.StreamMemory(context.learner.service, 0, 5, 0)
+    for _ in range(streams):
+        for key in context.forecast.find_due(1.0):
+            context.forecast.remove(key)
+            context.forecast.add(key, row, 2.0)
+            seen.add(key)
+    assert len(seen) == streams, seen
+    assert not context.forecast.find_due(1.0)
+
+
+@behave.when(
+    "{customers:d} customers get {count:d} answers of {length:d} tokens"
+    ' to "{prompt}" each'
+)
+def run_customers(context, customers, count, length, prompt):
+    for number in range(customers * count):
+        run_stream(
+            get_learner(context),
+            length,
+            whole=True,
+            customer=f"customer-{number // count}",
+            prompt=f"{prompt:30} {number}",
+        )
+
+
+@behave.given("a service whose answers have at most {most:d} tokens")
+def make_outlooks(context, most):
+    context.service_limit = most
+    context.outlooks = outlooks.OutlookMaker()
+
+
+def make_outlook(context, customer, limit):
+    profile = agent_builders.make_profile(
+        customer, prompt=f"{customer} asks", max_tokens=limit
+    )
+    return context.outlooks.make_outlook(profile, context.service_limit)
+
+
+def end_answers(context, count, length, limit):
+    for number in range(count):
+        outlook = make_outlook(context, f"c-{number}", limit)
+        for _ in range(length - 1):
+            outlook.length.add_token()
+        outlook.length.end()
+
+
+@behave.when(
+    "{count:d} answers of {length:d} tokens end whose callers set no limit"
+)
+def end_unlimited(context, count, length):
+    end_answers(context, count, length, 0)
+
+
+@behave.when(
+    "{count:d} answers of {length:d} tokens end whose callers set {limit:d}"
+)
+def end_limited(context, count, length, limit):
+    end_answers(context, count, length, limit)
+
+
+@behave.then("an answer whose caller sets no limit is taken to be short")
+def check_short(context):
+    assert make_outlook(context, "newcomer", 0).is_short
+
+
+@behave.then("an answer whose caller sets {limit:d} is taken to be long")
+def check_long(context, limit):
+    outlook = make_outlook(context, "newcomer", limit)
+    assert not outlook.is_short
+    assert outlook.expected_tokens > 500, outlook.expected_tokens
