Regenerate the capacity page from one run of all programs

Cause: the page gave figures from before the leaner binaries and the shared control, and said nothing of starts and of what a host's processes cost.

The page has starts, a host's control by its entry processes, measured recovery, and says what is open. It no longer says that processes multiply a host's control.

--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -236,6 +236,32 @@
     )
 
 
+def _write_start(model: capacity.Model) -> str:
+    rows = [
+        (
+            role,
+            f"{_show(model.slope(f'start.{role}_cpu'))} ms",
+            _show_bytes(model.slope(f"start.{role}_resident")),
+            _show_bytes(model.slope(f"start.{role}_proportional")),
+        )
+        for role in ("entry", "agent")
+    ]
+    table = _make_table(
+        (
+            "role",
+            "processor time until it serves",
+            "resident memory then",
+            "proportional share, beside five to ten like it",
+        ),
+        rows,
+    )
+    starts = capacity.REPLACED_DAY + capacity.FAILED_DAY
+    return (
+        f"Measured with the binaries' defaults, and paid {starts} times a "
+        f"day in all.\n\n{table}"
+    )
+
+
 def _write_carrying(model: capacity.Model) -> str:
     rows = []
     for name, role in (("entry", model.entry), ("agent", model.agent)):
@@ -474,8 +500,8 @@
         rows.append(
             (
                 words,
-                _show(model.slope(f"recovery.{name}_broken")),
-                _show(model.slope(f"recovery.{name}_opened")),
+                f"{model.slope(f'recovery.{name}_broken'):.0f}",
+                f"{model.slope(f'recovery.{name}_opened'):.0f}",
                 f"{_show(model.slope(f'recovery.{name}_last'))} ms",
                 f"{_show(model.slope(f'recovery.{name}_entry_cpu'))} ms",
             )
@@ -494,7 +520,7 @@
             rows,
         )
         + "\n\nUntil the host list drops it, an entry tries a lost agent "
-        f"{_show(model.slope('recovery.tries'))} times a second."
+        f"{model.slope('recovery.tries'):.1f} times a second."
     )
 
 
@@ -540,15 +566,17 @@
 
 def _write_mechanisms(model: capacity.Model) -> str:
     links = model.links
+    processes = model.count_processes()
     rows = (
         (
             "which connections exist",
             f"each entry takes {model.links_per_service} agents of each "
             "service, more when entries are few, its own data centre first, "
-            f"the rest by rendezvous hash: {links} for an entry, "
+            f"the rest by rendezvous hash: {links} for an entry host, "
             f"{model.agent.links:.1f} for an agent, "
             f"{links * capacity.ENTRIES:,} in all instead of "
-            f"{capacity.ENTRIES * capacity.AGENTS:,}",
+            f"{capacity.ENTRIES * capacity.AGENTS:,}; one that can't be "
+            "reached three times is passed over for the next",
             "built",
             "more services: 22 of them double an entry's connections",
         ),
@@ -575,9 +603,10 @@
         (
             "who reads the log",
             "entries by long poll; agents get their service's resource on "
-            "their connections",
+            "their connections when it changes, and nothing of customers",
             "built",
-            f"{capacity.ENTRIES / capacity.LOG_POLL_S:.0f} idle polls a "
+            f"{processes * capacity.ENTRIES / capacity.LOG_POLL_S:.0f} idle "
+            "polls a "
             "second at the log; a longer wait lowers it in proportion",
         ),
         (
@@ -596,7 +625,8 @@
             "after a change and each minute; only an entry that is asked "
             "reads them",
             "built",
-            f"{_show(capacity.ENTRIES * model.status_s())} appends a second "
+            f"{_show(processes * capacity.ENTRIES * model.status_s())} "
+            "appends a second "
             "at the log; an append is counted with the processor time of a "
             "caller's whole request, which is more",
         ),
@@ -652,8 +682,8 @@
         ),
         (
             "weight store",
-            "targets of a service load in turns",
-            "designed; see docs/design/processes.md for what is built",
+            "targets of a service load in turns, a quarter at a time",
+            "built for a service; a rate over all services is open",
             "not measured here",
         ),
     )
@@ -698,8 +728,8 @@
         f"second, which takes {entry.carrying_cpu:.1f} cores, and one entry "
         "process uses one core. Entries share nothing, so "
         f"{model.count_processes()} processes on a host, each an entry of "
-        "its own behind the balancer, carry it; their number multiplies the "
-        "connections and the control of the host. In a profile most of the "
+        "its own behind the balancer, carry it, and share the host's control. "
+        "In a profile most of the "
         "time goes to the web server's and the kernel's work for one write "
         "to one caller, so what would lower it is fewer writes. An agent "
         f"needs {agent.carrying_cpu:.0%} of a core.\n\n"
@@ -710,10 +740,13 @@
         f"control is {_show_bytes(entry.control.memory)} and "
         f"{_show_bytes(agent.control.memory)}; the libraries have to shrink "
         "for the budget to hold with them. What serving does not need is not "
-        "imported any more (a feature keeps it so); what is left is mostly "
-        "trio, the web framework and the client. The customers, "
+        "imported (a feature keeps it so); what is left is mostly trio, the "
+        "web framework and the client. The customers, "
         f"{_show_bytes(model.slope('configuration.memory'))} each, are most "
-        "of the state, and each process of a host has its own copy.\n\n"
+        "of the state, and each process of a host has its own copy, so an "
+        f"entry host with {model.count_processes()} processes is above 64 MB "
+        "with its state alone. Open: a copy that takes less for a customer, "
+        "or only those that call.\n\n"
         "Bytes come third: heartbeats to and load reports from an entry's "
         "agents, paced to fit, and what each process of a host polls."
     )
@@ -741,6 +774,7 @@
         "### Agent\n\n"
         + _write_control(model.agent_control_rows(), model.agent.control),
         _CONTROL_NOTE,
+        "## A start\n\n" + _write_start(model),
         "## Carrying tokens\n\n" + _write_carrying(model),
         _CARRYING_NOTE.strip() + "\n\n" + _write_delays(model),
         _write_share(model),
