Spend a prepared identifier that is refused

Cause: an agent that took no work for a while, as during a load of another version, refused the start of a prepared identifier with not_run and kept it startable. Its caller was told that it did not run, and a duplicate of the start that came after the load ran it. An identifier that was not held any more was answered with not_run as well, although it may have run and been forgotten.

Ruled out: an agent that leaves does not take work again, so only the second fault could happen there.

The change: the refused identifier is spent as a cancelled one is, and one that is not held is answered with outcome_unknown.

--- a/packages/gentianpoint-agent/features/entry_connections.feature
+++ b/packages/gentianpoint-agent/features/entry_connections.feature
@@ -60,3 +60,24 @@
 
   Scenario: any messages of the right types
     Then whatever messages come, only a connection's error leaves it
+
+  Scenario: a prepared identifier is refused while the agent takes no work
+    The target loads a version when the start of a prepared report comes, so
+    its caller is told that it did not run, and has another one run. A
+    duplicate of the start comes when the load is done: it must not run now.
+    Given an agent with a connection of the run r1
+    When an identifier is prepared on connection 1
+    And the agent takes no work
+    And the prepared identifier is offered on connection 1 under the number 2
+    And the agent takes work again
+    And the prepared identifier is offered on connection 1 under the number 3
+    Then the offers were refused with not_run, not_run
+    And the target ran 0 call
+
+  Scenario: an identifier that is not held comes while the agent takes no work
+    A report ran, and the agent has forgotten it since. Its start comes again
+    while the target loads a version: whether it ran can't be told here.
+    Given an agent with a connection of the run r1
+    When the agent takes no work
+    And the identifier gone is offered on connection 1 under the number 2
+    Then the offers were refused with outcome_unknown
--- a/packages/gentianpoint-agent/features/entry_stage.py
+++ b/packages/gentianpoint-agent/features/entry_stage.py
@@ -180,6 +180,14 @@
         websocket.bring(make_hello(run))
         self._nursery.start_soon(self._serve, len(self.websockets))
 
+    def hold(self) -> None:
+        """Let the agent take no new work, as while it loads a version."""
+        self._state.hold("the target loads")
+
+    def release_hold(self) -> None:
+        """Let it take new work again."""
+        self._state.release_hold()
+
     async def _serve(self, number: int) -> None:
         connection = peer_connections.PeerConnection(
             typing.cast(typing.Any, self.websockets[number - 1]),
--- a/packages/gentianpoint-agent/features/steps/entry_connections_steps.py
+++ b/packages/gentianpoint-agent/features/steps/entry_connections_steps.py
@@ -113,3 +113,46 @@
         trio.run(functools.partial(bring_all, rows))
 
     check()
+
+
+@behave.when("an identifier is prepared on connection 1")
+def bring_prepare(context):
+    websocket = context.scene.websockets[0]
+    message = {"type": "prepare", "call": 1, "customer": "one"}
+    context.stage.call(websocket.bring, message)
+    rows = [row for row in websocket.sent if row["type"] == "prepared"]
+    context.identifier = rows[0]["generation"]
+
+
+@behave.when("the agent takes no work")
+def hold_agent(context):
+    context.stage.call(context.scene.hold)
+
+
+@behave.when("the agent takes work again")
+def release_agent(context):
+    context.stage.call(context.scene.release_hold)
+
+
+@behave.when(
+    "the prepared identifier is offered on connection 1 under the number"
+    " {number:d}"
+)
+def bring_prepared_offer(context, number):
+    offer_identifier(context, context.identifier, number)
+
+
+@behave.when(
+    "the identifier {identifier} is offered on connection 1 under the number"
+    " {number:d}"
+)
+def offer_identifier(context, identifier, number):
+    offer = entry_stage.make_offer("a", call=number, generation=identifier)
+    context.stage.call(context.scene.websockets[0].bring, offer)
+
+
+@behave.then("the offers were refused with {codes}")
+def check_offers_refused(context, codes):
+    sent = context.scene.websockets[0].sent
+    rows = [row["code"] for row in sent if row["type"] == "refused"]
+    assert rows == codes.split(", "), sent
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/entry_connections.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/entry_connections.py
@@ -253,7 +253,12 @@
             known = table.find_attempt(offer["attempt"], customer)
         if known is not None:
             return known, False
-        self._require_taking("take offer")
+        try:
+            self._require_taking("take offer")
+        except errors.CallError:
+            if identifier:
+                table.refuse_prepared(identifier, customer)
+            raise
         if is_plain != self._state.is_plain():
             raise errors.CallError(
                 errors.INVALID_REQUEST,
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/generation_table.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/generation_table.py
@@ -127,12 +127,7 @@
         self._check_not_refused(identifier, customer)
         prepared = self._prepared.get(identifier)
         if prepared is None or prepared.customer != customer:
-            raise errors.CallError(
-                errors.OUTCOME_UNKNOWN,
-                "the identifier is not held here; it may have run",
-                step="start prepared generation",
-                peer=self._target,
-            )
+            raise self._make_not_held()
         del self._prepared[identifier]
         if prepared.expires_at.is_past():
             # The identifier never started and now never will, but a second
@@ -165,6 +160,28 @@
         self._refused[identifier] = self._prepared.pop(identifier)
         return True
 
+    def refuse_prepared(self, identifier: str, customer: str) -> None:
+        """Spend an identifier whose start is refused for now.
+
+        Its caller is told that it did not run and may have another one run.
+        A duplicate of the start that comes when the agent takes work again
+        would run it a second time, and it would be on the bill twice.
+
+        Raises :class:`errors.CallError` with ``outcome_unknown`` when the
+        identifier is not held: it may have run and been forgotten.
+        """
+        self._check_not_refused(identifier, customer)
+        if not self.cancel(identifier, customer):
+            raise self._make_not_held()
+
+    def _make_not_held(self) -> errors.CallError:
+        return errors.CallError(
+            errors.OUTCOME_UNKNOWN,
+            "the identifier is not held here; it may have run",
+            step="start prepared generation",
+            peer=self._target,
+        )
+
     def _check_not_refused(self, identifier: str, customer: str) -> None:
         refused = self._refused.get(identifier)
         if refused is not None and refused.customer == customer:
