Serve Idempotency-Key: the first claim in the log holds

Cause: a caller who makes one call and loses its answer had no way to ask again without a second run; the header was refused.

Ruled out: a home agent by hashing (two homes while host lists differ, and a lost home takes its keys along); claims in shared partitions gathered into batches (batches don't fill at 380 entries, every entry reads all claims, and once records expire a repeat can't be told from a new key).

The change: a stream for each key. The log gives out offset 1 once, so the claim there binds the key to a prepared identifier for good; an expired claim still has its offset, so a hole is answered with outcome_unknown and never runs again. Whoever can't look a key up says outcome_unknown with Retry-After and not not_run, since an earlier try may run; so does an entry that is leaving or not ready, also for prepared identifiers. A refused key stays refused. Plain services' calls take keys by the same path.

The scenario that wanted the header refused is replaced: the keys that can't be kept are refused still, in five ways.

--- a/features/serving.feature
+++ b/features/serving.feature
@@ -41,7 +41,19 @@
       | {"model": "modelo-taller", "prompt": "a", "n": 2} | own | 400 | invalid_request |
       | no JSON                                   | own | 400    | invalid_request |
 
-  Scenario: an idempotency key is refused, not ignored
+  Scenario Outline: a key that can't be kept is refused, not ignored
+  A tool sends an idempotency key that the system can't keep, and counts on
+  it. Passed over in silence, a repeat would run a billed report twice.
+
     Given a deployment of 1 entry and 1 target
-    When a caller sends a request with an idempotency key
+    When a caller sends a request with <headers>
     Then the status is 400 and the code is invalid_request
+    And the engines started nothing
+
+    Examples:
+      | headers                     |
+      | an empty key                |
+      | a key of 256 characters     |
+      | a key and a prepare         |
+      | a key and an identifier     |
+      | two keys                    |
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -126,8 +126,24 @@
     assert json.loads(answer.text)["error"]["code"] == code
 
 
-@behave.when("a caller sends a request with an idempotency key")
-def send_idempotency_key(context):
-    headers = {**builders.make_headers(), "Idempotency-Key": "report-17"}
+KEY_HEADER = "Idempotency-Key"
+ODD_KEYS = {
+    "an empty key": [(KEY_HEADER, "")],
+    "a key of 256 characters": [(KEY_HEADER, "k" * 256)],
+    "a key and a prepare": [
+        (KEY_HEADER, "report-17"),
+        ("Gentianpoint-Prepare", "true"),
+    ],
+    "a key and an identifier": [
+        (KEY_HEADER, "report-17"),
+        ("Gentianpoint-Generation", "a~b~1~c"),
+    ],
+    "two keys": [(KEY_HEADER, "report-17"), (KEY_HEADER, "report-18")],
+}
+
+
+@behave.when("a caller sends a request with {words}")
+def send_odd_key(context, words):
+    headers = [*builders.make_headers().items(), *ODD_KEYS[words]]
     entry = context.fixture.entries[0]
     context.answer = builders.complete(entry, "report tokens:3", headers)
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/configuration_tail.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/configuration_tail.py
@@ -57,6 +57,10 @@
         """
         return self._ready.is_set()
 
+    def is_log_available(self) -> bool:
+        """Tell whether the log answered when it was last read."""
+        return self._available
+
     def explain_unready(self) -> str:
         """Return why there is no configuration yet."""
         return self._unready_reason
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/entry.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/entry.py
@@ -21,6 +21,8 @@
 from gentianpoint_entry import administration_routes
 from gentianpoint_entry import administration_state
 from gentianpoint_entry import agent_links
+from gentianpoint_entry import claim_rates
+from gentianpoint_entry import claim_streams
 from gentianpoint_entry import configuration_sender
 from gentianpoint_entry import configuration_tail
 from gentianpoint_entry import dispatch
@@ -28,6 +30,7 @@
 from gentianpoint_entry import error_answers
 from gentianpoint_entry import generation_routes
 from gentianpoint_entry import host_watch
+from gentianpoint_entry import key_claims
 from gentianpoint_entry import link_pool
 from gentianpoint_entry import live_hosts
 from gentianpoint_entry import peer_routes
@@ -35,6 +38,7 @@
 from gentianpoint_entry import pending_changes
 from gentianpoint_entry import placement
 from gentianpoint_entry import plain_routes
+from gentianpoint_entry import request_options
 from gentianpoint_entry import snapshot_writer
 from gentianpoint_entry import status_board
 from gentianpoint_entry import status_writer
@@ -81,8 +85,11 @@
         # would be told so, and would give up for good.
         if state.tail.is_ready() or quart.request.path == _HEALTH_PATH:
             return
+        code = errors.NOT_RUN
+        if request_options.may_have_run(quart.request.headers):
+            code = errors.OUTCOME_UNKNOWN
         raise errors.CallError(
-            errors.NOT_RUN,
+            code,
             state.tail.explain_unready(),
             step="take request",
             peer=state.settings.name,
@@ -191,8 +198,13 @@
             ),
             settings.window_items,
         )
+        keys = key_claims.KeyClaims(
+            claim_streams.ClaimStreams(log, claim_rates.ClaimRate(live)),
+            dispatcher,
+            tail,
+        )
         state = entry_state.EntryState(
-            settings, tail, log, dispatcher, incarnation
+            settings, tail, log, dispatcher, keys, incarnation
         )
         hosts = http_host_list.HttpHostList(settings.hosts_url, client)
         nursery.start_soon(tail.run)
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/entry_state.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/entry_state.py
@@ -12,6 +12,7 @@
 from gentianpoint_entry import call_requests
 from gentianpoint_entry import configuration_tail
 from gentianpoint_entry import dispatch
+from gentianpoint_entry import key_claims
 from gentianpoint_entry import retry_budgets
 from gentianpoint_entry.generated import settings as entry_settings
 
@@ -31,6 +32,8 @@
     """Time left to finish, milliseconds; 0 for no limit."""
     generation: str
     """Prepared identifier to start; empty for none."""
+    key: str = ""
+    """Idempotency key; empty for none."""
 
 
 def is_answered(spec: resources.ServiceSpec, customer: str) -> bool:
@@ -47,6 +50,7 @@
         tail: configuration_tail.ConfigurationTail,
         log: ports.Log,
         dispatcher: dispatch.Dispatcher,
+        keys: key_claims.KeyClaims,
         incarnation: str,
     ) -> None:
         """Serve by ``dispatcher`` what ``tail`` says is declared."""
@@ -54,6 +58,7 @@
         self.tail: typing.Final = tail
         self.log: typing.Final = log
         self.dispatcher: typing.Final = dispatcher
+        self.keys: typing.Final = keys
         self.leaving = False
         self._incarnation: typing.Final = incarnation
         self._numbers: typing.Final = itertools.count(1)
@@ -90,7 +95,7 @@
         repeatable_by_default: bool = True,
     ) -> call_requests.CallRequest:
         """Return the request with all that resources say about it."""
-        self._check_room(options.generation)
+        self._check_room(bool(options.generation or options.key))
         spec = self.find_service(service, customer)
         wanted_kind = "plain" if request["kind"] == "plain" else "model"
         if spec["kind"] != wanted_kind:
@@ -108,6 +113,8 @@
         repeatable = options.repeatable
         if repeatable is None:
             repeatable = spec.get("repeatable", repeatable_by_default)
+        if options.key:
+            repeatable = False
         return call_requests.CallRequest(
             self.make_request_identifier(),
             service,
@@ -127,11 +134,11 @@
         """Return an identifier for one caller's request."""
         return f"{self._incarnation}-{next(self._numbers)}"
 
-    def _check_room(self, generation: str) -> None:
+    def _check_room(self, may_have_run: bool) -> None:
         """Refuse when the entry takes no more.
 
-        A prepared generation may have been started through another entry:
-        only its home can say that it did not run.
+        What has an identifier or a key may have been started through
+        another entry: only its home can say that it did not run.
         """
         reason = ""
         if self.leaving:
@@ -140,7 +147,7 @@
             reason = "this entry has too many calls in flight"
         if reason:
             raise errors.CallError(
-                errors.OUTCOME_UNKNOWN if generation else errors.NOT_RUN,
+                errors.OUTCOME_UNKNOWN if may_have_run else errors.NOT_RUN,
                 reason,
                 step="take request",
                 peer=self.settings.name,
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/generation_routes.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/generation_routes.py
@@ -59,6 +59,8 @@
         )
         if request_options.wants_prepare(quart.request.headers):
             return await prepare(request)
+        if options.key:
+            request = await state.keys.bind(request, options.key)
         call = calls.Call(state.dispatcher, request)
         answerer = generation_answers.GenerationAnswerer(call, form)
         if body.stream:
--- /dev/null
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/key_claims.py
@@ -0,0 +1,149 @@
+"""Binding a call with an idempotency key to the generation it names.
+
+An identifier is prepared at an agent and then claimed for the key. Whoever
+comes with the key starts what the claim names, and the identifier's home
+starts that once. So an entry may die after any step, and two entries may
+race: nothing but the claimed identifier ever runs.
+"""
+
+import hashlib
+import typing
+
+import cbor2
+
+from gentianpoint_core import errors
+from gentianpoint_core import logs
+from gentianpoint_core.generated import events
+from gentianpoint_core.generated import messages
+from gentianpoint_entry import call_requests
+from gentianpoint_entry import calls
+from gentianpoint_entry import claim_streams
+from gentianpoint_entry import configuration_tail
+from gentianpoint_entry import dispatch
+
+__all__ = ("KeyClaims", "digest_request", "name_stream")
+
+_STREAM_PREFIX: typing.Final = "idempotency-"
+_DIGEST_BYTES: typing.Final = 20
+
+
+def _digest(parts: typing.Sequence[typing.Any]) -> "hashlib._Hash":
+    # CBOR marks where each part ends; parts that are merely joined would
+    # make one customer's key look like another's.
+    return hashlib.sha256(cbor2.dumps(list(parts)))
+
+
+def name_stream(customer: str, key: str) -> str:
+    """Return the stream of a customer's key.
+
+    It is named by a digest: keys may hold what only the customer may know.
+    """
+    digest = _digest((customer, key)).hexdigest()
+    return _STREAM_PREFIX + digest[: 2 * _DIGEST_BYTES]
+
+
+def digest_request(service: str, request: messages.Request) -> bytes:
+    """Return the digest of what a target would be asked.
+
+    Headers of plain calls are left out, since hops before the entry may add
+    their own to a repeat.
+    """
+    parts = (
+        service,
+        request["kind"],
+        request["prompt"],
+        request["max_tokens"],
+        request["method"],
+        request["path"],
+        request["body"],
+    )
+    return _digest(parts).digest()[:_DIGEST_BYTES]
+
+
+class KeyClaims:
+    """Binds keyed calls."""
+
+    def __init__(
+        self,
+        streams: claim_streams.ClaimStreams,
+        dispatcher: dispatch.Dispatcher,
+        tail: configuration_tail.ConfigurationTail,
+    ) -> None:
+        """Prepare with ``dispatcher`` and claim in ``streams``."""
+        self._streams: typing.Final = streams
+        self._dispatcher: typing.Final = dispatcher
+        self._tail: typing.Final = tail
+
+    async def bind(
+        self, request: call_requests.CallRequest, key: str
+    ) -> call_requests.CallRequest:
+        """Return the request with the identifier that its key names.
+
+        Raises :class:`errors.CallError` with ``invalid_request`` when the
+        key stands for another request, and with ``outcome_unknown`` when
+        the claim can't be found out.
+        """
+        marker = object()
+        fresh = request._replace(retry_share=0.0)
+        # The call counts as open from here: an entry that is told to stop
+        # would else cut it between claim and start.
+        self._dispatcher.add_call(marker, fresh)
+        try:
+            return await self._bind(fresh, key, request)
+        finally:
+            self._dispatcher.forget_call(marker)
+
+    async def _bind(
+        self,
+        fresh: call_requests.CallRequest,
+        key: str,
+        request: call_requests.CallRequest,
+    ) -> call_requests.CallRequest:
+        stream = name_stream(request.customer, key)
+        if not self._tail.is_log_available():
+            raise claim_streams.make_unknown(
+                "the log is out; send the same key again", stream
+            )
+        digest = digest_request(request.service, request.request)
+        claim = await self._streams.find_claim(stream)
+        if claim is None:
+            identifier = await self._prepare(fresh, stream)
+            wanted = claim_streams.KeyClaim(digest, identifier)
+            claim = await self._streams.make_claim(stream, wanted)
+            logs.log_event(
+                events.KEY_CLAIMED,
+                request=request.identifier,
+                stream=stream,
+                prepared=identifier,
+                generation=claim.generation,
+            )
+        else:
+            logs.log_event(
+                events.KEY_REPEATED,
+                request=request.identifier,
+                stream=stream,
+                generation=claim.generation,
+            )
+        if claim.request != digest:
+            raise errors.CallError(
+                errors.INVALID_REQUEST,
+                "Idempotency-Key: it was used for another request",
+                step="read headers",
+            )
+        return request._replace(generation=claim.generation)
+
+    async def _prepare(
+        self, request: call_requests.CallRequest, stream: str
+    ) -> str:
+        try:
+            return await calls.prepare_generation(self._dispatcher, request)
+        except errors.CallError as error:
+            if error.code != errors.NOT_RUN:
+                raise
+            # This call started nothing, but another one with the key may
+            # have claimed and started since the stream was read.
+            raise claim_streams.make_unknown(
+                f"{error.reason}; send the same key again",
+                stream,
+                error.retry_after_ms,
+            ) from error
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/plain_routes.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/plain_routes.py
@@ -151,11 +151,12 @@
             header, state.tail.state
         )
         body = await request_options.read_body()
+        options = request_options.read_options(quart.request.headers)
         request = state.make_call_request(
             service,
             customer,
             _make_request(service, body),
-            request_options.read_options(quart.request.headers),
+            options,
             quart.request.method in _IDEMPOTENT_METHODS,
         )
         if request_options.wants_prepare(quart.request.headers):
@@ -165,6 +166,8 @@
             return quart.Response(
                 "", headers={"Gentianpoint-Generation": prepared}
             )
+        if options.key:
+            request = await state.keys.bind(request, options.key)
         return await _answer(state, calls.Call(state.dispatcher, request))
 
     return routes
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/request_options.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/request_options.py
@@ -9,6 +9,7 @@
 from gentianpoint_entry import entry_state
 
 __all__ = (
+    "may_have_run",
     "read_after",
     "read_body",
     "read_limit",
@@ -19,6 +20,9 @@
 
 _TRUE: typing.Final = "true"
 _FALSE: typing.Final = "false"
+_KEY_HEADER: typing.Final = "Idempotency-Key"
+_GENERATION_HEADER: typing.Final = "Gentianpoint-Generation"
+_MOST_KEY_CHARACTERS: typing.Final = 255
 
 
 def _refuse(field: str, reason: str) -> errors.CallError:
@@ -49,22 +53,46 @@
     return body
 
 
-def read_options(headers: datastructures.Headers) -> entry_state.CallOptions:
-    """Return what a request's headers say.
+def _read_key(headers: datastructures.Headers) -> str:
+    """Return the idempotency key; empty for none.
 
-    A caller that sends an idempotency key counts on it: taken silently, its
-    second try would run a billed report twice. So the header is refused.
+    An empty or odd key is refused: passed over, its request would run twice
+    although its caller counts on the key.
     """
-    if "Idempotency-Key" in headers:
+    values = headers.getlist(_KEY_HEADER)
+    if not values:
+        return ""
+    key = values[0]
+    if len(values) > 1:
+        raise _refuse(_KEY_HEADER, "given twice")
+    if not 1 <= len(key) <= _MOST_KEY_CHARACTERS or not key.isascii():
+        raise _refuse(
+            _KEY_HEADER, f"not of 1 to {_MOST_KEY_CHARACTERS} ASCII characters"
+        )
+    if _GENERATION_HEADER in headers or wants_prepare(headers):
         raise _refuse(
-            "Idempotency-Key",
-            "not served; prepare the request and start its identifier",
+            _KEY_HEADER, "a key and a prepared identifier exclude each other"
         )
+    return key
+
+
+def may_have_run(headers: datastructures.Headers) -> bool:
+    """Tell whether an earlier try of the request may have run it.
+
+    An entry that knows nothing of such a try must not say that the request
+    did not run.
+    """
+    return _KEY_HEADER in headers or _GENERATION_HEADER in headers
+
+
+def read_options(headers: datastructures.Headers) -> entry_state.CallOptions:
+    """Return what a request's headers say."""
     within = headers.get("Gentianpoint-Deadline-Ms", "0")
     return entry_state.CallOptions(
         _read_flag(headers, "Gentianpoint-Repeatable"),
         _read_number("Gentianpoint-Deadline-Ms", within),
-        headers.get("Gentianpoint-Generation", ""),
+        headers.get(_GENERATION_HEADER, ""),
+        _read_key(headers),
     )
 
 
--- a/spec/catalogue.py
+++ b/spec/catalogue.py
@@ -5,6 +5,7 @@
 
 import minicheck
 
+from spec import claims
 from spec import configuration
 from spec import dispatch
 from spec import dispatch_state
@@ -47,6 +48,13 @@
     return fencing.build_fencing(fencing.SCOPES[scope], guard)
 
 
+def _build_claims(
+    scope: str, without: typing.Optional[str]
+) -> minicheck.Protocol:
+    guard = None if without is None else claims.Guard(without)
+    return claims.build_claims(claims.SCOPES[scope], guard)
+
+
 SPECIFICATIONS: typing.Final[typing.Mapping[str, Specification]] = {
     "dispatch": Specification(
         tuple(dispatch.SCOPES),
@@ -61,5 +69,8 @@
     "fencing": Specification(
         tuple(fencing.SCOPES), tuple(fencing.Guard), _build_fencing
     ),
+    "claims": Specification(
+        tuple(claims.SCOPES), tuple(claims.Guard), _build_claims
+    ),
 }
 """All specifications."""
--- a/spec/report.py
+++ b/spec/report.py
@@ -10,6 +10,7 @@
 import typing
 
 from spec import catalogue
+from spec import claims
 from spec import configuration
 from spec import dispatch
 from spec import fencing
@@ -24,13 +25,14 @@
         "dispatch": dispatch.SCOPES,
         "configuration": configuration.SCOPES,
         "fencing": fencing.SCOPES,
+        "claims": claims.SCOPES,
     }[specification]
     bounds: list[str] = []
     for name, value in scopes[scope]._asdict().items():
         if hasattr(value, "_asdict"):
             rows = value._asdict().items()
             bounds += [f"{key} {count}" for key, count in rows if count]
-        elif name in ("requests", "changes"):
+        elif name in ("requests", "changes", "bodies"):
             bounds.append(f"{name} {len(value)}")
         elif name != "name":
             bounds.append(f"{name} {value}")
