Bound what a caller's connection holds, and close its calls

Cause: the server's write to a caller is shielded from cancelling and has no limit, so a caller that takes nothing held its call, its tokens and the entry's shutdown until the longest time that a shutdown may take. A streamed answer whose body is never begun left its call open until the link ended, as did a plain answer whose head could not be made.

Ruled out: a time limit in the application, which the shield leaves behind; a limit on the whole answer, whose length nobody knows.

A wrapper around the application closes what the request has kept.

Conclusion: cut, silent and stopped callers are covered; a network that drops all packets is not, as the relay takes what it does not pass on.

--- a/packages/gentianpoint-entry/src/gentianpoint_entry/entry.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/entry.py
@@ -5,7 +5,6 @@
 import typing
 
 import httpx
-import hypercorn.config
 import hypercorn.trio
 import quart
 import quart_trio
@@ -21,6 +20,7 @@
 from gentianpoint_entry import administration_routes
 from gentianpoint_entry import administration_state
 from gentianpoint_entry import agent_links
+from gentianpoint_entry import caller_sockets
 from gentianpoint_entry import claim_rates
 from gentianpoint_entry import claim_streams
 from gentianpoint_entry import configuration_sender
@@ -33,6 +33,7 @@
 from gentianpoint_entry import key_claims
 from gentianpoint_entry import link_pool
 from gentianpoint_entry import live_hosts
+from gentianpoint_entry import open_calls
 from gentianpoint_entry import peer_routes
 from gentianpoint_entry import peer_state
 from gentianpoint_entry import pending_changes
@@ -60,6 +61,9 @@
     state: entry_state.EntryState, board: status_board.StatusBoard
 ) -> quart_trio.QuartTrio:
     app = quart_trio.QuartTrio(__name__)
+    app.asgi_app = open_calls.CallCloser(  # type: ignore[method-assign]
+        app.asgi_app
+    )
     app.config["MAX_CONTENT_LENGTH"] = state.settings.max_body_bytes
     app.config["BODY_TIMEOUT"] = _BODY_WITHIN_S
     app.register_blueprint(generation_routes.make_generation_routes(state))
@@ -123,7 +127,8 @@
     board: status_board.StatusBoard,
     stop: trio.Event,
 ) -> None:
-    config = hypercorn.config.Config()
+    config = caller_sockets.CallerConfig()
+    config.silence_ms = state.settings.caller_silence_ms
     config.bind = [state.settings.listen]
     config.graceful_timeout = _CLOSE_WITHIN_S
     config.errorlog = None
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/generation_routes.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/generation_routes.py
@@ -18,6 +18,7 @@
 from gentianpoint_entry import calls
 from gentianpoint_entry import entry_state
 from gentianpoint_entry import generation_answers
+from gentianpoint_entry import open_calls
 from gentianpoint_entry import request_options
 
 __all__ = ("make_generation_routes",)
@@ -61,7 +62,7 @@
             return await prepare(request)
         if options.key:
             request = await state.keys.bind(request, options.key)
-        call = calls.Call(state.dispatcher, request)
+        call = open_calls.keep_call(calls.Call(state.dispatcher, request))
         answerer = generation_answers.GenerationAnswerer(call, form)
         if body.stream:
             usage = body.stream_options
@@ -147,7 +148,9 @@
         customer = authenticate()
         request = find_generation(identifier, customer)
         after = request_options.read_after(quart.request.args)
-        call = calls.Call(state.dispatcher, request, after)
+        call = open_calls.keep_call(
+            calls.Call(state.dispatcher, request, after)
+        )
         answerer = generation_answers.GenerationAnswerer(
             call, answer_formats.CompletionFormat
         )
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/plain_routes.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/plain_routes.py
@@ -13,6 +13,7 @@
 from gentianpoint_entry import calls
 from gentianpoint_entry import entry_state
 from gentianpoint_entry import error_answers
+from gentianpoint_entry import open_calls
 from gentianpoint_entry import request_options
 
 __all__ = ("make_plain_routes",)
@@ -101,9 +102,7 @@
     }
 
 
-async def _answer(
-    state: entry_state.EntryState, call: calls.Call
-) -> quart.Response:
+async def _answer(call: calls.Call) -> quart.Response:
     try:
         part = await call.receive()
     except BaseException as error:
@@ -168,6 +167,7 @@
             )
         if options.key:
             request = await state.keys.bind(request, options.key)
-        return await _answer(state, calls.Call(state.dispatcher, request))
+        call = open_calls.keep_call(calls.Call(state.dispatcher, request))
+        return await _answer(call)
 
     return routes
