Withdraw no call that another reader waits for

Cause: when a caller's connection ended before its call had started, the entry withdrew the call at its agent, although a repeat by the same key or identifier waited for it through another entry. The repeat was told not_run with a report that its caller had not given up.

Ruled out: withdrawing no keyed call at all, which would run reports that nobody waits for.

The change: a call is withdrawn by its only reader.

--- a/features/idempotency.feature
+++ b/features/idempotency.feature
@@ -184,3 +184,20 @@
     And the key comes with another plain call
     Then each repeat is told invalid_request
     And the call ran once at the plain services
+
+  Scenario: the first call's caller goes while its repeat waits
+  A caller's tool gives up waiting in a queue and sends its call again through
+  another entry, which has it by its key. Then the first connection ends. The
+  report must not be withdrawn, since somebody still waits for it.
+
+    Given a deployment of 2 entries and 1 target that runs one call at a time
+    And a relay before the first entry
+    And the engines make no steps
+    When a caller asks for a repeatable report of 20 tokens in the background
+    And the engines have started it
+    And a report with a key waits through the relay
+    And its repeat waits at the last entry
+    And the relay before the entry gets the fault {"cut": true}
+    And the first entry has closed the call
+    And the engines make steps again
+    Then the repeat has a whole answer of 20 tokens
--- a/features/steps/idempotency_steps.py
+++ b/features/steps/idempotency_steps.py
@@ -7,6 +7,7 @@
 import httpx
 
 from features import builders
+from features import stream_readers
 from features.steps import at_most_once_steps
 from gentianpoint_entry import caller_bodies
 from gentianpoint_entry import claim_streams
@@ -247,3 +248,56 @@
         for row in context.answers
     }
     assert len(found) == 1 and found.pop()[0] == 200, context.answers
+
+
+@behave.given(
+    "a deployment of {entries:d} entries and {targets:d} target that runs one"
+    " call at a time"
+)
+def start_narrow(context, entries, targets):
+    context.fixture = builders.start_fixture(
+        context.deployment,
+        entries,
+        targets,
+        admission="fixed",
+        fixed_concurrency=1,
+    )
+
+
+@behave.when("a report with a key waits through the relay")
+def wait_through_relay(context):
+    context.first = stream_readers.StreamReader(
+        context.relay, PROMPT, make_keyed()
+    )
+    wait_admitted(context, attached=False)
+
+
+@behave.when("its repeat waits at the last entry")
+def wait_at_last(context):
+    context.repeat = stream_readers.StreamReader(
+        context.fixture.entries[-1], PROMPT, make_keyed()
+    )
+    wait_admitted(context, attached=True)
+
+
+def wait_admitted(context, attached):
+    """Wait until the agent has a prepared call, or one more reader of it."""
+    context.fixture.targets[0].agent.log.wait_for_event(
+        "call_admitted",
+        matches=lambda row: (
+            not row["repeatable"] and row["attached"] == attached
+        ),
+    )
+
+
+@behave.when("the first entry has closed the call")
+def wait_closed(context):
+    context.fixture.entries[0].log.wait_for_event("call_closed")
+
+
+@behave.then("the repeat has a whole answer of {count:d} tokens")
+def check_repeat(context, count):
+    context.repeat.wait_for_end()
+    assert context.repeat.done, context.repeat.describe()
+    numbers = list(range(1, count + 1))
+    assert context.repeat.numbers == numbers, context.repeat.describe()
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/entry_connections.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/entry_connections.py
@@ -358,7 +358,10 @@
 
     def _retract(self, call: int) -> None:
         feed = self._feeds.get(call)
-        if feed is not None:
+        # A caller's first connection may end while its repeat waits for the
+        # same generation through another entry. Withdrawn, the repeat would
+        # be told that what it waits for does not run.
+        if feed is not None and not feed.generation.has_more_readers():
             feed.generation.retract()
 
     async def _cancel(self, message: messages.Cancel) -> None:
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/generations.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/generations.py
@@ -140,6 +140,10 @@
         """Tell whether somebody reads it."""
         return bool(self._listeners)
 
+    def has_more_readers(self) -> bool:
+        """Tell whether more than one reads it."""
+        return len(self._listeners) > 1
+
     def cancel(self) -> None:
         """Ask the task that runs it to stop for good."""
         self._cancelled.set()
