--- a/packages/gentianpoint-entry/src/gentianpoint_entry/key_claims.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/key_claims.py
@@ -27,10 +27,10 @@
 _DIGEST_BYTES: typing.Final = 20
 
 
-def _digest(parts: typing.Sequence[typing.Any]) -> "hashlib._Hash":
+def _digest(parts: typing.Sequence[typing.Any]) -> bytes:
     # CBOR marks where each part ends; parts that are merely joined would
     # make one customer's key look like another's.
-    return hashlib.sha256(cbor2.dumps(list(parts)))
+    return hashlib.sha256(cbor2.dumps(list(parts))).digest()[:_DIGEST_BYTES]
 
 
 def name_stream(customer: str, key: str) -> str:
@@ -38,8 +38,7 @@
 
     It is named by a digest: keys may hold what only the customer may know.
     """
-    digest = _digest((customer, key)).hexdigest()
-    return _STREAM_PREFIX + digest[: 2 * _DIGEST_BYTES]
+    return _STREAM_PREFIX + _digest((customer, key)).hex()
 
 
 def digest_request(service: str, request: messages.Request) -> bytes:
@@ -57,7 +56,7 @@
         request["path"],
         request["body"],
     )
-    return _digest(parts).digest()[:_DIGEST_BYTES]
+    return _digest(parts)
 
 
 class KeyClaims:
