--- a/packages/gentianpoint-agent/src/gentianpoint_agent/entry_connections.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/entry_connections.py
@@ -259,7 +259,12 @@
             known = table.find_attempt(offer["attempt"], customer)
         if known is not None:
             return known, False
-        self._require_taking("take offer")
+        try:
+            self._require_taking("take offer")
+        except errors.CallError:
+            if identifier:
+                table.refuse_prepared(identifier, customer)
+            raise
         if is_plain != self._state.is_plain():
             raise errors.CallError(
                 errors.INVALID_REQUEST,
@@ -359,7 +364,10 @@
 
     def _retract(self, call: int) -> None:
         feed = self._feeds.get(call)
-        if feed is not None:
+        # A caller's first connection may end while its repeat waits for the
+        # same generation through another entry. Withdrawn, the repeat would
+        # be told that what it waits for does not run.
+        if feed is not None and not feed.generation.has_more_readers():
             feed.generation.retract()
 
     async def _cancel(self, message: messages.Cancel) -> None:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/entry.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/entry.py
@@ -5,7 +5,6 @@
 import typing
 
 import httpx
-import hypercorn.config
 import hypercorn.trio
 import quart
 import quart_trio
@@ -22,6 +21,9 @@
 from gentianpoint_entry import administration_routes
 from gentianpoint_entry import administration_state
 from gentianpoint_entry import agent_links
+from gentianpoint_entry import caller_sockets
+from gentianpoint_entry import claim_rates
+from gentianpoint_entry import claim_streams
 from gentianpoint_entry import configuration_sender
 from gentianpoint_entry import configuration_tail
 from gentianpoint_entry import dispatch
@@ -29,13 +31,16 @@
 from gentianpoint_entry import error_answers
 from gentianpoint_entry import generation_routes
 from gentianpoint_entry import host_watch
+from gentianpoint_entry import key_claims
 from gentianpoint_entry import link_pool
 from gentianpoint_entry import live_hosts
+from gentianpoint_entry import open_calls
 from gentianpoint_entry import peer_routes
 from gentianpoint_entry import peer_state
 from gentianpoint_entry import pending_changes
 from gentianpoint_entry import placement
 from gentianpoint_entry import plain_routes
+from gentianpoint_entry import request_options
 from gentianpoint_entry import snapshot_writer
 from gentianpoint_entry import status_board
 from gentianpoint_entry import status_writer
@@ -60,6 +65,9 @@
     state: entry_state.EntryState, board: status_board.StatusBoard
 ) -> quart_trio.QuartTrio:
     app = quart_trio.QuartTrio(__name__)
+    app.asgi_app = open_calls.CallCloser(  # type: ignore[method-assign]
+        app.asgi_app
+    )
     app.config["MAX_CONTENT_LENGTH"] = state.settings.max_body_bytes
     app.config["BODY_TIMEOUT"] = _BODY_WITHIN_S
     app.register_blueprint(generation_routes.make_generation_routes(state))
@@ -85,8 +93,11 @@
         # would be told so, and would give up for good.
         if state.tail.is_ready() or quart.request.path == _HEALTH_PATH:
             return
+        code = errors.NOT_RUN
+        if request_options.may_have_run(quart.request.headers):
+            code = errors.OUTCOME_UNKNOWN
         raise errors.CallError(
-            errors.NOT_RUN,
+            code,
             state.tail.explain_unready(),
             step="take request",
             peer=state.settings.name,
@@ -120,7 +131,8 @@
     board: status_board.StatusBoard,
     stop: trio.Event,
 ) -> None:
-    config = hypercorn.config.Config()
+    config = caller_sockets.CallerConfig()
+    config.silence_ms = state.settings.caller_silence_ms
     config.bind = [state.settings.listen]
     config.graceful_timeout = _CLOSE_WITHIN_S
     config.errorlog = None
@@ -199,8 +211,13 @@
             ),
             settings.window_items,
         )
+        keys = key_claims.KeyClaims(
+            claim_streams.ClaimStreams(log, claim_rates.ClaimRate(live)),
+            dispatcher,
+            tail,
+        )
         state = entry_state.EntryState(
-            settings, tail, log, dispatcher, incarnation
+            settings, tail, log, dispatcher, keys, incarnation
         )
         hosts = http_host_list.HttpHostList(settings.hosts_url, client)
         nursery.start_soon(tail.run)
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/plain_routes.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/plain_routes.py
@@ -13,6 +13,7 @@
 from gentianpoint_entry import calls
 from gentianpoint_entry import entry_state
 from gentianpoint_entry import error_answers
+from gentianpoint_entry import open_calls
 from gentianpoint_entry import request_options
 
 __all__ = ("make_plain_routes",)
@@ -101,9 +102,7 @@
     }
 
 
-async def _answer(
-    state: entry_state.EntryState, call: calls.Call
-) -> quart.Response:
+async def _answer(call: calls.Call) -> quart.Response:
     try:
         part = await call.receive()
     except BaseException as error:
@@ -151,11 +150,12 @@
             header, state.tail.state
         )
         body = await request_options.read_body()
+        options = request_options.read_options(quart.request.headers)
         request = state.make_call_request(
             service,
             customer,
             _make_request(service, body),
-            request_options.read_options(quart.request.headers),
+            options,
             quart.request.method in _IDEMPOTENT_METHODS,
         )
         if request_options.wants_prepare(quart.request.headers):
@@ -165,6 +165,9 @@
             return quart.Response(
                 "", headers={"Gentianpoint-Generation": prepared}
             )
-        return await _answer(state, calls.Call(state.dispatcher, request))
+        if options.key:
+            request = await state.keys.bind(request, options.key)
+        call = open_calls.keep_call(calls.Call(state.dispatcher, request))
+        return await _answer(call)
 
     return routes
--- a/spec/catalogue.py
+++ b/spec/catalogue.py
@@ -5,6 +5,7 @@
 
 import minicheck
 
+from spec import claims
 from spec import configuration
 from spec import dispatch
 from spec import dispatch_state
@@ -55,6 +56,13 @@
     return turns.build_turns(turns.SCOPES[scope], guard)
 
 
+def _build_claims(
+    scope: str, without: typing.Optional[str]
+) -> minicheck.Protocol:
+    guard = None if without is None else claims.Guard(without)
+    return claims.build_claims(claims.SCOPES[scope], guard)
+
+
 SPECIFICATIONS: typing.Final[typing.Mapping[str, Specification]] = {
     "dispatch": Specification(
         tuple(dispatch.SCOPES),
@@ -72,5 +80,8 @@
     "turns": Specification(
         tuple(turns.SCOPES), tuple(turns.Guard), _build_turns
     ),
+    "claims": Specification(
+        tuple(claims.SCOPES), tuple(claims.Guard), _build_claims
+    ),
 }
 """All specifications."""
