--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -722,6 +722,7 @@
 def _write_verdict(model: capacity.Model) -> str:
     entry = model.entry
     agent = model.agent
+    host = model.find_host_control(model.count_processes())
     return (
         f"Tokens come first: an entry host has to carry "
         f"{entry.tokens_s:,.0f} tokens and {entry.requests_s:.0f} requests a "
@@ -743,10 +744,10 @@
         "imported (a feature keeps it so); what is left is mostly trio, the "
         "web framework and the client. The customers, "
         f"{_show_bytes(model.slope('configuration.memory'))} each, are most "
-        "of the state, and each process of a host has its own copy, so an "
-        f"entry host with {model.count_processes()} processes is above 64 MB "
-        "with its state alone. Open: a copy that takes less for a customer, "
-        "or only those that call.\n\n"
+        "of the state, and each process of a host has its own copy: "
+        f"{_show_bytes(host.memory)} for {model.count_processes()} of them. "
+        "Open: a copy that takes less for a customer, or only those that "
+        "call.\n\n"
         "Bytes come third: heartbeats to and load reports from an entry's "
         "agents, paced to fit, and what each process of a host polls."
     )
