--- a/packages/gentianpoint-entry/features/link_pool.feature
+++ b/packages/gentianpoint-entry/features/link_pool.feature
@@ -32,6 +32,13 @@
       | 3     | 500    |
       | 44    | 7333   |
 
+  Scenario: the entries of a host share the bytes of reports
+  Two processes on a host that each asked for reports as if alone would spend
+  the budget of two hosts.
+
+    When one of 2 entries of a host with 22 connections greets an agent
+    Then it asks for reports at least 7333 ms apart
+
   Scenario Outline: the entries of a host share its connections
   A host runs several entry processes to carry its tokens. If each took what
   one alone may, its operator would see control traffic of several hosts; if
@@ -72,11 +79,12 @@
   Thousands of hosts make a list of hundreds of kilobytes. Read each second
   it would be nearly all of an entry's traffic without callers.
 
-    When a reading of the host list took <size> bytes with 1000 ms to wait
+    When one of <processes> entries of a host reads <size> bytes of host list
     Then the next reading comes after <pause> ms
 
     Examples:
-      | size   | pause  |
-      | 0      | 1000   |
-      | 2048   | 1000   |
-      | 32048  | 60000  |
+      | processes | size   | pause  |
+      | 1         | 0      | 1000   |
+      | 1         | 2048   | 1000   |
+      | 1         | 32048  | 60000  |
+      | 2         | 32048  | 120000 |
--- a/packages/gentianpoint-entry/features/steps/link_pool_steps.py
+++ b/packages/gentianpoint-entry/features/steps/link_pool_steps.py
@@ -5,6 +5,7 @@
 import behave
 import trio
 
+from gentianpoint_core import peer_connections
 from gentianpoint_core import ports
 from gentianpoint_entry import agent_links
 from gentianpoint_entry import host_watch
@@ -63,10 +64,43 @@
 
 
 @behave.when(
-    "a reading of the host list took {size:d} bytes with {poll:d} ms to wait"
+    "one of {processes:d} entries of a host reads {size:d} bytes of host list"
 )
-def read_list(context, size, poll):
-    context.pause_ms = host_watch.compute_pause_ms(poll, size)
+def read_list(context, processes, size):
+    context.pause_ms = host_watch.compute_pause_ms(1000, size, processes)
+
+
+class FakeConnection:
+    """A connection to an agent that refuses the greeting."""
+
+    def __init__(self):
+        self.sent = []
+
+    async def send(self, message):
+        """Note the message."""
+        self.sent.append(message)
+
+    async def receive(self):
+        """Refuse."""
+        return {"type": "reject", "reason": "only the greeting is wanted"}
+
+
+@behave.when(
+    "one of {processes:d} entries of a host with {links:d} connections greets "
+    "an agent"
+)
+def greet_one(context, processes, links):
+    settings = agent_links.LinkSettings(
+        "entry-1", "run", DATA_CENTRE, "", 1000, 3000, 256, 1024, processes
+    )
+    link = agent_links.AgentLink(
+        make_host("agent", 1), settings, lambda: None, links
+    )
+    connection = FakeConnection()
+    try:
+        trio.run(link._greet, connection)
+    except peer_connections.PeerConnectionError:
+        context.period_ms = connection.sent[0]["report_ms"]
 
 
 @behave.then("the next reading comes after {pause:d} ms")
