--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 
 $(INSTALLED): requirements.lock $(wildcard packages/*/pyproject.toml)
 	test -d $(VENV) || $(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install -q --disable-pip-version-check -r requirements.lock
+	$(BIN)/pip install -q --disable-pip-version-check --no-compile --no-deps -r requirements.lock
 	$(BIN)/pip install -q --disable-pip-version-check --no-deps \
 	    --no-build-isolation \
 	    $(foreach p,$(PACKAGES),-e packages/gentianpoint-$(p))
