Measure the processor time of keyed calls too

Cause: the times of keyed calls at 80 a second queued for an unknown reason. Conclusion: the cause of the queue is not found.

--- a/bench/keyed_calls.py
+++ b/bench/keyed_calls.py
@@ -19,6 +19,7 @@
 import httpx
 
 from bench import deployments
+from bench import measures
 from gentianpoint_standins import processes
 
 _RATES: typing.Final = (5, 20, 80)
@@ -55,6 +56,8 @@
     """Appends in streams of keys, for each call."""
     wire_bytes: float
     """Bytes between the entries and the log, for each call."""
+    entry_cpu_ms: float
+    """Processor time of the entries, for each call."""
     refused: int
     """Calls that were not answered with 200."""
 
@@ -64,6 +67,10 @@
     return int(witness["forward"] + witness["backward"])
 
 
+def _read_cpu_ms(stage: _Stage) -> float:
+    return sum(measures.read_cpu_s(row.pid) for row in stage.entries) * 1000
+
+
 def _count_claims(stage: _Stage) -> int:
     records = stage.deployment.read_witness(stage.log)["records"]
     return sum(
@@ -114,8 +121,10 @@
     time.sleep(_SETTLE_S)
     idle_per_s = (_read_bytes(stage) - idle) / _SETTLE_S
     claims, sent, began = _count_claims(stage), _read_bytes(stage), time.time()
+    cpu_ms = _read_cpu_ms(stage)
     results = _send_all(stage, rate, keys)
     took = time.time() - began
+    cpu_ms = _read_cpu_ms(stage) - cpu_ms
     times = sorted(row[0] for row in results)
     moved = _read_bytes(stage) - sent - idle_per_s * took
     return _Row(
@@ -125,6 +134,7 @@
         round(times[int(_SHARE * len(times))], 1),
         (_count_claims(stage) - claims) / len(keys),
         round(max(0.0, moved) / len(keys)),
+        round(cpu_ms / len(keys), 1),
         sum(row[1] != httpx.codes.OK for row in results),
     )
 
@@ -173,7 +183,8 @@
         print(
             f"{row.kind:13} {row.rate:4}/s  median {row.median_ms:7.1f} ms  "
             f"95 in 100 {row.late_ms:7.1f} ms  {row.appends:5.2f} appends  "
-            f"{row.wire_bytes:6.0f} bytes  {row.refused} refused"
+            f"{row.wire_bytes:6.0f} bytes  "
+            f"{row.entry_cpu_ms:5.1f} ms of processor  {row.refused} refused"
         )
     return 0
 
