--- a/bench/admission_trials.py
+++ b/bench/admission_trials.py
@@ -540,11 +540,14 @@
     parser.add_argument(
         "--at-once", type=int, default=1, help="Runs beside each other."
     )
+    parser.add_argument(
+        "--means", action="store_true", help="Means instead of medians."
+    )
     return parser.parse_args()
 
 
 def main() -> int:
-    """Run all and print a table of medians over the seeds."""
+    """Run all and print a table of medians or means over the seeds."""
     chosen = _read_arguments()
     names = TrialFigures._fields
     print("".join(f"{name[:13]:>14}" for name in ("", "", *names)))
@@ -562,10 +565,9 @@
         ]
         for (variant, policy), waiting in zip(jobs, runs, strict=True):
             rows = [run.result() for run in waiting]
-            medians = [
-                statistics.median(column) for column in zip(*rows, strict=True)
-            ]
-            values = "".join(f"{value:>14.3f}" for value in medians)
+            middle = statistics.fmean if chosen.means else statistics.median
+            columns = [middle(column) for column in zip(*rows, strict=True)]
+            values = "".join(f"{value:>14.3f}" for value in columns)
             print(f"{variant.name:>22}{policy:>16}{values}", flush=True)
             line = {
                 "variant": variant.name,
