Take up the streams of a lost agent at its next run

Cause: when an agent was killed and started again while its engine went on, its streams ended as incomplete or outcome_unknown, though the engine still brought their tokens.

Ruled out: a table of streams in the log (several hundred appends a second against 8,200 requests); reading on from the entry's last token only (any other entry may ask for the items before); only the engine's list (it leaves out what ended while no agent ran).

Change: a run of an agent lists the engine's streams and reads on those whose identifier names its target and an earlier run; asked for one that was not listed, it looks for that one at the engine. It starts none of them. The secret part of an identifier is a keyed digest over its other parts and the customer, so a run that never saw the request can tell whose it is. Adopted streams hold a place at admission; orders to the engine wait for the list. A run that was paused for longer than the silence time leaves its streams to run to their ends. An entry goes to a later run of a home that is gone.

The scenario "the agent is restarted and the caller retries" demanded outcome_unknown for a report that its engine still ran.

Conclusion: the answer goes on over a restart of its agent, from the one generation that the engine counted.

--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -70,7 +70,8 @@
 
   Scenario: the agent is restarted and the caller retries
   The agent that holds a prepared report dies after the start and comes back
-  with an empty memory. It must not take the identifier for a new one.
+  with an empty memory. It must not take the identifier for a new one: it finds
+  the report at its engine, and each start gets that one.
 
     Given a deployment of 2 entries and 1 target
     And the engines make no steps
@@ -79,8 +80,9 @@
     And the engines have started it
     And the agent that runs it is killed
     And the agent is started again
+    And the engines make steps again
     And starts it 2 times through the last entries
-    Then each start is told outcome_unknown
+    Then each start gives the same answer
     And the engines started it once
 
   Scenario: a frozen agent wakes past the deadline to start
--- a/features/builders.py
+++ b/features/builders.py
@@ -230,7 +230,9 @@
 
 
 def restart_agent(
-    deployment: processes.LocalDeployment, row: Target
+    deployment: processes.LocalDeployment,
+    row: Target,
+    **options: processes.Option,
 ) -> processes.ProcessHandle:
     """Start a target's agent again, at its address."""
     parts = row.agent.name.rpartition("-")
@@ -241,4 +243,33 @@
         row.target.url,
         listen=row.agent.address,
         log_level="debug",
+        **options,
+    )
+
+
+def replace_agent(
+    deployment: processes.LocalDeployment,
+    row: Target,
+    name: str,
+    **options: processes.Option,
+) -> processes.ProcessHandle:
+    """Start another agent beside a target, in the place of the first.
+
+    The host list names the new one instead of the old.
+    """
+    parts = row.agent.name.rpartition("-")
+    data_centre = DATA_CENTRES[int(parts[2]) % len(DATA_CENTRES)]
+    newer = deployment.start_agent(
+        name,
+        data_centre,
+        parts[0],
+        row.target.url,
+        target=row.agent.name,
+        log_level="debug",
+        **options,
+    )
+    deployment.forget_host(row.agent.name)
+    deployment.register_host(
+        newer, data_centre, parts[0], target=row.agent.name
     )
+    return newer
--- a/packages/gentianpoint-agent/features/agent_builders.py
+++ b/packages/gentianpoint-agent/features/agent_builders.py
@@ -13,6 +13,7 @@
 from gentianpoint_core import ports
 
 SERVICE: typing.Final = "modelo-taller"
+PEER_KEY: typing.Final = "key-of-peers"
 
 
 def make_profile(
@@ -75,7 +76,9 @@
 
 def make_table(retain_bytes: int) -> generation_table.GenerationTable:
     """Return an empty table that keeps ended generations for a minute."""
-    return generation_table.GenerationTable("target-1", 60_000, retain_bytes)
+    return generation_table.GenerationTable(
+        "target-1", 60_000, retain_bytes, PEER_KEY
+    )
 
 
 def make_end(reason: str) -> generations.GenerationEnd:
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/admission.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/admission.py
@@ -126,6 +126,24 @@
         finally:
             self._leave(ticket)
 
+    @contextlib.contextmanager
+    def hold_running(
+        self, profile: admission_policy.CallProfile
+    ) -> abc.Iterator[admission_policy.Slot]:
+        """Hold the place of a call that runs at the target already.
+
+        It is not asked whether it may run: it takes its memory either way,
+        and calls admitted without counting it would preempt it.
+        """
+        ticket = self._make_ticket(profile)
+        self._queue.add(ticket)
+        self._start(ticket, deadlines.read_clock_ms())
+        assert ticket.slot is not None
+        try:
+            yield ticket.slot
+        finally:
+            self._leave(ticket)
+
     def _make_ticket(
         self, profile: admission_policy.CallProfile
     ) -> fair_queue.Ticket:
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/admission_policy.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/admission_policy.py
@@ -96,11 +96,15 @@
         self._watcher: typing.Final = watcher
         self._last_token_ms = -1.0
 
-    def note_token(self) -> None:
-        """Tell that the engine brought a token."""
+    def note_token(self, *, is_timed: bool = True) -> None:
+        """Tell that the engine brought a token.
+
+        One that is not timed was generated before; when it comes tells
+        nothing of the engine's pace.
+        """
         now_ms = deadlines.read_clock_ms()
         gap_ms = None
-        if self._last_token_ms >= 0 and not self.preempted:
+        if is_timed and self._last_token_ms >= 0 and not self.preempted:
             gap_ms = now_ms - self._last_token_ms
         self._last_token_ms = now_ms
         self.tokens += 1
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/agent.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/agent.py
@@ -23,6 +23,7 @@
 from gentianpoint_agent import prefix_beliefs
 from gentianpoint_agent import service_in_force
 from gentianpoint_agent.generated import settings as agent_settings
+from gentianpoint_core import deadlines
 from gentianpoint_core import http_engine
 from gentianpoint_core import http_log
 from gentianpoint_core import http_plain_service
@@ -37,6 +38,7 @@
 
 _HOUSEKEEPING_S: typing.Final = 0.2
 _LOAD_POLL_S: typing.Final = 0.2
+_ADOPT_PAUSE_S: typing.Final = 0.5
 _DRAIN_POLL_S: typing.Final = 0.05
 _PLAIN_SILENCE_MS: typing.Final = 60_000
 _CLOSE_TIMEOUT_S: typing.Final = 1
@@ -145,11 +147,51 @@
 
 async def _keep_house(state: agent_state.AgentState) -> None:
     while True:
+        overdue_by = deadlines.make_deadline(
+            _HOUSEKEEPING_S * 1000 + state.settings.silence_ms
+        )
         await trio.sleep(_HOUSEKEEPING_S)
+        if overdue_by.is_past():
+            state.note_pause()
         state.table.forget_expired()
         state.abandon_orphans()
 
 
+async def _adopt_streams(
+    state: agent_state.AgentState, engine: ports.Engine
+) -> None:
+    """Read on the streams that an earlier run of the agent has started.
+
+    Asked until the engine answers; one that is not there, or has no list,
+    has nothing to adopt.
+    """
+    while True:
+        try:
+            identifiers = await engine.list_streams()
+        except ports.PortError as error:
+            if not error.took_effect:
+                return
+            await trio.sleep(_ADOPT_PAUSE_S)
+            continue
+        for identifier in identifiers:
+            state.adopt_call(identifier)
+        return
+
+
+async def _drive_engine(
+    state: agent_state.AgentState,
+    engine: ports.Engine,
+    client: httpx.AsyncClient,
+) -> None:
+    """Adopt what runs, then carry orders out.
+
+    An order to load waits for the running calls. One given before the
+    streams of an earlier run are known would end them in the middle.
+    """
+    await _adopt_streams(state, engine)
+    await _make_orders(state, engine, client).run()
+
+
 async def _watch_signals(state: agent_state.AgentState) -> None:
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         await state.lifecycle.watch_signals(signals, "told to stop")
@@ -222,7 +264,7 @@
         nursery.start_soon(_keep_house, state)
         if settings.target_kind == "engine":
             nursery.start_soon(_watch_engine, state, engine)
-            nursery.start_soon(_make_orders(state, engine, client).run)
+            nursery.start_soon(_drive_engine, state, engine, client)
             nursery.start_soon(
                 prefix_beliefs.watch_cache_events, engine, state.prefixes
             )
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/agent_state.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/agent_state.py
@@ -52,7 +52,10 @@
         """Run calls in ``nursery`` by ``runner``."""
         self.settings: typing.Final = settings
         self.table: typing.Final = generation_table.GenerationTable(
-            settings.target, settings.retain_ms, settings.retain_bytes
+            settings.target,
+            settings.retain_ms,
+            settings.retain_bytes,
+            settings.peer_key,
         )
         self.lifecycle: typing.Final = lifecycle.Lifecycle()
         self.service: typing.Final = service
@@ -91,6 +94,29 @@
         await self._runner.run(generation, order)
         self.table.retire(generation)
 
+    def adopt_call(
+        self, identifier: str, customer: str = generations.UNKNOWN_CUSTOMER
+    ) -> typing.Optional[generations.Generation]:
+        """Read on at the target what an earlier run of the agent started.
+
+        None when it is not for this agent, or not the customer's. Nothing is
+        started: when the target does not know it, its outcome is unknown.
+        """
+        generation = self.table.adopt(identifier, self.is_plain(), customer)
+        if generation is None:
+            return None
+        logs.log_event(
+            events.GENERATION_ADOPTED,
+            generation=identifier,
+            listed=generation.found,
+        )
+        self._nursery.start_soon(self._run_adopted, generation)
+        return generation
+
+    async def _run_adopted(self, generation: generations.Generation) -> None:
+        await self._runner.run_adopted(generation)
+        self.table.retire(generation)
+
     def is_drained(self) -> bool:
         """Tell whether all calls are delivered and entries know the end."""
         if self.table.list_running() or self.table.has_unread():
@@ -118,13 +144,28 @@
         """Cancel generations that nobody has read for too long.
 
         A generation that may run only once goes on: its work is billed, and
-        its customer can still fetch it.
+        its customer can still fetch it. So does an adopted one, of which
+        nobody here knows whether it may be repeated, and one that another
+        run of the agent may read.
         """
         for generation in self.table.list_running():
-            if generation.abandon_at.is_past() and generation.repeatable:
+            if generation.shared or not generation.repeatable:
+                continue
+            if generation.abandon_at.is_past():
                 logs.log_event(
                     events.GENERATION_ABANDONED,
                     generation=generation.identifier,
                     repeatable=generation.repeatable,
                 )
                 generation.cancel()
+
+    def note_pause(self) -> None:
+        """Leave the streams of before a long pause to run to their ends.
+
+        Entries gave this run up while it was paused, and a later run may
+        have adopted its streams. They look like orphans here; cancelled as
+        such, their callers would see a stream break off that the later run
+        is delivering.
+        """
+        for generation in self.table.list_running():
+            generation.shared = True
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/call_runner.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/call_runner.py
@@ -1,6 +1,8 @@
 """Runs one call on the target, from admission to its end."""
 
 import abc
+from collections import abc as collections_abc
+import functools
 import typing
 
 import trio
@@ -55,6 +57,28 @@
     async def stop(self, generation: generations.Generation) -> None:
         """Stop the work of a cancelled generation at the target."""
 
+    async def take_up(
+        self, generation: generations.Generation
+    ) -> generations.GenerationEnd:
+        """Read on what an earlier run of the agent started.
+
+        Returns how it ended, and never starts anything.
+        """
+        return generations.GenerationEnd(
+            generations.OUTCOME_UNKNOWN,
+            "an earlier run of the agent had it; it may have run",
+        )
+
+    async def run_adopted(self, generation: generations.Generation) -> None:
+        """Take an adopted generation to its end."""
+        end = await self._work_or_cancel(
+            generation,
+            functools.partial(self.take_up, generation),
+            deadlines.NO_DEADLINE,
+        )
+        self._log_end(generation, "", end)
+        generation.finish(end)
+
     async def run(
         self, generation: generations.Generation, order: StartOrder
     ) -> None:
@@ -62,22 +86,31 @@
         tracer = telemetry.get_tracer()
         context = telemetry.use_trace_parent(order.offer["trace"])
         with tracer.start_as_current_span("agent call", context=context):
-            end = await self._run_or_cancel(generation, order)
-        self._log_end(generation, order, end)
+            end = await self._work_or_cancel(
+                generation,
+                functools.partial(self._admit_and_run, generation, order),
+                order.finish_by,
+            )
+        self._log_end(generation, order.entry, end)
         generation.finish(end)
 
-    async def _run_or_cancel(
-        self, generation: generations.Generation, order: StartOrder
+    async def _work_or_cancel(
+        self,
+        generation: generations.Generation,
+        work: collections_abc.Callable[
+            [], collections_abc.Awaitable[generations.GenerationEnd]
+        ],
+        finish_by: deadlines.Deadline,
     ) -> generations.GenerationEnd:
         outcome: list[generations.GenerationEnd] = []
         async with trio.open_nursery() as nursery:
 
             async def run_to_end() -> None:
-                outcome.append(await self._admit_and_run(generation, order))
+                outcome.append(await work())
                 nursery.cancel_scope.cancel()
 
             nursery.start_soon(run_to_end)
-            with trio.CancelScope(deadline=order.finish_by.at) as in_time:
+            with trio.CancelScope(deadline=finish_by.at) as in_time:
                 await generation.wait_cancelled()
             nursery.cancel_scope.cancel()
         if outcome:
@@ -172,7 +205,7 @@
     def _log_end(
         self,
         generation: generations.Generation,
-        order: StartOrder,
+        entry: str,
         end: generations.GenerationEnd,
     ) -> None:
         event = {
@@ -184,7 +217,7 @@
         logs.log_event(
             event,
             generation=generation.identifier,
-            entry=order.entry,
+            entry=entry,
             repeatable=generation.repeatable,
             reason=end.reason,
             detail=end.detail,
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/engine_runner.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/engine_runner.py
@@ -24,6 +24,7 @@
 _RETRY_AFTER_MS: typing.Final = 1000
 _PACE_SHARE: typing.Final = 0.1
 _STALL_FACTOR: typing.Final = 2.0
+_BURST_GAP_MS: typing.Final = 2.0
 
 
 class _StreamLostError(Exception):
@@ -44,13 +45,25 @@
         self._instruments: typing.Final = instruments
         self._last_ms: typing.Optional[float] = None
         self._mean_ms: typing.Optional[float] = None
+        self.is_burst = False
+        """True while tokens come that the engine had generated before."""
 
     def note_token(self) -> None:
-        """Record the gap since the last token."""
+        """Record the gap since the last token.
+
+        Tokens of before come as fast as the link carries them. Taken for
+        the engine's pace, they would make it look a hundred times faster
+        than it is, and every later token a stall.
+        """
         now_ms = deadlines.read_clock_ms()
-        if self._last_ms is not None:
-            self._note_gap(now_ms - self._last_ms)
+        gap_ms = None if self._last_ms is None else now_ms - self._last_ms
         self._last_ms = now_ms
+        if gap_ms is None:
+            return
+        if self.is_burst:
+            self.is_burst = gap_ms <= _BURST_GAP_MS
+            return
+        self._note_gap(gap_ms)
 
     def _note_gap(self, gap_ms: float) -> None:
         self._instruments.record_gap(self._service, gap_ms)
@@ -96,6 +109,25 @@
         except _StreamLostError as error:
             return self._describe_loss(generation, str(error))
 
+    async def take_up(
+        self, generation: generations.Generation
+    ) -> generations.GenerationEnd:
+        """Read an adopted stream from its first token to its end.
+
+        All tokens are asked for, also those that were delivered, since any
+        entry may ask for those after any number.
+        """
+        pace = _Pace(self._service.name, self._instruments)
+        pace.is_burst = True
+        with self._control.hold_running(_make_profile(generation)) as slot:
+            try:
+                end = None
+                while end is None:
+                    end = await self._resume(generation, slot, pace)
+                return end
+            except _StreamLostError as error:
+                return self._describe_loss(generation, str(error))
+
     def _make_request(
         self,
         generation: generations.Generation,
@@ -181,6 +213,7 @@
         pace: _Pace,
     ) -> typing.Optional[generations.GenerationEnd]:
         async for event in stream:
+            generation.found = True
             if event.end:
                 slot.note_end(event.end, event.prompt_tokens)
                 return generations.GenerationEnd(
@@ -191,8 +224,8 @@
             if event.preempted:
                 self._note_preemption(generation, slot)
             elif event.number == generation.count_items() + 1:
-                slot.note_token()
                 pace.note_token()
+                slot.note_token(is_timed=not pace.is_burst)
                 generation.add_text(event.text)
             elif event.number > generation.count_items():
                 # A hole can't be filled from this stream; reading on would
@@ -227,3 +260,18 @@
                 return
             except ports.PortError:
                 await trio.sleep(_RESUME_PAUSE_S)
+
+
+def _make_profile(
+    generation: generations.Generation,
+) -> admission_policy.CallProfile:
+    """Return what is known of a stream whose request was never seen."""
+    return admission_policy.CallProfile(
+        generation.customer,
+        1.0,
+        0,
+        0,
+        "",
+        0,
+        deadlines.NO_DEADLINE,
+    )
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/entry_connections.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/entry_connections.py
@@ -248,7 +248,7 @@
         table = self._state.table
         identifier = offer.get("generation", "")
         if identifier:
-            known = table.find(identifier, customer)
+            known = self._find(identifier, customer)
         else:
             known = table.find_attempt(offer["attempt"], customer)
         if known is not None:
@@ -269,6 +269,17 @@
         )
         return created, True
 
+    def _find(
+        self, identifier: str, customer: str
+    ) -> typing.Optional[generations.Generation]:
+        """Return a customer's generation, of this run or an earlier one.
+
+        What an earlier run gave out is looked for at the target, which may
+        have it although it did not list it: ended, or started late.
+        """
+        held = self._state.table.find(identifier, customer)
+        return held or self._state.adopt_call(identifier, customer)
+
     def _require_taking(self, step: str) -> None:
         reason = self._state.hold_reason
         if self._state.lifecycle.is_leaving():
@@ -327,16 +338,17 @@
             # subscribed for ever: its generation would always count as
             # read, and the agent would never be drained.
             raise self._refuse_message("the call number is in use")
-        generation = self._state.table.find(
-            message["generation"], message["customer"]
-        )
+        generation = self._find(message["generation"], message["customer"])
         if generation is None:
             raise errors.CallError(
                 errors.UNKNOWN_GENERATION,
                 "no such generation is held here",
                 step="resume generation",
             )
-        if message["after"] > generation.count_items():
+        # An adopted one is read from its first item again, so it may have
+        # fewer for a moment than its caller got from the earlier run.
+        is_behind = message["after"] > generation.count_items()
+        if is_behind and not generation.adopted:
             raise errors.CallError(
                 errors.INVALID_REQUEST,
                 f"the generation has only {generation.count_items()} items",
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/generation_table.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/generation_table.py
@@ -3,7 +3,8 @@
 Only the run of the process that gave an identifier out may start it, and
 only once. Identifiers that were given out but are in no table any more may
 have run: nothing is ever started for them, and nobody is told that they did
-not run.
+not run. What an earlier run started, and the target still has, is adopted: it
+is read on here, and nothing is started for it.
 """
 
 from collections import abc
@@ -36,10 +37,16 @@
 class GenerationTable:
     """Prepared, running and ended generations of one run of an agent."""
 
-    def __init__(self, target: str, retain_ms: int, retain_bytes: int) -> None:
-        """Make an empty table with a new incarnation."""
+    def __init__(
+        self, target: str, retain_ms: int, retain_bytes: int, key: str
+    ) -> None:
+        """Make an empty table with a new incarnation.
+
+        ``key`` signs identifiers; it is the same in all runs of the agent.
+        """
         self.incarnation: typing.Final = secrets.token_hex(_INCARNATION_BYTES)
         self._target: typing.Final = target
+        self._key: typing.Final = key
         self._retain_ms: typing.Final = retain_ms
         self._retain_bytes: typing.Final = retain_bytes
         self._last_number = 0
@@ -58,11 +65,15 @@
         """Tell whether an ended generation is still being read."""
         return any(item.has_readers() for item in self._ended.values())
 
-    def _make_identifier(self) -> str:
+    def _make_identifier(self, customer: str) -> str:
         self._last_number += 1
         return generation_ids.format_generation_id(
             generation_ids.make_generation_id(
-                self._target, self.incarnation, self._last_number
+                self._target,
+                self.incarnation,
+                self._last_number,
+                customer,
+                self._key,
             )
         )
 
@@ -82,7 +93,7 @@
                 retry_after_ms=_PREPARED_WITHIN_MS // 10,
             )
         prepared = PreparedGeneration(
-            self._make_identifier(),
+            self._make_identifier(customer),
             customer,
             deadlines.make_deadline(_PREPARED_WITHIN_MS),
         )
@@ -106,7 +117,7 @@
     ) -> generations.Generation:
         """Return a new generation for an attempt that is not known."""
         generation = generations.Generation(
-            self._make_identifier(), customer, is_plain, repeatable
+            self._make_identifier(customer), customer, is_plain, repeatable
         )
         generation.attempt = attempt
         self._attempts[attempt] = generation
@@ -149,6 +160,44 @@
         generation.prepared = True
         return self._add(generation), True
 
+    def adopt(
+        self,
+        identifier: str,
+        is_plain: bool,
+        customer: str = generations.UNKNOWN_CUSTOMER,
+    ) -> typing.Optional[generations.Generation]:
+        """Return a new generation for what an earlier run has started.
+
+        None when the identifier is of another target, of this run, held
+        already, or not the customer's. A target that lists it names no
+        customer; then the first who asks shows by the identifier that it is
+        the customer. Whether it may be repeated is not known here, so it is
+        treated as one that may not.
+        """
+        parsed = generation_ids.parse_generation_id(identifier)
+        if parsed.is_error() or parsed.ok.target != self._target:
+            return None
+        if parsed.ok.incarnation == self.incarnation:
+            return None
+        if identifier in self._running or identifier in self._ended:
+            return None
+        is_listed = customer == generations.UNKNOWN_CUSTOMER
+        if not is_listed and not self._is_owner(identifier, customer):
+            return None
+        generation = generations.Generation(
+            identifier, customer, is_plain, False
+        )
+        generation.adopted = True
+        generation.found = is_listed
+        generation.started = True
+        return self._add(generation)
+
+    def _is_owner(self, identifier: str, customer: str) -> bool:
+        parsed = generation_ids.parse_generation_id(identifier)
+        return parsed.is_ok() and generation_ids.is_owner(
+            parsed.ok, customer, self._key
+        )
+
     def cancel(self, identifier: str, customer: str) -> bool:
         """Cancel a customer's generation; False when it is not held.
 
@@ -158,7 +207,10 @@
         generation = self.find(identifier, customer)
         if generation is not None:
             generation.cancel()
-            return True
+            # While the target has not shown that it holds an adopted one, an
+            # earlier run that wakes up may still start it. Its customer, told
+            # that it is cancelled, would find it on the bill.
+            return generation.found
         prepared = self._prepared.get(identifier)
         if prepared is None or prepared.customer != customer:
             return False
@@ -191,10 +243,20 @@
         tells a stranger nothing.
         """
         found = self._running.get(identifier) or self._ended.get(identifier)
+        if found is not None:
+            self._learn_customer(found, customer)
         if found is None or found.customer != customer:
             return None
         return found
 
+    def _learn_customer(
+        self, generation: generations.Generation, customer: str
+    ) -> None:
+        if generation.customer != generations.UNKNOWN_CUSTOMER:
+            return
+        if self._is_owner(generation.identifier, customer):
+            generation.customer = customer
+
     def retire(self, generation: generations.Generation) -> None:
         """Move an ended generation to those kept for a while.
 
@@ -214,6 +276,10 @@
                     deadlines.make_deadline(_PREPARED_WITHIN_MS),
                 )
             return
+        if not generation.found:
+            # An earlier run that wakes up may start it yet, and then it can
+            # be read; the target is asked anew each time.
+            return
         generation.forget_at = deadlines.make_deadline(self._retain_ms)
         self._ended[generation.identifier] = generation
         self._ended_bytes += generation.size_bytes
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/generations.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/generations.py
@@ -21,6 +21,7 @@
     "NOT_RUN",
     "OUTCOME_UNKNOWN",
     "STOP",
+    "UNKNOWN_CUSTOMER",
     "Generation",
     "GenerationEnd",
     "encode_plain_head",
@@ -38,6 +39,8 @@
 """Whether the target ran it can't be told; no item came."""
 NOT_RUN: typing.Final = "not_run"
 """The target truly did not run it."""
+UNKNOWN_CUSTOMER: typing.Final = "\0"
+"""Customer of an adopted generation that nobody has asked for yet."""
 ENDED_REGULARLY: typing.Final = frozenset((STOP, LENGTH))
 """Reasons with which the answer is whole."""
 
@@ -72,10 +75,16 @@
     ) -> None:
         """Make a generation that has not started."""
         self.identifier: typing.Final = identifier
-        self.customer: typing.Final = customer
+        self.customer = customer
         self.is_plain: typing.Final = is_plain
         self.repeatable: typing.Final = repeatable
         self.prepared = False
+        self.adopted = False
+        """True when an earlier run of the agent started it."""
+        self.found = True
+        """False until the target has shown that it holds an adopted one."""
+        self.shared = False
+        """True when another run of the agent may be reading it too."""
         self.attempt = ""
         self.started = False
         self.end: typing.Optional[GenerationEnd] = None
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/calls.py
@@ -94,8 +94,17 @@
         """Say ``not_run`` only when no earlier attempt can have started.
 
         An attempt whose connection was lost may have run although the last
-        attempt was refused; a caller told otherwise would run it twice.
+        attempt was refused; a caller told otherwise would run it twice. And
+        what a restarted agent can't find at its target has run, if tokens
+        of it were delivered: then it is incomplete.
         """
+        if error.code == errors.OUTCOME_UNKNOWN and self.delivered:
+            return errors.CallError(
+                errors.INCOMPLETE,
+                error.reason,
+                step=error.step,
+                peer=error.peer,
+            )
         if error.code != errors.NOT_RUN or not self._may_have_started:
             return error
         return errors.CallError(
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/dispatch.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/dispatch.py
@@ -107,8 +107,9 @@
     async def wait_home(self, generation: str) -> agent_links.AgentLink:
         """Return a connected link to the home of a generation.
 
-        Raises :class:`HomeLostError` when another run of the agent answers,
-        or none does in time.
+        A later run of the agent stands in for a home that is gone: it
+        adopts what the target still has, and starts nothing. Raises
+        :class:`HomeLostError` when no run answers in time.
         """
         parsed = generation_ids.parse_generation_id(generation)
         if parsed.is_error():
@@ -116,12 +117,10 @@
         home = parsed.ok
         with trio.move_on_after(_HOME_WITHIN_MS / 1000):
             while True:
-                link = self.pool.find_target(home.target)
+                link = self.pool.find_target(home.target, home.incarnation)
                 if link is None:
                     raise HomeLostError(f"no agent of target {home.target}")
                 if link.is_connected() and link.welcome is not None:
-                    if link.welcome["incarnation"] != home.incarnation:
-                        raise HomeLostError("its agent was restarted")
                     return link
                 await self.pool.wait_changed()
         raise HomeLostError("its agent can't be reached")
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/link_pool.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/link_pool.py
@@ -110,19 +110,36 @@
         return tuple(self._links.values())
 
     def find_target(
-        self, target: str
+        self, target: str, incarnation: str = ""
     ) -> typing.Optional[agent_links.AgentLink]:
         """Return the link to a target's agent, opening one if need be.
 
-        None when the host list names no agent of the target.
+        With several agents of one target, that of the run ``incarnation``
+        comes first unless it is lost for longer than a moment, then one that
+        is connected. None when the host list names no agent of the target.
         """
-        for link in self._links.values():
-            if link.host.target == target:
-                return link
-        for host in self._hosts.values():
-            if host.target == target and host.role == "agent":
-                return self._open(host)
-        return None
+        links = self._list_target_links(target)
+        if not any(link.is_connected() for link in links):
+            links += [
+                self._open(host)
+                for host in self._hosts.values()
+                if host.target == target
+                and host.role == "agent"
+                and host.host not in self._links
+            ]
+        return max(
+            links,
+            key=lambda link: (
+                _holds_run(link, incarnation),
+                link.is_connected(),
+            ),
+            default=None,
+        )
+
+    def _list_target_links(self, target: str) -> list[agent_links.AgentLink]:
+        return [
+            link for link in self._links.values() if link.host.target == target
+        ]
 
     def update_hosts(self, hosts: abc.Iterable[ports.Host]) -> None:
         """Follow a new reading of the host list.
@@ -173,3 +190,12 @@
     def _close(self, name: str) -> None:
         self._links.pop(name)
         self._scopes.pop(name).cancel()
+
+
+def _holds_run(link: agent_links.AgentLink, incarnation: str) -> bool:
+    """Tell whether a run of an agent answers on a link, or soon will."""
+    return (
+        link.welcome is not None
+        and link.welcome["incarnation"] == incarnation
+        and (link.is_connected() or link.is_recovering())
+    )
