Model a later run of an agent that takes up streams

Cause: the specification ended every generation with its agent process, so what the code now does over a restart was in no search.

Ruled out: the engine as a process of its own in the model. Streams of a live agent stay in its generations; only what a crash leaves behind is kept apart.

Change: the last agent process may adopt what the engine has of the first, after its crash or beside it, and reads it from the first item. An entry that lost a connection may resume at any live run of the target. Guards: adopted_is_only_read, adopted_is_at_the_engine; scopes: adopted, two homes.

--- a/spec/dispatch.py
+++ b/spec/dispatch.py
@@ -113,6 +113,26 @@
             retracts=1,
         ),
     ),
+    dispatch_state.Scope(
+        name="adopted",
+        requests=(_Kind.PREPARED,),
+        targets=1,
+        items=2,
+        in_flight=2,
+        connections=2,
+        faults=_Faults(
+            together=2, agent_crashes=1, caller_cuts=1, engine_deaths=1
+        ),
+    ),
+    dispatch_state.Scope(
+        name="two homes",
+        requests=(_Kind.PREPARED,),
+        targets=1,
+        items=2,
+        in_flight=2,
+        connections=3,
+        faults=_Faults(together=2, cuts=1, replacements=1, cancels=1),
+    ),
     dispatch_state.Scope(
         name="stream",
         requests=(_Kind.ONCE,),
@@ -224,11 +244,9 @@
             if not state.entries[entry]:
                 continue
             if call.state in ("offered", "retracting", "streaming"):
-                yield (
-                    f"entry {entry} loses the connection of {request}",
-                    dispatch_entry.lose_connection(
-                        rules, spent, request, entry
-                    ),
+                label = f"entry {entry} loses the connection of {request}"
+                yield from dispatch_entry.lose_connection(
+                    rules, spent, request, entry, label
                 )
 
 
@@ -292,12 +310,21 @@
         after = dispatch_network.drop_messages(
             after, lambda m: m.to_agent and m.agent == 0
         )
+        after = _leave_streams(state, after)
         yield "agent 0 crashes", after
     spent = dispatch_network.spend(state, "replacements")
     if spent is not None and not state.agents[successor].alive:
         yield "agent 0 is paused and replaced", _revive(spent, successor)
 
 
+def _leave_streams(
+    before: dispatch_state.State, after: dispatch_state.State
+) -> dispatch_state.State:
+    """Keep what the engine of a crashed agent goes on with."""
+    streams = dispatch_agent.list_engine_streams(before.agents[0])
+    return after._replace(left=tuple(streams))
+
+
 def _revive(state: dispatch_state.State, process: int) -> dispatch_state.State:
     agent = state.agents[process]._replace(alive=True)
     return dispatch_network.replace_agent(state, process, agent)
--- a/spec/dispatch_agent.py
+++ b/spec/dispatch_agent.py
@@ -11,7 +11,7 @@
 from spec import dispatch_state
 from spec import lifecycle
 
-__all__ = ("list_agent_actions", "receive_at_agent")
+__all__ = ("list_agent_actions", "list_engine_streams", "receive_at_agent")
 
 _Guard = dispatch_state.Guard
 
@@ -38,6 +38,51 @@
                 yield from _generate(rules, state, process, number)
             if dispatch_network.has_room(rules, state):
                 yield from _serve_readers(rules, state, process, number)
+        yield from _adopt(rules, state, process)
+
+
+def list_engine_streams(
+    agent: dispatch_state.Agent,
+) -> abc.Iterator[dispatch_state.Job]:
+    """Yield what the engine has of an agent's generations.
+
+    Also what has ended, and what the agent could not tell to have started.
+    """
+    for job in agent.jobs:
+        if job.state in (
+            lifecycle.RUNNING,
+            lifecycle.ENDED,
+            lifecycle.UNKNOWN,
+        ):
+            yield _strip(job)
+
+
+def _strip(job: dispatch_state.Job) -> dispatch_state.Job:
+    """Return a job as one that the engine was asked for and still has."""
+    return dispatch_state.Job(lifecycle.RUNNING, job.identifier, job.payload)
+
+
+def _adopt(
+    rules: dispatch_network.Rules, state: dispatch_state.State, process: int
+) -> abc.Iterator[dispatch_network.Action]:
+    """Let a later incarnation take up what an earlier one started.
+
+    It reads from the first item again.
+    """
+    agent = state.agents[process]
+    if process != len(state.agents) - 1:
+        return
+    earlier = state.agents[0]
+    streams = [*state.left, *list_engine_streams(earlier)]
+    if not rules.keep(_Guard.ADOPTED_IS_AT_THE_ENGINE):
+        streams += [_strip(job) for job in earlier.jobs]
+    for job in streams:
+        if _find_job(agent, job.identifier) >= 0:
+            continue
+        if not rules.keep(_Guard.ADOPTED_IS_ONLY_READ):
+            job = job._replace(state=lifecycle.QUEUED)
+        after = _put_job(state, process, -1, job)
+        yield f"agent {process} adopts a generation of agent 0", after
 
 
 def receive_at_agent(
@@ -85,13 +130,12 @@
         identifier = dispatch_state.Generation(offer.agent, number)
         yield from _admit_or_refuse(rules, state, offer, identifier)
         return
-    if offer.generation.agent != offer.agent and rules.keep(
-        _Guard.INCARNATION_CHECK
-    ):
+    number = _find_job(agent, offer.generation)
+    is_foreign = number < 0 and offer.generation.agent != offer.agent
+    if is_foreign and rules.keep(_Guard.INCARNATION_CHECK):
         # Another incarnation issued the identifier and may have started it.
         yield "does not know it", _reply(rules, state, offer, "unknown")
         return
-    number = _find_job(agent, offer.generation)
     if number < 0 or agent.jobs[number].state == lifecycle.PREPARED:
         identifier = offer.generation
         yield from _admit_or_refuse(rules, state, offer, identifier)
--- a/spec/dispatch_entry.py
+++ b/spec/dispatch_entry.py
@@ -23,7 +23,7 @@
         if caller.state == "idle":
             yield _ask(state, request)
         if caller.state == "broken":
-            yield _ask_again(rules, state, request)
+            yield from _ask_again(rules, state, request)
         if caller.state == "calling":
             yield from _cancel(rules, state, request)
         for entry, alive in enumerate(state.entries):
@@ -42,7 +42,7 @@
 
 def _ask_again(
     rules: dispatch_network.Rules, state: dispatch_state.State, request: int
-) -> dispatch_network.Action:
+) -> abc.Iterator[dispatch_network.Action]:
     """Go to the other entry with the identifier, if there is one."""
     caller = state.callers[request]
     entry = caller.entry + 1
@@ -50,24 +50,22 @@
     if not known or entry == dispatch_state.ENTRIES:
         gone = caller._replace(state="gave up")
         state = dispatch_network.replace_caller(state, request, gone)
-        return f"caller {request} gives up", state
+        yield f"caller {request} gives up", state
+        return
     had = len(caller.items)
     call = dispatch_state.Call("new", generation=caller.generation)
     caller = caller._replace(state="calling", entry=entry)
     state = dispatch_network.replace_caller(state, request, caller)
     if had == 0 and rules.scope.requests[request] is _Kind.PREPARED:
         state = dispatch_network.replace_call(state, request, entry, call)
-        return f"caller {request} starts again at entry {entry}", state
-    return (
-        f"caller {request} resumes after {had} at entry {entry}",
-        _resume(
-            rules,
-            state,
-            request,
-            entry,
-            call._replace(passed=had, resumes=True),
-        ),
-    )
+        yield f"caller {request} starts again at entry {entry}", state
+        return
+    label = f"caller {request} resumes after {had} at entry {entry}"
+    call = call._replace(passed=had, resumes=True)
+    homes = _list_homes(state, call.generation) or [call.generation.agent]
+    for home in homes:
+        after = _resume(rules, state, request, entry, call, home)
+        yield f"{label}, agent {home}", after
 
 
 def _cancel(
@@ -115,8 +113,13 @@
         yield from _acknowledge(rules, state, request, entry)
     has_agent = call.state in ("offered", "retracting", "streaming")
     if has_agent and not state.agents[call.agent].alive:
-        after = lose_connection(rules, state, request, entry)
-        yield f"{label}: notices that the agent died", after
+        yield from lose_connection(
+            rules,
+            state,
+            request,
+            entry,
+            f"{label}: notices that the agent died",
+        )
 
 
 def _offer(
@@ -244,24 +247,54 @@
     state: dispatch_state.State,
     request: int,
     entry: int,
-) -> dispatch_state.State:
+    label: str,
+) -> abc.Iterator[dispatch_network.Action]:
     """Go on after the connection of a call is lost.
 
-    A call with a known generation is resumed where it runs. An offer that
-    was neither admitted nor refused may have started.
+    A call with a known generation is resumed where it runs, or at a later
+    incarnation there. An offer that was neither admitted nor refused may
+    have started.
     """
     call = state.calls[request][entry]
-    if call.state == "streaming":
-        if call.passed > 0 and not rules.keep(_Guard.EXPLICIT_INCOMPLETE):
-            return _finish(rules, state, request, entry, "")
-        may_resume = (
-            call.connection < rules.scope.connections
-            and state.agents[call.generation.agent].alive
-            and rules.keep(_Guard.NO_RETRY_AFTER_DELIVERY)
-        )
-        if may_resume:
-            return _resume(rules, state, request, entry, call)
-        return _give_up_attempt(rules, state, request, entry)
+    if call.state != "streaming":
+        yield label, _lose_offer(rules, state, request, entry)
+        return
+    if call.passed > 0 and not rules.keep(_Guard.EXPLICIT_INCOMPLETE):
+        yield label, _finish(rules, state, request, entry, "")
+        return
+    homes = _list_homes(state, call.generation)
+    may_resume = (
+        call.connection < rules.scope.connections
+        and homes
+        and rules.keep(_Guard.NO_RETRY_AFTER_DELIVERY)
+    )
+    if not may_resume:
+        yield label, _give_up_attempt(rules, state, request, entry)
+        return
+    for home in homes:
+        after = _resume(rules, state, request, entry, call, home)
+        yield f"{label}, resumes at agent {home}", after
+
+
+def _list_homes(
+    state: dispatch_state.State, generation: dispatch_state.Generation
+) -> list[int]:
+    """Return the live agents beside the target that a generation names."""
+    target = state.agents[generation.agent].target
+    return [
+        process
+        for process, agent in enumerate(state.agents)
+        if agent.alive and agent.target == target
+    ]
+
+
+def _lose_offer(
+    rules: dispatch_network.Rules,
+    state: dispatch_state.State,
+    request: int,
+    entry: int,
+) -> dispatch_state.State:
+    call = state.calls[request][entry]
     if rules.scope.requests[request] is _Kind.REPEATABLE:
         call = call._replace(state="lost")
         state = dispatch_network.replace_call(state, request, entry, call)
@@ -279,9 +312,9 @@
     request: int,
     entry: int,
     call: dispatch_state.Call,
+    home: int,
 ) -> dispatch_state.State:
-    """Ask the home of the generation for the items after those passed."""
-    home = call.generation.agent
+    """Ask an agent for the items after those passed."""
     call = call._replace(
         state="streaming",
         connection=call.connection + 1,
--- a/spec/dispatch_state.py
+++ b/spec/dispatch_state.py
@@ -83,6 +83,10 @@
     """A caller learns an identifier once no other can answer any more."""
     CANCEL_IS_ACKNOWLEDGED = "cancel_is_acknowledged"
     """Cancelled is said only once the agent has stopped the generation."""
+    ADOPTED_IS_ONLY_READ = "adopted_is_only_read"
+    """A later incarnation reads on what it adopts and never starts it."""
+    ADOPTED_IS_AT_THE_ENGINE = "adopted_is_at_the_engine"
+    """A later incarnation answers only for what the engine has started."""
 
 
 class RequestKind(enum.StrEnum):
@@ -336,6 +340,8 @@
     """Faults that may still happen."""
     witness: Witness
     """What the engines saw."""
+    left: tuple[Job, ...] = ()
+    """What the engine still has of the first agent after its crash."""
 
 
 ENTRIES: typing.Final = 2
--- a/spec/features/dispatch_guards.feature
+++ b/spec/features/dispatch_guards.feature
@@ -35,6 +35,9 @@
       | only_home_says_not_run           | prepared    | not_run_is_true       |
       | identifier_comes_with_first_item | stream      | not_run_is_true       |
       | cancel_is_acknowledged           | prepared    | no_start_after_cancel |
+      | adopted_is_only_read             | adopted     | starts_at_most_once   |
+      | adopted_is_only_read             | adopted     | starts_at_home        |
+      | adopted_is_at_the_engine         | two homes   | no_start_after_cancel |
 
   Scenario: every guard of dispatch has a row above
     Then each guard of dispatch is taken out in this feature
--- a/spec/features/dispatch_prepared.feature
+++ b/spec/features/dispatch_prepared.feature
@@ -14,6 +14,8 @@
       | scope     | states |
       | prepared  | 46000  |
       | withdrawn | 31000  |
+      | adopted   | 50000  |
+      | two homes | 36000  |
 
   Scenario Outline: the answer <answer> occurs in scope <scope>
     When a way to the answer <answer> in scope <scope> is searched
@@ -26,3 +28,14 @@
       | prepared  | outcome_unknown |
       | prepared  | cancelled       |
       | withdrawn | not_run         |
+      | adopted   | incomplete      |
+      | two homes | cancelled       |
+
+  Scenario Outline: an answer goes on at a later agent in scope <scope>
+    When a way to read on at a later agent in scope <scope> is searched
+    Then one is found
+
+    Examples:
+      | scope     |
+      | adopted   |
+      | two homes |
--- a/spec/features/recordings.py
+++ b/spec/features/recordings.py
@@ -7,6 +7,7 @@
 from spec import replay
 
 _HOME: typing.Final = "agent-1"
+_LATER: typing.Final = "agent-1/later"
 _ENTRY: typing.Final = "entry-1"
 FIRST: typing.Final = "target-1~aa~1~5ec1"
 SECOND: typing.Final = "target-1~aa~2~5ec2"
@@ -153,6 +154,24 @@
     ]
 
 
+def make_adopted() -> _Events:
+    """A billed report whose agent died and whose next run read it on."""
+    return [
+        *_begin(),
+        _agent("call_prepared"),
+        _entry("call_offered", repeatable=False, generation=FIRST),
+        _agent("call_admitted", attached=False),
+        _agent("generation_started"),
+        make_event(_LATER, "agent_started", incarnation="bb"),
+        make_event(_LATER, "generation_adopted", generation=FIRST),
+        make_event(_LATER, "generation_resumed", generation=FIRST, after=0),
+        _entry("call_offered", repeatable=False, generation=FIRST),
+        make_event(_LATER, "call_admitted", generation=FIRST, attached=True),
+        make_event(_LATER, "generation_ended", generation=FIRST, items=3),
+        _finish("ok", generation=FIRST, items=3),
+    ]
+
+
 def make_closed() -> _Events:
     """A stream whose caller went away early."""
     return [
@@ -290,6 +309,7 @@
     "resumed": make_resumed,
     "retried": make_retried,
     "again": make_again,
+    "adopted": make_adopted,
     "closed": make_closed,
     "lost": make_lost,
     "abandoned": make_abandoned,
--- a/spec/features/replay.feature
+++ b/spec/features/replay.feature
@@ -16,6 +16,7 @@
       | resumed   | 8     | 1   |
       | retried   | 10    | 2   |
       | again     | 7     | 1   |
+      | adopted   | 10    | 1   |
       | closed    | 4     | 0   |
       | lost      | 5     | 1   |
       | abandoned | 5     | 1   |
@@ -55,6 +56,12 @@
       | retried   | set call_offered repeatable 0      | may run once and was not refused     |
       | lost      | set outcome_unknown items 1        | outcome_unknown after 1 items        |
       | abandoned | append generation_abandoned        | is cancelled and has no reader       |
+      | adopted   | repeat generation_adopted          | was adopted before                   |
+      | adopted   | drop generation_adopted            | was not issued by bb                 |
+      | adopted   | set agent_started incarnation aa   | was issued by its adopter            |
+      | adopted   | set call_admitted attached 0       | admit when adopted                   |
+      | adopted   | drop generation_started            | gave 3 items, but                    |
+      | adopted   | set generation_ended items 2       | got 3 items of 2                     |
       | closed    | append call_closed                 | finish is not allowed when finished  |
       | once      | drop call_refused                  | may run once and was not refused     |
 
--- a/spec/features/steps/search_steps.py
+++ b/spec/features/steps/search_steps.py
@@ -49,11 +49,29 @@
 
 @behave.when("a way to the answer {answer} in scope {scope} is searched")
 def search_answer(context, answer, scope):
-    full = catalogue.SPECIFICATIONS["dispatch"].build(scope, None)
-
     def is_absent(fields):
         return all(answer not in c.answers for c in fields["callers"])
 
+    search_way(context, scope, is_absent)
+
+
+@behave.when("a way to read on at a later agent in scope {scope} is searched")
+def search_read_on(context, scope):
+    def is_absent(fields):
+        # A reader has an item, and its agent has read none yet, so that the
+        # item came from the earlier agent.
+        later = fields["agents"][-1]
+        return not any(
+            reader.sent > job.produced
+            for job in later.jobs
+            for reader in job.readers
+        )
+
+    search_way(context, scope, is_absent)
+
+
+def search_way(context, scope, is_absent):
+    full = catalogue.SPECIFICATIONS["dispatch"].build(scope, None)
     protocol = minicheck.Protocol(
         name=full.name,
         candidate=False,
