Test adoption in parts, and its guards one by one

Cause: the features show that a stream goes on over a restart; what a table, the admission and the pace do for it had no test of their own.

Change: the table adopts for the right customer, target and run only; a cancel counts once the target has shown the stream; one that was not found is looked for again; an adopted stream takes a place at admission, and its old tokens say nothing of the pace.

--- a/packages/gentianpoint-agent/features/admission.feature
+++ b/packages/gentianpoint-agent/features/admission.feature
@@ -37,6 +37,19 @@
     Then customer large has 1 running
     And customer small has 2 running
 
+  Scenario: a stream of an earlier run takes its place
+  The agent was restarted and its engine goes on with a stream. One more beside
+  it would preempt it, so the stream counts like any other until it ends.
+
+    Given a queue before 1 place
+    When a stream runs that an earlier run has started
+    And it brings 40 tokens that were generated before
+    And customer small with weight 1 sends 1 calls
+    Then customer small has 0 running
+    And the pace is not known
+    When it has ended
+    Then customer small has 1 running
+
   Scenario: calls of one customer start in the order they came
     Given a queue before 1 place
     When customer one with weight 1 sends 5 calls
--- a/packages/gentianpoint-agent/features/call_stage.py
+++ b/packages/gentianpoint-agent/features/call_stage.py
@@ -68,6 +68,18 @@
             except errors.CallError as error:
                 self.refused.append((profile.customer, error))
 
+    def hold(self, profile: admission_policy.CallProfile) -> None:
+        """Let a stream run that an earlier run of the agent started."""
+        self.stage.start_task(self._hold_running, profile)
+
+    async def _hold_running(
+        self, profile: admission_policy.CallProfile
+    ) -> None:
+        with self.control.hold_running(profile) as slot:
+            call = RunningCall(profile.customer, 0, slot, trio.Event())
+            self.running.append(call)
+            await call.may_end.wait()
+
     def end_first(self, tokens: int = 0, end: str = "cancelled") -> None:
         """End the call that started first, after some tokens."""
         self.end(self.running[0], tokens, end)
--- a/packages/gentianpoint-agent/features/generation_table.feature
+++ b/packages/gentianpoint-agent/features/generation_table.feature
@@ -33,6 +33,54 @@
     Then the start is refused with not_run
     And nothing runs
 
+  Scenario Outline: what an earlier run gave out
+  The agent was run again. What its target still has is read on, by its
+  customer only; what this run gave out itself is never looked for there, or a
+  prepared identifier would be taken for one that has started.
+
+    Given a table with a prepared identifier of rebobinados
+    When <event>
+    And the identifier <change>
+    Then the table <outcome> it for <customer>
+
+    Examples:
+      | event                  | change                  | customer    | outcome       |
+      | the agent is run again | stays as it is          | rebobinados | adopts        |
+      | the agent is run again | stays as it is          | another     | doesn't adopt |
+      | the agent is run again | is of another number    | rebobinados | doesn't adopt |
+      | the agent is run again | is of another target    | rebobinados | doesn't adopt |
+      | the agent is run again | is no identifier at all | rebobinados | doesn't adopt |
+      | nothing happens        | stays as it is          | rebobinados | doesn't adopt |
+
+  Scenario: what the target lists is its customer's only
+    Given a table with a prepared identifier of rebobinados
+    When the agent is run again
+    And the target lists the identifier
+    Then another can't find it
+    And rebobinados can find it
+    And another can't find it
+
+  Scenario: cancelled before the target has shown that it holds it
+  An earlier run that is paused may still start the identifier. Its customer
+  must not be told that it is cancelled, and find it on the bill.
+
+    Given a table with a prepared identifier of rebobinados
+    When the agent is run again
+    And rebobinados asks for it
+    Then a cancel by rebobinados is in vain
+    When the target has shown that it holds it
+    Then a cancel by rebobinados takes effect
+
+  Scenario: what the target does not know is looked for again
+  An earlier run that was paused started it late, after its customer had asked
+  for it here in vain. The customer asks once more.
+
+    Given a table with a prepared identifier of rebobinados
+    When the agent is run again
+    And rebobinados asks for it
+    And the target does not know it
+    Then the table adopts it for rebobinados
+
   Scenario: an attempt that is offered again attaches
     Given an empty table
     When the attempt a-1 of rebobinados is created
--- a/packages/gentianpoint-agent/features/steps/admission_steps.py
+++ b/packages/gentianpoint-agent/features/steps/admission_steps.py
@@ -213,3 +213,29 @@
 def check_remembered(context, most):
     remembered = context.calls.control.count_customers()
     assert 0 < remembered < most, remembered
+
+
+@behave.when("a stream runs that an earlier run has started")
+def hold_running(context):
+    context.calls.hold(agent_builders.make_profile("adopted"))
+
+
+@behave.when("it brings {count:d} tokens that were generated before")
+def bring_old_tokens(context, count):
+    slot = context.calls.running[0].slot
+
+    def bring():
+        for _ in range(count):
+            slot.note_token(is_timed=False)
+
+    context.calls.stage.call(bring)
+
+
+@behave.when("it has ended")
+def end_held(context):
+    context.calls.end_first()
+
+
+@behave.then("the pace is not known")
+def check_no_pace(context):
+    assert context.calls.stage.call(context.calls.control.read_pace_ms) == 0
--- a/packages/gentianpoint-agent/features/steps/generation_table_steps.py
+++ b/packages/gentianpoint-agent/features/steps/generation_table_steps.py
@@ -1,5 +1,7 @@
 """Steps for the table of generations."""
 
+import functools
+
 import agent_builders
 import behave
 import trio_stage
@@ -187,3 +189,91 @@
 @behave.then("the newest can be read")
 def check_newest(context):
     assert context.generation_table.find(context.ended[-1], OWNER) is not None
+
+
+@behave.when("the identifier stays as it is")
+def keep_identifier(context):
+    pass
+
+
+@behave.when("the identifier is of another number")
+def change_number(context):
+    context.identifier = context.identifier.replace("~1~", "~2~")
+
+
+@behave.when("the identifier is of another target")
+def change_target(context):
+    context.identifier = context.identifier.replace("target-1", "target-2")
+
+
+@behave.when("the identifier is no identifier at all")
+def break_identifier(context):
+    context.identifier = "target-1"
+
+
+def adopt(context, **more):
+    return context.stage.call(
+        functools.partial(
+            context.generation_table.adopt,
+            context.identifier,
+            is_plain=False,
+            **more,
+        )
+    )
+
+
+@behave.then("the table adopts it for {customer}")
+def check_adopted(context, customer):
+    generation = adopt(context, customer=customer)
+    assert generation is not None
+    assert generation.started and not generation.repeatable
+    assert adopt(context, customer=customer) is None
+
+
+@behave.then("the table doesn't adopt it for {customer}")
+def check_not_adopted(context, customer):
+    assert adopt(context, customer=customer) is None
+
+
+@behave.when("the target lists the identifier")
+def adopt_listed(context):
+    context.adopted = adopt(context)
+
+
+@behave.when("rebobinados asks for it")
+def adopt_asked(context):
+    context.adopted = adopt(context, customer=OWNER)
+
+
+@behave.when("the target has shown that it holds it")
+def show_held(context):
+    context.adopted.found = True
+
+
+@behave.when("the target does not know it")
+def end_unknown(context):
+    context.adopted.finish(agent_builders.make_end("outcome_unknown"))
+    context.stage.call(context.generation_table.retire, context.adopted)
+
+
+@behave.then("{customer} can find it")
+def check_found(context, customer):
+    table = context.generation_table
+    assert table.find(context.identifier, customer) is context.adopted
+
+
+@behave.then("{customer} can't find it")
+def check_not_found(context, customer):
+    table = context.generation_table
+    assert table.find(context.identifier, customer) is None
+
+
+@behave.then("a cancel by rebobinados is in vain")
+def check_cancel_in_vain(context):
+    assert not context.generation_table.cancel(context.identifier, OWNER)
+
+
+@behave.then("a cancel by rebobinados takes effect")
+def check_cancelled(context):
+    assert context.generation_table.cancel(context.identifier, OWNER)
+    assert context.adopted.is_cancelled()
