Never say not run of an identifier that is not held

Cause: an agent that takes nothing new, since it leaves or its engine loads, refused every offer as not_run, also that of an identifier which had run and was forgotten; since offers also reach later runs of an agent, that of an earlier run's identifier as well. One that waited to be started was not spent by its refusal, so a second offer ran it later.

Ruled out: refusing before the table is asked whether it holds the identifier; then the refusal can't be true.

Change: such an agent says outcome_unknown of what it does not hold, and spends what it refuses. An adopted stream that the engine says is cancelled, though nobody here cancelled it, is incomplete. The list of streams is asked for again until the engine answers its load.

--- a/features/adoption.feature
+++ b/features/adoption.feature
@@ -92,6 +92,17 @@
     Then the stream ends with the error cancelled
     And the engines run nothing any more
 
+  Scenario: an earlier run cancels what was adopted
+  An agent that was cut off from all entries, and replaced, takes its streams
+  for orphans and cancels them at the engine. The caller, who did not cancel,
+  is told that its answer is incomplete.
+
+    Given a deployment of 1 entry and 1 target
+    When a caller reads a stream of 4000 tokens
+    And after 10 tokens the agent is killed and started again
+    And after 20 tokens an earlier run cancels it
+    Then the stream ends with the error incomplete
+
   Scenario: the engine was restarted too
   The host is lost with engine and agent and both come back empty. The caller
   gets an error event that says incomplete, and nothing is run again.
@@ -136,7 +147,7 @@
     Given a deployment whose agents give orphans up at once
     When a caller prepares a generation of 20 tokens
     And the agents stand still
-    And starts it in the background at the first entry
+    And starts it as one that may run once at the first entry
     And another agent takes the place of the first
     Then the caller is told outcome_unknown
     When the older agent wakes up and finds its connection lost
--- a/features/steps/adoption_steps.py
+++ b/features/steps/adoption_steps.py
@@ -4,6 +4,7 @@
 import httpx
 
 from features import builders
+from features.steps import at_most_once_steps
 
 ORPHANS = {"orphan_ms": 0}
 WITHIN_S = 20
@@ -139,6 +140,19 @@
     context.deployment.freeze(context.fixture.targets[0].agent)
 
 
+@behave.when("starts it as one that may run once at the first entry")
+def start_once(context):
+    at_most_once_steps.run_in_background(
+        context,
+        builders.complete,
+        context.fixture.entries[0],
+        context.prompt,
+        builders.make_headers(
+            generation=context.generation, **at_most_once_steps.ONCE
+        ),
+    )
+
+
 @behave.when("another agent takes the place of the first")
 def replace_agent(context):
     row = context.fixture.targets[0]
@@ -158,6 +172,14 @@
     older.log.wait_for_event("connection_lost", within_s=WITHIN_S)
 
 
+@behave.when("after {count:d} tokens an earlier run cancels it")
+def cancel_at_engine(context, count):
+    context.reader.wait_for_tokens(count)
+    engine = context.fixture.targets[0].target
+    answer = httpx.delete(f"{engine.url}/streams/{context.reader.generation}")
+    assert answer.json()["known"], answer.text
+
+
 @behave.then("the agent adopted it")
 def check_adopted(context):
     names = [
--- a/packages/gentianpoint-agent/features/entry_connections.feature
+++ b/packages/gentianpoint-agent/features/entry_connections.feature
@@ -58,5 +58,36 @@
     And connection 1 is given a resume under the number of that offer
     Then connection 1 has ended as refused
 
+  Scenario Outline: an agent that takes nothing gets an identifier
+    The agent is told to leave, or its engine loads, when a prepared report is
+    started again. What the agent does not hold any more may have run; a
+    caller that is told otherwise has it run twice.
+    Given an agent with a connection of the run r1
+    When the agent <state>
+    And an offer of an identifier that <origin> comes on connection 1
+    Then the offer is refused with <code>
+    And the target ran 0 call
+
+    Examples:
+      | state      | origin                       | code            |
+      | is leaving | an earlier run gave out      | outcome_unknown |
+      | is leaving | this run held and forgot     | outcome_unknown |
+      | is leaving | waits here to be started     | not_run         |
+      | is on hold | an earlier run gave out      | outcome_unknown |
+      | is on hold | this run held and forgot     | outcome_unknown |
+      | is on hold | waits here to be started     | not_run         |
+
+  Scenario: an identifier is refused on hold and offered again
+    Its caller was told that it did not run, and may have had another run in
+    its place, when a second offer of it comes through another entry.
+    Given an agent with a connection of the run r1
+    When another connection of the run r2 is greeted
+    And the agent is on hold
+    And an offer of an identifier that waits here to be started comes on connection 1
+    And the agent is on hold no more
+    And the same offer comes on connection 2
+    Then both offers are refused with not_run
+    And the target ran 0 call
+
   Scenario: any messages of the right types
     Then whatever messages come, only a connection's error leaves it
--- a/packages/gentianpoint-agent/features/entry_stage.py
+++ b/packages/gentianpoint-agent/features/entry_stage.py
@@ -165,7 +165,7 @@
         self.websockets: typing.Final[list[FakeWebsocket]] = []
         self.ends: typing.Final[dict[int, str]] = {}
         self._nursery: typing.Final = nursery
-        self._state: typing.Final = agent_state.AgentState(
+        self.state: typing.Final = agent_state.AgentState(
             SETTINGS,
             nursery,
             control,
@@ -189,7 +189,7 @@
         )
         try:
             await entry_connections.EntryConnection(
-                connection, self._state
+                connection, self.state
             ).serve()
         except* peer_connections.PeerConnectionError as group:
             error = group.exceptions[0]
--- a/packages/gentianpoint-agent/features/steps/entry_connections_steps.py
+++ b/packages/gentianpoint-agent/features/steps/entry_connections_steps.py
@@ -72,6 +72,57 @@
     context.stage.call(websocket.bring, message)
 
 
+@behave.when("the agent is leaving")
+def start_leaving(context):
+    lifecycle = context.scene.state.lifecycle
+    context.stage.call(lifecycle.start_leaving, "told to stop")
+
+
+@behave.when("the agent is on hold")
+def hold(context):
+    context.scene.state.hold("the engine loads")
+
+
+@behave.when("an offer of an identifier that {origin} comes on connection 1")
+def bring_identifier(context, origin):
+    table = context.scene.state.table
+    prepared = context.stage.call(table.prepare, "one").identifier
+    identifier = {
+        "an earlier run gave out": "target-1~earlier~1~0123456789abcdef",
+        "this run held and forgot": prepared.replace("~1~", "~2~"),
+        "waits here to be started": prepared,
+    }[origin]
+    context.offer = entry_stage.make_offer("a1", generation=identifier)
+    context.stage.call(context.scene.websockets[0].bring, context.offer)
+
+
+@behave.when("the agent is on hold no more")
+def release_hold(context):
+    context.scene.state.release_hold()
+
+
+@behave.when("the same offer comes on connection 2")
+def bring_same(context):
+    context.stage.call(context.scene.websockets[1].bring, context.offer)
+
+
+@behave.then("both offers are refused with {code}")
+def check_both_refused(context, code):
+    for websocket in context.scene.websockets:
+        check_refusal(websocket, code)
+
+
+@behave.then("the offer is refused with {code}")
+def check_offer_refused(context, code):
+    check_refusal(context.scene.websockets[0], code)
+
+
+def check_refusal(websocket, code):
+    sent = websocket.sent
+    told = [row["code"] for row in sent if row["type"] == "refused"]
+    assert told == [code], sent
+
+
 @behave.then("the target ran {count:d} call")
 def check_ran(context, count):
     assert len(context.scene.target.calls) == count
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/agent.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/agent.py
@@ -162,14 +162,13 @@
 ) -> None:
     """Read on the streams that an earlier run of the agent has started.
 
-    Asked until the engine answers; one that is not there, or has no list,
-    has nothing to adopt.
+    Asked until the engine answers, or shows that it has no list.
     """
     while True:
         try:
             identifiers = await engine.list_streams()
         except ports.PortError as error:
-            if not error.took_effect:
+            if not error.took_effect and await _answers(engine):
                 return
             await trio.sleep(_ADOPT_PAUSE_S)
             continue
@@ -178,6 +177,14 @@
         return
 
 
+async def _answers(engine: ports.Engine) -> bool:
+    try:
+        await engine.read_load()
+    except ports.PortError:
+        return False
+    return True
+
+
 async def _drive_engine(
     state: agent_state.AgentState,
     engine: ports.Engine,
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/engine_runner.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/engine_runner.py
@@ -124,9 +124,14 @@
                 end = None
                 while end is None:
                     end = await self._resume(generation, slot, pace)
-                return end
             except _StreamLostError as error:
                 return self._describe_loss(generation, str(error))
+        if end.reason == generations.CANCELLED:
+            # A cancel of ours ends this task before the engine's word comes.
+            # An earlier run that took it for an orphan did it; the caller
+            # would be told that it cancelled what it did not.
+            return self._describe_loss(generation, "another run cancelled it")
+        return end
 
     def _make_request(
         self,
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/entry_connections.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/entry_connections.py
@@ -253,7 +253,7 @@
             known = table.find_attempt(offer["attempt"], customer)
         if known is not None:
             return known, False
-        self._require_taking("take offer")
+        self._require_taking_offer(identifier, customer)
         if is_plain != self._state.is_plain():
             raise errors.CallError(
                 errors.INVALID_REQUEST,
@@ -280,6 +280,21 @@
         held = self._state.table.find(identifier, customer)
         return held or self._state.adopt_call(identifier, customer)
 
+    def _require_taking_offer(self, identifier: str, customer: str) -> None:
+        """Refuse an offer while nothing new is taken.
+
+        An identifier that is not held here may have run, so that not even
+        an agent that takes nothing may say that it did not. One that is
+        held is spent with its refusal: started by a later offer, it would
+        run after its caller was told that it did not.
+        """
+        try:
+            self._require_taking("take offer")
+        except errors.CallError:
+            if identifier:
+                self._state.table.refuse_prepared(identifier, customer)
+            raise
+
     def _require_taking(self, step: str) -> None:
         reason = self._state.hold_reason
         if self._state.lifecycle.is_leaving():
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/generation_table.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/generation_table.py
@@ -135,15 +135,7 @@
         known = self.find(identifier, customer)
         if known is not None:
             return known, False
-        self._check_not_refused(identifier, customer)
-        prepared = self._prepared.get(identifier)
-        if prepared is None or prepared.customer != customer:
-            raise errors.CallError(
-                errors.OUTCOME_UNKNOWN,
-                "the identifier is not held here; it may have run",
-                step="start prepared generation",
-                peer=self._target,
-            )
+        prepared = self.require_prepared(identifier, customer)
         del self._prepared[identifier]
         if prepared.expires_at.is_past():
             # The identifier never started and now never will, but a second
@@ -160,6 +152,31 @@
         generation.prepared = True
         return self._add(generation), True
 
+    def require_prepared(
+        self, identifier: str, customer: str
+    ) -> PreparedGeneration:
+        """Return an identifier that waits here to be started.
+
+        Raises :class:`errors.CallError` with ``not_run`` for one that was
+        refused, else with ``outcome_unknown``.
+        """
+        self._check_not_refused(identifier, customer)
+        prepared = self._prepared.get(identifier)
+        if prepared is None or prepared.customer != customer:
+            raise errors.CallError(
+                errors.OUTCOME_UNKNOWN,
+                "the identifier is not held here; it may have run",
+                step="start prepared generation",
+                peer=self._target,
+            )
+        return prepared
+
+    def refuse_prepared(self, identifier: str, customer: str) -> None:
+        """Never start an identifier that waits here."""
+        prepared = self.require_prepared(identifier, customer)
+        self._refused[identifier] = prepared
+        del self._prepared[identifier]
+
     def adopt(
         self,
         identifier: str,
@@ -214,7 +231,7 @@
         prepared = self._prepared.get(identifier)
         if prepared is None or prepared.customer != customer:
             return False
-        self._refused[identifier] = self._prepared.pop(identifier)
+        self.refuse_prepared(identifier, customer)
         return True
 
     def _check_not_refused(self, identifier: str, customer: str) -> None:
