--- a/spec/features/dispatch.feature
+++ b/spec/features/dispatch.feature
@@ -15,10 +15,10 @@
 
     Examples:
       | scope       | states |
-      | start       | 19000  |
+      | start       | 22000  |
       | repeat      | 2900   |
-      | retry       | 18000  |
-      | again       | 13000  |
+      | retry       | 29000  |
+      | again       | 26000  |
       | stream      | 25000  |
       | two callers | 9000   |
 
--- a/spec/features/dispatch_prepared.feature
+++ b/spec/features/dispatch_prepared.feature
@@ -12,8 +12,8 @@
 
     Examples:
       | scope     | states |
-      | prepared  | 46000  |
-      | withdrawn | 31000  |
+      | prepared  | 72000  |
+      | withdrawn | 61000  |
       | adopted   | 50000  |
       | two homes | 36000  |
 
