--- a/packages/gentianpoint-agent/features/entry_stage.py
+++ b/packages/gentianpoint-agent/features/entry_stage.py
@@ -166,7 +166,7 @@
         self.websockets: typing.Final[list[FakeWebsocket]] = []
         self.ends: typing.Final[dict[int, str]] = {}
         self._nursery: typing.Final = nursery
-        self._state: typing.Final = agent_state.AgentState(
+        self.state: typing.Final = agent_state.AgentState(
             SETTINGS,
             nursery,
             control,
@@ -183,11 +183,11 @@
 
     def hold(self) -> None:
         """Let the agent take no new work, as while it loads a version."""
-        self._state.hold("the target loads")
+        self.state.hold("the target loads")
 
     def release_hold(self) -> None:
         """Let it take new work again."""
-        self._state.release_hold()
+        self.state.release_hold()
 
     async def _serve(self, number: int) -> None:
         connection = peer_connections.PeerConnection(
@@ -198,7 +198,7 @@
         )
         try:
             await entry_connections.EntryConnection(
-                connection, self._state
+                connection, self.state
             ).serve()
         except* peer_connections.PeerConnectionError as group:
             error = group.exceptions[0]
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/generation_table.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/generation_table.py
@@ -3,7 +3,8 @@
 Only the run of the process that gave an identifier out may start it, and
 only once. Identifiers that were given out but are in no table any more may
 have run: nothing is ever started for them, and nobody is told that they did
-not run.
+not run. What an earlier run started, and the target still has, is adopted: it
+is read on here, and nothing is started for it.
 """
 
 from collections import abc
@@ -36,10 +37,16 @@
 class GenerationTable:
     """Prepared, running and ended generations of one run of an agent."""
 
-    def __init__(self, target: str, retain_ms: int, retain_bytes: int) -> None:
-        """Make an empty table with a new incarnation."""
+    def __init__(
+        self, target: str, retain_ms: int, retain_bytes: int, key: str
+    ) -> None:
+        """Make an empty table with a new incarnation.
+
+        ``key`` signs identifiers; it is the same in all runs of the agent.
+        """
         self.incarnation: typing.Final = secrets.token_hex(_INCARNATION_BYTES)
         self._target: typing.Final = target
+        self._key: typing.Final = key
         self._retain_ms: typing.Final = retain_ms
         self._retain_bytes: typing.Final = retain_bytes
         self._last_number = 0
@@ -58,11 +65,15 @@
         """Tell whether an ended generation is still being read."""
         return any(item.has_readers() for item in self._ended.values())
 
-    def _make_identifier(self) -> str:
+    def _make_identifier(self, customer: str) -> str:
         self._last_number += 1
         return generation_ids.format_generation_id(
             generation_ids.make_generation_id(
-                self._target, self.incarnation, self._last_number
+                self._target,
+                self.incarnation,
+                self._last_number,
+                customer,
+                self._key,
             )
         )
 
@@ -82,7 +93,7 @@
                 retry_after_ms=_PREPARED_WITHIN_MS // 10,
             )
         prepared = PreparedGeneration(
-            self._make_identifier(),
+            self._make_identifier(customer),
             customer,
             deadlines.make_deadline(_PREPARED_WITHIN_MS),
         )
@@ -106,7 +117,7 @@
     ) -> generations.Generation:
         """Return a new generation for an attempt that is not known."""
         generation = generations.Generation(
-            self._make_identifier(), customer, is_plain, repeatable
+            self._make_identifier(customer), customer, is_plain, repeatable
         )
         generation.attempt = attempt
         self._attempts[attempt] = generation
@@ -124,10 +135,7 @@
         known = self.find(identifier, customer)
         if known is not None:
             return known, False
-        self._check_not_refused(identifier, customer)
-        prepared = self._prepared.get(identifier)
-        if prepared is None or prepared.customer != customer:
-            raise self._make_not_held()
+        prepared = self.require_prepared(identifier, customer)
         del self._prepared[identifier]
         if prepared.expires_at.is_past():
             # The identifier never started and now never will, but a second
@@ -144,43 +152,94 @@
         generation.prepared = True
         return self._add(generation), True
 
-    def cancel(self, identifier: str, customer: str) -> bool:
-        """Cancel a customer's generation; False when it is not held.
+    def require_prepared(
+        self, identifier: str, customer: str
+    ) -> PreparedGeneration:
+        """Return an identifier that waits here to be started.
 
-        A prepared identifier is spent: a start of it that is still on the
-        way would else run what its customer has cancelled.
+        Raises :class:`errors.CallError` with ``not_run`` for one that was
+        refused, else with ``outcome_unknown``.
         """
-        generation = self.find(identifier, customer)
-        if generation is not None:
-            generation.cancel()
-            return True
+        self._check_not_refused(identifier, customer)
         prepared = self._prepared.get(identifier)
         if prepared is None or prepared.customer != customer:
-            return False
-        self._refused[identifier] = self._prepared.pop(identifier)
-        return True
+            raise errors.CallError(
+                errors.OUTCOME_UNKNOWN,
+                "the identifier is not held here; it may have run",
+                step="start prepared generation",
+                peer=self._target,
+            )
+        return prepared
 
     def refuse_prepared(self, identifier: str, customer: str) -> None:
-        """Spend an identifier whose start is refused for now.
+        """Never start an identifier that waits here.
 
         Its caller is told that it did not run and may have another one run.
         A duplicate of the start that comes when the agent takes work again
         would run it a second time, and it would be on the bill twice.
 
-        Raises :class:`errors.CallError` with ``outcome_unknown`` when the
-        identifier is not held: it may have run and been forgotten.
+        Raises :class:`errors.CallError` as :meth:`require_prepared` does.
         """
-        self._check_not_refused(identifier, customer)
-        if not self.cancel(identifier, customer):
-            raise self._make_not_held()
-
-    def _make_not_held(self) -> errors.CallError:
-        return errors.CallError(
-            errors.OUTCOME_UNKNOWN,
-            "the identifier is not held here; it may have run",
-            step="start prepared generation",
-            peer=self._target,
+        prepared = self.require_prepared(identifier, customer)
+        self._refused[identifier] = prepared
+        del self._prepared[identifier]
+
+    def adopt(
+        self,
+        identifier: str,
+        is_plain: bool,
+        customer: str = generations.UNKNOWN_CUSTOMER,
+    ) -> typing.Optional[generations.Generation]:
+        """Return a new generation for what an earlier run has started.
+
+        None when the identifier is of another target, of this run, held
+        already, or not the customer's. A target that lists it names no
+        customer; then the first who asks shows by the identifier that it is
+        the customer. Whether it may be repeated is not known here, so it is
+        treated as one that may not.
+        """
+        parsed = generation_ids.parse_generation_id(identifier)
+        if parsed.is_error() or parsed.ok.target != self._target:
+            return None
+        if parsed.ok.incarnation == self.incarnation:
+            return None
+        if identifier in self._running or identifier in self._ended:
+            return None
+        is_listed = customer == generations.UNKNOWN_CUSTOMER
+        if not is_listed and not self._is_owner(identifier, customer):
+            return None
+        generation = generations.Generation(
+            identifier, customer, is_plain, False
         )
+        generation.adopted = True
+        generation.found = is_listed
+        generation.started = True
+        return self._add(generation)
+
+    def _is_owner(self, identifier: str, customer: str) -> bool:
+        parsed = generation_ids.parse_generation_id(identifier)
+        return parsed.is_ok() and generation_ids.is_owner(
+            parsed.ok, customer, self._key
+        )
+
+    def cancel(self, identifier: str, customer: str) -> bool:
+        """Cancel a customer's generation; False when it is not held.
+
+        A prepared identifier is spent: a start of it that is still on the
+        way would else run what its customer has cancelled.
+        """
+        generation = self.find(identifier, customer)
+        if generation is not None:
+            generation.cancel()
+            # While the target has not shown that it holds an adopted one, an
+            # earlier run that wakes up may still start it. Its customer, told
+            # that it is cancelled, would find it on the bill.
+            return generation.found
+        prepared = self._prepared.get(identifier)
+        if prepared is None or prepared.customer != customer:
+            return False
+        self.refuse_prepared(identifier, customer)
+        return True
 
     def _check_not_refused(self, identifier: str, customer: str) -> None:
         refused = self._refused.get(identifier)
@@ -208,10 +267,20 @@
         tells a stranger nothing.
         """
         found = self._running.get(identifier) or self._ended.get(identifier)
+        if found is not None:
+            self._learn_customer(found, customer)
         if found is None or found.customer != customer:
             return None
         return found
 
+    def _learn_customer(
+        self, generation: generations.Generation, customer: str
+    ) -> None:
+        if generation.customer != generations.UNKNOWN_CUSTOMER:
+            return
+        if self._is_owner(generation.identifier, customer):
+            generation.customer = customer
+
     def retire(self, generation: generations.Generation) -> None:
         """Move an ended generation to those kept for a while.
 
@@ -231,6 +300,10 @@
                     deadlines.make_deadline(_PREPARED_WITHIN_MS),
                 )
             return
+        if not generation.found:
+            # An earlier run that wakes up may start it yet, and then it can
+            # be read; the target is asked anew each time.
+            return
         generation.forget_at = deadlines.make_deadline(self._retain_ms)
         self._ended[generation.identifier] = generation
         self._ended_bytes += generation.size_bytes
