--- a/features/orders.feature
+++ b/features/orders.feature
@@ -164,7 +164,7 @@
   still serves the old version and is about to drop it. Calls taken in between
   would be cut.
 
-    Given a deployment with 1 target whose loads take 6000 ms
+    Given a deployment with 1 target whose loads take 12000 ms
     When an operator declares version 2
     And the agent has logged order_sent
     And the agent is killed and replaced
--- a/features/steps/orders_steps.py
+++ b/features/steps/orders_steps.py
@@ -254,8 +254,17 @@
 
 @behave.when("the agent is killed and replaced")
 def kill_and_replace(context):
-    context.deployment.kill(context.fixture.targets[0].agent)
+    agent = context.fixture.targets[0].agent
+    log = context.fixture.entries[0].log
+
+    def count_links():
+        opened = log.find_events("connection_opened")
+        return sum(event["peer"] == agent.name for event in opened)
+
+    before = count_links()
+    context.deployment.kill(agent)
     start_again(context)
+    wait_until(lambda: count_links() > before, log.tail)
 
 
 @behave.then("new calls are refused as not run, since it is declared unloaded")
