--- a/Makefile
+++ b/Makefile
@@ -38,9 +38,10 @@
 lint: $(INSTALLED)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/flake8 packages tools bench spec features
+	$(BIN)/flake8 packages platform tools bench spec features
 	$(BIN)/python tools/check_style.py
 	$(BIN)/mypy packages/*/src tools spec bench
+	cd platform && ../$(BIN)/mypy --config-file ../pyproject.toml *.py
 	$(BIN)/python tools/generate.py --check
 
 test: lint
--- a/packages/gentianpoint-core/src/gentianpoint_core/ports.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/ports.py
@@ -19,12 +19,16 @@
     "EngineOrder",
     "Host",
     "HostList",
+    "KeyedRecord",
+    "KeyedSlice",
+    "KeyedTopic",
     "Log",
     "LogRecord",
     "LogSlice",
     "PlainAnswer",
     "PlainService",
     "PortError",
+    "RecordsExpiredError",
     "StreamEvent",
     "StreamRequest",
     "WeightStore",
@@ -99,6 +103,49 @@
         """
 
 
+class KeyedRecord(typing.NamedTuple):
+    """One record of a topic that keeps the newest record of each key."""
+
+    key: str
+    """What the record is about."""
+    value: typing.Optional[bytes]
+    """What was written; None when the key was dropped."""
+    offset: int
+    """Place in the topic, from 0."""
+
+
+class KeyedSlice(typing.NamedTuple):
+    """Records of a keyed topic, and where to read on."""
+
+    records: collections_abc.Sequence[KeyedRecord]
+    """The records; in the order of the topic when they are changes."""
+    end: int
+    """Offset from which the next reading goes on."""
+
+
+class RecordsExpiredError(Exception):
+    """The records asked for are no longer kept; read the newest anew."""
+
+
+class KeyedTopic(abc.ABC):
+    """A topic of the platform's log that keeps the newest of each key."""
+
+    @abc.abstractmethod
+    async def read_newest(self) -> KeyedSlice:
+        """Return the newest record of every key.
+
+        Keys that are missing have been dropped. Raises :class:`PortError`.
+        """
+
+    @abc.abstractmethod
+    async def read_changes(self, start: int, wait_ms: int) -> KeyedSlice:
+        """Return the records from offset ``start`` on.
+
+        Waits up to ``wait_ms`` milliseconds when there are none. Raises
+        :class:`RecordsExpiredError` and :class:`PortError`.
+        """
+
+
 class Host(typing.NamedTuple):
     """One host of the host list."""
 
--- /dev/null
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/caller_connections.py
@@ -0,0 +1,355 @@
+"""Callers' connections: HTTP/1.1, one task each.
+
+Forwarding needs what a web framework hides: the target of a request byte by
+byte, the moment at which a caller leaves, and an end that can't be taken for
+a complete answer. The parser is ``h11``.
+"""
+
+from collections import abc
+import contextlib
+import socket
+import struct
+import typing
+
+import h11
+import trio
+
+from gentianpoint_core import deadlines
+from gentianpoint_core import logs
+from gentianpoint_core.generated import events
+from gentianpoint_entry.forwarding import caller_answers
+from gentianpoint_entry.forwarding import routes
+
+__all__ = ("CallerConnections", "Handler", "RawRequest")
+
+_READ_BYTES: typing.Final = 65536
+_MOST_STASHED_BYTES: typing.Final = 65536
+"""Bytes of later requests that are taken while one is served."""
+_IDLE_SLACK: typing.Final = 1.25
+"""Connections are kept this much longer than the limit for idling, so that a
+request of a caller that keeps to the limit does not cross our closing."""
+_WRITE_STALL_MS: typing.Final = 5000.0
+"""Time for which a caller may take nothing of its answer."""
+
+
+class RawRequest(typing.NamedTuple):
+    """A request as it was read from a caller."""
+
+    method: bytes
+    """HTTP method."""
+    target: bytes
+    """Path and query, byte by byte."""
+    headers: abc.Sequence[tuple[bytes, bytes]]
+    """Headers; names in lower case."""
+    body: bytes
+    """The whole body, without framing."""
+    received_at: float
+    """Time on trio's clock at which its head was read."""
+
+
+Handler = abc.Callable[
+    [RawRequest, caller_answers.CallerAnswer], abc.Awaitable[None]
+]
+"""Serves one request; an answer left unfinished is reset."""
+
+
+class _RefusedError(Exception):
+    """The request can't be read; the connection ends after an answer."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        self.status: typing.Final = status
+        super().__init__(reason)
+
+
+class _Answer(caller_answers.CallerAnswer):
+    """The answer to one request on a connection."""
+
+    def __init__(
+        self,
+        state: h11.Connection,
+        stream: trio.SocketStream,
+        *,
+        closes: abc.Callable[[], bool],
+    ) -> None:
+        self.is_started = False
+        self.is_finished = False
+        self._state: typing.Final = state
+        self._stream: typing.Final = stream
+        self._closes: typing.Final = closes
+
+    async def send_whole(
+        self,
+        status: int,
+        headers: abc.Sequence[tuple[bytes, bytes]],
+        body: bytes,
+    ) -> None:
+        self.is_started = True
+        self.status = status
+        head = [item for item in headers if item[0] != b"content-length"]
+        head.append((b"content-length", str(len(body)).encode()))
+        data = self._frame_head(status, head)
+        if body:
+            data += self._state.send(h11.Data(data=body)) or b""
+        data += self._state.send(h11.EndOfMessage()) or b""
+        # The answer's own deadline may pass right now: it is ready, so it
+        # is delivered, in the bounded time of a write.
+        with trio.CancelScope(shield=True):
+            await self._write(data)
+        self.is_finished = True
+
+    async def start(
+        self, status: int, headers: abc.Sequence[tuple[bytes, bytes]]
+    ) -> None:
+        self.is_started = True
+        self.status = status
+        await self._write(self._frame_head(status, headers))
+
+    async def send(self, data: bytes) -> None:
+        await self._write(self._state.send(h11.Data(data=data)) or b"")
+
+    async def finish(self) -> None:
+        await self._write(self._state.send(h11.EndOfMessage()) or b"")
+        self.is_finished = True
+
+    def _frame_head(
+        self, status: int, headers: abc.Sequence[tuple[bytes, bytes]]
+    ) -> bytes:
+        head = list(headers)
+        if self._closes():
+            head.append((b"connection", b"close"))
+        response = h11.Response(status_code=status, headers=head)
+        return self._state.send(response) or b""
+
+    async def _write(self, data: bytes) -> None:
+        with trio.move_on_after(_WRITE_STALL_MS / 1000) as scope:
+            try:
+                await self._stream.send_all(data)
+            except (trio.BrokenResourceError, OSError) as error:
+                raise caller_answers.CallerGoneError(str(error)) from error
+        if scope.cancelled_caught:
+            raise caller_answers.CallerGoneError("the caller reads nothing")
+
+
+class CallerConnections:
+    """Serves callers on any number of connections."""
+
+    def __init__(
+        self,
+        handler: Handler,
+        read_limits: abc.Callable[[], routes.CallerLimits],
+    ) -> None:
+        """Serve with ``handler`` under the limits in force."""
+        self._handler: typing.Final = handler
+        self._read_limits: typing.Final = read_limits
+        self._idle: typing.Final[set[trio.CancelScope]] = set()
+        self.is_leaving = False
+        self.busy_count = 0
+        self.requests_read = 0
+
+    def close_idle(self) -> None:
+        """Close connections on which no request is being served."""
+        for scope in list(self._idle):
+            scope.cancel()
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        """Serve one connection to its end."""
+        state = h11.Connection(
+            h11.SERVER, self._read_limits().header_bytes + _READ_BYTES
+        )
+        is_clean = False
+        try:
+            stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            is_clean = await self._serve_requests(stream, state)
+        except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
+            # The caller is gone: there is nobody to tell, and the request
+            # under way has been cancelled where it was noticed.
+            is_clean = False
+        finally:
+            if is_clean:
+                await _close_after_answer(stream)
+            else:
+                _reset(stream)
+
+    async def _serve_requests(
+        self, stream: trio.SocketStream, state: h11.Connection
+    ) -> bool:
+        """Serve request after request; False when the end is a break."""
+        while True:
+            try:
+                request = await self._read_request(stream, state)
+            except h11.RemoteProtocolError as error:
+                refusal = _RefusedError(error.error_status_hint, str(error))
+                return await self._refuse(stream, state, refusal)
+            except _RefusedError as refusal:
+                return await self._refuse(stream, state, refusal)
+            if request is None:
+                return True
+            answer = _Answer(state, stream, closes=lambda: self.is_leaving)
+            self.busy_count += 1
+            try:
+                await self._serve_one(stream, state, request, answer)
+            finally:
+                self.busy_count -= 1
+            if not answer.is_finished:
+                return False
+            if state.our_state is not h11.DONE:
+                return True
+            if state.their_state is not h11.DONE:
+                return True
+            state.start_next_cycle()
+
+    async def _refuse(
+        self,
+        stream: trio.SocketStream,
+        state: h11.Connection,
+        refusal: _RefusedError,
+    ) -> bool:
+        if state.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return False
+        answer = _Answer(state, stream, closes=lambda: True)
+        try:
+            text = str(refusal).encode(errors="replace")[:200]
+            await answer.send_whole(refusal.status, (), text)
+        except caller_answers.CallerGoneError:
+            return False
+        return True
+
+    async def _read_request(
+        self, stream: trio.SocketStream, state: h11.Connection
+    ) -> typing.Optional[RawRequest]:
+        limits = self._read_limits()
+        head = await self._read_head(stream, state, limits)
+        if head is None:
+            return None
+        received_at = trio.current_time()
+        self.requests_read += 1
+        if state.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            await stream.send_all(state.send(go_on) or b"")
+        body = bytearray()
+        quiet_ms = max(limits.header_ms, limits.idle_ms)
+        while True:
+            event = state.next_event()
+            if event is h11.NEED_DATA:
+                with trio.move_on_after(quiet_ms / 1000) as scope:
+                    state.receive_data(await stream.receive_some(_READ_BYTES))
+                if scope.cancelled_caught:
+                    raise _RefusedError(408, "the body does not arrive")
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > limits.body_bytes:
+                    raise _RefusedError(413, "the body is too long")
+            elif isinstance(event, h11.EndOfMessage):
+                return RawRequest(
+                    head.method,
+                    head.target,
+                    tuple(head.headers),
+                    bytes(body),
+                    received_at,
+                )
+            else:
+                return None
+
+    async def _read_head(
+        self,
+        stream: trio.SocketStream,
+        state: h11.Connection,
+        limits: routes.CallerLimits,
+    ) -> typing.Optional[h11.Request]:
+        """Return the next head; None when the connection may end."""
+        wait_s = limits.idle_ms * _IDLE_SLACK / 1000
+        is_begun = bool(state.trailing_data[0])
+        while True:
+            event = state.next_event()
+            if isinstance(event, h11.Request):
+                return event
+            if event is not h11.NEED_DATA:
+                return None
+            if is_begun:
+                wait_s = limits.header_ms * _IDLE_SLACK / 1000
+            with trio.move_on_after(wait_s) as scope:
+                if not is_begun:
+                    self._idle.add(scope)
+                try:
+                    data = await stream.receive_some(_READ_BYTES)
+                finally:
+                    self._idle.discard(scope)
+                state.receive_data(data)
+                is_begun = True
+            if scope.cancelled_caught:
+                if is_begun:
+                    raise _RefusedError(408, "the head does not arrive")
+                return None
+
+    async def _serve_one(
+        self,
+        stream: trio.SocketStream,
+        state: h11.Connection,
+        request: RawRequest,
+        answer: _Answer,
+    ) -> None:
+        """Run the handler until it is done or the caller has left."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                _watch_caller, stream, state, nursery.cancel_scope
+            )
+            try:
+                await self._handler(request, answer)
+            except caller_answers.CallerGoneError:
+                # The handler's own log line tells it; the connection is
+                # reset by its serving task.
+                pass
+            except Exception as error:
+                # A fault in serving one request must not end the others:
+                # the caller sees a reset, and the log says why.
+                logs.log_event(events.REQUEST_CRASHED, exc_info=error)
+            nursery.cancel_scope.cancel()
+
+
+async def _watch_caller(
+    stream: trio.SocketStream, state: h11.Connection, scope: trio.CancelScope
+) -> None:
+    """Cancel ``scope`` when the caller closes its connection.
+
+    Without this a target would work on for a caller that has left.
+    """
+    stashed = 0
+    while stashed < _MOST_STASHED_BYTES:
+        try:
+            data = await stream.receive_some(_READ_BYTES)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            data = b""
+        if not data:
+            scope.cancel()
+            return
+        stashed += len(data)
+        state.receive_data(data)
+
+
+async def _close_after_answer(stream: trio.SocketStream) -> None:
+    """Close so that what was sent still arrives.
+
+    Closing with unread bytes resets the connection, and the reset may
+    overtake the answer: so the end is announced, and what still comes is
+    read for a moment.
+    """
+    limit = deadlines.make_deadline(500)
+    with trio.CancelScope(deadline=limit.at):
+        try:
+            await stream.send_eof()
+            while await stream.receive_some(_READ_BYTES):
+                pass
+        except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
+            # The caller closed first, which is as good.
+            pass
+    stream.socket.close()
+
+
+def _reset(stream: trio.SocketStream) -> None:
+    """End a connection so that nothing on it looks complete."""
+    # A socket that is closed already has nothing left to reset.
+    with contextlib.suppress(OSError):
+        stream.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+    stream.socket.close()
--- /dev/null
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/caller_front.py
@@ -0,0 +1,109 @@
+"""Listens for callers and for the balancer, and leaves in good order."""
+
+from collections import abc
+import typing
+
+import trio
+
+from gentianpoint_core import logs
+from gentianpoint_core.generated import events
+from gentianpoint_entry.forwarding import caller_answers
+from gentianpoint_entry.forwarding import caller_connections
+from gentianpoint_entry.forwarding import routes
+
+__all__ = ("CallerFront", "listen")
+
+_BACKLOG: typing.Final = 1024
+"""New connections that wait to be taken; when it is full the opening packet
+is lost and comes again only after a second."""
+_NOTICE_S: typing.Final = 2.6
+"""Time in which the balancer learns that this entry is not ready: it asks
+once a second and believes the second miss."""
+_LAST_S: typing.Final = 0.45
+"""Time before the process is killed at which it ends by itself."""
+
+
+class CallerFront:
+    """The two listeners of an entry, and its leaving."""
+
+    def __init__(
+        self,
+        handler: caller_connections.Handler,
+        read_limits: abc.Callable[[], routes.CallerLimits],
+        is_ready: abc.Callable[[], bool],
+        leave_within_s: float,
+    ) -> None:
+        """Serve callers with ``handler`` while ``is_ready`` tells so."""
+        self._callers: typing.Final = caller_connections.CallerConnections(
+            handler, read_limits
+        )
+        self._balancer: typing.Final = caller_connections.CallerConnections(
+            self._answer_ready, read_limits
+        )
+        self._is_ready: typing.Final = is_ready
+        self._leave_within_s: typing.Final = leave_within_s
+        self._leaves_at: typing.Optional[float] = None
+
+    @property
+    def leaves_at(self) -> typing.Optional[float]:
+        """When this entry ends, on trio's clock; None while it stays."""
+        return self._leaves_at
+
+    async def serve(self, front: str, ready: str) -> None:
+        """Serve on both addresses until cancelled."""
+        front_listener = await listen(front)
+        ready_listener = await listen(ready)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                accept_connections, front_listener, self._callers.serve
+            )
+            nursery.start_soon(
+                accept_connections, ready_listener, self._balancer.serve
+            )
+
+    async def leave(self) -> None:
+        """Stop being ready, finish what runs, and return.
+
+        New connections are served until the balancer has noticed; long
+        before the kill, nothing runs any more or is given up.
+        """
+        now = trio.current_time()
+        self._leaves_at = now + self._leave_within_s - _LAST_S
+        self._callers.is_leaving = True
+        logs.log_event(
+            events.LEAVING_STARTED, busy_connections=self._callers.busy_count
+        )
+        await trio.sleep(min(_NOTICE_S, self._leave_within_s / 2))
+        while trio.current_time() < self._leaves_at:
+            self._callers.close_idle()
+            if not self._callers.busy_count:
+                return
+            await trio.sleep(0.05)
+        logs.log_event(
+            events.SHUTDOWN_OVERDUE, busy_connections=self._callers.busy_count
+        )
+
+    async def _answer_ready(
+        self,
+        request: caller_connections.RawRequest,
+        answer: caller_answers.CallerAnswer,
+    ) -> None:
+        is_ready = self._leaves_at is None and self._is_ready()
+        await answer.send_whole(200 if is_ready else 503, (), b"")
+
+
+async def listen(address: str) -> trio.SocketListener:
+    """Listen on an address of the form IP:PORT."""
+    host, _, port = address.rpartition(":")
+    listeners = await trio.open_tcp_listeners(
+        int(port), host=host, backlog=_BACKLOG
+    )
+    return listeners[0]
+
+
+async def accept_connections(
+    listener: trio.SocketListener,
+    serve: abc.Callable[[trio.SocketStream], abc.Awaitable[None]],
+) -> None:
+    """Serve each connection of a listener in a task of its own."""
+    await trio.serve_listeners(serve, [listener])
--- /dev/null
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/choice.py
@@ -0,0 +1,128 @@
+"""Which target gets a request, and which keeps a copy of its memory.
+
+The load it answers: long prompts delay the tokens of all that runs beside
+them, engines' memory fills up in the middle of generations, reports are old
+when they come, and several entries see the same ones. So what this entry has
+sent since the report counts for as many entries as there are, since the
+others sent much the same, and of equals one is drawn at random: taking the
+first would send all entries to it.
+"""
+
+from collections import abc
+import random
+import typing
+
+from gentianpoint_entry.forwarding import requests
+from gentianpoint_entry.forwarding import targets
+
+__all__ = ("choose_backup", "choose_target", "score_target")
+
+_FAILURE_MEMORY_S: typing.Final = 3.0
+"""Time for which a failure counts against a target. Shorter than the usual
+span of a fault, so that the target is tried again while it lasts, with one
+request in many."""
+_FAILURE_COST: typing.Final = 2.0
+"""A failure weighs like two times all slots taken."""
+_SLOW_COST: typing.Final = 0.5
+"""A target that has just started weighs like half of its slots taken."""
+_FAR_COST: typing.Final = 0.08
+"""Another data centre weighs like a twelfth of the slots taken: bytes between
+them are priced, and a request there takes some milliseconds more."""
+_FULL_COST: typing.Final = 4.0
+"""Memory that would overflow leads to preemption, which costs more than any
+wait behind others."""
+_PREFILL_TOKENS: typing.Final = 7000.0
+"""Unread prompt tokens that weigh like all slots taken: at fourteen tokens a
+millisecond, half of a second before the next first token."""
+_LATE_ANSWER: typing.Final = 1.5
+"""Weight of an answer time against the mean of the service's targets."""
+_NOISE: typing.Final = 0.02
+"""Breaks ties between equals."""
+
+
+def score_target(
+    target: targets.Target,
+    request: requests.CallerRequest,
+    data_centre: str,
+    entry_count: int,
+    now: float,
+) -> float:
+    """Return how bad a choice a target is; 0 is an idle one near by."""
+    score = 0.0
+    if target.entry.data_centre != data_centre:
+        score += _FAR_COST
+    if now < target.slow_until:
+        score += _SLOW_COST
+    if target.failures and now - target.failed_at < _FAILURE_MEMORY_S:
+        score += _FAILURE_COST * min(3, target.failures)
+    score += _score_slots(target, entry_count)
+    if request.service.engine is not None:
+        score += target.unread_prompt_tokens / _PREFILL_TOKENS
+        score += _score_memory(target, request, entry_count)
+    return score
+
+
+def _score_slots(target: targets.Target, entry_count: int) -> float:
+    slots = max(1, target.entry.slots)
+    report = target.report
+    if report is None:
+        return target.open_requests * entry_count / slots
+    seen = report.running + report.waiting
+    seen += target.sent_since_report * entry_count
+    return max(seen, target.open_requests) / slots
+
+
+def _score_memory(
+    target: targets.Target, request: requests.CallerRequest, entry_count: int
+) -> float:
+    engine = request.service.engine
+    assert engine is not None
+    report = target.report
+    if report is None or not report.total_tokens:
+        total = engine.memory_tokens
+        used = target.open_tokens * entry_count
+    else:
+        total = report.total_tokens
+        used = report.used_tokens + target.tokens_since_report * entry_count
+    wanted = request.prompt_tokens + request.likely_output_tokens
+    share = (used + wanted) / max(1, total)
+    return share + (_FULL_COST if share > 1.0 else 0.0)
+
+
+def choose_target(
+    candidates: abc.Iterable[targets.Target],
+    request: requests.CallerRequest,
+    data_centre: str,
+    entry_count: int,
+    now: float,
+    source: random.Random,
+) -> typing.Optional[targets.Target]:
+    """Return the best target that takes work, or None."""
+    best = None
+    best_score = float("inf")
+    for target in candidates:
+        if not target.takes_work():
+            continue
+        score = score_target(target, request, data_centre, entry_count, now)
+        score += source.random() * _NOISE
+        if score < best_score:
+            best, best_score = target, score
+    return best
+
+
+def choose_backup(
+    candidates: abc.Iterable[targets.Target],
+    runner: targets.Target,
+    request: requests.CallerRequest,
+    entry_count: int,
+    now: float,
+    source: random.Random,
+) -> typing.Optional[targets.Target]:
+    """Return the target that keeps a copy of what ``runner`` generates.
+
+    Near the runner, since copies take twice as long between data centres,
+    and with most room, since a copy takes as much memory as the generation.
+    """
+    others = [item for item in candidates if item is not runner]
+    near = runner.entry.data_centre
+    return choose_target(others, request, near, entry_count, now, source)
--- /dev/null
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
@@ -0,0 +1,145 @@
+"""What all requests of an entry share, and the choice of a target."""
+
+from collections import abc
+import contextlib
+import random
+import typing
+
+import trio
+
+from gentianpoint_core import logs
+from gentianpoint_core import ports
+from gentianpoint_core.generated import events
+from gentianpoint_entry.forwarding import choice
+from gentianpoint_entry.forwarding import requests
+from gentianpoint_entry.forwarding import retry_limits
+from gentianpoint_entry.forwarding import target_calls
+from gentianpoint_entry.forwarding import targets
+
+__all__ = ("Forwarder",)
+
+
+class Forwarder:
+    """Chooses targets and sends to them, and keeps count of both."""
+
+    def __init__(
+        self,
+        board: targets.TargetBoard,
+        calls: target_calls.TargetCalls,
+        limits: retry_limits.RetryLimits,
+        data_centre: str,
+        count_entries: abc.Callable[[], int],
+        source: random.Random,
+    ) -> None:
+        """Serve from ``data_centre`` as one of ``count_entries()``."""
+        self.board: typing.Final = board
+        self.calls: typing.Final = calls
+        self.limits: typing.Final = limits
+        self.data_centre: typing.Final = data_centre
+        self.count_entries: typing.Final = count_entries
+        self.source: typing.Final = source
+
+    def choose_target(
+        self,
+        request: requests.CallerRequest,
+        excluded: abc.Collection[str] = (),
+    ) -> typing.Optional[targets.Target]:
+        """Return the best target for a request, or None."""
+        candidates = [
+            target
+            for target in self.board.list_of(request.service.name)
+            if target.target_id not in excluded
+        ]
+        return choice.choose_target(
+            candidates,
+            request,
+            self.data_centre,
+            self.count_entries(),
+            trio.current_time(),
+            self.source,
+        )
+
+    def choose_backup(
+        self, request: requests.CallerRequest, runner: targets.Target
+    ) -> typing.Optional[targets.Target]:
+        """Return the target that keeps a copy of a generation, or None."""
+        return choice.choose_backup(
+            self.board.list_of(request.service.name),
+            runner,
+            request,
+            self.count_entries(),
+            trio.current_time(),
+            self.source,
+        )
+
+    @contextlib.asynccontextmanager
+    async def send(
+        self,
+        target: targets.Target,
+        request: requests.CallerRequest,
+        options: requests.SendOptions,
+    ) -> abc.AsyncIterator[target_calls.TargetAnswer]:
+        """Send a request, and count it at its target meanwhile."""
+        tokens = request.prompt_tokens + request.likely_output_tokens
+        target.open_requests += 1
+        target.open_tokens += tokens
+        target.sent_since_report += 1
+        target.tokens_since_report += tokens
+        logs.log_event(
+            events.REQUEST_SENT,
+            target=target.target_id,
+            address=target.entry.address,
+            service=request.service.name,
+            backup=options.backup_address,
+            after_event=options.last_event_id,
+            **describe_target(target),
+        )
+        try:
+            async with self.calls.send_request(
+                target, request, options
+            ) as answer:
+                yield answer
+        finally:
+            target.open_requests -= 1
+            target.open_tokens -= tokens
+
+    def note_failure(
+        self, target: targets.Target, error: ports.PortError
+    ) -> None:
+        """Remember that a target failed, for the next choices."""
+        target.failures += 1
+        target.failed_at = trio.current_time()
+        logs.log_event(
+            events.ATTEMPT_FAILED,
+            target=target.target_id,
+            step=error.step,
+            peer=error.peer,
+            reason=error.reason,
+            may_have_run=error.took_effect,
+        )
+
+    def note_success(self, target: targets.Target) -> None:
+        """Forget failures of a target that serves."""
+        target.failures = 0
+
+    def take_retry(self, request: requests.CallerRequest) -> bool:
+        """Take one retry of the request's service, if one is left."""
+        if self.limits.take_retry(
+            request.service.name, trio.current_time(), self.count_entries()
+        ):
+            return True
+        logs.log_event(events.RETRY_BUDGET_SPENT, service=request.service.name)
+        return False
+
+
+def describe_target(target: targets.Target) -> dict[str, typing.Any]:
+    """Return what is believed of a target, with its age, for a log line."""
+    fields: dict[str, typing.Any] = {"open_requests": target.open_requests}
+    if target.failures:
+        fields["failures"] = target.failures
+    if target.report is not None:
+        age_s = trio.current_time() - target.report.received_at
+        fields["report_age_ms"] = round(age_s * 1000)
+        fields["used_tokens"] = target.report.used_tokens
+        fields["waiting"] = target.report.waiting
+    return fields
--- /dev/null
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarding_entry.py
@@ -0,0 +1,43 @@
+"""An entry that forwards, put together from its parts."""
+
+from collections import abc
+import signal
+
+import trio
+
+from gentianpoint_core import logs
+from gentianpoint_core.generated import events
+from gentianpoint_entry.forwarding import caller_front
+from gentianpoint_entry.forwarding import topic_follower
+
+__all__ = ("run_entry",)
+
+
+async def run_entry(
+    front: caller_front.CallerFront,
+    addresses: tuple[str, str],
+    followers: abc.Sequence[topic_follower.TopicFollower],
+    tasks: abc.Sequence[abc.Callable[[], abc.Awaitable[None]]],
+    reload_settings: abc.Callable[[], None],
+) -> None:
+    """Serve callers until SIGTERM, and then leave in good order.
+
+    ``addresses`` are where callers and the balancer connect.
+    """
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
+        async with trio.open_nursery() as nursery:
+            for follower in followers:
+                nursery.start_soon(follower.run)
+            for task in tasks:
+                nursery.start_soon(task)
+            nursery.start_soon(front.serve, *addresses)
+            logs.log_event(
+                events.ENTRY_STARTED, callers=addresses[0], ready=addresses[1]
+            )
+            async for number in signals:
+                if number == signal.SIGTERM:
+                    break
+                reload_settings()
+            await front.leave()
+            nursery.cancel_scope.cancel()
+    logs.log_event(events.PROCESS_STOPPED)
--- /dev/null
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/request_handling.py
@@ -0,0 +1,115 @@
+"""Serves a request from its decoded form to its one final answer."""
+
+from collections import abc
+import typing
+
+import structlog
+import trio
+
+from gentianpoint_core import logs
+from gentianpoint_core.generated import events
+from gentianpoint_entry.forwarding import caller_answers
+from gentianpoint_entry.forwarding import forwarder
+from gentianpoint_entry.forwarding import plain_calls
+from gentianpoint_entry.forwarding import refusals
+from gentianpoint_entry.forwarding import requests
+from gentianpoint_entry.forwarding import routes
+from gentianpoint_entry.forwarding import stream_calls
+
+__all__ = ("RequestHandling", "SendRefusal")
+
+SendRefusal = abc.Callable[
+    [caller_answers.CallerAnswer, refusals.Refusal], abc.Awaitable[None]
+]
+"""Writes a refusal in the form that callers expect."""
+
+
+class RequestHandling:
+    """Serves requests one by one, each in the task of its connection."""
+
+    def __init__(
+        self, shared: forwarder.Forwarder, send_refusal: SendRefusal
+    ) -> None:
+        """Serve with what all requests share."""
+        self._shared: typing.Final = shared
+        self._send_refusal: typing.Final = send_refusal
+
+    async def serve(
+        self,
+        request: requests.CallerRequest,
+        answer: caller_answers.CallerAnswer,
+    ) -> None:
+        """Give the request its final answer, at its deadline at the latest.
+
+        An answer that was started and can't be finished is left so, and
+        reaches the caller as broken off.
+        """
+        began = trio.current_time()
+        self._shared.limits.note_request(request.service.name, began)
+        call = self._make_call(request, answer)
+        with structlog.contextvars.bound_contextvars(
+            request=request.request_id, route=request.route.name
+        ):
+            outcome = "caller_left"
+            try:
+                outcome = await self._serve_in_time(call, request, answer)
+            except caller_answers.CallerGoneError:
+                raise
+            finally:
+                logs.log_event(
+                    events.REQUEST_ENDED,
+                    outcome=outcome,
+                    took_ms=round((trio.current_time() - began) * 1000),
+                    status=answer.status,
+                    runs=call.runs,
+                    customer=request.customer and request.customer.name,
+                )
+
+    async def _serve_in_time(
+        self,
+        call: "plain_calls.PlainCall | stream_calls.StreamCall",
+        request: requests.CallerRequest,
+        answer: caller_answers.CallerAnswer,
+    ) -> str:
+        refusal = None
+        with trio.CancelScope(deadline=request.deadline.at) as scope:
+            refusal = await call.serve()
+        if scope.cancelled_caught and not answer.is_started:
+            # Nothing is known to have ended, so nothing is promised.
+            refusal = refusals.refuse_timeout("no answer within its time")
+        if refusal is not None:
+            await self._refuse(request, answer, refusal)
+            return f"refused_{refusal.status}"
+        if answer.is_finished:
+            return "answered"
+        return "timeout" if scope.cancelled_caught else "broken_off"
+
+    async def _refuse(
+        self,
+        request: requests.CallerRequest,
+        answer: caller_answers.CallerAnswer,
+        refusal: refusals.Refusal,
+    ) -> None:
+        if refusal.status == refusals.NOT_RUN:
+            wait_ms = refusals.choose_retry_after_ms(
+                refusal.retry_after_ms,
+                request.caller_deadline.remaining_ms(),
+                self._shared.source,
+            )
+            refusal = refusal._replace(retry_after_ms=wait_ms)
+        logs.log_event(
+            events.REQUEST_REFUSED,
+            status=refusal.status,
+            reason=refusal.reason,
+            retry_after_ms=round(refusal.retry_after_ms),
+        )
+        await self._send_refusal(answer, refusal)
+
+    def _make_call(
+        self,
+        request: requests.CallerRequest,
+        answer: caller_answers.CallerAnswer,
+    ) -> "plain_calls.PlainCall | stream_calls.StreamCall":
+        if request.route.kind is routes.RouteKind.STREAM:
+            return stream_calls.StreamCall(self._shared, request, answer)
+        return plain_calls.PlainCall(self._shared, request, answer)
--- /dev/null
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_calls.py
@@ -0,0 +1,71 @@
+"""What forwarding asks of targets."""
+
+import abc
+from collections import abc as collections_abc
+import typing
+
+from gentianpoint_core import deadlines
+from gentianpoint_entry.forwarding import requests
+from gentianpoint_entry.forwarding import targets
+
+__all__ = ("MovedCopy", "TargetAnswer", "TargetCalls")
+
+
+class TargetAnswer(abc.ABC):
+    """The answer of a target, whose body is still to come."""
+
+    status: int
+    """HTTP status."""
+    headers: collections_abc.Sequence[tuple[bytes, bytes]]
+    """Headers for the caller, without those of one connection."""
+    has_not_run: bool
+    """True when the target says that the request has not run there."""
+    is_wrong_target: bool
+    """True when another target has the address now; nothing has run."""
+    is_sealed: bool
+    """True when the target's mark is on it; a success without is none."""
+    retry_after_ms: float
+    """When the target says to come back; 0 for nothing said."""
+
+    @abc.abstractmethod
+    def receive_body(self) -> collections_abc.AsyncIterator[bytes]:
+        """Yield the body; raises ``ports.PortError`` when it breaks off."""
+
+
+class MovedCopy(typing.NamedTuple):
+    """A generation's memory at another target."""
+
+    handle: str
+    """Name of the copy, for :attr:`requests.SendOptions.copy_of`."""
+    is_complete: bool
+    """False when the other target had no room, and the source kept it."""
+
+
+class TargetCalls(abc.ABC):
+    """Calls to targets."""
+
+    @abc.abstractmethod
+    def send_request(
+        self,
+        target: targets.Target,
+        request: requests.CallerRequest,
+        options: requests.SendOptions,
+    ) -> typing.AsyncContextManager[TargetAnswer]:
+        """Send a request, and give out its answer once the head is there.
+
+        Raises ``ports.PortError``, with ``took_effect`` False only when not
+        a byte was sent. Leaving the context early makes the target stop.
+        """
+
+    @abc.abstractmethod
+    async def move_memory(
+        self,
+        source: targets.Target,
+        destination: targets.Target,
+        request_id: str,
+        deadline: deadlines.Deadline,
+    ) -> MovedCopy:
+        """Stop a generation and copy its memory to another target.
+
+        Raises ``ports.PortError``; the generation may have stopped then.
+        """
--- /dev/null
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_listing.py
@@ -0,0 +1,101 @@
+"""Keeps the board of targets as the platform's list tells it."""
+
+from collections import abc
+import typing
+
+import trio
+
+from gentianpoint_core import logs
+from gentianpoint_core import ports
+from gentianpoint_core.generated import events
+from gentianpoint_entry.forwarding import targets
+from gentianpoint_entry.forwarding import topic_follower
+
+__all__ = ("DecodeEntry", "TargetListing")
+
+DecodeEntry = abc.Callable[
+    [ports.KeyedRecord], typing.Optional[targets.TargetEntry]
+]
+"""Returns what a record says of a target; None when it names none."""
+
+_BACK_WITHIN_S: typing.Final = 2.2
+"""Time after an outage of the log in which targets that are well have written
+their entries again. Until then a missing entry may only mean that it lapsed
+while the target could not write, and dropping it would refuse requests beside
+idle targets."""
+
+
+class TargetListing(topic_follower.RecordReader):
+    """Turns records of the list into targets."""
+
+    def __init__(
+        self, board: targets.TargetBoard, decode: DecodeEntry
+    ) -> None:
+        """Keep ``board``."""
+        self._board: typing.Final = board
+        self._decode: typing.Final = decode
+        self._missing: typing.Final[set[str]] = set()
+        self._settled_at = -1.0
+        self._is_available = True
+        self.has_read = False
+
+    def take_newest(self, records: abc.Sequence[ports.KeyedRecord]) -> None:
+        """Take the whole list."""
+        listed = set()
+        for record in records:
+            if self._put(record):
+                listed.add(record.key)
+        for target in self._board.list_all():
+            if target.target_id not in listed:
+                self._drop(target.target_id)
+        self.has_read = True
+
+    def take_change(self, record: ports.KeyedRecord) -> None:
+        """Take one target's entry, or its removal."""
+        if record.value is None or not self._put(record):
+            self._drop(record.key)
+
+    def note_source(self, *, is_available: bool) -> None:
+        """Settle what lapsed during an outage once its end is past."""
+        now = trio.current_time()
+        if not is_available or not self._is_available:
+            self._settled_at = now + _BACK_WITHIN_S
+        self._is_available = is_available
+        if is_available and now >= self._settled_at:
+            for target_id in sorted(self._missing):
+                self._drop_now(target_id)
+            self._missing.clear()
+
+    def _put(self, record: ports.KeyedRecord) -> bool:
+        entry = self._decode(record)
+        if entry is None:
+            return False
+        known = self._board.find(entry.target_id)
+        was_leaving = known is not None and known.entry.is_leaving
+        self._board.put_entry(entry, trio.current_time())
+        self._missing.discard(entry.target_id)
+        if known is None:
+            logs.log_event(
+                events.TARGET_LISTED,
+                target=entry.target_id,
+                address=entry.address,
+                service=entry.service,
+                offset=record.offset,
+            )
+        if entry.is_leaving and not was_leaving:
+            logs.log_event(
+                events.TARGET_LEAVING,
+                target=entry.target_id,
+                offset=record.offset,
+            )
+        return True
+
+    def _drop(self, target_id: str) -> None:
+        if trio.current_time() < self._settled_at:
+            self._missing.add(target_id)
+        else:
+            self._drop_now(target_id)
+
+    def _drop_now(self, target_id: str) -> None:
+        if self._board.drop(target_id) is not None:
+            logs.log_event(events.TARGET_UNLISTED, target=target_id)
--- /dev/null
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
@@ -0,0 +1,144 @@
+"""The targets that an entry knows, and what it believes of each.
+
+Three sources tell of a target: its own entry in the platform's list, which
+lags; its agent, which is fresh but may be away; and what this entry has seen
+on its own requests. A target that one of them calls leaving gets no new
+work, whatever the others say.
+"""
+
+from collections import abc
+import typing
+
+from gentianpoint_core import deadlines
+
+__all__ = ("EngineReport", "Target", "TargetBoard", "TargetEntry")
+
+
+class TargetEntry(typing.NamedTuple):
+    """What a target says of itself in the platform's list."""
+
+    target_id: str
+    """Identifier of this start of the target."""
+    service: str
+    """Service that it belongs to."""
+    address: str
+    """IP:PORT."""
+    data_centre: str
+    """Where it is."""
+    slots: int
+    """Requests that it runs at once."""
+    is_leaving: bool
+    """True when it takes no new work."""
+    slow_for_ms: float
+    """How much longer it is slow after its start."""
+    born_ms: int
+    """Unix time of its start in milliseconds, 0 if not said. The same
+    identifier with another time is a new start that knows nothing."""
+
+
+class EngineReport(typing.NamedTuple):
+    """What an engine's agent last told."""
+
+    received_at: float
+    """Time of arrival on trio's clock, in seconds."""
+    running: int
+    """Requests in the batch."""
+    waiting: int
+    """Requests that wait in the engine."""
+    used_tokens: int
+    """Memory that can't yield, in tokens."""
+    total_tokens: int
+    """Memory, in tokens."""
+    is_leaving: bool
+    """True when the engine has been given notice."""
+    leaves_at: typing.Optional[deadlines.Deadline]
+    """When it goes, if known."""
+
+
+class Target:
+    """One start of a target, with what this entry has seen of it."""
+
+    def __init__(self, entry: TargetEntry, now: float) -> None:
+        """Take the target's own word; ``now`` is trio's time."""
+        self.entry = entry
+        self.is_gone = False
+        self.leaves_at: typing.Optional[deadlines.Deadline] = None
+        self.slow_until = now + entry.slow_for_ms / 1000
+        self.report: typing.Optional[EngineReport] = None
+        self.sent_since_report = 0
+        self.tokens_since_report = 0
+        self.open_requests = 0
+        self.open_tokens = 0
+        self.unread_prompt_tokens = 0
+        self.backup_tokens = 0
+        self.failures = 0
+        self.failed_at = -1e9
+        self.answer_ms: typing.Optional[float] = None
+
+    @property
+    def target_id(self) -> str:
+        """Identifier of this start."""
+        return self.entry.target_id
+
+    def takes_work(self) -> bool:
+        """Tell whether new work may be sent here."""
+        if self.is_gone or self.entry.is_leaving:
+            return False
+        return self.report is None or not self.report.is_leaving
+
+    def take_report(self, report: EngineReport) -> None:
+        """Take what the agent tells."""
+        self.report = report
+        self.sent_since_report = 0
+        self.tokens_since_report = 0
+        if report.leaves_at is not None:
+            self.leaves_at = report.leaves_at
+
+
+class TargetBoard:
+    """All targets, by their identifiers."""
+
+    def __init__(self) -> None:
+        """Start without any."""
+        self._targets: typing.Final[dict[str, Target]] = {}
+        self._by_service: typing.Final[dict[str, list[Target]]] = {}
+
+    def put_entry(self, entry: TargetEntry, now: float) -> Target:
+        """Take a target's entry; a new start replaces the one before."""
+        known = self._targets.get(entry.target_id)
+        if known is not None and _is_same_start(known.entry, entry):
+            known.entry = entry
+            known.is_gone = False
+            return known
+        if known is not None:
+            self.drop(entry.target_id)
+        target = Target(entry, now)
+        self._targets[entry.target_id] = target
+        self._by_service.setdefault(entry.service, []).append(target)
+        return target
+
+    def drop(self, target_id: str) -> typing.Optional[Target]:
+        """Forget a target; requests under way see that it is gone."""
+        target = self._targets.pop(target_id, None)
+        if target is not None:
+            target.is_gone = True
+            self._by_service[target.entry.service].remove(target)
+        return target
+
+    def find(self, target_id: str) -> typing.Optional[Target]:
+        """Return a target by its identifier."""
+        return self._targets.get(target_id)
+
+    def list_of(self, service: str) -> abc.Sequence[Target]:
+        """Return the targets of a service."""
+        return self._by_service.get(service, ())
+
+    def list_all(self) -> abc.Sequence[Target]:
+        """Return all targets."""
+        return list(self._targets.values())
+
+
+def _is_same_start(known: TargetEntry, entry: TargetEntry) -> bool:
+    if known.service != entry.service or known.address != entry.address:
+        return False
+    return known.born_ms == entry.born_ms
--- /dev/null
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/topic_follower.py
@@ -0,0 +1,169 @@
+"""Follows a keyed topic: the newest of each key, then what changes.
+
+Calls to the platform's log are priced and its answers may stay away, so one
+task reads each topic with pauses, and takes the records from another entry
+while the log does not serve this one.
+"""
+
+import abc
+from collections import abc as collections_abc
+import typing
+
+import trio
+
+from gentianpoint_core import logs
+from gentianpoint_core import ports
+from gentianpoint_core.generated import events
+
+__all__ = ("ReadingPace", "RecordReader", "TopicFollower")
+
+_FIRST_PAUSE_S: typing.Final = 0.2
+"""Pause after a failed reading; refused calls are priced like others."""
+_LONGEST_PAUSE_S: typing.Final = 0.8
+"""Longest pause while the log is away, so that what it has is here within a
+second of its return."""
+
+
+class ReadingPace(typing.NamedTuple):
+    """How often a topic is read."""
+
+    wait_ms: int
+    """Time for which the log may hold a reading until there is a record."""
+    pause_s: float
+    """Pause between readings, in seconds."""
+
+
+class RecordReader(abc.ABC):
+    """Takes the records of a topic."""
+
+    @abc.abstractmethod
+    def take_newest(
+        self, records: collections_abc.Sequence[ports.KeyedRecord]
+    ) -> None:
+        """Take the newest record of every key; others have been dropped."""
+
+    @abc.abstractmethod
+    def take_change(self, record: ports.KeyedRecord) -> None:
+        """Take one record."""
+
+    @abc.abstractmethod
+    def note_source(self, *, is_available: bool) -> None:
+        """Learn whether the log serves this process now."""
+
+
+class TopicFollower:
+    """Reads one topic for ever."""
+
+    def __init__(
+        self,
+        name: str,
+        topic: ports.KeyedTopic,
+        reader: RecordReader,
+        pace: ReadingPace,
+        list_peers: collections_abc.Callable[
+            [], collections_abc.Sequence[ports.KeyedTopic]
+        ],
+    ) -> None:
+        """Give the records of ``topic`` to ``reader``.
+
+        ``list_peers`` returns the same topic as other entries hold it.
+        """
+        self._name: typing.Final = name
+        self._topic: typing.Final = topic
+        self._reader: typing.Final = reader
+        self._pace: typing.Final = pace
+        self._list_peers: typing.Final = list_peers
+        self.next_offset: typing.Optional[int] = None
+        self.newest: typing.Final[dict[str, ports.KeyedRecord]] = {}
+        self.read_at: typing.Optional[float] = None
+        self._is_available = True
+
+    async def run(self) -> None:
+        """Follow the topic until cancelled."""
+        pause_s = _FIRST_PAUSE_S
+        while True:
+            try:
+                await self._read_from(self._topic, self._pace.wait_ms)
+            except ports.PortError as error:
+                self._note_failure(error)
+                await self._read_from_peers()
+                await trio.sleep(pause_s)
+                pause_s = min(_LONGEST_PAUSE_S, pause_s * 2)
+                continue
+            self._note_success()
+            pause_s = _FIRST_PAUSE_S
+            await trio.sleep(self._pace.pause_s)
+
+    async def _read_from_peers(self) -> None:
+        """Take what another entry has, if the log does not serve us."""
+        for peer in self._list_peers():
+            try:
+                await self._read_from(peer, 0)
+            except ports.PortError as error:
+                logs.log_event(
+                    events.PEER_RECORDS_UNAVAILABLE,
+                    topic=self._name,
+                    step=error.step,
+                    peer=error.peer,
+                    reason=error.reason,
+                )
+                continue
+            return
+
+    async def _read_from(self, topic: ports.KeyedTopic, wait_ms: int) -> None:
+        if self.next_offset is None:
+            await self._read_newest(topic)
+            return
+        try:
+            found = await topic.read_changes(self.next_offset, wait_ms)
+        except ports.RecordsExpiredError:
+            await self._read_newest(topic)
+            return
+        for record in found.records:
+            if record.offset >= self.next_offset:
+                self._keep(record)
+                self._reader.take_change(record)
+        self.next_offset = max(self.next_offset, found.end)
+        self.read_at = trio.current_time()
+
+    async def _read_newest(self, topic: ports.KeyedTopic) -> None:
+        found = await topic.read_newest()
+        if self.next_offset is not None and found.end < self.next_offset:
+            # An older state than the one held here: taking it would undo
+            # changes that are in force.
+            return
+        self.newest.clear()
+        for record in found.records:
+            self._keep(record)
+        self._reader.take_newest(list(self.newest.values()))
+        self.next_offset = found.end
+        self.read_at = trio.current_time()
+
+    def _keep(self, record: ports.KeyedRecord) -> None:
+        if record.value is None:
+            self.newest.pop(record.key, None)
+        else:
+            self.newest[record.key] = record
+
+    def _note_failure(self, error: ports.PortError) -> None:
+        if self._is_available:
+            logs.log_event(
+                events.LOG_UNAVAILABLE,
+                topic=self._name,
+                step=error.step,
+                peer=error.peer,
+                reason=error.reason,
+                next_offset=self.next_offset,
+            )
+        self._is_available = False
+        self._reader.note_source(is_available=False)
+
+    def _note_success(self) -> None:
+        if not self._is_available:
+            logs.log_event(
+                events.LOG_AVAILABLE,
+                topic=self._name,
+                next_offset=self.next_offset,
+            )
+        self._is_available = True
+        self._reader.note_source(is_available=True)
--- a/tools/check_style.py
+++ b/tools/check_style.py
@@ -17,7 +17,14 @@
 import typing
 
 ROOT: typing.Final = pathlib.Path(__file__).resolve().parent.parent
-FOLDERS: typing.Final = ("packages", "tools", "bench", "spec", "features")
+FOLDERS: typing.Final = (
+    "packages",
+    "platform",
+    "tools",
+    "bench",
+    "spec",
+    "features",
+)
 
 
 def find_sources() -> abc.Iterator[pathlib.Path]:
@@ -55,7 +62,8 @@
     text = "\n".join(
         path.read_text()
         for path in find_sources()
-        if "packages" in path.parts and "src" in path.parts
+        if "platform" in path.parts
+        or ("packages" in path.parts and "src" in path.parts)
     )
     used = set(re.findall(r"\bevents\.([A-Z_]+)\b", text))
     catalogue = json.loads((ROOT / "schema/events.json").read_text())
