--- a/packages/gentianpoint-core/src/gentianpoint_core/codec.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/codec.py
@@ -55,6 +55,13 @@
     "report": messages.Report,
     "leaving": messages.Leaving,
     "reject": messages.Reject,
+    "engine_state": messages.EngineState,
+    "entry_peers": messages.EntryPeers,
+    "records_wanted": messages.RecordsWanted,
+    "records_found": messages.RecordsFound,
+    "move_wanted": messages.MoveWanted,
+    "move_turn": messages.MoveTurn,
+    "move_done": messages.MoveDone,
 }
 
 
--- a/packages/gentianpoint-core/src/gentianpoint_core/ports.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/ports.py
@@ -17,6 +17,8 @@
     "Engine",
     "EngineLoad",
     "EngineOrder",
+    "EngineStatus",
+    "EngineStatusSource",
     "Host",
     "HostList",
     "KeyedRecord",
@@ -346,6 +348,37 @@
         """Give an order; the load report tells when it is fulfilled."""
 
 
+class EngineStatus(typing.NamedTuple):
+    """What an engine tells the agent beside it, fresh and free of charge."""
+
+    running: int
+    """Requests in the batch."""
+    waiting: int
+    """Requests that wait in the engine."""
+    used_tokens: int
+    """Memory that can't yield, in tokens, with the copies for others."""
+    total_tokens: int
+    """Memory, in tokens."""
+    copy_tokens: int
+    """Memory that holds copies of other engines' generations, in tokens."""
+    next_prompt_tokens: int
+    """Tokens of the prompt that waits first, 0 for none."""
+    born_ms: int
+    """Unix time of the engine's start in milliseconds, 0 when not said."""
+    is_leaving: bool
+    """True when it has been given notice."""
+    leaves_in_ms: typing.Optional[int]
+    """Time until it goes, if known."""
+
+
+class EngineStatusSource(abc.ABC):
+    """Asks the engine beside an agent for its status."""
+
+    @abc.abstractmethod
+    async def read_status(self) -> EngineStatus:
+        """Return the status; raises :class:`PortError`."""
+
+
 class PlainAnswer(typing.NamedTuple):
     """Head and body of a plain service's answer."""
 
--- /dev/null
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/agent_turns.py
@@ -0,0 +1,62 @@
+"""Turns to move generations, as the agent beside the source gives them."""
+
+from collections import abc
+import math
+import typing
+
+import trio
+
+from gentianpoint_core import peer_connections
+
+__all__ = ("AgentTurns",)
+
+_LONGEST_WAIT_S: typing.Final = 1.6
+"""Time after which a generation moves without the turn: its target leaves
+two seconds after its notice, and an agent may have stopped."""
+
+
+class AgentTurns:
+    """Waits for turns over one connection to an agent."""
+
+    def __init__(self, connection: peer_connections.PeerConnection) -> None:
+        """Ask over ``connection``."""
+        self._connection: typing.Final = connection
+        self._given: typing.Final[dict[str, trio.Event]] = {}
+        send, receive = trio.open_memory_channel[abc.Mapping[str, typing.Any]](
+            math.inf
+        )
+        self._outgoing: typing.Final = send
+        self._to_send: typing.Final = receive
+
+    async def send_messages(self) -> None:
+        """Send what is asked and given back, for ever."""
+        async for message in self._to_send:
+            await self._connection.send(message)
+
+    def take_turn(self, request: str) -> None:
+        """Learn that a request has the turn."""
+        given = self._given.get(request)
+        if given is None:
+            self.give_back(request)
+        else:
+            given.set()
+
+    def close(self) -> None:
+        """Let all go on that wait: the agent is lost."""
+        for given in self._given.values():
+            given.set()
+
+    async def wait_turn(self, request: str, tokens: int) -> None:
+        """Return when a request has the turn, or needs none."""
+        given = trio.Event()
+        self._given[request] = given
+        self._outgoing.send_nowait(
+            {"type": "move_wanted", "request": request, "tokens": tokens}
+        )
+        with trio.move_on_after(_LONGEST_WAIT_S):
+            await given.wait()
+
+    def give_back(self, request: str) -> None:
+        """Give the turn back, or stop waiting for it."""
+        self._given.pop(request, None)
+        self._outgoing.send_nowait({"type": "move_done", "request": request})
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/choice.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/choice.py
@@ -15,7 +15,14 @@
 from gentianpoint_entry.forwarding import requests
 from gentianpoint_entry.forwarding import targets
 
-__all__ = ("choose_backup", "choose_target", "score_target")
+__all__ = (
+    "MOST_USED_BY_BACKUPS",
+    "MOST_USED_BY_MOVES",
+    "choose_backup",
+    "choose_target",
+    "count_tokens",
+    "score_target",
+)
 
 _FAILURE_MEMORY_S: typing.Final = 3.0
 """Time for which a failure counts against a target. Shorter than the usual
@@ -36,6 +43,11 @@
 millisecond, half of a second before the next first token."""
 _LATE_ANSWER: typing.Final = 1.5
 """Weight of an answer time against the mean of the service's targets."""
+MOST_USED_BY_BACKUPS: typing.Final = 0.6
+"""Share of a target's memory up to which it takes copies of generations that
+may never be needed; the rest is for what runs there or moves there."""
+MOST_USED_BY_MOVES: typing.Final = 0.95
+"""Share up to which a target takes generations that would else be lost."""
 _NOISE: typing.Final = 0.02
 """Breaks ties between equals."""
 
@@ -72,9 +84,22 @@
     return max(seen, target.open_requests) / slots
 
 
+def count_tokens(request: requests.CallerRequest) -> int:
+    """Return the memory that a request is likely to take at its end."""
+    return request.prompt_tokens + request.likely_output_tokens
+
+
 def _score_memory(
     target: targets.Target, request: requests.CallerRequest, entry_count: int
 ) -> float:
+    share = _find_used_share(target, request, entry_count)
+    return share + (_FULL_COST if share > 1.0 else 0.0)
+
+
+def _find_used_share(
+    target: targets.Target, request: requests.CallerRequest, entry_count: int
+) -> float:
+    """Return the share of memory in use once a request is there too."""
     engine = request.service.engine
     assert engine is not None
     report = target.report
@@ -84,9 +109,7 @@
     else:
         total = report.total_tokens
         used = report.used_tokens + target.tokens_since_report * entry_count
-    wanted = request.prompt_tokens + request.likely_output_tokens
-    share = (used + wanted) / max(1, total)
-    return share + (_FULL_COST if share > 1.0 else 0.0)
+    return (used + count_tokens(request)) / max(1, total)
 
 
 def choose_target(
@@ -117,12 +140,18 @@
     entry_count: int,
     now: float,
     source: random.Random,
+    most_used: float,
 ) -> typing.Optional[targets.Target]:
-    """Return the target that keeps a copy of what ``runner`` generates.
+    """Return the target that takes a copy of what ``runner`` generates.
 
     Near the runner, since copies take twice as long between data centres,
-    and with most room, since a copy takes as much memory as the generation.
+    and with room: its memory is filled up to the share ``most_used``.
     """
-    others = [item for item in candidates if item is not runner]
+    others = [
+        item
+        for item in candidates
+        if item is not runner
+        and _find_used_share(item, request, entry_count) <= most_used
+    ]
     near = runner.entry.data_centre
     return choose_target(others, request, near, entry_count, now, source)
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
@@ -59,6 +59,27 @@
             self.source,
         )
 
+    def choose_room(
+        self, request: requests.CallerRequest, source: targets.Target
+    ) -> typing.Optional[targets.Target]:
+        """Return the target to which a generation moves, or None.
+
+        Its memory is counted there at once, so that the generations that
+        move at the same time don't all go to one target.
+        """
+        target = choice.choose_backup(
+            self.board.list_of(request.service.name),
+            source,
+            request,
+            self.count_entries(),
+            trio.current_time(),
+            self.source,
+            choice.MOST_USED_BY_MOVES,
+        )
+        if target is not None:
+            target.tokens_since_report += choice.count_tokens(request)
+        return target
+
     def choose_backup(
         self, request: requests.CallerRequest, runner: targets.Target
     ) -> typing.Optional[targets.Target]:
@@ -70,6 +91,7 @@
             self.count_entries(),
             trio.current_time(),
             self.source,
+            choice.MOST_USED_BY_BACKUPS,
         )
 
     @contextlib.asynccontextmanager
@@ -80,7 +102,7 @@
         options: requests.SendOptions,
     ) -> abc.AsyncIterator[target_calls.TargetAnswer]:
         """Send a request, and count it at its target meanwhile."""
-        tokens = request.prompt_tokens + request.likely_output_tokens
+        tokens = choice.count_tokens(request)
         target.open_requests += 1
         target.open_tokens += tokens
         target.sent_since_report += 1
--- /dev/null
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/generation_moves.py
@@ -0,0 +1,155 @@
+"""Moves a generation from a target that leaves to one that stays.
+
+The load it answers: every few seconds a target gets notice and is gone two
+seconds later, with generations on it that run for ten and may not be run
+again. Copying the memory of one takes some tenths of a second, in which a
+stopped generation would be heard to pause. So the copy is made ahead, while
+the generation goes on, and only what has come since is copied after it has
+stopped.
+"""
+
+import enum
+import typing
+
+import trio
+
+from gentianpoint_core import deadlines
+from gentianpoint_core import logs
+from gentianpoint_core import ports
+from gentianpoint_core.generated import events
+from gentianpoint_entry.forwarding import agent_turns
+from gentianpoint_entry.forwarding import requests
+from gentianpoint_entry.forwarding import target_calls
+from gentianpoint_entry.forwarding import targets
+
+__all__ = ("GenerationMove",)
+
+_AHEAD_MS: typing.Final = 1600.0
+"""Time for the copy made ahead, where it is not known when the target leaves.
+It is less than the usual notice of two seconds."""
+_STOP_MS: typing.Final = 900.0
+"""Time for the last copy. It waits behind the copies of other generations."""
+_FREE_MS: typing.Final = 300.0
+
+
+class _Stage(enum.Enum):
+    COPYING = "copying"
+    COPIED = "copied"
+    FAILED = "failed"
+
+
+class GenerationMove:
+    """The move of one generation; used by the task that serves it."""
+
+    def __init__(
+        self,
+        calls: target_calls.TargetCalls,
+        source: targets.Target,
+        destination: targets.Target,
+        request_id: str,
+        tokens: int,
+    ) -> None:
+        """Move from ``source`` to ``destination``."""
+        self._calls: typing.Final = calls
+        self._source: typing.Final = source
+        self.destination: typing.Final = destination
+        self._request_id: typing.Final = request_id
+        self._tokens: typing.Final = tokens
+        self._turns: typing.Optional[agent_turns.AgentTurns] = None
+        self._stage = _Stage.COPYING
+        self._handle = ""
+
+    def is_ready(self) -> bool:
+        """Tell whether the copy made ahead is complete."""
+        return self._stage is _Stage.COPIED
+
+    def has_failed(self) -> bool:
+        """Tell whether no copy could be made."""
+        return self._stage is _Stage.FAILED
+
+    async def copy_ahead(self) -> None:
+        """Copy the memory while the generation goes on."""
+        turns = self._source.turns
+        if turns is not None:
+            self._turns = turns
+            await turns.wait_turn(self._request_id, self._tokens)
+        limit = self._source.leaves_at or deadlines.make_deadline(_AHEAD_MS)
+        began = trio.current_time()
+        try:
+            copy = await self._calls.move_memory(
+                self._source,
+                self.destination,
+                self._request_id,
+                stops=False,
+                deadline=limit,
+            )
+        except ports.PortError as error:
+            self._fail(error.step, error.reason)
+            return
+        self._handle = copy.handle
+        if not copy.is_complete:
+            self._fail("copy memory ahead", "no room there")
+            return
+        self._stage = _Stage.COPIED
+        logs.log_event(
+            events.GENERATION_COPIED,
+            source=self._source.target_id,
+            target=self.destination.target_id,
+            took_ms=round((trio.current_time() - began) * 1000),
+        )
+
+    def end(self) -> None:
+        """Give the turn back, whatever became of the move."""
+        if self._turns is not None:
+            self._turns.give_back(self._request_id)
+            self._turns = None
+
+    async def stop_and_copy(self) -> typing.Optional[requests.MemoryCopy]:
+        """Stop the generation and return the copy from which it goes on.
+
+        None when it can't be told that there is one.
+        """
+        limit = deadlines.make_deadline(_STOP_MS)
+        if self._source.leaves_at is not None:
+            limit = limit.earlier(self._source.leaves_at)
+        try:
+            copy = await self._calls.move_memory(
+                self._source,
+                self.destination,
+                self._request_id,
+                stops=True,
+                deadline=limit,
+            )
+        except ports.PortError as error:
+            self._fail(error.step, error.reason)
+            return None
+        if not copy.is_complete:
+            self._fail("copy the rest", "no room there")
+            return None
+        self._handle = ""
+        return requests.MemoryCopy(self._source.entry.address, copy.handle)
+
+    async def abandon(self) -> None:
+        """Free a copy that is not used, if there is one."""
+        if not self._handle or self._source.is_gone:
+            return
+        try:
+            with trio.move_on_after(_FREE_MS / 1000):
+                await self._calls.free_memory(self._source, self._handle)
+        except ports.PortError as error:
+            # The copy frees itself after some seconds.
+            self._log(error.step, error.reason)
+
+    def _fail(self, step: str, reason: str) -> None:
+        self.end()
+        self._stage = _Stage.FAILED
+        self._log(step, reason)
+
+    def _log(self, step: str, reason: str) -> None:
+        logs.log_event(
+            events.MOVE_FAILED,
+            source=self._source.target_id,
+            target=self.destination.target_id,
+            step=step,
+            reason=reason,
+        )
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
@@ -19,7 +19,9 @@
 from gentianpoint_core import ports
 from gentianpoint_core.generated import events
 from gentianpoint_entry.forwarding import caller_answers
+from gentianpoint_entry.forwarding import choice
 from gentianpoint_entry.forwarding import forwarder
+from gentianpoint_entry.forwarding import generation_moves
 from gentianpoint_entry.forwarding import plain_calls
 from gentianpoint_entry.forwarding import refusals
 from gentianpoint_entry.forwarding import requests
@@ -42,12 +44,33 @@
 """Times the longest good pause after which a stream's target is given up. A
 preempted generation pauses for less when its prompt is read again at once."""
 _SHORTEST_SILENCE_MS: typing.Final = 900.0
+_MOVE_AGAIN_S: typing.Final = 0.2
+"""Pause before another target is asked for room for a generation."""
+_BACKUP_READY_S: typing.Final = 1.2
+"""Age of a generation at its target from which the copy at its backup can be
+counted on; copies are sent some times a second once the prompt is read."""
 
 
 class _HandOverDueError(Exception):
     """The target leaves soon; the generation goes on elsewhere."""
 
 
+_ENDS_OF_EVENTS: typing.Final = (
+    ports.PortError,
+    stream_events.EventOrderError,
+    caller_answers.CallerGoneError,
+    _HandOverDueError,
+)
+
+
+class _Way(typing.NamedTuple):
+    """Where a generation goes on, and from which copy."""
+
+    target: targets.Target
+    copy: typing.Optional[requests.MemoryCopy]
+    name: str
+
+
 class StreamCall:
     """A request whose answer is a stream of events."""
 
@@ -66,6 +89,12 @@
         )
         self._tried: typing.Final[set[str]] = set()
         self._backup: typing.Optional[targets.Target] = None
+        self._move: typing.Optional[generation_moves.GenerationMove] = None
+        self._move_again_at = 0.0
+        self._way: typing.Optional[_Way] = None
+        self._began_at = 0.0
+        self._is_running = False
+        self._unread_at: typing.Optional[targets.Target] = None
         self._hand_over_ms: typing.Final = (
             _HAND_OVER_MS + shared.source.random() * _HAND_OVER_SPREAD_MS
         )
@@ -119,9 +148,10 @@
         self, target: targets.Target, options: requests.SendOptions
     ) -> bool:
         """Run at one target; True when the caller has the whole answer."""
-        tokens = self._request.prompt_tokens
-        target.unread_prompt_tokens += tokens
-        is_unread = True
+        self._count_unread(target)
+        self._move = None
+        self._began_at = trio.current_time()
+        self._is_running = False
         try:
             async with self._send(target, options) as got:
                 if got.has_not_run or got.is_wrong_target:
@@ -138,12 +168,7 @@
                     )
                 if got.status >= 300:
                     return await self._pass_on_failure(got)
-                async for event in self._iterate_events(target, got):
-                    if is_unread:
-                        target.unread_prompt_tokens -= tokens
-                        is_unread = False
-                    await self._pass_on(got, event)
-                    self._check_hand_over(target)
+                await self._pass_on_events(target, got)
                 self._shared.note_success(target)
                 await self._end(got)
                 return True
@@ -162,10 +187,47 @@
         except _HandOverDueError:
             pass
         finally:
-            if is_unread:
-                target.unread_prompt_tokens -= tokens
+            self._count_read()
+            self._end_move()
         return False
 
+    async def _pass_on_events(
+        self, target: targets.Target, got: target_calls.TargetAnswer
+    ) -> None:
+        """Pass events on until the end, or raise why there are no more."""
+        failure: typing.Optional[Exception] = None
+        async with trio.open_nursery() as nursery:
+            try:
+                async for event in self._iterate_events(target, got):
+                    self._count_read()
+                    self._is_running = True
+                    await self._pass_on(got, event)
+                    await self._check_hand_over(target, nursery)
+            except _ENDS_OF_EVENTS as error:
+                # Raised below, since a nursery wraps what passes through.
+                failure = error
+            nursery.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+        if self._move is not None:
+            await self._move.abandon()
+
+    def _end_move(self) -> None:
+        if self._move is not None:
+            self._move.end()
+            self._move = None
+
+    def _count_unread(self, target: targets.Target) -> None:
+        """Count the prompt as work that the target has still to do."""
+        self._unread_at = target
+        target.unread_prompt_tokens += self._request.prompt_tokens
+
+    def _count_read(self) -> None:
+        if self._unread_at is not None:
+            tokens = self._request.prompt_tokens
+            self._unread_at.unread_prompt_tokens -= tokens
+            self._unread_at = None
+
     def _send(
         self, target: targets.Target, options: requests.SendOptions
     ) -> typing.AsyncContextManager[target_calls.TargetAnswer]:
@@ -225,25 +287,71 @@
         await self._answer.send_whole(got.status, got.headers, body)
         return True
 
-    def _check_hand_over(self, target: targets.Target) -> None:
+    async def _check_hand_over(
+        self, target: targets.Target, nursery: trio.Nursery
+    ) -> None:
         """Raise when the generation should go on elsewhere now."""
         if not _is_leaving(target):
             return
         left_ms = _find_left_ms(target)
-        if left_ms is not None and left_ms > self._hand_over_ms:
+        is_due = left_ms is None or left_ms <= self._hand_over_ms
+        if self._request.route.may_repeat():
+            if is_due and self._shared.choose_target(self._request):
+                raise _HandOverDueError()
             return
-        if self._find_next(target) is not None:
-            raise _HandOverDueError()
+        if self._has_backup():
+            # The copy is there already; a move would only keep the links
+            # from generations that have none.
+            if is_due:
+                raise _HandOverDueError()
+            return
+        engine = self._request.service.engine
+        if engine is not None and engine.can_move:
+            await self._move_on(target, nursery)
 
-    def _find_next(
-        self, target: targets.Target
-    ) -> typing.Optional[targets.Target]:
-        """Return where the generation could go on, or None."""
-        if self._backup is not None and not self._backup.is_gone:
-            return self._backup
-        if self._request.route.may_resume:
-            return self._shared.choose_target(self._request, self._tried)
-        return None
+    async def _move_on(
+        self, target: targets.Target, nursery: trio.Nursery
+    ) -> None:
+        """Copy the memory ahead; once it is there, go on from it."""
+        now = trio.current_time()
+        if self._move is not None and self._move.has_failed():
+            if now < self._move_again_at:
+                return
+            self._move = None
+        if self._move is None:
+            self._move_again_at = now + _MOVE_AGAIN_S
+            self._move = self._start_move(target, nursery)
+            return
+        if not self._move.is_ready():
+            return
+        copy = await self._move.stop_and_copy()
+        if copy is not None:
+            self._way = _Way(self._move.destination, copy, "move")
+        raise _HandOverDueError()
+
+    def _start_move(
+        self, target: targets.Target, nursery: trio.Nursery
+    ) -> typing.Optional[generation_moves.GenerationMove]:
+        destination = self._shared.choose_room(self._request, target)
+        if destination is None:
+            return None
+        move = generation_moves.GenerationMove(
+            self._shared.calls,
+            target,
+            destination,
+            self._request.request_id,
+            choice.count_tokens(self._request),
+        )
+        nursery.start_soon(move.copy_ahead)
+        return move
+
+    def _has_backup(self) -> bool:
+        """Tell whether the copy at the backup can be gone on from."""
+        backup = self._backup
+        if backup is None or not backup.takes_work():
+            return False
+        age_s = trio.current_time() - self._began_at
+        return age_s >= _BACKUP_READY_S
 
     def _plan_next(
         self, target: targets.Target
@@ -255,22 +363,37 @@
             return nothing
         if not self.may_have_run:
             return self._plan_other(last)
-        backup = self._backup
-        self._backup = None
-        if backup is not None and not backup.is_gone:
-            copy = requests.MemoryCopy(
-                backup.entry.address, self._request.request_id
-            )
+        way = self._find_way()
+        if way is not None:
             options = requests.SendOptions(
-                copy=copy, last_event_id=last or "0"
+                copy=way.copy, last_event_id=last or "0"
             )
-            self._log_move(target, backup, "copy", last)
-            return backup, self._arm(backup, options)
+            self._log_move(target, way, last)
+            return way.target, self._arm(way.target, options)
         route = self._request.route
         if not route.may_repeat() or self.runs >= route.max_attempts:
             return nothing
         return self._plan_other(last)
 
+    def _find_way(self) -> typing.Optional[_Way]:
+        """Take the copy from which to go on; each is taken once.
+
+        A copy that was refused is not there, and the next target's backup
+        has nothing yet: so a refusal leaves no way but those known before.
+        """
+        way = self._way
+        self._way = None
+        if way is not None:
+            return way
+        backup = self._backup
+        self._backup = None
+        if backup is None or backup.is_gone or not self._is_running:
+            return None
+        copy = requests.MemoryCopy(
+            backup.entry.address, self._request.request_id
+        )
+        return _Way(backup, copy, "backup")
+
     def _plan_other(
         self, last: str
     ) -> tuple[typing.Optional[targets.Target], requests.SendOptions]:
@@ -283,15 +406,14 @@
     def _log_move(
         self,
         source: targets.Target,
-        destination: targets.Target,
-        way: str,
+        way: _Way,
         last: str,
     ) -> None:
         logs.log_event(
             events.GENERATION_MOVED,
             source=source.target_id,
-            target=destination.target_id,
-            way=way,
+            target=way.target.target_id,
+            way=way.name,
             after_event=last,
             source_leaves_in_ms=_find_left_ms(source),
             source_is_gone=source.is_gone,
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_calls.py
@@ -33,10 +33,10 @@
 
 
 class MovedCopy(typing.NamedTuple):
-    """A generation's memory at another target."""
+    """A generation's memory, as copied to another target."""
 
     handle: str
-    """Name of the copy, for :attr:`requests.SendOptions.copy_of`."""
+    """Name of the copy at the source; empty when none was made."""
     is_complete: bool
     """False when the other target had no room, and the source kept it."""
 
@@ -63,9 +63,18 @@
         source: targets.Target,
         destination: targets.Target,
         request_id: str,
+        *,
+        stops: bool,
         deadline: deadlines.Deadline,
     ) -> MovedCopy:
-        """Stop a generation and copy its memory to another target.
+        """Copy a generation's memory to another target.
 
-        Raises ``ports.PortError``; the generation may have stopped then.
+        Called again, it copies only what is new. With ``stops`` the
+        generation stops first, and its stream ends without being complete;
+        without, it goes on. Raises ``ports.PortError``; with ``stops`` the
+        generation may have stopped then.
         """
+
+    @abc.abstractmethod
+    async def free_memory(self, source: targets.Target, handle: str) -> None:
+        """Free a copy that nobody will use; raises ``ports.PortError``."""
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
@@ -10,6 +10,7 @@
 import typing
 
 from gentianpoint_core import deadlines
+from gentianpoint_entry.forwarding import agent_turns
 
 __all__ = ("EngineReport", "Target", "TargetBoard", "TargetEntry")
 
@@ -65,6 +66,7 @@
         self.leaves_at: typing.Optional[deadlines.Deadline] = None
         self.slow_until = now + entry.slow_for_ms / 1000
         self.report: typing.Optional[EngineReport] = None
+        self.turns: typing.Optional[agent_turns.AgentTurns] = None
         self.sent_since_report = 0
         self.tokens_since_report = 0
         self.open_requests = 0
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/topic_follower.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/topic_follower.py
@@ -68,7 +68,7 @@
 
         ``list_peers`` returns the same topic as other entries hold it.
         """
-        self._name: typing.Final = name
+        self.name: typing.Final = name
         self._topic: typing.Final = topic
         self._reader: typing.Final = reader
         self._pace: typing.Final = pace
@@ -102,7 +102,7 @@
             except ports.PortError as error:
                 logs.log_event(
                     events.PEER_RECORDS_UNAVAILABLE,
-                    topic=self._name,
+                    topic=self.name,
                     step=error.step,
                     peer=error.peer,
                     reason=error.reason,
@@ -149,7 +149,7 @@
         if self._is_available:
             logs.log_event(
                 events.LOG_UNAVAILABLE,
-                topic=self._name,
+                topic=self.name,
                 step=error.step,
                 peer=error.peer,
                 reason=error.reason,
@@ -162,7 +162,7 @@
         if not self._is_available:
             logs.log_event(
                 events.LOG_AVAILABLE,
-                topic=self._name,
+                topic=self.name,
                 next_offset=self.next_offset,
             )
         self._is_available = True
