Ask several entries for what the log does not serve

Ruled out: a lost connection to the others (the log lines show both open). Change: three entries drawn at random are asked together; the test fails without it. Conclusion: an answer of nothing new is one entry's word only.

--- /dev/null
+++ b/packages/gentianpoint-entry/features/forwarding/steps/topic_follower_steps.py
@@ -0,0 +1,84 @@
+"""Steps for what entries read of the log's topics."""
+
+import behave
+import topic_builders
+import trio
+
+from gentianpoint_entry.forwarding import topic_follower
+
+_PACE = topic_follower.ReadingPace(wait_ms=0, pause_s=0.5)
+_PHASE_S = 5.0
+
+
+@behave.given("a log that serves this entry up to offset {end:d}")
+def make_log(context, end):
+    context.log = topic_builders.FakeTopic(end)
+    context.peers = []
+    context.reader = topic_builders.NotingReader()
+
+
+@behave.given("a log that turns this entry away from the start")
+def make_absent_log(context):
+    make_log(context, 0)
+    context.log.is_away = True
+
+
+@behave.given("another entry that has the topic up to offset {end:d}")
+def make_peer(context, end):
+    context.peers.append(topic_builders.FakePeerTopic(end))
+
+
+def follow(context, change):
+    follower = topic_follower.TopicFollower(
+        "topic",
+        context.log,
+        context.reader,
+        _PACE,
+        lambda: context.peers,
+    )
+
+    async def run():
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(follower.run)
+            await trio.sleep(_PHASE_S)
+            change()
+            await trio.sleep(_PHASE_S)
+            nursery.cancel_scope.cancel()
+
+    topic_builders.run_on_clock(run)
+
+
+@behave.when("the log turns this entry away")
+def turn_away(context):
+    def change():
+        context.log.is_away = True
+
+    follow(context, change)
+
+
+@behave.when("this entry reads for a while")
+def read(context):
+    follow(context, lambda: None)
+
+
+@behave.when("the log drops its history and the key of offset {offset:d}")
+def drop_history(context, offset):
+    def change():
+        del context.log.records[offset]
+        context.log.end += 1
+        context.log.first = context.log.end
+
+    follow(context, change)
+
+
+@behave.then("this entry has the record at offset {offset:d}")
+def check_record(context, offset):
+    assert f"key-{offset}" in context.reader.keys, context.reader.keys
+
+
+@behave.then(
+    "the reader is given the whole state without the key of offset {offset:d}"
+)
+def check_state(context, offset):
+    assert f"key-{offset}" not in context.reader.states[-1]
+    assert len(context.reader.states[-1]) == 4
--- /dev/null
+++ b/packages/gentianpoint-entry/features/forwarding/topic_follower.feature
@@ -0,0 +1,37 @@
+Feature: Records of the log reach every entry
+  What operators and targets write is read by each entry from the platform's
+  log, and from another entry while the log does not serve it.
+
+  Scenario: the first entry that is asked is turned away by the log as well
+    The log turns some entries away and serves others, and a key is revoked
+    meanwhile. An entry that believed the first other entry it asks would let
+    the revoked key in as long as the log turns both away.
+    Given a log that serves this entry up to offset 3
+    And another entry that has the topic up to offset 3
+    And another entry that has the topic up to offset 5
+    When the log turns this entry away
+    Then this entry has the record at offset 4
+
+  Scenario: another entry holds an older state than this one
+    An entry has been frozen and is asked by one that the log turns away. If
+    its state were taken, a revoked key would be let in again.
+    Given a log that serves this entry up to offset 5
+    And another entry that has the topic up to offset 3
+    When the log turns this entry away
+    Then this entry has the record at offset 4
+
+  Scenario: the log has dropped the records after the last one read here
+    The log forgets its history while an entry pauses between two readings.
+    Keys that are missing in the newest state have been dropped; a target
+    among them would else be sent requests for ever.
+    Given a log that serves this entry up to offset 5
+    When the log drops its history and the key of offset 2
+    Then the reader is given the whole state without the key of offset 2
+
+  Scenario: a process starts while the log is away
+    All entries lose power and one is back before the log. Callers would be
+    refused until the log's return though another entry knows everything.
+    Given a log that turns this entry away from the start
+    And another entry that has the topic up to offset 5
+    When this entry reads for a while
+    Then this entry has the record at offset 4
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/topic_follower.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/topic_follower.py
@@ -7,6 +7,7 @@
 
 import abc
 from collections import abc as collections_abc
+import random
 import typing
 
 import trio
@@ -24,6 +25,11 @@
 second of its return."""
 
 
+_PEERS_ASKED: typing.Final = 3
+"""Entries that are asked at once. Where the log turns a third of all away,
+one in thirty tries meets only such; the next comes within a second."""
+
+
 class ReadingPace(typing.NamedTuple):
     """How often a topic is read."""
 
@@ -77,6 +83,7 @@
         self.newest: typing.Final[dict[str, ports.KeyedRecord]] = {}
         self.read_at: typing.Optional[float] = None
         self._is_available = True
+        self._source: typing.Final = random.Random()
 
     async def run(self) -> None:
         """Follow the topic until cancelled."""
@@ -95,20 +102,29 @@
             await trio.sleep(self._pace.pause_s)
 
     async def _read_from_peers(self) -> None:
-        """Take what another entry has, if the log does not serve us."""
-        for peer in self._list_peers():
-            try:
-                await self._read_from(peer, 0)
-            except ports.PortError as error:
-                logs.log_event(
-                    events.PEER_RECORDS_UNAVAILABLE,
-                    topic=self.name,
-                    step=error.step,
-                    peer=error.peer,
-                    reason=error.reason,
-                )
-                continue
-            return
+        """Take what other entries have, if the log does not serve us.
+
+        Several are asked, since the log turns away some of them as well, and
+        those have nothing new; together, since one that is gone takes long
+        to show it.
+        """
+        peers = list(self._list_peers())
+        asked = self._source.sample(peers, min(_PEERS_ASKED, len(peers)))
+        async with trio.open_nursery() as nursery:
+            for peer in asked:
+                nursery.start_soon(self._read_from_peer, peer)
+
+    async def _read_from_peer(self, peer: ports.KeyedTopic) -> None:
+        try:
+            await self._read_from(peer, 0)
+        except ports.PortError as error:
+            logs.log_event(
+                events.PEER_RECORDS_UNAVAILABLE,
+                topic=self.name,
+                step=error.step,
+                peer=error.peer,
+                reason=error.reason,
+            )
 
     async def _read_from(self, topic: ports.KeyedTopic, wait_ms: int) -> None:
         if self.next_offset is None:
