--- a/packages/gentianpoint-agent/src/gentianpoint_agent/engine_feed.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/engine_feed.py
@@ -26,7 +26,8 @@
 _LONGEST_QUIET_S: typing.Final = 1.0
 """Time after which an unchanged status is sent all the same, so that entries
 can tell a quiet engine from an agent that has stopped."""
-_FAILURES_TO_TELL: typing.Final = 3
+_FAILURES_TO_TELL: typing.Final = 2
+"""Failed questions in a row after which the engine counts as silent."""
 
 
 class EngineFeed:
@@ -36,6 +37,7 @@
         """Ask ``source``."""
         self._source: typing.Final = source
         self._status: typing.Optional[ports.EngineStatus] = None
+        self._is_silent = False
         self._asked_at = 0.0
         self._changed = trio.Event()
         self._turns: typing.Final = move_turns.MoveTurns()
@@ -55,7 +57,8 @@
                         peer=error.peer,
                         reason=error.reason,
                     )
-                    self._status = None
+                    self._is_silent = True
+                    self._tell()
             else:
                 failures = 0
                 self._take_status(status)
@@ -68,12 +71,16 @@
             logs.log_event(
                 events.TARGET_LEAVING, leaves_in_ms=status.leaves_in_ms
             )
-        is_changed = status != self._status
+        is_changed = status != self._status or self._is_silent
         self._status = status
+        self._is_silent = False
         self._asked_at = trio.current_time()
         if is_changed:
-            self._changed.set()
-            self._changed = trio.Event()
+            self._tell()
+
+    def _tell(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
 
     async def serve_entry(
         self, connection: peer_connections.PeerConnection
@@ -135,6 +142,7 @@
             "leaving": status.is_leaving,
             "leaves_in_ms": -1 if leaves_in_ms is None else leaves_in_ms,
             "age_ms": age_ms,
+            "silent": self._is_silent,
         }
 
 
--- a/packages/gentianpoint-core/src/gentianpoint_core/kept_connections.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/kept_connections.py
@@ -37,6 +37,12 @@
 Several round trips and one repeated packet fit in."""
 
 
+_PROBE_S: typing.Final = 1
+"""Pause, in seconds, before and between the probes of a quiet connection."""
+_MOST_PROBES: typing.Final = 2
+"""Probes without an answer after which a connection is lost."""
+
+
 class ExchangeRequest(typing.NamedTuple):
     """One request as it goes out."""
 
@@ -233,6 +239,7 @@
             link.setsockopt(
                 socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKED_MS
             )
+            _probe_when_idle(link)
             with trio.fail_after(self._connect_ms / 1000):
                 await link.connect((self._host, self._port))
         except (OSError, trio.TooSlowError) as error:
@@ -246,6 +253,14 @@
         return trio.SocketStream(link)
 
 
+def _probe_when_idle(link: trio.socket.SocketType) -> None:
+    """Let the kernel find connections that have gone silent for good."""
+    link.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    link.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _PROBE_S)
+    link.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _PROBE_S)
+    link.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _MOST_PROBES)
+
+
 def _read_idle_ms(keep_alive: bytes) -> float:
     """Return how long a connection may idle by a ``Keep-Alive`` header."""
     for part in keep_alive.split(b","):
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/agent_feeds.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/agent_feeds.py
@@ -134,4 +134,5 @@
         total_tokens=message["total_tokens"],
         is_leaving=message["leaving"],
         leaves_at=leaves_at,
+        is_silent=message["silent"],
     )
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/choice.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/choice.py
@@ -30,6 +30,9 @@
 request in many."""
 _FAILURE_COST: typing.Final = 2.0
 """A failure weighs like two times all slots taken."""
+_SILENT_COST: typing.Final = 10.0
+"""An engine that does not answer its own agent is the last choice, but still
+one: the agent may be at fault."""
 _SLOW_COST: typing.Final = 0.5
 """A target that has just started weighs like half of its slots taken."""
 _FAR_COST: typing.Final = 0.08
@@ -67,6 +70,8 @@
         score += _SLOW_COST
     if target.failures and now - target.failed_at < _FAILURE_MEMORY_S:
         score += _FAILURE_COST * min(3, target.failures)
+    if target.report is not None and target.report.is_silent:
+        score += _SILENT_COST
     score += _score_slots(target, entry_count)
     if request.service.engine is not None:
         score += target.unread_prompt_tokens / _PREFILL_TOKENS
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/generation_moves.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/generation_moves.py
@@ -22,7 +22,7 @@
 from gentianpoint_entry.forwarding import target_calls
 from gentianpoint_entry.forwarding import targets
 
-__all__ = ("GenerationMove",)
+__all__ = ("GenerationMove", "StoppedGeneration")
 
 _AHEAD_MS: typing.Final = 1600.0
 """Time for the copy made ahead, where it is not known when the target leaves.
@@ -38,6 +38,15 @@
     FAILED = "failed"
 
 
+class StoppedGeneration(typing.NamedTuple):
+    """A generation that was stopped to go on from a copy."""
+
+    copy: requests.MemoryCopy
+    """The copy, from which its source can go on as well."""
+    is_there: bool
+    """False when only the source has all of it."""
+
+
 class GenerationMove:
     """The move of one generation; used by the task that serves it."""
 
@@ -104,10 +113,11 @@
             self._turns.give_back(self._request_id)
             self._turns = None
 
-    async def stop_and_copy(self) -> typing.Optional[requests.MemoryCopy]:
-        """Stop the generation and return the copy from which it goes on.
+    async def stop_and_copy(self) -> typing.Optional[StoppedGeneration]:
+        """Stop the generation and copy what has come since.
 
-        None when it can't be told that there is one.
+        None when the generation was not stopped, as far as can be told: if
+        it was, its stream breaks off.
         """
         limit = deadlines.make_deadline(_STOP_MS)
         if self._source.leaves_at is not None:
@@ -124,10 +134,10 @@
             self._fail(error.step, error.reason)
             return None
         if not copy.is_complete:
-            self._fail("copy the rest", "no room there")
-            return None
+            self._log("copy the rest", "no room there")
         self._handle = ""
-        return requests.MemoryCopy(self._source.entry.address, copy.handle)
+        place = requests.MemoryCopy(self._source.entry.address, copy.handle)
+        return StoppedGeneration(place, is_there=copy.is_complete)
 
     async def abandon(self) -> None:
         """Free a copy that is not used, if there is one."""
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
@@ -54,6 +54,8 @@
     """True when the engine has been given notice."""
     leaves_at: typing.Optional[deadlines.Deadline]
     """When it goes, if known."""
+    is_silent: bool
+    """True when the engine no longer answers its agent."""
 
 
 class Target:
