--- /dev/null
+++ b/packages/gentianpoint-entry/features/forwarding/forwarding_builders.py
@@ -0,0 +1,260 @@
+"""Targets, requests and callers for features of forwarding."""
+
+from collections import abc
+import contextlib
+import random
+import typing
+
+import trio
+
+from gentianpoint_core import deadlines
+from gentianpoint_core import ports
+from gentianpoint_entry.forwarding import caller_answers
+from gentianpoint_entry.forwarding import forwarder
+from gentianpoint_entry.forwarding import requests
+from gentianpoint_entry.forwarding import retry_limits
+from gentianpoint_entry.forwarding import routes
+from gentianpoint_entry.forwarding import target_calls
+from gentianpoint_entry.forwarding import targets
+
+SERVICE: typing.Final = "service"
+DATA_CENTRE: typing.Final = "north"
+EVENT_S: typing.Final = 0.1
+"""Time between two events of a stream."""
+
+ENGINE: typing.Final = routes.EngineShape(
+    slots=16,
+    memory_tokens=10000,
+    bytes_per_token=1000,
+    link_mbps=1000.0,
+    can_move=True,
+    can_back_up=True,
+    copy_kept_ms=5000.0,
+    tokens_per_event=4,
+)
+
+
+def make_route(
+    kind: routes.RouteKind,
+    *,
+    may_resume: bool = False,
+    max_attempts: int = 1,
+) -> routes.Route:
+    """Return a route to the one service."""
+    return routes.Route(
+        name="route",
+        host="host.example",
+        path_prefix="/a/",
+        shares=(routes.ServiceShare(SERVICE, 1.0),),
+        kind=kind,
+        may_resume=may_resume,
+        timeout_ms=30000.0,
+        objective_ms=400.0,
+        gap_objective_ms=200.0,
+        max_attempts=max_attempts,
+        priority=0,
+        is_public=False,
+        is_generation=kind is routes.RouteKind.STREAM,
+    )
+
+
+def make_request(
+    route: routes.Route, engine: typing.Optional[routes.EngineShape]
+) -> requests.CallerRequest:
+    """Return a request, inside a run of trio."""
+    deadline = deadlines.make_deadline(30000)
+    return requests.CallerRequest(
+        request_id="request-1",
+        method=b"POST",
+        path=b"/a/b",
+        headers=(),
+        body=b"",
+        route=route,
+        service=routes.Service(SERVICE, "/health", 100, engine),
+        customer=None,
+        caller_deadline=deadline,
+        deadline=deadline,
+        prompt_tokens=100,
+        most_output_tokens=100,
+        likely_output_tokens=100,
+        parts=(),
+        last_event_id="",
+    )
+
+
+def make_entry(name: str, **changes: typing.Any) -> targets.TargetEntry:
+    """Return the entry of a target in the platform's list."""
+    entry = targets.TargetEntry(
+        target_id=name,
+        service=SERVICE,
+        address=f"10.0.0.1:{1000 + ord(name[-1])}",
+        data_centre=DATA_CENTRE,
+        slots=16,
+        is_leaving=False,
+        slow_for_ms=0.0,
+        born_ms=1,
+    )
+    return entry._replace(**changes)
+
+
+def make_event(number: int) -> bytes:
+    """Return one event of a stream."""
+    return f"id: {number}\ndata: piece {number}\n\n".encode()
+
+
+class ScriptedAnswer(target_calls.TargetAnswer):
+    """An answer as its words say."""
+
+    def __init__(self, words: str, target: targets.Target) -> None:
+        """Answer by ``words``, such as ``events 1-4 then break``."""
+        self.headers = ((b"x-mark", b"1"),)
+        self.has_not_run = words == "refuse"
+        self.is_wrong_target = words == "other target"
+        self.is_sealed = words != "unmarked"
+        self.retry_after_ms = 0.0
+        self.status = 200
+        if self.has_not_run or words == "unproved refusal":
+            self.status = 503
+        if words == "failure":
+            self.status = 500
+        self._words: typing.Final = words
+        self._target: typing.Final = target
+
+    async def receive_body(self) -> abc.AsyncIterator[bytes]:
+        """Yield the events or the body."""
+        if not self._words.startswith("events"):
+            yield f"body of {self._target.target_id}".encode()
+            return
+        _, numbers, _, end = self._words.split(" ", 3)
+        first, _, last = numbers.partition("-")
+        for number in range(int(first), int(last) + 1):
+            await trio.sleep(EVENT_S)
+            yield make_event(number)
+        if end == "half an event":
+            yield make_event(int(last) + 1)[:7]
+        if end == "silence":
+            await trio.sleep_forever()
+        if end != "end":
+            raise ports.PortError(
+                "receive body", "target", "broke off", took_effect=True
+            )
+
+
+class ScriptedCalls(target_calls.TargetCalls):
+    """Targets that do what a list of words says, send by send."""
+
+    def __init__(self) -> None:
+        """Start without targets."""
+        self.scripts: dict[str, list[str]] = {}
+        self.moves: list[str] = []
+        self.sends: list[tuple[str, requests.SendOptions]] = []
+        self.open: set[str] = set()
+        self.most_open = 0
+        self.freed: list[tuple[str, str]] = []
+
+    @contextlib.asynccontextmanager
+    async def send_request(
+        self,
+        target: targets.Target,
+        request: requests.CallerRequest,
+        options: requests.SendOptions,
+    ) -> abc.AsyncIterator[target_calls.TargetAnswer]:
+        """Answer by the next words of the target."""
+        name = target.target_id
+        script = self.scripts[name]
+        words = script.pop(0) if len(script) > 1 else script[0]
+        if words == "unreachable":
+            raise ports.PortError("connect", name, "down", took_effect=False)
+        self.sends.append((name, options))
+        self.open.add(name)
+        self.most_open = max(self.most_open, len(self.open))
+        try:
+            await trio.sleep(0.01)
+            if words == "lost":
+                raise ports.PortError(
+                    "receive head", name, "reset", took_effect=True
+                )
+            if words == "mute":
+                await trio.sleep_forever()
+            yield ScriptedAnswer(words, target)
+        finally:
+            self.open.discard(name)
+
+    async def move_memory(
+        self,
+        source: targets.Target,
+        destination: targets.Target,
+        request_id: str,
+        *,
+        stops: bool,
+        deadline: deadlines.Deadline,
+    ) -> target_calls.MovedCopy:
+        """Answer by the next words for moves."""
+        await trio.sleep(0.05)
+        words = self.moves.pop(0) if len(self.moves) > 1 else self.moves[0]
+        if words == "unreachable":
+            raise ports.PortError(
+                "move memory", "source", "down", took_effect=False
+            )
+        return target_calls.MovedCopy("handle-1", words == "copied")
+
+    async def free_memory(self, target: targets.Target, name: str) -> None:
+        """Note what is freed."""
+        self.freed.append((target.target_id, name))
+
+
+class NotedAnswer(caller_answers.CallerAnswer):
+    """What a caller has received."""
+
+    def __init__(self) -> None:
+        """Start with nothing."""
+        self.data = b""
+        self.headers: abc.Sequence[tuple[bytes, bytes]] = ()
+
+    async def send_whole(
+        self,
+        status: int,
+        headers: abc.Sequence[tuple[bytes, bytes]],
+        body: bytes,
+    ) -> None:
+        """Note a whole answer."""
+        await self.start(status, headers)
+        self.data = body
+        await self.finish()
+
+    async def start(
+        self, status: int, headers: abc.Sequence[tuple[bytes, bytes]]
+    ) -> None:
+        """Note the head."""
+        assert not self.is_started
+        self.is_started = True
+        self.status = status
+        self.headers = headers
+
+    async def send(self, data: bytes) -> None:
+        """Note a part of the body."""
+        assert not self.is_finished
+        self.data += data
+
+    async def finish(self) -> None:
+        """Note the end."""
+        assert not self.is_finished
+        self.is_finished = True
+
+
+def make_forwarder(
+    names: abc.Sequence[str], calls: ScriptedCalls
+) -> forwarder.Forwarder:
+    """Return a forwarder for targets of these names, the first preferred."""
+    board = targets.TargetBoard()
+    for place, name in enumerate(names):
+        target = board.put_entry(make_entry(name), trio.current_time())
+        target.open_requests = place * 4
+    return forwarder.Forwarder(
+        board,
+        calls,
+        retry_limits.RetryLimits(0.2, 10.0, 20.0),
+        DATA_CENTRE,
+        lambda: 1,
+        random.Random(1),
+    )
--- /dev/null
+++ b/packages/gentianpoint-entry/features/forwarding/steps/stream_calls_steps.py
@@ -0,0 +1,192 @@
+"""Steps for streams that go on at other targets."""
+
+import types
+
+import behave
+import forwarding_builders
+import topic_builders
+import trio
+
+from gentianpoint_core import deadlines
+from gentianpoint_entry.forwarding import request_handling
+from gentianpoint_entry.forwarding import routes
+
+
+def start(context, *, may_resume=False, copies=False):
+    context.route = forwarding_builders.make_route(
+        routes.RouteKind.STREAM,
+        may_resume=may_resume,
+        max_attempts=2 if may_resume else 1,
+    )
+    context.engine = forwarding_builders.ENGINE._replace(can_back_up=copies)
+    context.calls = forwarding_builders.ScriptedCalls()
+
+
+@behave.given("a generation that may run once, with a copy at a second target")
+def make_backed_up(context):
+    start(context, copies=True)
+
+
+@behave.given("a generation that may run once, without copies")
+def make_single(context):
+    start(context)
+
+
+@behave.given("a generation that may be resumed")
+def make_resumable(context):
+    start(context, may_resume=True)
+
+
+@behave.given("target {name} answers: {words}")
+def set_script(context, name, words):
+    context.calls.scripts[name] = [words]
+
+
+@behave.given("target {name} answers then: {words}")
+def extend_script(context, name, words):
+    context.calls.scripts[name].append(words)
+
+
+@behave.given("moves of memory: {words}")
+def set_moves(context, words):
+    context.calls.moves = [word.strip() for word in words.split(",")]
+
+
+async def send_refusal(answer, refusal):
+    await answer.send_whole(refusal.status, (), refusal.reason.encode())
+
+
+async def give_notice(context, shared, number):
+    """Let target a leave once the caller has an event."""
+    wanted = forwarding_builders.make_event(number)
+    while wanted not in context.answer.data:
+        await trio.sleep(0.01)
+    target = shared.board.find("a")
+    target.entry = target.entry._replace(is_leaving=True)
+    target.leaves_at = deadlines.make_deadline(2000)
+
+
+async def watch_sends(context):
+    """Note when target b was asked and when target a was left."""
+    calls = context.calls
+    while not any(name == "b" for name, _ in calls.sends):
+        await trio.sleep(0.01)
+    asked_at = trio.current_time()
+    while "a" in calls.open:
+        await trio.sleep(0.01)
+    context.overlap_s = trio.current_time() - asked_at
+
+
+def serve(context, notice_after=None):
+    context.answer = forwarding_builders.NotedAnswer()
+
+    async def run():
+        shared = forwarding_builders.make_forwarder(
+            sorted(context.calls.scripts), context.calls
+        )
+        request = forwarding_builders.make_request(
+            context.route, context.engine
+        )
+        handling = request_handling.RequestHandling(shared, send_refusal)
+        began = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch_sends, context)
+            if notice_after is not None:
+                nursery.start_soon(give_notice, context, shared, notice_after)
+            await handling.serve(request, context.answer)
+            context.took_s = trio.current_time() - began
+            nursery.cancel_scope.cancel()
+
+    topic_builders.run_on_clock(run)
+
+
+@behave.when("the request is served")
+def serve_request(context):
+    serve(context)
+
+
+@behave.when("the request is served and a gets notice after event {number:d}")
+def serve_with_notice(context, number):
+    serve(context, number)
+
+
+def join_events(last):
+    numbers = range(1, last + 1)
+    return b"".join(forwarding_builders.make_event(item) for item in numbers)
+
+
+@behave.then(
+    "the caller has events 1 to {last:d}, each once, as a complete answer"
+)
+def check_whole(context, last):
+    assert context.answer.data == join_events(last), context.answer.data
+    assert context.answer.is_finished
+    assert context.answer.status == 200
+
+
+@behave.then(
+    "the caller has events 1 to {last:d}, and the answer is broken off"
+)
+def check_broken(context, last):
+    assert context.answer.data == join_events(last), context.answer.data
+    assert not context.answer.is_finished
+
+
+@behave.then("the caller is refused with status {status:d}")
+def check_refused(context, status):
+    assert context.answer.status == status, context.answer.status
+    assert context.answer.is_finished
+
+
+def find_send(context, name):
+    sends = [options for sent, options in context.calls.sends if sent == name]
+    return sends[0] if sends else types.SimpleNamespace(copy=None)
+
+
+@behave.then(
+    "target {name} was asked to go on after event {last:d} from the copy that"
+    " it keeps"
+)
+def check_backup(context, name, last):
+    options = find_send(context, name)
+    assert options.last_event_id == str(last), options
+    assert options.copy.name == "request-1", options
+
+
+@behave.then(
+    "target {name} was asked to go on after event {last:d} without a copy"
+)
+def check_resume(context, name, last):
+    options = find_send(context, name)
+    assert options.last_event_id == str(last), options
+    assert options.copy is None
+
+
+@behave.then("target {name} was asked to go on from the handle of the move")
+def check_move(context, name):
+    assert find_send(context, name).copy.name == "handle-1"
+
+
+@behave.then("target {name} was asked nothing")
+def check_unasked(context, name):
+    assert name not in [sent for sent, _ in context.calls.sends]
+
+
+@behave.then("no target but {name} was asked to start the generation")
+def check_starts(context, name):
+    starts = [
+        sent for sent, options in context.calls.sends if options.copy is None
+    ]
+    assert starts == [name], starts
+
+
+@behave.then("it took as long as the caller waits")
+def check_time(context):
+    assert context.took_s >= 29.9, context.took_s
+
+
+@behave.then(
+    "target a was left a quarter of a second after target b was asked"
+)
+def check_overlap(context):
+    assert 0.2 <= context.overlap_s <= 0.3, context.overlap_s
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/choice.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/choice.py
@@ -3,9 +3,9 @@
 The load it answers: long prompts delay the tokens of all that runs beside
 them, engines' memory fills up in the middle of generations, reports are old
 when they come, and several entries see the same ones. So what this entry has
-sent since the report counts for as many entries as there are, since the
-others sent much the same, and of equals one is drawn at random: taking the
-first would send all entries to it.
+sent or moved since the report is added to it, and of equals one is drawn at
+random: taking the first would send all entries to it. Without a report, what
+this entry has under way counts for as many entries as there are.
 """
 
 from collections import abc
@@ -18,9 +18,11 @@
 __all__ = (
     "MOST_USED_BY_BACKUPS",
     "MOST_USED_BY_MOVES",
+    "MOST_USED_BY_NEEDED_BACKUPS",
     "choose_backup",
     "choose_target",
     "count_tokens",
+    "find_backup_limit",
     "score_target",
 )
 
@@ -49,6 +51,15 @@
 MOST_USED_BY_BACKUPS: typing.Final = 0.4
 """Share of a target's memory up to which it takes copies of generations that
 may never be needed; the rest is for what runs there or moves there."""
+MOST_USED_BY_NEEDED_BACKUPS: typing.Final = 0.65
+"""The same for generations at a target with more of them than can be moved
+in its notice."""
+MOVED_IN_NOTICE: typing.Final = 3
+"""Generations whose memory one link surely carries in a notice of two
+seconds, at a third to half of a second each beside other copies."""
+_CROWD: typing.Final = 16.0
+"""Running generations that weigh like all of the memory taken. They leave
+together, and only some of them can be moved in time."""
 MOST_USED_BY_MOVES: typing.Final = 0.95
 """Share up to which a target takes generations that would else be lost."""
 _NOISE: typing.Final = 0.02
@@ -76,17 +87,15 @@
     if request.service.engine is not None:
         score += target.unread_prompt_tokens / _PREFILL_TOKENS
         score += _score_memory(target, request, entry_count)
+        score += _count_running(target) / _CROWD
     return score
 
 
 def _score_slots(target: targets.Target, entry_count: int) -> float:
     slots = max(1, target.entry.slots)
-    report = target.report
-    if report is None:
+    if target.report is None:
         return target.open_requests * entry_count / slots
-    seen = report.running + report.waiting
-    seen += target.sent_since_report * entry_count
-    return max(seen, target.open_requests) / slots
+    return _count_running(target) / slots
 
 
 def count_tokens(request: requests.CallerRequest) -> int:
@@ -113,7 +122,7 @@
         used = target.open_tokens * entry_count
     else:
         total = report.total_tokens
-        used = report.used_tokens + target.tokens_since_report * entry_count
+        used = report.used_tokens + target.tokens_since_report
     return (used + count_tokens(request)) / max(1, total)
 
 
@@ -160,3 +169,19 @@
     ]
     near = runner.entry.data_centre
     return choose_target(others, request, near, entry_count, now, source)
+
+
+def _count_running(target: targets.Target) -> int:
+    """Return the requests at a target, as far as this entry knows."""
+    report = target.report
+    if report is None:
+        return target.open_requests
+    seen = report.running + report.waiting + target.sent_since_report
+    return max(seen, target.open_requests)
+
+
+def find_backup_limit(runner: targets.Target) -> float:
+    """Return up to which share of memory a copy for ``runner`` is taken."""
+    if _count_running(runner) >= MOVED_IN_NOTICE:
+        return MOST_USED_BY_NEEDED_BACKUPS
+    return MOST_USED_BY_BACKUPS
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
@@ -19,6 +19,10 @@
 __all__ = ("Forwarder",)
 
 
+_FREE_S: typing.Final = 0.3
+"""Time for freeing a copy, which else lapses by itself."""
+
+
 class Forwarder:
     """Chooses targets and sends to them, and keeps count of both."""
 
@@ -91,7 +95,7 @@
             self.count_entries(),
             trio.current_time(),
             self.source,
-            choice.MOST_USED_BY_BACKUPS,
+            choice.find_backup_limit(runner),
         )
 
     @contextlib.asynccontextmanager
@@ -125,6 +129,23 @@
             target.open_requests -= 1
             target.open_tokens -= tokens
 
+    async def free_copy(self, target: targets.Target, name: str) -> None:
+        """Free a copy of a generation's memory that nobody will use."""
+        if target.is_gone:
+            return
+        try:
+            with trio.move_on_after(_FREE_S):
+                await self.calls.free_memory(target, name)
+        except ports.PortError as error:
+            # The copy lapses by itself after some seconds.
+            logs.log_event(
+                events.MOVE_FAILED,
+                source=None,
+                target=target.target_id,
+                step=error.step,
+                reason=error.reason,
+            )
+
     def note_failure(
         self, target: targets.Target, error: ports.PortError
     ) -> None:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/generation_moves.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/generation_moves.py
@@ -8,6 +8,7 @@
 stopped.
 """
 
+from collections import abc
 import enum
 import typing
 
@@ -29,7 +30,8 @@
 It is less than the usual notice of two seconds."""
 _STOP_MS: typing.Final = 900.0
 """Time for the last copy. It waits behind the copies of other generations."""
-_FREE_MS: typing.Final = 300.0
+_AHEAD_LEAST_MS: typing.Final = 600
+"""Time before its source leaves up to which a copy is made ahead."""
 
 
 class _Stage(enum.Enum):
@@ -54,14 +56,15 @@
         self,
         calls: target_calls.TargetCalls,
         source: targets.Target,
-        destination: targets.Target,
+        choose_destination: abc.Callable[[], typing.Optional[targets.Target]],
         request_id: str,
         tokens: int,
     ) -> None:
-        """Move from ``source`` to ``destination``."""
+        """Move from ``source`` to what is chosen once it is the turn."""
         self._calls: typing.Final = calls
         self._source: typing.Final = source
-        self.destination: typing.Final = destination
+        self._choose_destination: typing.Final = choose_destination
+        self.destination: typing.Optional[targets.Target] = None
         self._request_id: typing.Final = request_id
         self._tokens: typing.Final = tokens
         self._turns: typing.Optional[agent_turns.AgentTurns] = None
@@ -82,7 +85,17 @@
         if turns is not None:
             self._turns = turns
             await turns.wait_turn(self._request_id, self._tokens)
+        # Chosen only now, since what had room when the move was wanted may
+        # be full after those that had the turn before.
+        self.destination = self._choose_destination()
+        if self.destination is None:
+            self._fail("choose destination", "no target has room")
+            return
         limit = self._source.leaves_at or deadlines.make_deadline(_AHEAD_MS)
+        if limit.remaining_ms() < _AHEAD_LEAST_MS:
+            # One copy, after the stop, is all that there is time for.
+            self._stage = _Stage.COPIED
+            return
         began = trio.current_time()
         try:
             copy = await self._calls.move_memory(
@@ -119,6 +132,7 @@
         None when the generation was not stopped, as far as can be told: if
         it was, its stream breaks off.
         """
+        assert self.destination is not None
         limit = deadlines.make_deadline(_STOP_MS)
         if self._source.leaves_at is not None:
             limit = limit.earlier(self._source.leaves_at)
@@ -139,16 +153,11 @@
         place = requests.MemoryCopy(self._source.entry.address, copy.handle)
         return StoppedGeneration(place, is_there=copy.is_complete)
 
-    async def abandon(self) -> None:
-        """Free a copy that is not used, if there is one."""
-        if not self._handle or self._source.is_gone:
-            return
-        try:
-            with trio.move_on_after(_FREE_MS / 1000):
-                await self._calls.free_memory(self._source, self._handle)
-        except ports.PortError as error:
-            # The copy frees itself after some seconds.
-            self._log(error.step, error.reason)
+    def take_unused(self) -> str:
+        """Return the handle of a copy that is not used, and forget it."""
+        handle = self._handle
+        self._handle = ""
+        return handle
 
     def _fail(self, step: str, reason: str) -> None:
         self.end()
@@ -159,7 +168,7 @@
         logs.log_event(
             events.MOVE_FAILED,
             source=self._source.target_id,
-            target=self.destination.target_id,
+            target=self.destination and self.destination.target_id,
             step=step,
             reason=reason,
         )
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
@@ -260,10 +260,25 @@
             raise failure
         if following is None:
             self._shared.note_success(run.target)
-            if self._move is not None:
-                await self._move.abandon()
+        await self._free_copies(run, following)
         return following
 
+    async def _free_copies(
+        self,
+        run: stream_runs.StreamRun,
+        following: typing.Optional[stream_runs.StreamRun],
+    ) -> None:
+        """Free copies that nobody will use: they take room from others.
+
+        The backup's copy frees itself when the run ends well, and is used
+        when the run goes on there; after a move elsewhere it is left over.
+        """
+        unused = "" if self._move is None else self._move.take_unused()
+        if unused:
+            await self._shared.free_copy(run.target, unused)
+        if following is not None and run.backup is not None:
+            await self._shared.free_copy(run.backup, self._request.request_id)
+
     def _find_silence_ms(self, run: stream_runs.StreamRun) -> float:
         """Return the silence after which a run is given up.
 
@@ -377,9 +392,10 @@
         if stopped is None:
             # It runs on where it is, or its stream breaks off.
             return None
-        destination = self._move.destination
-        ways = [destination] if stopped.is_there else []
-        for target in (*ways, run.target):
+        ways = [run.target]
+        if stopped.is_there and self._move.destination is not None:
+            ways.insert(0, self._move.destination)
+        for target in ways:
             plan = self._plan_from_copy(target, stopped.copy)
             following = await self._open(plan)
             if following is not None:
@@ -389,14 +405,11 @@
 
     def _start_move(
         self, target: targets.Target, nursery: trio.Nursery
-    ) -> typing.Optional[generation_moves.GenerationMove]:
-        destination = self._shared.choose_room(self._request, target)
-        if destination is None:
-            return None
+    ) -> generation_moves.GenerationMove:
         move = generation_moves.GenerationMove(
             self._shared.calls,
             target,
-            destination,
+            lambda: self._shared.choose_room(self._request, target),
             self._request.request_id,
             choice.count_tokens(self._request),
         )
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_calls.py
@@ -76,5 +76,9 @@
         """
 
     @abc.abstractmethod
-    async def free_memory(self, source: targets.Target, handle: str) -> None:
-        """Free a copy that nobody will use; raises ``ports.PortError``."""
+    async def free_memory(self, target: targets.Target, name: str) -> None:
+        """Free a copy that nobody will use; raises ``ports.PortError``.
+
+        ``name`` is the handle of a move, asked at its source, or the
+        identifier of a request, asked at its backup.
+        """
