--- /dev/null
+++ b/packages/gentianpoint-entry/features/forwarding/steps/plain_calls_steps.py
@@ -0,0 +1,45 @@
+"""Steps for plain requests."""
+
+import behave
+import forwarding_builders
+
+from gentianpoint_entry.forwarding import routes
+
+
+@behave.given("a plain request that may be repeated")
+def make_idempotent(context):
+    start(context, routes.RouteKind.IDEMPOTENT)
+
+
+@behave.given("a plain request that may run once only")
+def make_once(context):
+    start(context, routes.RouteKind.ONCE)
+
+
+def start(context, kind):
+    context.route = forwarding_builders.make_route(kind, max_attempts=2)
+    context.engine = None
+    context.calls = forwarding_builders.ScriptedCalls()
+
+
+@behave.then("the caller is given the body of {name}")
+def check_body(context, name):
+    assert context.answer.data == f"body of {name}".encode()
+    assert context.answer.status == 200
+    assert context.answer.is_finished
+
+
+@behave.then("the caller is given status {status:d}")
+def check_status(context, status):
+    assert context.answer.status == status, context.answer.status
+    assert context.answer.is_finished
+
+
+@behave.then("{count:d} targets were asked")
+def check_count(context, count):
+    assert len(context.calls.sends) == count, context.calls.sends
+
+
+@behave.then("it took less than half a second")
+def check_quick(context):
+    assert context.took_s < 0.5
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/choice.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/choice.py
@@ -51,7 +51,7 @@
 MOST_USED_BY_BACKUPS: typing.Final = 0.4
 """Share of a target's memory up to which it takes copies of generations that
 may never be needed; the rest is for what runs there or moves there."""
-MOST_USED_BY_NEEDED_BACKUPS: typing.Final = 0.65
+MOST_USED_BY_NEEDED_BACKUPS: typing.Final = 0.4
 """The same for generations at a target with more of them than can be moved
 in its notice."""
 MOVED_IN_NOTICE: typing.Final = 3
