Give the turn on as soon as the last copy is made; ask room with own sends only

Cause: between two turns the links stood idle while the request was sent on; after two moves of one entry no target seemed to have room until the next report. Change: see the first line.

--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/choice.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/choice.py
@@ -3,9 +3,10 @@
 The load it answers: long prompts delay the tokens of all that runs beside
 them, engines' memory fills up in the middle of generations, reports are old
 when they come, and several entries see the same ones. So what this entry has
-sent or moved since the report is added to it, and of equals one is drawn at
-random: taking the first would send all entries to it. Without a report, what
-this entry has under way counts for as many entries as there are.
+sent or moved since the report counts for as many entries as there are, since
+the others sent much the same, and of equals one is drawn at random: taking
+the first would send all entries to it. Whether a copy has room is asked of
+the target itself, so there only this entry's own part is added.
 """
 
 from collections import abc
@@ -122,7 +123,7 @@
         used = target.open_tokens * entry_count
     else:
         total = report.total_tokens
-        used = report.used_tokens + target.tokens_since_report
+        used = report.used_tokens + target.tokens_since_report * entry_count
     return (used + count_tokens(request)) / max(1, total)
 
 
@@ -165,7 +166,7 @@
         item
         for item in candidates
         if item is not runner
-        and _find_used_share(item, request, entry_count) <= most_used
+        and _find_used_share(item, request, 1) <= most_used
     ]
     near = runner.entry.data_centre
     return choose_target(others, request, near, entry_count, now, source)
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
@@ -389,6 +389,8 @@
         if not self._move.is_ready():
             return None
         stopped = await self._move.stop_and_copy()
+        # The links are free for the next one while this one is taken up.
+        self._move.end()
         if stopped is None:
             # It runs on where it is, or its stream breaks off.
             return None
