--- a/packages/gentianpoint-entry/features/forwarding/forwarding_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/forwarding_builders.py
@@ -5,12 +5,14 @@
 import random
 import typing
 
+from opentelemetry import metrics
 import trio
 
 from gentianpoint_core import deadlines
 from gentianpoint_core import ports
 from gentianpoint_entry.forwarding import caller_answers
 from gentianpoint_entry.forwarding import forwarder
+from gentianpoint_entry.forwarding import measures
 from gentianpoint_entry.forwarding import requests
 from gentianpoint_entry.forwarding import retry_limits
 from gentianpoint_entry.forwarding import routes
@@ -257,4 +259,5 @@
         DATA_CENTRE,
         lambda: 1,
         random.Random(1),
+        measures.Measures(metrics.NoOpMeterProvider()),
     )
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/caller_front.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/caller_front.py
@@ -9,9 +9,10 @@
 from gentianpoint_core.generated import events
 from gentianpoint_entry.forwarding import caller_answers
 from gentianpoint_entry.forwarding import caller_connections
+from gentianpoint_entry.forwarding import measures
 from gentianpoint_entry.forwarding import routes
 
-__all__ = ("CallerFront", "listen")
+__all__ = ("CallerFront", "FrontAddresses", "listen")
 
 _BACKLOG: typing.Final = 1024
 """New connections that wait to be taken; when it is full the opening packet
@@ -23,8 +24,19 @@
 """Time before the process is killed at which it ends by itself."""
 
 
+class FrontAddresses(typing.NamedTuple):
+    """Where an entry listens, each as IP:PORT."""
+
+    callers: str
+    """For callers."""
+    ready: str
+    """For the balancer, which asks whether this entry is ready."""
+    measures: str
+    """For scrapers of the measures."""
+
+
 class CallerFront:
-    """The two listeners of an entry, and its leaving."""
+    """The listeners of an entry, and its leaving."""
 
     def __init__(
         self,
@@ -40,6 +52,9 @@
         self._balancer: typing.Final = caller_connections.CallerConnections(
             self._answer_ready, read_limits
         )
+        self._scrapers: typing.Final = caller_connections.CallerConnections(
+            _answer_scraper, read_limits
+        )
         self._is_ready: typing.Final = is_ready
         self._leave_within_s: typing.Final = leave_within_s
         self._leaves_at: typing.Optional[float] = None
@@ -49,10 +64,11 @@
         """When this entry ends, on trio's clock; None while it stays."""
         return self._leaves_at
 
-    async def serve(self, front: str, ready: str) -> None:
-        """Serve on both addresses until cancelled."""
-        front_listener = await listen(front)
-        ready_listener = await listen(ready)
+    async def serve(self, addresses: FrontAddresses) -> None:
+        """Serve on all addresses until cancelled."""
+        front_listener = await listen(addresses.callers)
+        ready_listener = await listen(addresses.ready)
+        scrape_listener = await listen(addresses.measures)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
                 accept_connections, front_listener, self._callers.serve
@@ -60,6 +76,9 @@
             nursery.start_soon(
                 accept_connections, ready_listener, self._balancer.serve
             )
+            nursery.start_soon(
+                accept_connections, scrape_listener, self._scrapers.serve
+            )
 
     async def leave(self) -> None:
         """Stop being ready, finish what runs, and return.
@@ -92,6 +111,14 @@
         await answer.send_whole(200 if is_ready else 503, (), b"")
 
 
+async def _answer_scraper(
+    request: caller_connections.RawRequest,
+    answer: caller_answers.CallerAnswer,
+) -> None:
+    headers = ((b"content-type", b"text/plain; version=0.0.4"),)
+    await answer.send_whole(200, headers, measures.render_measures())
+
+
 async def listen(address: str) -> trio.SocketListener:
     """Listen on an address of the form IP:PORT."""
     host, _, port = address.rpartition(":")
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
@@ -11,6 +11,7 @@
 from gentianpoint_core import ports
 from gentianpoint_core.generated import events
 from gentianpoint_entry.forwarding import choice
+from gentianpoint_entry.forwarding import measures
 from gentianpoint_entry.forwarding import requests
 from gentianpoint_entry.forwarding import retry_limits
 from gentianpoint_entry.forwarding import target_calls
@@ -34,6 +35,7 @@
         data_centre: str,
         count_entries: abc.Callable[[], int],
         source: random.Random,
+        figures: measures.Measures,
     ) -> None:
         """Serve from ``data_centre`` as one of ``count_entries()``."""
         self.board: typing.Final = board
@@ -42,6 +44,7 @@
         self.data_centre: typing.Final = data_centre
         self.count_entries: typing.Final = count_entries
         self.source: typing.Final = source
+        self.measures: typing.Final = figures
 
     def choose_target(
         self,
@@ -152,6 +155,7 @@
         """Remember that a target failed, for the next choices."""
         target.failures += 1
         target.failed_at = trio.current_time()
+        self.measures.record_failed_attempt(error.step)
         logs.log_event(
             events.ATTEMPT_FAILED,
             target=target.target_id,
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarding_entry.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarding_entry.py
@@ -15,24 +15,24 @@
 
 async def run_entry(
     front: caller_front.CallerFront,
-    addresses: tuple[str, str],
+    addresses: caller_front.FrontAddresses,
     followers: abc.Sequence[topic_follower.TopicFollower],
     tasks: abc.Sequence[abc.Callable[[], abc.Awaitable[None]]],
     reload_settings: abc.Callable[[], None],
 ) -> None:
-    """Serve callers until SIGTERM, and then leave in good order.
-
-    ``addresses`` are where callers and the balancer connect.
-    """
+    """Serve callers until SIGTERM, and then leave in good order."""
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
         async with trio.open_nursery() as nursery:
             for follower in followers:
                 nursery.start_soon(follower.run)
             for task in tasks:
                 nursery.start_soon(task)
-            nursery.start_soon(front.serve, *addresses)
+            nursery.start_soon(front.serve, addresses)
             logs.log_event(
-                events.ENTRY_STARTED, callers=addresses[0], ready=addresses[1]
+                events.ENTRY_STARTED,
+                callers=addresses.callers,
+                ready=addresses.ready,
+                measures=addresses.measures,
             )
             async for number in signals:
                 if number == signal.SIGTERM:
--- /dev/null
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/measures.py
@@ -0,0 +1,90 @@
+"""Counters and histograms of what callers get, as text for scrapers.
+
+The users' measures come first: the time between events of a stream, how long
+streams stood still beyond the pause their route allows, and generations that
+had to move.
+"""
+
+import typing
+
+from opentelemetry import metrics
+from opentelemetry.exporter import prometheus
+from opentelemetry.sdk import metrics as sdk_metrics
+import prometheus_client
+
+__all__ = ("Measures", "make_measures", "render_measures")
+
+_SCOPE: typing.Final = "gentianpoint"
+
+
+class Measures:
+    """The instruments of one entry."""
+
+    def __init__(self, provider: metrics.MeterProvider) -> None:
+        """Make the instruments with ``provider``."""
+        meter = provider.get_meter(_SCOPE)
+        self._requests: typing.Final = meter.create_counter(
+            "gentianpoint.requests",
+            description="Requests by outcome and status.",
+        )
+        self._attempts: typing.Final = meter.create_counter(
+            "gentianpoint.failed_attempts",
+            description="Attempts that got no answer, by step.",
+        )
+        self._moves: typing.Final = meter.create_counter(
+            "gentianpoint.moved_generations",
+            description="Generations that went on elsewhere, by way.",
+        )
+        self._stall: typing.Final = meter.create_counter(
+            "gentianpoint.stall_time",
+            "ms",
+            "Time that streams stood still beyond what their route allows.",
+        )
+        self._answer: typing.Final = meter.create_histogram(
+            "gentianpoint.answer_time", "ms", "Time to the end of an answer."
+        )
+        self._first: typing.Final = meter.create_histogram(
+            "gentianpoint.first_event_time", "ms", "Time to the first event."
+        )
+        self._gap: typing.Final = meter.create_histogram(
+            "gentianpoint.time_between_events",
+            "ms",
+            "Time between two events of a stream.",
+        )
+
+    def record_request(
+        self, route: str, outcome: str, status: int, took_ms: float
+    ) -> None:
+        """Record the end of a request."""
+        labels = {"route": route, "outcome": outcome, "status": str(status)}
+        self._requests.add(1, labels)
+        self._answer.record(took_ms, {"route": route})
+
+    def record_failed_attempt(self, step: str) -> None:
+        """Record an attempt without an answer."""
+        self._attempts.add(1, {"step": step})
+
+    def record_move(self, way: str) -> None:
+        """Record a generation that goes on elsewhere."""
+        self._moves.add(1, {"way": way})
+
+    def record_first_event(self, route: str, took_ms: float) -> None:
+        """Record the time to the first event of a stream."""
+        self._first.record(took_ms, {"route": route})
+
+    def record_gap(self, route: str, gap_ms: float, allowed_ms: float) -> None:
+        """Record the time between two events."""
+        self._gap.record(gap_ms, {"route": route})
+        if gap_ms > allowed_ms > 0:
+            self._stall.add(gap_ms - allowed_ms, {"route": route})
+
+
+def make_measures() -> Measures:
+    """Return measures that :func:`render_measures` gives as text."""
+    reader = prometheus.PrometheusMetricReader()
+    return Measures(sdk_metrics.MeterProvider(metric_readers=[reader]))
+
+
+def render_measures() -> bytes:
+    """Return all measures in the text format that scrapers read."""
+    return prometheus_client.generate_latest(prometheus_client.REGISTRY)
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/request_handling.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/request_handling.py
@@ -56,10 +56,14 @@
             except caller_answers.CallerGoneError:
                 raise
             finally:
+                took_ms = round((trio.current_time() - began) * 1000)
+                self._shared.measures.record_request(
+                    request.route.name, outcome, answer.status, took_ms
+                )
                 logs.log_event(
                     events.REQUEST_ENDED,
                     outcome=outcome,
-                    took_ms=round((trio.current_time() - began) * 1000),
+                    took_ms=took_ms,
                     status=answer.status,
                     runs=call.runs,
                     customer=request.customer and request.customer.name,
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
@@ -83,6 +83,7 @@
             _HAND_OVER_MS + shared.source.random() * _HAND_OVER_SPREAD_MS
         )
         self._retry_after_ms = 0.0
+        self._last_event_at = trio.current_time()
         self.may_have_run = False
         self.runs = 0
 
@@ -301,10 +302,23 @@
     ) -> None:
         if not self._order.take(event):
             return
+        self._record_event()
         if not self._answer.is_started:
             await self._answer.start(run.answer.status, run.answer.headers)
         await self._answer.send(event.data)
 
+    def _record_event(self) -> None:
+        now = trio.current_time()
+        route = self._request.route
+        waited_ms = (now - self._last_event_at) * 1000
+        self._last_event_at = now
+        if not self._answer.is_started:
+            self._shared.measures.record_first_event(route.name, waited_ms)
+            return
+        self._shared.measures.record_gap(
+            route.name, waited_ms, route.gap_objective_ms
+        )
+
     async def _end(self, run: stream_runs.StreamRun) -> None:
         if not self._answer.is_started:
             await self._answer.start(run.answer.status, run.answer.headers)
@@ -428,6 +442,7 @@
     def _log_move(
         self, source: targets.Target, destination: targets.Target, way: str
     ) -> None:
+        self._shared.measures.record_move(way)
         logs.log_event(
             events.GENERATION_MOVED,
             source=source.target_id,
