Send nothing to a target in whose place another one answers

Ruled out: addresses of other services (the list had the old identifiers). Change: a target that another one answers for gets nothing until it writes its entry again; what is missing waits while the log counts as away. Conclusion: refusals after all hosts lost power last until the new entries are read.

--- /dev/null
+++ b/packages/gentianpoint-entry/features/forwarding/steps/target_board_steps.py
@@ -0,0 +1,101 @@
+"""Steps for what is believed of targets."""
+
+import behave
+import forwarding_builders
+import topic_builders
+import trio
+
+from gentianpoint_core import ports
+from gentianpoint_entry.forwarding import target_listing
+from gentianpoint_entry.forwarding import targets
+
+
+@behave.given("a listed target a that takes work")
+def make_board(context):
+    context.board = targets.TargetBoard()
+    context.first = list_target(context)
+
+
+def list_target(context, **changes):
+    entry = forwarding_builders.make_entry("a", **changes)
+    return context.board.put_entry(entry, 1.0)
+
+
+@behave.when("another target answers in place of a")
+def answer_in_place(context):
+    calls = forwarding_builders.ScriptedCalls()
+
+    async def note():
+        shared = forwarding_builders.make_forwarder([], calls)
+        answer = forwarding_builders.ScriptedAnswer(
+            "other target", context.first
+        )
+        shared.note_refusal(context.first, answer)
+
+    topic_builders.run_on_clock(note)
+
+
+@behave.then("a gets no more work")
+def check_no_work(context):
+    assert not context.first.takes_work()
+
+
+@behave.then("a gets work again once it writes its entry")
+def check_work(context):
+    assert list_target(context) is context.first
+    assert context.first.takes_work()
+
+
+@behave.when("a is listed with a later start")
+def start_again(context):
+    context.second = list_target(context, born_ms=2)
+
+
+@behave.then("a new target stands for a, and the one before is gone")
+def check_second(context):
+    assert context.second is not context.first
+    assert context.first.is_gone
+    assert context.board.find("a") is context.second
+    assert len(context.board.list_of(forwarding_builders.SERVICE)) == 1
+
+
+@behave.given("a list with targets a and b that the log stops serving")
+def make_listing(context):
+    context.board = targets.TargetBoard()
+    context.listing = target_listing.TargetListing(
+        context.board,
+        lambda record: forwarding_builders.make_entry(record.key),
+    )
+
+
+def make_records(names):
+    return [ports.KeyedRecord(name, b"x", 0) for name in names]
+
+
+@behave.when("the log returns without a, and {then}")
+def return_without(context, then):
+    async def run():
+        listing = context.listing
+        listing.take_newest(make_records("ab"))
+        listing.note_source(is_available=False)
+        await trio.sleep(5)
+        listing.take_newest(make_records("b"))
+        listing.note_source(is_available=True)
+        await trio.sleep(0.5)
+        if "writes" in then:
+            listing.take_change(make_records("a")[0])
+        await trio.sleep(3.5 if "four" in then else 0.5)
+        listing.note_source(is_available=True)
+
+    topic_builders.run_on_clock(run)
+
+
+@behave.then("a is still listed")
+def check_listed(context):
+    assert context.board.find("a") is not None
+
+
+@behave.then("a is gone")
+def check_gone(context):
+    assert context.board.find("a") is None
+    assert context.board.find("b") is not None
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
@@ -165,6 +165,27 @@
             may_have_run=error.took_effect,
         )
 
+    def note_refusal(
+        self, target: targets.Target, answer: target_calls.TargetAnswer
+    ) -> None:
+        """Remember that a target did not take a request.
+
+        Where another target has the address, this start has ended. Its entry
+        stays on the list until it lapses, and each request that is sent to it
+        meanwhile costs its caller time and the service a retry; so it gets
+        none until it writes its entry again.
+        """
+        if answer.is_wrong_target:
+            target.is_replaced = True
+        logs.log_event(
+            events.ATTEMPT_FAILED,
+            target=target.target_id,
+            step="receive head",
+            peer=target.entry.address,
+            reason=f"the target refused with status {answer.status}",
+            may_have_run=False,
+        )
+
     def note_success(self, target: targets.Target) -> None:
         """Forget failures of a target that serves."""
         target.failures = 0
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/plain_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/plain_calls.py
@@ -101,6 +101,7 @@
                     self._retry_after_ms = max(
                         self._retry_after_ms, got.retry_after_ms
                     )
+                    self._shared.note_refusal(target, got)
                     return False
                 return await self._pass_on(target, got, patience)
         raise ports.PortError(
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
@@ -206,14 +206,7 @@
         self._retry_after_ms = max(
             self._retry_after_ms, run.answer.retry_after_ms
         )
-        logs.log_event(
-            events.ATTEMPT_FAILED,
-            target=run.target.target_id,
-            step="receive head",
-            peer=run.target.entry.address,
-            reason=f"the target refused with status {run.answer.status}",
-            may_have_run=False,
-        )
+        self._shared.note_refusal(run.target, run.answer)
 
     async def _follow_runs(
         self, run: stream_runs.StreamRun
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_listing.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_listing.py
@@ -91,7 +91,9 @@
         return True
 
     def _drop(self, target_id: str) -> None:
-        if trio.current_time() < self._settled_at:
+        # The first reading after an outage comes before its end is noted.
+        is_settled = trio.current_time() >= self._settled_at
+        if not self._is_available or not is_settled:
             self._missing.add(target_id)
         else:
             self._drop_now(target_id)
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
@@ -65,6 +65,7 @@
         """Take the target's own word; ``now`` is trio's time."""
         self.entry = entry
         self.is_gone = False
+        self.is_replaced = False
         self.leaves_at: typing.Optional[deadlines.Deadline] = None
         self.slow_until = now + entry.slow_for_ms / 1000
         self.report: typing.Optional[EngineReport] = None
@@ -86,7 +87,7 @@
 
     def takes_work(self) -> bool:
         """Tell whether new work may be sent here."""
-        if self.is_gone or self.entry.is_leaving:
+        if self.is_gone or self.is_replaced or self.entry.is_leaving:
             return False
         return self.report is None or not self.report.is_leaving
 
@@ -113,6 +114,8 @@
         if known is not None and _is_same_start(known.entry, entry):
             known.entry = entry
             known.is_gone = False
+            # It writes still, so what answered in its place was a mistake.
+            known.is_replaced = False
             return known
         if known is not None:
             self.drop(entry.target_id)
