Give a silent target up only once it has left the list

Ruled out: the overlap of a hand-over (the target was not leaving), a lost close (the connection was closed at once, and reached the engine with its host's waking). Conclusion: a dark engine now costs a late answer instead of a risk of two.

--- a/packages/gentianpoint-core/src/gentianpoint_core/kept_connections.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/kept_connections.py
@@ -35,6 +35,9 @@
 _UNACKED_MS: typing.Final = 1500
 """Time after which the kernel gives up on bytes that nobody acknowledges.
 Several round trips and one repeated packet fit in."""
+_PATIENT_UNACKED_MS: typing.Final = 8000
+"""The same towards peers that are waited for while their host stands still,
+which it does for seconds."""
 
 
 _PROBE_S: typing.Final = 1
@@ -171,13 +174,21 @@
 class KeptConnections:
     """Connections to one address, of which idle ones are used again."""
 
-    def __init__(self, address: str, connect_ms: float) -> None:
-        """Connect to ``address`` (IP:PORT), within ``connect_ms`` each."""
+    def __init__(
+        self, address: str, connect_ms: float, *, is_patient: bool = False
+    ) -> None:
+        """Connect to ``address`` (IP:PORT), within ``connect_ms`` each.
+
+        A connection on which nobody answers for some seconds is lost, unless
+        it ``is_patient``: the other end may only stand still, and goes on
+        with what it does.
+        """
         host, _, port = address.rpartition(":")
         self.address: typing.Final = address
         self._host: typing.Final = host
         self._port: typing.Final = int(port)
         self._connect_ms: typing.Final = connect_ms
+        self._is_patient: typing.Final = is_patient
         self._idle: typing.Final[list[_Connection]] = []
         self.open_count = 0
 
@@ -236,10 +247,7 @@
         link = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
             link.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            link.setsockopt(
-                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKED_MS
-            )
-            _probe_when_idle(link)
+            self._bound_silence(link)
             with trio.fail_after(self._connect_ms / 1000):
                 await link.connect((self._host, self._port))
         except (OSError, trio.TooSlowError) as error:
@@ -252,9 +260,17 @@
             raise
         return trio.SocketStream(link)
 
+    def _bound_silence(self, link: trio.socket.SocketType) -> None:
+        """Let the kernel find connections that have gone silent for good."""
+        unacked_ms = _PATIENT_UNACKED_MS if self._is_patient else _UNACKED_MS
+        link.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacked_ms
+        )
+        if not self._is_patient:
+            _probe_when_idle(link)
+
 
 def _probe_when_idle(link: trio.socket.SocketType) -> None:
-    """Let the kernel find connections that have gone silent for good."""
     link.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     link.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _PROBE_S)
     link.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _PROBE_S)
--- a/packages/gentianpoint-entry/features/forwarding/steps/stream_calls_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/stream_calls_steps.py
@@ -66,6 +66,14 @@
     target.leaves_at = deadlines.make_deadline(2000)
 
 
+async def drop_target(context, shared, number):
+    """Take target a off the list once the caller has an event."""
+    wanted = forwarding_builders.make_event(number)
+    while wanted not in context.answer.data:
+        await trio.sleep(0.01)
+    shared.board.drop("a")
+
+
 async def watch_sends(context):
     """Note when target b was asked and when target a was left."""
     calls = context.calls
@@ -77,7 +85,7 @@
     context.overlap_s = trio.current_time() - asked_at
 
 
-def serve(context, notice_after=None):
+def serve(context, change=give_notice, number=None):
     context.answer = forwarding_builders.NotedAnswer()
 
     async def run():
@@ -91,8 +99,8 @@
         began = trio.current_time()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(watch_sends, context)
-            if notice_after is not None:
-                nursery.start_soon(give_notice, context, shared, notice_after)
+            if number is not None:
+                nursery.start_soon(change, context, shared, number)
             await handling.serve(request, context.answer)
             context.took_s = trio.current_time() - began
             nursery.cancel_scope.cancel()
@@ -107,7 +115,14 @@
 
 @behave.when("the request is served and a gets notice after event {number:d}")
 def serve_with_notice(context, number):
-    serve(context, number)
+    serve(context, give_notice, number)
+
+
+@behave.when(
+    "the request is served and a leaves the list after event {number:d}"
+)
+def serve_without_listing(context, number):
+    serve(context, drop_target, number)
 
 
 def join_events(last):
--- a/packages/gentianpoint-entry/features/forwarding/stream_calls.feature
+++ b/packages/gentianpoint-entry/features/forwarding/stream_calls.feature
@@ -18,7 +18,6 @@
       | first                        |
       | events 1-3 then break        |
       | events 1-3 then half an event |
-      | events 1-3 then silence      |
 
   Scenario: the copy goes back a little further than what the caller has
     Copies are made some times a second, so the second target makes the last
@@ -87,6 +86,27 @@
     Then the caller has events 1 to 4, each once, as a complete answer
     And target b was asked to go on after event 2 without a copy
 
+  Scenario: a target falls silent and leaves the list
+    The target's host is dark: no byte comes and no error. Once the platform
+    no longer lists the target, the copy at the second target goes on.
+    Given a generation that may run once, with a copy at a second target
+    And target a answers: events 1-3 then silence
+    And target b answers: events 4-6 then end
+    When the request is served and a leaves the list after event 3
+    Then the caller has events 1 to 6, each once, as a complete answer
+    And target b was asked to go on after event 3 from the copy that it keeps
+
+  Scenario: a target falls silent and is still listed
+    The target's host stands still for some seconds and then wakes, with the
+    generation in it. Had the second target gone on meanwhile, the report
+    would have run twice.
+    Given a generation that may run once, with a copy at a second target
+    And target a answers: events 1-3 then silence
+    And target b answers: events 4-6 then end
+    When the request is served
+    Then the caller has events 1 to 3, and the answer is broken off
+    And target b was asked nothing
+
   Scenario: a silent target and nothing that can go on
     A preempted generation stands still for seconds on a crowded engine. It
     is waited for as long as its caller waits, since to end it would lose it.
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
@@ -8,6 +8,7 @@
 off by itself.
 """
 
+import math
 import typing
 
 import trio
@@ -237,15 +238,13 @@
         self, run: stream_runs.StreamRun
     ) -> typing.Optional[stream_runs.StreamRun]:
         """Pass on a run's events; return the next run, or None at the end."""
-        failure: typing.Optional[Exception] = None
+        failure: typing.Optional[Exception] = run.make_silence_error()
         following = None
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._end_when_silent, run, nursery)
             try:
-                async for event in run.iterate_events(self._find_silence_ms):
-                    await self._pass_on(run, event)
-                    following = await self._hand_over(run, nursery)
-                    if following is not None:
-                        break
+                following = await self._pass_on_events(run, nursery)
+                failure = None
             except _ENDS_OF_EVENTS as error:
                 # Raised below, since a nursery wraps what passes through.
                 failure = error
@@ -273,23 +272,40 @@
         if following is not None and run.backup is not None:
             await self._shared.free_copy(run.backup, self._request.request_id)
 
+    async def _end_when_silent(
+        self, run: stream_runs.StreamRun, nursery: trio.Nursery
+    ) -> None:
+        await run.watch_silence(self._find_silence_ms)
+        nursery.cancel_scope.cancel()
+
     def _find_silence_ms(self, run: stream_runs.StreamRun) -> float:
         """Return the silence after which a run is given up.
 
-        Where nothing else can go on with it, a silent target is as good as
-        any, and its caller's deadline ends it.
+        A target whose host stands still is as silent as one that has died,
+        and goes on with the generation when it wakes: taken up elsewhere
+        meanwhile, one generation would run twice. So only a target that is
+        no longer listed is given up for its silence, where another one can
+        go on; else the caller's deadline ends the wait.
         """
         route = self._request.route
-        left_ms = float(self._request.deadline.remaining_ms())
-        if not run.has_events:
-            if self._may_run_again():
-                return min(left_ms, route.objective_ms * _FIRST_EVENT)
-            return left_ms
+        if not run.has_events and self._may_run_again():
+            return route.objective_ms * _FIRST_EVENT
         has_copy = run.backup is not None and not run.backup.is_gone
-        if not has_copy and not self._may_run_again():
-            return left_ms
+        if not run.target.is_gone or not (has_copy or self._may_run_again()):
+            return math.inf
         return max(_SHORTEST_SILENCE_MS, route.gap_objective_ms * _SILENCE)
 
+    async def _pass_on_events(
+        self, run: stream_runs.StreamRun, nursery: trio.Nursery
+    ) -> typing.Optional[stream_runs.StreamRun]:
+        """Pass on events until the end, or until another run goes on."""
+        async for event in run.iterate_events():
+            await self._pass_on(run, event)
+            following = await self._hand_over(run, nursery)
+            if following is not None:
+                return following
+        return None
+
     async def _pass_on(
         self, run: stream_runs.StreamRun, event: stream_events.StreamEvent
     ) -> None:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_runs.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_runs.py
@@ -6,7 +6,6 @@
 
 import trio
 
-from gentianpoint_core import deadlines
 from gentianpoint_core import ports
 from gentianpoint_entry.forwarding import forwarder
 from gentianpoint_entry.forwarding import plain_calls
@@ -17,6 +16,9 @@
 
 __all__ = ("RunPlan", "StreamRun")
 
+_LOOK_S: typing.Final = 0.1
+"""Pause between looks at how long a run has been silent."""
+
 
 class RunPlan(typing.NamedTuple):
     """Where a stream runs next, and how."""
@@ -43,6 +45,7 @@
         self.backup = plan.backup
         self.began_at = trio.current_time()
         self.has_events = False
+        self._heard_at = self.began_at
         self._shared: typing.Final = shared
         self._request: typing.Final = request
         self._options: typing.Final = plan.options
@@ -91,39 +94,39 @@
             await self._stack.aclose()
 
     async def iterate_events(
-        self, find_silence_ms: abc.Callable[["StreamRun"], float]
+        self,
     ) -> abc.AsyncIterator[stream_events.StreamEvent]:
-        """Yield events; raises :class:`ports.PortError` when they break off.
-
-        A connection that has gone silent for good gives no error, so a
-        silence of ``find_silence_ms`` breaks the stream as well.
-        """
-        chunks = self._bound_silence(find_silence_ms)
+        """Yield events; raises :class:`ports.PortError` at a break."""
+        chunks = self._note_chunks()
         async for event in stream_events.split_events(chunks):
             self.has_events = True
             self._count_prompt_read()
             yield event
 
-    async def _bound_silence(
-        self, find_silence_ms: abc.Callable[["StreamRun"], float]
-    ) -> abc.AsyncIterator[bytes]:
-        chunks = self.answer.receive_body()
-        while True:
-            limit = deadlines.make_deadline(find_silence_ms(self))
-            with trio.CancelScope(deadline=limit.at) as scope:
-                try:
-                    chunk = await anext(chunks)
-                except StopAsyncIteration:
-                    return
-            if scope.cancelled_caught:
-                raise ports.PortError(
-                    "receive event",
-                    self.target.entry.address,
-                    "the stream is silent",
-                    took_effect=True,
-                )
+    async def _note_chunks(self) -> abc.AsyncIterator[bytes]:
+        async for chunk in self.answer.receive_body():
+            self._heard_at = trio.current_time()
             yield chunk
 
+    async def watch_silence(
+        self, find_limit_ms: abc.Callable[["StreamRun"], float]
+    ) -> None:
+        """Return once the run has been silent for longer than the limit."""
+        while True:
+            await trio.sleep(_LOOK_S)
+            quiet_ms = (trio.current_time() - self._heard_at) * 1000
+            if quiet_ms > find_limit_ms(self):
+                return
+
+    def make_silence_error(self) -> ports.PortError:
+        """Return the error of a run that was silent for too long."""
+        return ports.PortError(
+            "receive event",
+            self.target.entry.address,
+            "the stream is silent",
+            took_effect=True,
+        )
+
     def _count_prompt(self) -> None:
         """Count the prompt as work that the target has still to do."""
         if self._options.copy is None:
