Refuse what can't end before a leaving entry does

Ruled out: connections kept from before (all idle ones had been closed). Change: leaving.may_finish; what would not end in time is refused as not run, with when to come back. Conclusion: long generations are refused from the signal on, since they would not end within the grace.

--- a/packages/gentianpoint-entry/features/forwarding/forwarding_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/forwarding_builders.py
@@ -13,6 +13,7 @@
 from gentianpoint_entry.forwarding import caller_answers
 from gentianpoint_entry.forwarding import forwarder
 from gentianpoint_entry.forwarding import measures
+from gentianpoint_entry.forwarding import refusals
 from gentianpoint_entry.forwarding import requests
 from gentianpoint_entry.forwarding import retry_limits
 from gentianpoint_entry.forwarding import routes
@@ -261,3 +262,10 @@
         random.Random(1),
         measures.Measures(metrics.NoOpMeterProvider()),
     )
+
+
+async def send_refusal(
+    answer: caller_answers.CallerAnswer, refusal: refusals.Refusal
+) -> None:
+    """Write a refusal as a whole answer."""
+    await answer.send_whole(refusal.status, (), refusal.reason.encode())
--- a/packages/gentianpoint-entry/features/forwarding/steps/stream_calls_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/stream_calls_steps.py
@@ -52,10 +52,6 @@
     context.calls.moves = [word.strip() for word in words.split(",")]
 
 
-async def send_refusal(answer, refusal):
-    await answer.send_whole(refusal.status, (), refusal.reason.encode())
-
-
 async def give_notice(context, shared, number):
     """Let target a leave once the caller has an event."""
     wanted = forwarding_builders.make_event(number)
@@ -95,7 +91,9 @@
         request = forwarding_builders.make_request(
             context.route, context.engine
         )
-        handling = request_handling.RequestHandling(shared, send_refusal)
+        handling = request_handling.RequestHandling(
+            shared, forwarding_builders.send_refusal
+        )
         began = trio.current_time()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(watch_sends, context)
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/request_handling.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/request_handling.py
@@ -10,6 +10,7 @@
 from gentianpoint_core.generated import events
 from gentianpoint_entry.forwarding import caller_answers
 from gentianpoint_entry.forwarding import forwarder
+from gentianpoint_entry.forwarding import leaving
 from gentianpoint_entry.forwarding import plain_calls
 from gentianpoint_entry.forwarding import refusals
 from gentianpoint_entry.forwarding import requests
@@ -28,9 +29,17 @@
     """Serves requests one by one, each in the task of its connection."""
 
     def __init__(
-        self, shared: forwarder.Forwarder, send_refusal: SendRefusal
+        self,
+        shared: forwarder.Forwarder,
+        send_refusal: SendRefusal,
+        find_end: abc.Callable[[], typing.Optional[float]] = lambda: None,
     ) -> None:
-        """Serve with what all requests share."""
+        """Serve with what all requests share.
+
+        ``find_end`` returns when this entry ends, on trio's clock, if it has
+        been told to stop.
+        """
+        self._find_end: typing.Final = find_end
         self._shared: typing.Final = shared
         self._send_refusal: typing.Final = send_refusal
 
@@ -75,7 +84,10 @@
         request: requests.CallerRequest,
         answer: caller_answers.CallerAnswer,
     ) -> str:
-        refusal = None
+        refusal = self._refuse_when_leaving(request)
+        if refusal is not None:
+            await self._refuse(request, answer, refusal)
+            return "refused_leaving"
         with trio.CancelScope(deadline=request.deadline.at) as scope:
             refusal = await call.serve()
         if scope.cancelled_caught and not answer.is_started:
@@ -88,6 +100,17 @@
             return "answered"
         return "timeout" if scope.cancelled_caught else "broken_off"
 
+    def _refuse_when_leaving(
+        self, request: requests.CallerRequest
+    ) -> typing.Optional[refusals.Refusal]:
+        ends_at = self._find_end()
+        if ends_at is None:
+            return None
+        left_ms = (ends_at - trio.current_time()) * 1000
+        if leaving.may_finish(request, left_ms):
+            return None
+        return refusals.refuse_not_run("this entry is about to end", 0)
+
     async def _refuse(
         self,
         request: requests.CallerRequest,
