Close connections to targets that have gone, and pace the list by its bound

Cause: reading the diff: pools of targets that had gone were never closed, and the pause between readings of the list was a constant where the bound is a setting; fields that nothing read. Ruled out: a pool for each address (what lies on connections to an earlier start must not be taken for an answer). Change: idle connections to targets off the list are closed every 5 s; the pause is 0.45 of the time in which leaving is to be known; unused fields go.

--- a/packages/gentianpoint-entry/features/forwarding/forwarding_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/forwarding_builders.py
@@ -28,12 +28,8 @@
 ENGINE: typing.Final = routes.EngineShape(
     slots=16,
     memory_tokens=10000,
-    bytes_per_token=1000,
-    link_mbps=1000.0,
     can_move=True,
     can_back_up=True,
-    copy_kept_ms=5000.0,
-    tokens_per_event=4,
 )
 
 
@@ -205,6 +201,9 @@
         """Note what is freed."""
         self.freed.append((target.target_id, name))
 
+    def keep_only(self, listed: abc.Collection[targets.Target]) -> None:
+        """Keep nothing anyway."""
+
 
 class NotedAnswer(caller_answers.CallerAnswer):
     """What a caller has received."""
--- a/packages/gentianpoint-entry/features/forwarding/steps/topic_follower_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/topic_follower_steps.py
@@ -91,12 +91,24 @@
 
 
 @behave.when("a record is written that is to be here within {within_ms:d} ms")
-def write_record(context, within_ms):
+def write_waiting(context, within_ms):
+    write_record(context, topic_follower.make_waiting_pace(within_ms))
+
+
+@behave.when(
+    "a record is written that a pausing reader is to have within"
+    " {within_ms:d} ms"
+)
+def write_pausing(context, within_ms):
+    write_record(context, topic_follower.make_pausing_pace(within_ms))
+
+
+def write_record(context, pace):
     follower = topic_follower.TopicFollower(
         "topic",
         context.log,
         context.reader,
-        topic_follower.make_waiting_pace(within_ms),
+        pace,
         lambda: (),
     )
 
@@ -104,10 +116,12 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(follower.run)
             await trio.sleep(_PHASE_S)
-            context.log.records.append(topic_builders.make_record(1))
-            context.log.end = 2
+            context.reads_a_second = context.log.reads / _PHASE_S
+            end = context.log.end
+            context.log.records.append(topic_builders.make_record(end))
+            context.log.end = end + 1
             written_at = trio.current_time()
-            while "key-1" not in context.reader.keys:
+            while f"key-{end}" not in context.reader.keys:
                 await trio.sleep(0.01)
             context.took_ms = (trio.current_time() - written_at) * 1000
             nursery.cancel_scope.cancel()
@@ -118,3 +132,8 @@
 @behave.then("the record is here within {within_ms:d} ms")
 def check_time(context, within_ms):
     assert context.took_ms <= within_ms, context.took_ms
+
+
+@behave.then("the log was read at most {count:d} times a second")
+def check_reads(context, count):
+    assert context.reads_a_second <= count, context.reads_a_second
--- a/packages/gentianpoint-entry/features/forwarding/topic_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/topic_builders.py
@@ -22,6 +22,7 @@
         self.records = [make_record(offset) for offset in range(end)]
         self.end = end
         self.first = 0
+        self.reads = 0
         self.is_away = False
 
     async def read_newest(self) -> ports.KeyedSlice:
@@ -38,6 +39,7 @@
         return ports.KeyedSlice(found, self.end)
 
     async def _answer(self) -> None:
+        self.reads += 1
         await trio.sleep(0.001)
         if self.is_away:
             raise ports.PortError(
--- a/packages/gentianpoint-entry/features/forwarding/topic_follower.feature
+++ b/packages/gentianpoint-entry/features/forwarding/topic_follower.feature
@@ -43,3 +43,11 @@
     Given a log whose waiting readings are not woken by new records
     When a record is written that is to be here within 2000 ms
     Then the record is here within 2000 ms
+
+  Scenario: a topic with a record every moment
+    Each heartbeat of a target is a record, and each call to the log has its
+    price. Read by a pause, a target's leaving still has to be known in time.
+    Given a log that serves this entry up to offset 3
+    When a record is written that a pausing reader is to have within 1000 ms
+    Then the record is here within 1000 ms
+    And the log was read at most 3 times a second
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
@@ -20,6 +20,8 @@
 __all__ = ("Forwarder",)
 
 
+_TIDY_S: typing.Final = 5.0
+"""Pause between looks for connections to targets that have gone."""
 _FREE_S: typing.Final = 0.3
 """Time for freeing a copy, which else lapses by itself."""
 
@@ -46,6 +48,16 @@
         self.source: typing.Final = source
         self.measures: typing.Final = figures
 
+    async def tidy_connections(self) -> None:
+        """Close what is kept for targets that have gone, for ever.
+
+        Targets come and go every few seconds under new identifiers, and the
+        connections kept to each would add up to all descriptors.
+        """
+        while True:
+            await trio.sleep(_TIDY_S)
+            self.calls.keep_only(self.board.list_all())
+
     def choose_target(
         self,
         request: requests.CallerRequest,
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/routes.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/routes.py
@@ -95,18 +95,10 @@
     """Requests in one batch."""
     memory_tokens: int
     """Tokens that fit into its memory."""
-    bytes_per_token: int
-    """Memory of one token, in bytes."""
-    link_mbps: float
-    """Rate at which memory moves between engines."""
     can_move: bool
     """True when a running generation's memory can be moved."""
     can_back_up: bool
     """True when memory is copied to another engine as it grows."""
-    copy_kept_ms: float
-    """How long a copy that nobody uses is kept."""
-    tokens_per_event: int
-    """Tokens in one event of a stream."""
 
 
 class Service(typing.NamedTuple):
@@ -175,11 +167,6 @@
         """Return the customer that holds a key."""
         return self._customers.get(key)
 
-    def list_routes(self) -> abc.Iterator[Route]:
-        """Yield all routes."""
-        for found in self._by_host.values():
-            yield from found
-
 
 def choose_service(route: Route, source: random.Random) -> str:
     """Return the service for one request of a route, by the shares."""
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_calls.py
@@ -82,3 +82,9 @@
         ``name`` is the handle of a move, asked at its source, or the
         identifier of a request, asked at its backup.
         """
+
+    @abc.abstractmethod
+    def keep_only(
+        self, listed: collections_abc.Collection[targets.Target]
+    ) -> None:
+        """Close what is kept for targets that are no longer listed."""
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
@@ -75,10 +75,8 @@
         self.open_requests = 0
         self.open_tokens = 0
         self.unread_prompt_tokens = 0
-        self.backup_tokens = 0
         self.failures = 0
         self.failed_at = -1e9
-        self.answer_ms: typing.Optional[float] = None
 
     @property
     def target_id(self) -> str:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/topic_follower.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/topic_follower.py
@@ -20,6 +20,7 @@
     "ReadingPace",
     "RecordReader",
     "TopicFollower",
+    "make_pausing_pace",
     "make_waiting_pace",
 )
 
@@ -38,6 +39,8 @@
 _WAIT_SHARE: typing.Final = 0.55
 """Share of the time in which a record is to be here that one reading waits;
 the rest is for the answer of a log that is slow."""
+_PAUSE_SHARE: typing.Final = 0.45
+"""Share of the time in which a record is to be here that a pause takes."""
 _WAITING_PAUSE_S: typing.Final = 0.05
 """Pause after a reading that waited, in which records that are written in
 quick succession gather."""
@@ -66,6 +69,18 @@
     return ReadingPace(int(within_ms * _WAIT_SHARE), _WAITING_PAUSE_S)
 
 
+def make_pausing_pace(within_ms: float) -> ReadingPace:
+    """Return the pace for a topic that always has something new.
+
+    The log would answer a waiting reading at once, again and again. A pause
+    gathers the records, and leaves as much time again for the answer.
+
+    >>> make_pausing_pace(2000).pause_s
+    0.9
+    """
+    return ReadingPace(0, within_ms * _PAUSE_SHARE / 1000)
+
+
 class RecordReader(abc.ABC):
     """Takes the records of a topic."""
 
