Take no failure's text for events of a stream that goes on

Cause: reading the diff: a target that answers a generation's copy with a failure was followed like a stream, and its text passed on as events. Ruled out: the way after a break (it checked the status). Change: such an answer counts as no run; the scenario fails without it (its stream is long enough now for the hand-over to come due, and so is that of the backup that refuses). Left-over copies are freed beside the streams, not before their next event. Conclusion: found by reading.

--- a/packages/gentianpoint-entry/features/forwarding/stream_calls.feature
+++ b/packages/gentianpoint-entry/features/forwarding/stream_calls.feature
@@ -47,6 +47,21 @@
     Then the caller has events 1 to 3, and the answer is broken off
     And no target but a was asked to start the generation
 
+  Scenario Outline: the second target fails where it should go on
+    The second target answers with a failure instead of events. Its text must
+    not become a part of the report.
+    Given a generation that may run once, with a copy at a second target
+    And target a answers: <first>
+    And target b answers: failure
+    And moves of memory: no room
+    When the request is <way>
+    Then the caller has events 1 to <last>, <outcome>
+
+    Examples:
+      | first                 | way                                       | last | outcome                         |
+      | events 1-3 then break | served                                    | 3    | and the answer is broken off    |
+      | events 1-40 then end  | served and a gets notice after event 20   | 40   | each once, as a complete answer |
+
   Scenario: a target dies before the first event
     Whether the generation has begun can't be told, so the caller may not be
     told that it has not run.
@@ -160,11 +175,11 @@
     The backup had no room for the copy, which shows only when it is asked.
     The engine that leaves still runs the generation, so nothing is lost yet.
     Given a generation that may run once, with a copy at a second target
-    And target a answers: events 1-30 then end
+    And target a answers: events 1-40 then end
     And target b answers: refuse
     And moves of memory: no room
     When the request is served and a gets notice after event 20
-    Then the caller has events 1 to 30, each once, as a complete answer
+    Then the caller has events 1 to 40, each once, as a complete answer
 
   Scenario: two engines never work on one generation for long
     While a backup takes a generation up, the engine that leaves may still
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import contextlib
+import math
 import random
 import typing
 
@@ -26,6 +27,15 @@
 """Time for freeing a copy, which else lapses by itself."""
 
 
+class _UnusedCopy(typing.NamedTuple):
+    """A copy of a generation's memory that nobody will use."""
+
+    target: targets.Target
+    """Target that is asked to free it."""
+    name: str
+    """Its handle, or the identifier of its request."""
+
+
 class Forwarder:
     """Chooses targets and sends to them, and keeps count of both."""
 
@@ -47,6 +57,9 @@
         self.count_entries: typing.Final = count_entries
         self.source: typing.Final = source
         self.measures: typing.Final = figures
+        send, receive = trio.open_memory_channel[_UnusedCopy](math.inf)
+        self._unused: typing.Final = send
+        self._to_free: typing.Final = receive
 
     async def tidy_connections(self) -> None:
         """Close what is kept for targets that have gone, for ever.
@@ -144,22 +157,26 @@
             target.open_requests -= 1
             target.open_tokens -= tokens
 
-    async def free_copy(self, target: targets.Target, name: str) -> None:
-        """Free a copy of a generation's memory that nobody will use."""
-        if target.is_gone:
-            return
-        try:
-            with trio.move_on_after(_FREE_S):
-                await self.calls.free_memory(target, name)
-        except ports.PortError as error:
-            # The copy lapses by itself after some seconds.
-            logs.log_event(
-                events.MOVE_FAILED,
-                source=None,
-                target=target.target_id,
-                step=error.step,
-                reason=error.reason,
-            )
+    def free_copy(self, target: targets.Target, name: str) -> None:
+        """Have a copy freed that nobody will use; see :meth:`free_copies`."""
+        if not target.is_gone:
+            self._unused.send_nowait(_UnusedCopy(target, name))
+
+    async def free_copies(self) -> None:
+        """Free left-over copies, for ever, beside the streams that go on."""
+        async for copy in self._to_free:
+            try:
+                with trio.move_on_after(_FREE_S):
+                    await self.calls.free_memory(copy.target, copy.name)
+            except ports.PortError as error:
+                # The copy lapses by itself after some seconds.
+                logs.log_event(
+                    events.MOVE_FAILED,
+                    source=None,
+                    target=copy.target.target_id,
+                    step=error.step,
+                    reason=error.reason,
+                )
 
     def note_failure(
         self, target: targets.Target, error: ports.PortError
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
@@ -199,6 +199,11 @@
             self._note_not_run(run)
             await run.close()
             return None
+        if plan.options.copy is not None and run.answer.status >= 300:
+            # A failure where events should go on: its text is none of them.
+            self._shared.note_failure(plan.target, run.make_status_error())
+            await run.close()
+            return None
         self.may_have_run = True
         self.runs += plan.options.copy is None
         return run
@@ -253,10 +258,10 @@
             raise failure
         if following is None:
             self._shared.note_success(run.target)
-        await self._free_copies(run, following)
+        self._free_copies(run, following)
         return following
 
-    async def _free_copies(
+    def _free_copies(
         self,
         run: stream_runs.StreamRun,
         following: typing.Optional[stream_runs.StreamRun],
@@ -268,9 +273,9 @@
         """
         unused = "" if self._move is None else self._move.take_unused()
         if unused:
-            await self._shared.free_copy(run.target, unused)
+            self._shared.free_copy(run.target, unused)
         if following is not None and run.backup is not None:
-            await self._shared.free_copy(run.backup, self._request.request_id)
+            self._shared.free_copy(run.backup, self._request.request_id)
 
     async def _end_when_silent(
         self, run: stream_runs.StreamRun, nursery: trio.Nursery
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_runs.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_runs.py
@@ -80,10 +80,14 @@
             return
         if answer.is_sealed and not plain_calls.is_promise(answer.status):
             return
-        raise ports.PortError(
+        raise self.make_status_error()
+
+    def make_status_error(self) -> ports.PortError:
+        """Return the error of an answer whose status can't be passed on."""
+        return ports.PortError(
             "receive answer",
             self.target.entry.address,
-            f"status {answer.status} is no answer that the target stands for",
+            f"status {self.answer.status} is not what is asked for",
             took_effect=True,
         )
 
