--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
@@ -80,6 +80,7 @@
         self._tried: typing.Final[set[str]] = set()
         self._move: typing.Optional[generation_moves.GenerationMove] = None
         self._move_again_at = 0.0
+        self._has_stopped_in_vain = False
         self._hand_over_ms: typing.Final = (
             _HAND_OVER_MS + shared.source.random() * _HAND_OVER_SPREAD_MS
         )
@@ -405,6 +406,9 @@
         self, run: stream_runs.StreamRun, nursery: trio.Nursery
     ) -> typing.Optional[stream_runs.StreamRun]:
         """Copy the memory ahead; once it is there, go on from it."""
+        if self._has_stopped_in_vain:
+            # Each stop is a pause, and the last one found no room.
+            return None
         now = trio.current_time()
         if self._move is not None and self._move.has_failed():
             if now < self._move_again_at:
@@ -422,6 +426,7 @@
         if stopped is None:
             # It runs on where it is, or its stream breaks off.
             return None
+        self._has_stopped_in_vain = not stopped.is_there
         ways = [run.target]
         if stopped.is_there and self._move.destination is not None:
             ways.insert(0, self._move.destination)
