Let no silence end a generation that may run once

Ruled out: a close that was not made (it reached the engine as its host woke). Change: only streams that may run again are given up for a silence. The scenario that asked for going on after the list had dropped a target now asks that nothing goes on: the trace shows that such a target still works. Conclusion: a dark engine costs its generations, a late answer each.

--- a/packages/gentianpoint-entry/features/forwarding/stream_calls.feature
+++ b/packages/gentianpoint-entry/features/forwarding/stream_calls.feature
@@ -102,14 +102,23 @@
     And target b was asked to go on after event 2 without a copy
 
   Scenario: a target falls silent and leaves the list
-    The target's host is dark: no byte comes and no error. Once the platform
-    no longer lists the target, the copy at the second target goes on.
+    The target's host stands still as the platform takes the target off its
+    list; the target serves on for two seconds after that, and wakes with the
+    generation in it. Had the second target gone on, both would have worked
+    on one report.
     Given a generation that may run once, with a copy at a second target
     And target a answers: events 1-3 then silence
     And target b answers: events 4-6 then end
     When the request is served and a leaves the list after event 3
+    Then the caller has events 1 to 3, and the answer is broken off
+    And target b was asked nothing
+
+  Scenario: a target of a stream that may be resumed falls silent and leaves
+    Given a generation that may be resumed
+    And target a answers: events 1-3 then silence
+    And target b answers: events 4-6 then end
+    When the request is served and a leaves the list after event 3
     Then the caller has events 1 to 6, each once, as a complete answer
-    And target b was asked to go on after event 3 from the copy that it keeps
 
   Scenario: a target falls silent and is still listed
     The target's host stands still for some seconds and then wakes, with the
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
@@ -288,16 +288,18 @@
         """Return the silence after which a run is given up.
 
         A target whose host stands still is as silent as one that has died,
-        and goes on with the generation when it wakes: taken up elsewhere
-        meanwhile, one generation would run twice. So only a target that is
-        no longer listed is given up for its silence, where another one can
-        go on; else the caller's deadline ends the wait.
+        and goes on with the generation when it wakes; one that has left the
+        list may serve on for seconds. Taken up elsewhere meanwhile, one
+        generation would be worked on twice. So only streams that may run
+        again are given up for a silence; for others their target's end or
+        the caller's deadline ends the wait.
         """
+        if not self._may_run_again():
+            return math.inf
         route = self._request.route
-        if not run.has_events and self._may_run_again():
+        if not run.has_events:
             return route.objective_ms * _FIRST_EVENT
-        has_copy = run.backup is not None and not run.backup.is_gone
-        if not run.target.is_gone or not (has_copy or self._may_run_again()):
+        if not run.target.is_gone:
             return math.inf
         return max(_SHORTEST_SILENCE_MS, route.gap_objective_ms * _SILENCE)
 
