Count a request's attempts in one place, plain or stream

Cause: reading the change once more: plain and stream calls each kept whether a request may have run, how often, what was tried and how to give it up, by the same lines; both checked an answer's status by the same test; two choices of a second target differed in one limit; a list of plans never held more than one. Ruled out: one class for both calls (their flows have little else in common). Change: attempts.Attempts, TargetAnswer.is_refusal and may_pass_on, Target.note_failure, one _choose_other, an optional plan.

--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
@@ -20,7 +20,6 @@
 
 __all__ = ("Forwarder",)
 
-
 _TIDY_S: typing.Final = 5.0
 """Pause between looks for connections to targets that have gone."""
 _FREE_S: typing.Final = 0.3
@@ -99,15 +98,7 @@
         Its memory is counted there at once, so that the generations that
         move at the same time don't all go to one target.
         """
-        target = choice.choose_backup(
-            self.board.list_of(request.service.name),
-            source,
-            request,
-            self.count_entries(),
-            trio.current_time(),
-            self.source,
-            choice.MOST_USED_BY_MOVES,
-        )
+        target = self._choose_other(request, source, choice.MOST_USED_BY_MOVES)
         if target is not None:
             target.tokens_since_report += choice.count_tokens(request)
         return target
@@ -116,6 +107,14 @@
         self, request: requests.CallerRequest, runner: targets.Target
     ) -> typing.Optional[targets.Target]:
         """Return the target that keeps a copy of a generation, or None."""
+        return self._choose_other(request, runner, choice.MOST_USED_BY_BACKUPS)
+
+    def _choose_other(
+        self,
+        request: requests.CallerRequest,
+        runner: targets.Target,
+        most_used: float,
+    ) -> typing.Optional[targets.Target]:
         return choice.choose_backup(
             self.board.list_of(request.service.name),
             runner,
@@ -123,7 +122,7 @@
             self.count_entries(),
             trio.current_time(),
             self.source,
-            choice.MOST_USED_BY_BACKUPS,
+            most_used,
         )
 
     @contextlib.asynccontextmanager
@@ -146,7 +145,7 @@
             service=request.service.name,
             backup=options.backup_address,
             after_event=options.last_event_id,
-            **describe_target(target),
+            **_describe_target(target),
         )
         try:
             async with self.calls.send_request(
@@ -182,8 +181,7 @@
         self, target: targets.Target, error: ports.PortError
     ) -> None:
         """Remember that a target failed, for the next choices."""
-        target.failures += 1
-        target.failed_at = trio.current_time()
+        target.note_failure(trio.current_time())
         self.measures.record_failed_attempt(error.step)
         logs.log_event(
             events.ATTEMPT_FAILED,
@@ -229,7 +227,7 @@
         return False
 
 
-def describe_target(target: targets.Target) -> dict[str, typing.Any]:
+def _describe_target(target: targets.Target) -> dict[str, typing.Any]:
     """Return what is believed of a target, with its age, for a log line."""
     fields: dict[str, typing.Any] = {"open_requests": target.open_requests}
     if target.failures:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/plain_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/plain_calls.py
@@ -6,6 +6,7 @@
 import trio
 
 from gentianpoint_core import ports
+from gentianpoint_entry.forwarding import attempts
 from gentianpoint_entry.forwarding import caller_answers
 from gentianpoint_entry.forwarding import forwarder
 from gentianpoint_entry.forwarding import refusals
@@ -13,9 +14,9 @@
 from gentianpoint_entry.forwarding import target_calls
 from gentianpoint_entry.forwarding import targets
 
-__all__ = ("MOST_SENDS", "PlainCall", "is_promise")
+__all__ = ("PlainCall",)
 
-MOST_SENDS: typing.Final = 4
+_MOST_SENDS: typing.Final = 4
 """Targets that one request is tried at, when those before did not run it.
 More would cost the caller more time than coming back."""
 _MOST_HELD_BYTES: typing.Final = 262144
@@ -27,12 +28,6 @@
 a target that is stuck, and leaves time for another one."""
 _SHORTEST_PATIENCE_MS: typing.Final = 250.0
 """A target that is only slow at its start answers within this."""
-_PROMISES: typing.Final = frozenset((408, 421, 429, 503))
-
-
-def is_promise(status: int) -> bool:
-    """Tell whether a status says that a request never runs."""
-    return status in _PROMISES
 
 
 class PlainCall:
@@ -48,47 +43,30 @@
         self._shared: typing.Final = shared
         self._request: typing.Final = request
         self._answer: typing.Final = answer
-        self._tried: typing.Final[set[str]] = set()
-        self.may_have_run = False
-        self.runs = 0
-        self._retry_after_ms = 0.0
+        self.attempts: typing.Final = attempts.Attempts(shared, request)
 
     async def serve(self) -> typing.Optional[refusals.Refusal]:
         """Answer the caller; return a refusal if there is no answer."""
-        for number in range(MOST_SENDS):
-            target = self._shared.choose_target(self._request, self._tried)
+        for number in range(_MOST_SENDS):
+            target = self._shared.choose_target(
+                self._request, self.attempts.tried
+            )
             if target is None:
                 break
             if number and not self._shared.take_retry(self._request):
                 break
-            self._tried.add(target.target_id)
+            self.attempts.tried.add(target.target_id)
             try:
                 if await self._try_target(target):
                     return None
             except ports.PortError as error:
-                self._shared.note_failure(target, error)
-                self.may_have_run |= error.took_effect
-                self.runs += error.took_effect
-            if self._answer.is_started or not self._may_try_again():
+                self.attempts.note_error(target, error)
+            is_started = self._answer.is_started
+            if is_started or not self.attempts.may_send_again():
                 break
-        return self._give_up()
-
-    def _may_try_again(self) -> bool:
-        if not self.may_have_run:
-            return True
-        route = self._request.route
-        return route.may_repeat() and self.runs < route.max_attempts
-
-    def _give_up(self) -> typing.Optional[refusals.Refusal]:
-        if self._answer.is_started:
-            return None
-        if self.may_have_run:
-            return refusals.refuse_outcome_unknown(
-                "the target's answer was lost, and it may have run"
-            )
-        wait_ms = self._retry_after_ms
-        reason = "no target took the request"
-        return refusals.refuse_not_run(reason, wait_ms)
+        return self.attempts.give_up(
+            self._answer, "the target's answer was lost, and it may have run"
+        )
 
     async def _try_target(self, target: targets.Target) -> bool:
         """Send to one target; True when the caller has its answer."""
@@ -97,11 +75,8 @@
             async with self._shared.send(
                 target, self._request, requests.SendOptions()
             ) as got:
-                if got.has_not_run or got.is_wrong_target:
-                    self._retry_after_ms = max(
-                        self._retry_after_ms, got.retry_after_ms
-                    )
-                    self._shared.note_refusal(target, got)
+                if got.is_refusal():
+                    self.attempts.note_refusal(target, got)
                     return False
                 return await self._pass_on(target, got, patience)
         raise ports.PortError(
@@ -113,9 +88,9 @@
 
     def _find_patience(self) -> float:
         """Return when to stop waiting for this target, on trio's clock."""
-        route = self._request.route
-        if not route.may_repeat() or self.runs + 1 >= route.max_attempts:
+        if not self.attempts.may_run_again(besides=1):
             return math.inf
+        route = self._request.route
         wait_ms = max(route.objective_ms * _PATIENCE, _SHORTEST_PATIENCE_MS)
         left_ms = self._request.deadline.remaining_ms()
         return trio.current_time() + min(wait_ms, left_ms / 2) / 1000
@@ -152,11 +127,9 @@
         body: bytes,
     ) -> bool:
         self._check_answer(target, got)
-        if got.status >= 500 and self._is_worth_another(target):
-            self.may_have_run = True
-            self.runs += 1
-            target.failures += 1
-            target.failed_at = trio.current_time()
+        if got.status >= 500 and self._is_worth_another():
+            self.attempts.note_run()
+            target.note_failure(trio.current_time())
             return False
         if got.status < 500:
             self._shared.note_success(target)
@@ -167,7 +140,7 @@
         self, target: targets.Target, got: target_calls.TargetAnswer
     ) -> None:
         """Raise unless the answer may be given to the caller."""
-        if got.is_sealed and not is_promise(got.status):
+        if got.may_pass_on():
             return
         raise ports.PortError(
             "receive answer",
@@ -176,10 +149,10 @@
             took_effect=True,
         )
 
-    def _is_worth_another(self, target: targets.Target) -> bool:
+    def _is_worth_another(self) -> bool:
         """Tell whether a failure is better replaced by another target's."""
-        route = self._request.route
-        if not route.may_repeat() or self.runs + 1 >= route.max_attempts:
+        if not self.attempts.may_run_again(besides=1):
             return False
-        excluded = self._tried | {target.target_id}
-        return self._shared.choose_target(self._request, excluded) is not None
+        # The target itself is among those tried.
+        other = self._shared.choose_target(self._request, self.attempts.tried)
+        return other is not None
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/request_handling.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/request_handling.py
@@ -74,7 +74,7 @@
                     outcome=outcome,
                     took_ms=took_ms,
                     status=answer.status,
-                    runs=call.runs,
+                    runs=call.attempts.runs,
                     customer=request.customer and request.customer.name,
                 )
 
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
@@ -16,6 +16,7 @@
 from gentianpoint_core import logs
 from gentianpoint_core import ports
 from gentianpoint_core.generated import events
+from gentianpoint_entry.forwarding import attempts
 from gentianpoint_entry.forwarding import caller_answers
 from gentianpoint_entry.forwarding import choice
 from gentianpoint_entry.forwarding import forwarder
@@ -77,72 +78,64 @@
         self._order: typing.Final = stream_events.EventOrder(
             request.last_event_id
         )
-        self._tried: typing.Final[set[str]] = set()
+        self.attempts: typing.Final = attempts.Attempts(shared, request)
         self._move: typing.Optional[generation_moves.GenerationMove] = None
         self._move_again_at = 0.0
         self._has_stopped_in_vain = False
         self._hand_over_ms: typing.Final = (
             _HAND_OVER_MS + shared.source.random() * _HAND_OVER_SPREAD_MS
         )
-        self._retry_after_ms = 0.0
         self._last_event_at = trio.current_time()
-        self.may_have_run = False
-        self.runs = 0
 
     async def serve(self) -> typing.Optional[refusals.Refusal]:
         """Answer the caller; return a refusal if there is no answer."""
-        plans = self._plan_first()
+        plan = self._plan_first()
         for _ in range(_MOST_RUNS):
-            if not plans:
+            if plan is None:
                 break
-            run = await self._open(plans.pop(0))
+            run = await self._open(plan)
             if run is None:
-                plans = plans or self._plan_other()
+                plan = self._plan_other()
                 continue
             if run.answer.status >= 300:
                 return await self._pass_on_failure(run)
             last = await self._follow_runs(run)
             if last is None:
                 return None
-            plans = self._plan_after_break(last)
+            plan = self._plan_after_break(last)
         return self._give_up()
 
     def _give_up(self) -> typing.Optional[refusals.Refusal]:
-        if self._answer.is_started:
-            return None
-        if self.may_have_run:
-            return refusals.refuse_outcome_unknown(
-                "the stream broke off before its first event"
-            )
-        reason = "no target took the request"
-        return refusals.refuse_not_run(reason, self._retry_after_ms)
+        return self.attempts.give_up(
+            self._answer, "the stream broke off before its first event"
+        )
 
     # Where it runs.
 
-    def _plan_first(self) -> list[stream_runs.RunPlan]:
+    def _plan_first(self) -> typing.Optional[stream_runs.RunPlan]:
         target = self._shared.choose_target(self._request)
         if target is None:
-            return []
-        return [self._plan(target, requests.SendOptions())]
+            return None
+        return self._plan(target, requests.SendOptions())
 
-    def _plan_other(self) -> list[stream_runs.RunPlan]:
+    def _plan_other(self) -> typing.Optional[stream_runs.RunPlan]:
         """Plan a run of its own after one that failed or was refused."""
-        if self.may_have_run and not self._may_run_again():
-            return []
-        target = self._shared.choose_target(self._request, self._tried)
+        if not self.attempts.may_send_again():
+            return None
+        target = self._shared.choose_target(self._request, self.attempts.tried)
         if target is None or not self._shared.take_retry(self._request):
-            return []
+            return None
         options = requests.SendOptions(last_event_id=self._find_last())
-        return [self._plan(target, options)]
+        return self._plan(target, options)
 
     def _plan_after_break(
         self, run: stream_runs.StreamRun
-    ) -> list[stream_runs.RunPlan]:
+    ) -> typing.Optional[stream_runs.RunPlan]:
         """Plan how the stream goes on after its target broke off."""
         backup = run.backup
         if backup is not None and not backup.is_gone:
             self._log_move(run.target, backup, "backup after a break")
-            return [self._plan_from_backup(backup)]
+            return self._plan_from_backup(backup)
         return self._plan_other()
 
     def _plan_from_backup(self, backup: targets.Target) -> stream_runs.RunPlan:
@@ -174,10 +167,6 @@
             options = options._replace(backup_address=address)
         return stream_runs.RunPlan(target, options, backup)
 
-    def _may_run_again(self) -> bool:
-        route = self._request.route
-        return route.may_repeat() and self.runs < route.max_attempts
-
     def _find_last(self) -> str:
         return "" if self._order.last is None else str(self._order.last)
 
@@ -187,34 +176,28 @@
         self, plan: stream_runs.RunPlan
     ) -> typing.Optional[stream_runs.StreamRun]:
         """Start a run; None when the target did not take the request."""
-        self._tried.add(plan.target.target_id)
+        self.attempts.tried.add(plan.target.target_id)
+        is_same_run = plan.options.copy is not None
         run = stream_runs.StreamRun(self._shared, self._request, plan)
         try:
             await run.open()
         except ports.PortError as error:
-            self._shared.note_failure(plan.target, error)
-            self.may_have_run |= error.took_effect
-            self.runs += error.took_effect and plan.options.copy is None
+            self.attempts.note_error(
+                plan.target, error, is_same_run=is_same_run
+            )
             return None
-        if run.answer.has_not_run or run.answer.is_wrong_target:
-            self._note_not_run(run)
+        if run.answer.is_refusal():
+            self.attempts.note_refusal(run.target, run.answer)
             await run.close()
             return None
-        if plan.options.copy is not None and run.answer.status >= 300:
+        if is_same_run and run.answer.status >= 300:
             # A failure where events should go on: its text is none of them.
             self._shared.note_failure(plan.target, run.make_status_error())
             await run.close()
             return None
-        self.may_have_run = True
-        self.runs += plan.options.copy is None
+        self.attempts.note_run(is_same_run=is_same_run)
         return run
 
-    def _note_not_run(self, run: stream_runs.StreamRun) -> None:
-        self._retry_after_ms = max(
-            self._retry_after_ms, run.answer.retry_after_ms
-        )
-        self._shared.note_refusal(run.target, run.answer)
-
     async def _follow_runs(
         self, run: stream_runs.StreamRun
     ) -> typing.Optional[stream_runs.StreamRun]:
@@ -294,7 +277,7 @@
         again are given up for a silence; for others their target's end or
         the caller's deadline ends the wait.
         """
-        if not self._may_run_again():
+        if not self.attempts.may_run_again():
             return math.inf
         route = self._request.route
         if not run.has_events:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_runs.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_runs.py
@@ -8,7 +8,6 @@
 
 from gentianpoint_core import ports
 from gentianpoint_entry.forwarding import forwarder
-from gentianpoint_entry.forwarding import plain_calls
 from gentianpoint_entry.forwarding import requests
 from gentianpoint_entry.forwarding import stream_events
 from gentianpoint_entry.forwarding import target_calls
@@ -76,11 +75,8 @@
             raise
 
     def _check_answer(self, answer: target_calls.TargetAnswer) -> None:
-        if answer.has_not_run or answer.is_wrong_target:
-            return
-        if answer.is_sealed and not plain_calls.is_promise(answer.status):
-            return
-        raise self.make_status_error()
+        if not answer.is_refusal() and not answer.may_pass_on():
+            raise self.make_status_error()
 
     def make_status_error(self) -> ports.PortError:
         """Return the error of an answer whose status can't be passed on."""
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_calls.py
@@ -10,6 +10,9 @@
 
 __all__ = ("MovedCopy", "TargetAnswer", "TargetCalls")
 
+_PROMISES: typing.Final = frozenset((408, 421, 429, 503))
+"""Statuses by which callers take a request as never run."""
+
 
 class TargetAnswer(abc.ABC):
     """The answer of a target, whose body is still to come."""
@@ -27,6 +30,18 @@
     retry_after_ms: float
     """When the target says to come back; 0 for nothing said."""
 
+    def is_refusal(self) -> bool:
+        """Tell whether the request has surely not run at the target."""
+        return self.has_not_run or self.is_wrong_target
+
+    def may_pass_on(self) -> bool:
+        """Tell whether a caller may be given this status.
+
+        Not without the target's mark, and none that promises that the
+        request never runs where the target does not say so.
+        """
+        return self.is_sealed and self.status not in _PROMISES
+
     @abc.abstractmethod
     def receive_body(self) -> collections_abc.AsyncIterator[bytes]:
         """Yield the body; raises ``ports.PortError`` when it breaks off."""
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
@@ -89,6 +89,11 @@
             return False
         return self.report is None or not self.report.is_leaving
 
+    def note_failure(self, now: float) -> None:
+        """Remember a failure at ``now``, for the next choices."""
+        self.failures += 1
+        self.failed_at = now
+
     def take_report(self, report: EngineReport) -> None:
         """Take what the agent tells."""
         self.report = report
