--- a/packages/gentianpoint-agent/src/gentianpoint_agent/agent.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/agent.py
@@ -81,15 +81,7 @@
     try:
         await entry_connections.EntryConnection(connection, state).serve()
     except* peer_connections.PeerConnectionError as group:
-        error = group.exceptions[0]
-        assert isinstance(error, peer_connections.PeerConnectionError)
-        refused = error.step == "decode message"
-        logs.log_event(
-            events.MESSAGE_REFUSED if refused else events.CONNECTION_LOST,
-            step=error.step,
-            peer=connection.peer,
-            reason=error.reason,
-        )
+        peer_connections.log_loss(group.exceptions[0])
 
 
 async def _listen(
--- a/packages/gentianpoint-core/src/gentianpoint_core/kept_connections.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/kept_connections.py
@@ -18,6 +18,7 @@
 import trio
 
 from gentianpoint_core import deadlines
+from gentianpoint_core import option_types
 from gentianpoint_core import ports
 
 __all__ = ("Exchange", "ExchangeRequest", "KeptConnections")
@@ -183,10 +184,8 @@
         it ``is_patient``: the other end may only stand still, and goes on
         with what it does.
         """
-        host, _, port = address.rpartition(":")
         self.address: typing.Final = address
-        self._host: typing.Final = host
-        self._port: typing.Final = int(port)
+        self._place: typing.Final = option_types.split_address(address)
         self._connect_ms: typing.Final = connect_ms
         self._is_patient: typing.Final = is_patient
         self._idle: typing.Final[list[_Connection]] = []
@@ -249,7 +248,7 @@
             link.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self._bound_silence(link)
             with trio.fail_after(self._connect_ms / 1000):
-                await link.connect((self._host, self._port))
+                await link.connect(self._place)
         except (OSError, trio.TooSlowError) as error:
             link.close()
             raise ports.PortError(
--- a/packages/gentianpoint-core/src/gentianpoint_core/peer_connections.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/peer_connections.py
@@ -21,6 +21,8 @@
 import websockets.trio.connection
 
 from gentianpoint_core import codec
+from gentianpoint_core import logs
+from gentianpoint_core.generated import events
 
 __all__ = (
     "IDLE_TICKS",
@@ -28,6 +30,7 @@
     "PeerConnection",
     "PeerConnectionError",
     "count_idle_beat_ticks",
+    "log_loss",
 )
 
 PEER_KEY_HEADER: typing.Final = "Gentianpoint-Peer-Key"
@@ -65,6 +68,19 @@
         super().__init__(f"{step} with {peer}: {reason}")
 
 
+def log_loss(error: BaseException) -> None:
+    """Log why a connection ended; raises what is no such error."""
+    if not isinstance(error, PeerConnectionError):
+        raise error
+    refused = error.step == "decode message"
+    logs.log_event(
+        events.MESSAGE_REFUSED if refused else events.CONNECTION_LOST,
+        step=error.step,
+        peer=error.peer,
+        reason=error.reason,
+    )
+
+
 class PeerConnection:
     """One connection to a peer, seen from either end."""
 
--- a/packages/gentianpoint-core/src/gentianpoint_core/peer_sockets.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/peer_sockets.py
@@ -14,9 +14,8 @@
 import websockets.trio.client
 import websockets.trio.server
 
-from gentianpoint_core import logs
+from gentianpoint_core import option_types
 from gentianpoint_core import peer_connections
-from gentianpoint_core.generated import events
 
 __all__ = ("ServePeer", "open_connection", "serve_connections")
 
@@ -74,10 +73,10 @@
 
 async def serve_connections(address: str, serve_peer: ServePeer) -> None:
     """Serve all who connect to IP:PORT, until cancelled."""
-    host, _, port = address.rpartition(":")
+    host, port = option_types.split_address(address)
     await websockets.trio.server.serve(
         functools.partial(_serve_connection, serve_peer),
-        int(port),
+        port,
         host=host,
         compression=None,
         ping_interval=None,
@@ -97,17 +96,4 @@
     try:
         await serve_peer(connection)
     except* peer_connections.PeerConnectionError as group:
-        log_loss(group.exceptions[0])
-
-
-def log_loss(error: BaseException) -> None:
-    """Log why a connection ended."""
-    if not isinstance(error, peer_connections.PeerConnectionError):
-        raise error
-    refused = error.step == "decode message"
-    logs.log_event(
-        events.MESSAGE_REFUSED if refused else events.CONNECTION_LOST,
-        step=error.step,
-        peer=error.peer,
-        reason=error.reason,
-    )
+        peer_connections.log_loss(group.exceptions[0])
--- a/packages/gentianpoint-entry/features/forwarding/forwarding_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/forwarding_builders.py
@@ -74,9 +74,7 @@
         caller_deadline=deadline,
         deadline=deadline,
         prompt_tokens=100,
-        most_output_tokens=100,
         likely_output_tokens=100,
-        parts=(),
         last_event_id="",
     )
 
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/agent_feeds.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/agent_feeds.py
@@ -74,7 +74,7 @@
 
 
 def _note_loss(target: targets.Target, error: BaseException) -> None:
-    peer_sockets.log_loss(error)
+    peer_connections.log_loss(error)
     if target.report is not None and not target.report.is_leaving:
         # Old figures mislead more than none.
         target.report = None
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/caller_connections.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/caller_connections.py
@@ -144,7 +144,6 @@
         self._idle: typing.Final[set[trio.CancelScope]] = set()
         self.is_leaving = False
         self.busy_count = 0
-        self.requests_read = 0
 
     def close_idle(self) -> None:
         """Close connections on which no request is being served."""
@@ -222,7 +221,6 @@
         if head is None:
             return None
         received_at = trio.current_time()
-        self.requests_read += 1
         if state.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
             await stream.send_all(state.send(go_on) or b"")
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/caller_front.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/caller_front.py
@@ -6,13 +6,14 @@
 import trio
 
 from gentianpoint_core import logs
+from gentianpoint_core import option_types
 from gentianpoint_core.generated import events
 from gentianpoint_entry.forwarding import caller_answers
 from gentianpoint_entry.forwarding import caller_connections
 from gentianpoint_entry.forwarding import measures
 from gentianpoint_entry.forwarding import routes
 
-__all__ = ("CallerFront", "FrontAddresses", "listen")
+__all__ = ("CallerFront", "FrontAddresses")
 
 _BACKLOG: typing.Final = 1024
 """New connections that wait to be taken; when it is full the opening packet
@@ -66,19 +67,16 @@
 
     async def serve(self, addresses: FrontAddresses) -> None:
         """Serve on all addresses until cancelled."""
-        front_listener = await listen(addresses.callers)
-        ready_listener = await listen(addresses.ready)
-        scrape_listener = await listen(addresses.measures)
+        listening = [
+            (await _listen(addresses.callers), self._callers),
+            (await _listen(addresses.ready), self._balancer),
+            (await _listen(addresses.measures), self._scrapers),
+        ]
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(
-                accept_connections, front_listener, self._callers.serve
-            )
-            nursery.start_soon(
-                accept_connections, ready_listener, self._balancer.serve
-            )
-            nursery.start_soon(
-                accept_connections, scrape_listener, self._scrapers.serve
-            )
+            for listeners, connections in listening:
+                nursery.start_soon(
+                    trio.serve_listeners, connections.serve, listeners
+                )
 
     async def leave(self) -> None:
         """Stop being ready, finish what runs, and return.
@@ -119,18 +117,6 @@
     await answer.send_whole(200, headers, measures.render_measures())
 
 
-async def listen(address: str) -> trio.SocketListener:
-    """Listen on an address of the form IP:PORT."""
-    host, _, port = address.rpartition(":")
-    listeners = await trio.open_tcp_listeners(
-        int(port), host=host, backlog=_BACKLOG
-    )
-    return listeners[0]
-
-
-async def accept_connections(
-    listener: trio.SocketListener,
-    serve: abc.Callable[[trio.SocketStream], abc.Awaitable[None]],
-) -> None:
-    """Serve each connection of a listener in a task of its own."""
-    await trio.serve_listeners(serve, [listener])
+async def _listen(address: str) -> list[trio.SocketListener]:
+    host, port = option_types.split_address(address)
+    return await trio.open_tcp_listeners(port, host=host, backlog=_BACKLOG)
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/entry_peers.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/entry_peers.py
@@ -178,7 +178,7 @@
             except* peer_connections.PeerConnectionError as group:
                 failures += 1
                 if failures == 1:
-                    peer_sockets.log_loss(group.exceptions[0])
+                    peer_connections.log_loss(group.exceptions[0])
             await trio.sleep(retry_s)
             retry_s = min(_LONGEST_RETRY_S, retry_s * 2)
         self._known.discard(address)
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/requests.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/requests.py
@@ -6,16 +6,7 @@
 from gentianpoint_core import deadlines
 from gentianpoint_entry.forwarding import routes
 
-__all__ = ("CallerRequest", "MemoryCopy", "PromptPart", "SendOptions")
-
-
-class PromptPart(typing.NamedTuple):
-    """A part of a prompt that other requests may share."""
-
-    digest: str
-    """Identifier of the part."""
-    tokens: int
-    """Its length."""
+__all__ = ("CallerRequest", "MemoryCopy", "SendOptions")
 
 
 class CallerRequest(typing.NamedTuple):
@@ -43,12 +34,8 @@
     """Until when it is answered: the caller's, or the route's if earlier."""
     prompt_tokens: int
     """Tokens of the prompt, 0 for what is no generation."""
-    most_output_tokens: int
-    """Most tokens that may be generated."""
     likely_output_tokens: int
-    """The caller's estimate; often far off, 0 for none."""
-    parts: abc.Sequence[PromptPart]
-    """Parts of the prompt in order."""
+    """The caller's estimate, often far off, else the most it allows."""
     last_event_id: str
     """Last event that the caller has of this stream; empty for none."""
 
@@ -65,8 +52,6 @@
 class SendOptions(typing.NamedTuple):
     """What the system adds to a request for one target."""
 
-    urgency: typing.Optional[int] = None
-    """From 0, the most urgent, to 9; None leaves it to the engine."""
     backup_address: str = ""
     """Engine that gets a copy of the memory as it grows."""
     copy: typing.Optional["MemoryCopy"] = None
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/topic_follower.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/topic_follower.py
@@ -29,13 +29,9 @@
 _LONGEST_PAUSE_S: typing.Final = 0.8
 """Longest pause while the log is away, so that what it has is here within a
 second of its return."""
-
-
 _PEERS_ASKED: typing.Final = 3
 """Entries that are asked at once. Where the log turns a third of all away,
 one in thirty tries meets only such; the next comes within a second."""
-
-
 _WAIT_SHARE: typing.Final = 0.55
 """Share of the time in which a record is to be here that one reading waits;
 the rest is for the answer of a log that is slow."""
@@ -123,7 +119,6 @@
         self._list_peers: typing.Final = list_peers
         self.next_offset: typing.Optional[int] = None
         self.newest: typing.Final[dict[str, ports.KeyedRecord]] = {}
-        self.read_at: typing.Optional[float] = None
         self._is_available = True
         self._source: typing.Final = random.Random()
 
@@ -182,7 +177,6 @@
                 self._keep(record)
                 self._reader.take_change(record)
         self.next_offset = max(self.next_offset, found.end)
-        self.read_at = trio.current_time()
 
     async def _read_newest(self, topic: ports.KeyedTopic) -> None:
         found = await topic.read_newest()
@@ -195,7 +189,6 @@
             self._keep(record)
         self._reader.take_newest(list(self.newest.values()))
         self.next_offset = found.end
-        self.read_at = trio.current_time()
 
     def _keep(self, record: ports.KeyedRecord) -> None:
         if record.value is None:
