Tell in the line that ends a stream where it stood still

Cause: a report that arrives whole but paused counts as late, and nothing in the logs told which stream paused, for how long and at which event; the measures have it for all streams together only.

Ruled out: a line for each event (234 a script), and deriving it from the moves' lines, which miss pauses at the engine.

Change: request_ended has events, first_event_ms, longest_pause_ms and pause_before_event for streams (stream_pace). The calls, plain and stream, get their common base class in place of a union of types.

--- a/packages/gentianpoint-entry/features/forwarding/forwarding_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/forwarding_builders.py
@@ -24,6 +24,8 @@
 DATA_CENTRE: typing.Final = "north"
 EVENT_S: typing.Final = 0.1
 """Time between two events of a stream."""
+LATE_S: typing.Final = 0.6
+"""How much later an event is that is late."""
 
 ENGINE: typing.Final = routes.EngineShape(
     slots=16,
@@ -126,12 +128,14 @@
         first, _, last = numbers.partition("-")
         for number in range(int(first), int(last) + 1):
             await trio.sleep(EVENT_S)
+            if end == f"end, late before {number}":
+                await trio.sleep(LATE_S)
             yield make_event(number)
         if end == "half an event":
             yield make_event(int(last) + 1)[:7]
         if end == "silence":
             await trio.sleep_forever()
-        if end != "end":
+        if not end.startswith("end"):
             raise ports.PortError(
                 "receive body", "target", "broke off", took_effect=True
             )
--- a/packages/gentianpoint-entry/features/forwarding/steps/stream_calls_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/stream_calls_steps.py
@@ -4,6 +4,7 @@
 
 import behave
 import forwarding_builders
+from structlog import testing
 import topic_builders
 import trio
 
@@ -103,7 +104,9 @@
             context.took_s = trio.current_time() - began
             nursery.cancel_scope.cancel()
 
-    topic_builders.run_on_clock(run)
+    with testing.capture_logs() as lines:
+        topic_builders.run_on_clock(run)
+    context.lines = lines
 
 
 @behave.when("the request is served")
@@ -203,3 +206,14 @@
 )
 def check_overlap(context):
     assert 0.2 <= context.overlap_s <= 0.3, context.overlap_s
+
+
+@behave.then(
+    "the line that ends the request tells of a pause of {pause_ms:d} ms before"
+    " event {number:d}"
+)
+def check_pace_line(context, pause_ms, number):
+    ends = [line for line in context.lines if line["event"] == "request_ended"]
+    assert len(ends) == 1, ends
+    assert ends[0]["longest_pause_ms"] == pause_ms, ends
+    assert ends[0]["pause_before_event"] == number, ends
--- a/packages/gentianpoint-entry/features/forwarding/stream_calls.feature
+++ b/packages/gentianpoint-entry/features/forwarding/stream_calls.feature
@@ -198,3 +198,12 @@
     And target b answers: mute
     When the request is served and a gets notice after event 20
     Then target a was left a quarter of a second after target b was asked
+
+  Scenario: the line that ends a stream tells where it stood still
+    A report arrives whole, but its technician complains of a pause in the
+    middle. The engineer on call has the request's identifier and must find
+    the moment at which it stood still among thousands of lines.
+    Given a generation that may run once, without copies
+    And target a answers: events 1-9 then end, late before 5
+    When the request is served
+    Then the line that ends the request tells of a pause of 700 ms before event 5
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/plain_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/plain_calls.py
@@ -8,6 +8,7 @@
 from gentianpoint_core import ports
 from gentianpoint_entry.forwarding import attempts
 from gentianpoint_entry.forwarding import caller_answers
+from gentianpoint_entry.forwarding import caller_calls
 from gentianpoint_entry.forwarding import forwarder
 from gentianpoint_entry.forwarding import refusals
 from gentianpoint_entry.forwarding import requests
@@ -30,7 +31,7 @@
 """A target that is only slow at its start answers within this."""
 
 
-class PlainCall:
+class PlainCall(caller_calls.CallerCall):
     """A request whose answer is one body."""
 
     def __init__(
@@ -43,7 +44,7 @@
         self._shared: typing.Final = shared
         self._request: typing.Final = request
         self._answer: typing.Final = answer
-        self.attempts: typing.Final = attempts.Attempts(shared, request)
+        self.attempts = attempts.Attempts(shared, request)
 
     async def serve(self) -> typing.Optional[refusals.Refusal]:
         """Answer the caller; return a refusal if there is no answer."""
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/request_handling.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/request_handling.py
@@ -9,6 +9,7 @@
 from gentianpoint_core import logs
 from gentianpoint_core.generated import events
 from gentianpoint_entry.forwarding import caller_answers
+from gentianpoint_entry.forwarding import caller_calls
 from gentianpoint_entry.forwarding import forwarder
 from gentianpoint_entry.forwarding import leaving
 from gentianpoint_entry.forwarding import plain_calls
@@ -76,11 +77,12 @@
                     status=answer.status,
                     runs=call.attempts.runs,
                     customer=request.customer and request.customer.name,
+                    **call.describe_pace(),
                 )
 
     async def _serve_in_time(
         self,
-        call: "plain_calls.PlainCall | stream_calls.StreamCall",
+        call: caller_calls.CallerCall,
         request: requests.CallerRequest,
         answer: caller_answers.CallerAnswer,
     ) -> str:
@@ -136,7 +138,7 @@
         self,
         request: requests.CallerRequest,
         answer: caller_answers.CallerAnswer,
-    ) -> "plain_calls.PlainCall | stream_calls.StreamCall":
+    ) -> caller_calls.CallerCall:
         if request.route.kind is routes.RouteKind.STREAM:
             return stream_calls.StreamCall(self._shared, request, answer)
         return plain_calls.PlainCall(self._shared, request, answer)
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
@@ -18,12 +18,14 @@
 from gentianpoint_core.generated import events
 from gentianpoint_entry.forwarding import attempts
 from gentianpoint_entry.forwarding import caller_answers
+from gentianpoint_entry.forwarding import caller_calls
 from gentianpoint_entry.forwarding import choice
 from gentianpoint_entry.forwarding import forwarder
 from gentianpoint_entry.forwarding import generation_moves
 from gentianpoint_entry.forwarding import refusals
 from gentianpoint_entry.forwarding import requests
 from gentianpoint_entry.forwarding import stream_events
+from gentianpoint_entry.forwarding import stream_pace
 from gentianpoint_entry.forwarding import stream_runs
 from gentianpoint_entry.forwarding import target_calls
 from gentianpoint_entry.forwarding import targets
@@ -62,7 +64,7 @@
 )
 
 
-class StreamCall:
+class StreamCall(caller_calls.CallerCall):
     """A request whose answer is a stream of events."""
 
     def __init__(
@@ -78,14 +80,16 @@
         self._order: typing.Final = stream_events.EventOrder(
             request.last_event_id
         )
-        self.attempts: typing.Final = attempts.Attempts(shared, request)
+        self.attempts = attempts.Attempts(shared, request)
         self._move: typing.Optional[generation_moves.GenerationMove] = None
         self._move_again_at = 0.0
         self._has_stopped_in_vain = False
         self._hand_over_ms: typing.Final = (
             _HAND_OVER_MS + shared.source.random() * _HAND_OVER_SPREAD_MS
         )
-        self._last_event_at = trio.current_time()
+        self._pace: typing.Final = stream_pace.StreamPace(
+            request.route, shared.measures, trio.current_time()
+        )
 
     async def serve(self) -> typing.Optional[refusals.Refusal]:
         """Answer the caller; return a refusal if there is no answer."""
@@ -105,6 +109,10 @@
             plan = self._plan_after_break(last)
         return self._give_up()
 
+    def describe_pace(self) -> dict[str, typing.Any]:
+        """Return the number of events and the longest pause."""
+        return self._pace.describe()
+
     def _give_up(self) -> typing.Optional[refusals.Refusal]:
         return self.attempts.give_up(
             self._answer, "the stream broke off before its first event"
@@ -302,23 +310,11 @@
     ) -> None:
         if not self._order.take(event):
             return
-        self._record_event()
+        self._pace.note_event(trio.current_time())
         if not self._answer.is_started:
             await self._answer.start(run.answer.status, run.answer.headers)
         await self._answer.send(event.data)
 
-    def _record_event(self) -> None:
-        now = trio.current_time()
-        route = self._request.route
-        waited_ms = (now - self._last_event_at) * 1000
-        self._last_event_at = now
-        if not self._answer.is_started:
-            self._shared.measures.record_first_event(route.name, waited_ms)
-            return
-        self._shared.measures.record_gap(
-            route.name, waited_ms, route.gap_objective_ms
-        )
-
     async def _end(self, run: stream_runs.StreamRun) -> None:
         if not self._answer.is_started:
             await self._answer.start(run.answer.status, run.answer.headers)
--- /dev/null
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_pace.py
@@ -0,0 +1,57 @@
+"""How evenly one stream reached its caller.
+
+A caller reads along, so a stream that arrives whole may still be a bad one:
+its first event late, or with a pause in the middle. The figures of one stream
+stand in the line that ends it, so that a complaint about one answer can be
+traced to the moment at which it stood still.
+"""
+
+import typing
+
+from gentianpoint_entry.forwarding import measures
+from gentianpoint_entry.forwarding import routes
+
+__all__ = ("StreamPace",)
+
+
+class StreamPace:
+    """Times of one stream's events, as they are given to its caller."""
+
+    def __init__(
+        self, route: routes.Route, figures: measures.Measures, now: float
+    ) -> None:
+        """Count from ``now``, on trio's clock, when the request was read."""
+        self._route: typing.Final = route
+        self._measures: typing.Final = figures
+        self._last_at = now
+        self._events = 0
+        self._first_ms = -1.0
+        self._longest_ms = 0.0
+        self._longest_before = 0
+
+    def note_event(self, now: float) -> None:
+        """Note an event that is given to the caller at ``now``."""
+        waited_ms = (now - self._last_at) * 1000
+        self._last_at = now
+        self._events += 1
+        if self._events == 1:
+            self._first_ms = waited_ms
+            self._measures.record_first_event(self._route.name, waited_ms)
+            return
+        if waited_ms > self._longest_ms:
+            self._longest_ms = waited_ms
+            self._longest_before = self._events
+        self._measures.record_gap(
+            self._route.name, waited_ms, self._route.gap_objective_ms
+        )
+
+    def describe(self) -> dict[str, typing.Any]:
+        """Return the figures for a log line; times in milliseconds."""
+        if not self._events:
+            return {"events": 0}
+        return {
+            "events": self._events,
+            "first_event_ms": round(self._first_ms),
+            "longest_pause_ms": round(self._longest_ms),
+            "pause_before_event": self._longest_before,
+        }
