Have agents tell entries of engines that have just started

The log was down for 8 s, so no entry knew of the engines that had come since, while the known ones left one by one ("no target has room" in 20 lines, then refusals with no target).

Ruled out: a shorter pause between readings of the list (0.45 s sooner in the mean for twice the calls, and no help while the log is away); hints between entries (the same limit).

Change: an agent asks its engine for its identifier once a start and tells the entries that its settings name, which pass it on to all others. The entry uses the engine at once. One that the list does not name within 4 s, with the log at hand, is dropped; while the log is away it stays. One that was dropped comes back by the list only.

--- /dev/null
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/engine_announcement.py
@@ -0,0 +1,141 @@
+"""Tells entries of an engine that has just started.
+
+The load it answers: engines are taken away every few seconds, and each new
+one is empty just when the others are fullest. The platform's list names it a
+second or more after its start, and while the log is away not at all; its
+agent knows it at once. What an agent tells only brings the engine's use
+forward: entries that it does not reach find the engine on the list.
+"""
+
+from collections import abc
+import typing
+
+import trio
+
+from gentianpoint_core import logs
+from gentianpoint_core import peer_connections
+from gentianpoint_core import peer_sockets
+from gentianpoint_core import ports
+from gentianpoint_core.generated import events
+
+__all__ = ("EnginePlace", "EngineAnnouncement")
+
+_ASK_S: typing.Final = 0.1
+"""Pause before an engine that is not well yet is asked for its name again."""
+_ASKS: typing.Final = 20
+"""Times that it is asked; after that the list names it."""
+_TELLS: typing.Final = 3
+"""Times that an entry is tried: the list names the engine soon."""
+_TELL_AGAIN_S: typing.Final = 0.3
+_TAKEN_S: typing.Final = 1.0
+"""Time in which an entry that takes the message closes the connection."""
+
+
+class EnginePlace(typing.NamedTuple):
+    """Where an engine is, as its agent's settings say."""
+
+    service: str
+    """Service that it belongs to."""
+    address: str
+    """Where it listens, IP:PORT."""
+    data_centre: str
+    """Its data centre."""
+
+
+class EngineAnnouncement:
+    """Tells some entries, which pass it on to the others."""
+
+    def __init__(
+        self,
+        place: EnginePlace,
+        source: ports.EngineStatusSource,
+        entries: abc.Sequence[str],
+    ) -> None:
+        """Tell ``entries``, addresses that may be old, of what is there."""
+        self._place: typing.Final = place
+        self._source: typing.Final = source
+        self._entries: typing.Final = tuple(entries)
+        send, receive = trio.open_memory_channel[int](1)
+        self._starts: typing.Final = send
+        self._to_tell: typing.Final = receive
+
+    def note_start(self, born_ms: int) -> None:
+        """Learn that the engine has started; 0 for a time not known."""
+        try:
+            self._starts.send_nowait(born_ms)
+        except trio.WouldBlock:
+            # The start before is still being told: the identifier is asked
+            # for only then, so it is the newest one.
+            return
+
+    async def run(self) -> None:
+        """Announce each start, for ever."""
+        async for born_ms in self._to_tell:
+            target = await self._find_identity()
+            if target:
+                await self._announce(target, born_ms)
+
+    async def _find_identity(self) -> str:
+        """Return the engine's identifier, empty if it gives none."""
+        for number in range(_ASKS):
+            try:
+                return await self._source.read_identity()
+            except ports.PortError as error:
+                if number == _ASKS - 1:
+                    logs.log_event(
+                        events.ENGINE_UNAVAILABLE,
+                        step=error.step,
+                        peer=error.peer,
+                        reason=error.reason,
+                    )
+            await trio.sleep(_ASK_S)
+        return ""
+
+    async def _announce(self, target: str, born_ms: int) -> None:
+        message = {
+            "type": "engine_here",
+            "target": target,
+            "born_ms": born_ms,
+            "passed_on": False,
+            **self._place._asdict(),
+        }
+        taken: list[str] = []
+        async with trio.open_nursery() as nursery:
+            for address in self._entries:
+                nursery.start_soon(self._tell, address, message, taken)
+        logs.log_event(
+            events.ENGINE_ANNOUNCED, target=target, entries=len(taken)
+        )
+
+    @staticmethod
+    async def _tell(
+        address: str,
+        message: abc.Mapping[str, typing.Any],
+        taken: list[str],
+    ) -> None:
+        for _ in range(_TELLS):
+            try:
+                async with peer_sockets.open_connection(address) as connection:
+                    await connection.send(message)
+                    await _wait_until_closed(connection)
+                    taken.append(address)
+                    return
+            except peer_connections.PeerConnectionError as error:
+                # Seeds may be old; another entry passes the message on.
+                peer_connections.log_loss(error)
+            await trio.sleep(_TELL_AGAIN_S)
+
+
+async def _wait_until_closed(
+    connection: peer_connections.PeerConnection,
+) -> None:
+    """Return once the entry has closed the connection, having read it."""
+    with trio.move_on_after(_TAKEN_S):
+        try:
+            while True:
+                await connection.receive()
+        except peer_connections.PeerConnectionError:
+            return
+    raise peer_connections.PeerConnectionError(
+        "announce the engine", connection.peer, "not taken in time"
+    )
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/engine_feed.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/engine_feed.py
@@ -33,9 +33,17 @@
 class EngineFeed:
     """Asks one engine, and keeps entries up to date."""
 
-    def __init__(self, source: ports.EngineStatusSource) -> None:
-        """Ask ``source``."""
+    def __init__(
+        self,
+        source: ports.EngineStatusSource,
+        note_start: abc.Callable[[int], None],
+    ) -> None:
+        """Ask ``source``; give ``note_start`` the time of each start.
+
+        That is the Unix time in milliseconds, or 0 where it is not said.
+        """
         self._source: typing.Final = source
+        self._note_start: typing.Final = note_start
         self._status: typing.Optional[ports.EngineStatus] = None
         self._is_silent = False
         self._asked_at = 0.0
@@ -67,6 +75,8 @@
 
     def _take_status(self, status: ports.EngineStatus) -> None:
         was_leaving = self._status is not None and self._status.is_leaving
+        if self._is_start(status):
+            self._note_start(status.born_ms)
         if status.is_leaving and not was_leaving:
             logs.log_event(
                 events.TARGET_LEAVING, leaves_in_ms=status.leaves_in_ms
@@ -78,6 +88,14 @@
         if is_changed:
             self._tell()
 
+    def _is_start(self, status: ports.EngineStatus) -> bool:
+        """Tell whether this is the first status of a start of the engine."""
+        if status.is_leaving:
+            return False
+        if self._status is None or self._is_silent:
+            return True
+        return status.born_ms != self._status.born_ms
+
     def _tell(self) -> None:
         self._changed.set()
         self._changed = trio.Event()
--- a/packages/gentianpoint-core/src/gentianpoint_core/codec.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/codec.py
@@ -57,6 +57,7 @@
     "reject": messages.Reject,
     "engine_state": messages.EngineState,
     "entry_peers": messages.EntryPeers,
+    "engine_here": messages.EngineHere,
     "records_wanted": messages.RecordsWanted,
     "records_found": messages.RecordsFound,
     "move_wanted": messages.MoveWanted,
--- a/packages/gentianpoint-core/src/gentianpoint_core/ports.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/ports.py
@@ -378,6 +378,14 @@
     async def read_status(self) -> EngineStatus:
         """Return the status; raises :class:`PortError`."""
 
+    @abc.abstractmethod
+    async def read_identity(self) -> str:
+        """Return the identifier of the engine's present start.
+
+        Raises :class:`PortError` also when the engine is not well. A
+        platform may charge for the question, so it is asked once a start.
+        """
+
 
 class PlainAnswer(typing.NamedTuple):
     """Head and body of a plain service's answer."""
--- a/packages/gentianpoint-entry/features/forwarding/steps/target_board_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/target_board_steps.py
@@ -99,3 +99,78 @@
 def check_gone(context):
     assert context.board.find("a") is None
     assert context.board.find("b") is not None
+
+
+@behave.given("a list that names no target")
+def make_empty_listing(context):
+    context.board = targets.TargetBoard()
+    context.listing = target_listing.TargetListing(
+        context.board,
+        lambda record: forwarding_builders.make_entry(record.key),
+    )
+
+
+def read_list(context, names):
+    context.listing.take_newest(make_records(names))
+    context.listing.note_source(is_available=True)
+
+
+def announce(context):
+    context.listing.announce(forwarding_builders.make_entry("a", born_ms=0))
+
+
+@behave.when("target a is announced")
+def announce_target(context):
+    async def run():
+        read_list(context, "")
+        announce(context)
+
+    topic_builders.run_on_clock(run)
+
+
+@behave.then("a is used at once")
+def check_used(context):
+    context.first = context.board.find("a")
+    assert context.first.takes_work()
+
+
+@behave.then("the same target stands for a once the list names it")
+def check_same(context):
+    async def run():
+        read_list(context, "a")
+
+    topic_builders.run_on_clock(run)
+    assert context.board.find("a") is context.first
+    assert not context.first.is_gone
+
+
+@behave.when("target a is announced, and {then}")
+def announce_and_wait(context, then):
+    async def run():
+        read_list(context, "")
+        announce(context)
+        seconds = {"three": 3, "five": 5, "ten": 10}[then.split(" ")[-2]]
+        for _ in range(seconds):
+            await trio.sleep(1)
+            if "away" in then:
+                context.listing.note_source(is_available=False)
+            else:
+                read_list(context, "")
+
+    topic_builders.run_on_clock(run)
+
+
+@behave.when("target a was listed and dropped, and is announced then")
+def announce_dropped(context):
+    async def run():
+        read_list(context, "a")
+        await trio.sleep(3)
+        read_list(context, "")
+        announce(context)
+
+    topic_builders.run_on_clock(run)
+
+
+@behave.then("a is gone for good")
+def check_gone_for_good(context):
+    assert context.board.find("a") is None
--- a/packages/gentianpoint-entry/features/forwarding/target_board.feature
+++ b/packages/gentianpoint-entry/features/forwarding/target_board.feature
@@ -29,3 +29,34 @@
       | one second passes       | a is still listed  |
       | a writes its entry again and four seconds pass | a is still listed |
       | four seconds pass       | a is gone          |
+
+  Scenario: an agent tells of an engine before the list does
+    Engines are taken away every few seconds, and a new one is empty just when
+    the others are fullest. The list names it a second late; callers whose
+    generations have to move by then would lose them.
+    Given a list that names no target
+    When target a is announced
+    Then a is used at once
+    And the same target stands for a once the list names it
+
+  Scenario Outline: an announced engine that the list never names
+    The engine died before it wrote its entry, or the log is away and nobody
+    can write one. In the one case every request sent there fails; in the
+    other it may be the only engine with room.
+    Given a list that names no target
+    When target a is announced, and <then>
+    Then <outcome>
+
+    Examples:
+      | then                                          | outcome           |
+      | the list is read without it for three seconds | a is still listed |
+      | the list is read without it for five seconds  | a is gone for good |
+      | the log is away for ten seconds               | a is still listed |
+
+  Scenario: an announcement that was long on its way
+    An entry's host stands still with an announcement unread. By the time it
+    wakes the list has dropped the engine; taken for new, it would be sent
+    requests that nobody answers.
+    Given a list that names no target
+    When target a was listed and dropped, and is announced then
+    Then a is gone for good
--- /dev/null
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/engine_announcements.py
@@ -0,0 +1,48 @@
+"""Takes what agents tell of engines that have just started."""
+
+from collections import abc
+import typing
+
+from gentianpoint_entry.forwarding import routes
+from gentianpoint_entry.forwarding import target_listing
+from gentianpoint_entry.forwarding import targets
+
+__all__ = ("EngineAnnouncements",)
+
+
+class EngineAnnouncements:
+    """Puts announced engines beside those that are listed."""
+
+    def __init__(
+        self,
+        listing: target_listing.TargetListing,
+        read_table: abc.Callable[[], typing.Optional[routes.RouteTable]],
+    ) -> None:
+        """Announce to ``listing`` what belongs to a service in force."""
+        self._listing: typing.Final = listing
+        self._read_table: typing.Final = read_table
+
+    def take(self, message: abc.Mapping[str, typing.Any]) -> None:
+        """Take an ``engine_here`` message.
+
+        One of a service that the configuration does not know, or knows
+        without engines, is left to the list.
+        """
+        table = self._read_table()
+        if table is None:
+            return
+        service = table.services.get(message["service"])
+        if service is None or service.engine is None:
+            return
+        self._listing.announce(
+            targets.TargetEntry(
+                target_id=message["target"],
+                service=service.name,
+                address=message["address"],
+                data_centre=message["data_centre"],
+                slots=service.engine.slots,
+                is_leaving=False,
+                slow_for_ms=0.0,
+                born_ms=message["born_ms"],
+            )
+        )
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/entry_peers.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/entry_peers.py
@@ -114,12 +114,27 @@
             )
 
 
+def _ignore_engine(message: abc.Mapping[str, typing.Any]) -> None:
+    """Leave an announced engine to the list."""
+
+
 class EntryPeers:
     """The other entries, as far as this one reaches them."""
 
-    def __init__(self, address: str, seeds: abc.Sequence[str]) -> None:
-        """Be known as ``address``; start from ``seeds``."""
+    def __init__(
+        self,
+        address: str,
+        seeds: abc.Sequence[str],
+        take_engine: abc.Callable[
+            [abc.Mapping[str, typing.Any]], None
+        ] = _ignore_engine,
+    ) -> None:
+        """Be known as ``address``; start from ``seeds``.
+
+        ``take_engine`` is given what agents tell of engines that started.
+        """
         self._address: typing.Final = address
+        self._take_engine: typing.Final = take_engine
         self._seeds: set[str] = set(seeds) - {address}
         self._known: typing.Final[set[str]] = set()
         self._dialling: typing.Final[set[str]] = set()
@@ -136,6 +151,10 @@
         """Take new addresses from the settings."""
         self._seeds = set(seeds) - {self._address}
 
+    def count_connected(self) -> int:
+        """Return how many other entries there are connections to."""
+        return len(self._peers)
+
     def count_entries(self) -> int:
         """Return how many entries there are, this one among them.
 
@@ -193,7 +212,16 @@
                 nursery.start_soon(connection.keep_alive, lambda: True)
                 nursery.start_soon(self._send_peers, connection)
                 while True:
-                    await self._take_message(peer, await connection.receive())
+                    message = await connection.receive()
+                    if message["type"] == "engine_here":
+                        await self._take_announcement(message)
+                        if not message["passed_on"]:
+                            # From an agent, which has nothing else to say
+                            # and takes the end as a receipt.
+                            break
+                        continue
+                    await self._take_message(peer, message)
+                nursery.cancel_scope.cancel()
         finally:
             if self._peers.get(peer.address) is peer:
                 del self._peers[peer.address]
@@ -226,6 +254,24 @@
             case "records_found":
                 peer.take_answer(message)
 
+    async def _take_announcement(
+        self, message: abc.Mapping[str, typing.Any]
+    ) -> None:
+        """Take an engine that started, and pass it on once.
+
+        Agents know few entries, which may be fewer still by now; these know
+        all the others.
+        """
+        self._take_engine(message)
+        if message["passed_on"]:
+            return
+        for peer in list(self._peers.values()):
+            try:
+                await peer.connection.send({**message, "passed_on": True})
+            except peer_connections.PeerConnectionError as error:
+                # The list tells that entry, which has lost this one anyway.
+                peer_connections.log_loss(error)
+
     def _take_peers(
         self, peer: _Peer, message: abc.Mapping[str, typing.Any]
     ) -> None:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_listing.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_listing.py
@@ -1,5 +1,6 @@
 """Keeps the board of targets as the platform's list tells it."""
 
+import collections
 from collections import abc
 import typing
 
@@ -18,6 +19,13 @@
 ]
 """Returns what a record says of a target; None when it names none."""
 
+_LISTED_WITHIN_S: typing.Final = 4.0
+"""Time, with the log at hand, in which an announced target is listed. Targets
+write their entries within a second of their start, and readings are up to a
+second apart; one that is not listed by then may have ended unseen."""
+_MOST_DROPPED: typing.Final = 128
+"""Dropped targets that are remembered; an announcement that was on its way
+for long must not bring one back."""
 _BACK_WITHIN_S: typing.Final = 2.2
 """Time after an outage of the log in which targets that are well have written
 their entries again. Until then a missing entry may only mean that it lapsed
@@ -35,6 +43,10 @@
         self._board: typing.Final = board
         self._decode: typing.Final = decode
         self._missing: typing.Final[set[str]] = set()
+        self._announced: typing.Final[dict[str, float]] = {}
+        self._dropped: typing.Final[collections.deque[str]] = (
+            collections.deque(maxlen=_MOST_DROPPED)
+        )
         self._settled_at = -1.0
         self._is_available = True
         self.has_read = False
@@ -46,10 +58,30 @@
             if self._put(record):
                 listed.add(record.key)
         for target in self._board.list_all():
-            if target.target_id not in listed:
-                self._drop(target.target_id)
+            name = target.target_id
+            if name not in listed and name not in self._announced:
+                self._drop(name)
         self.has_read = True
 
+    def announce(self, entry: targets.TargetEntry) -> None:
+        """Take a target that its agent has told of before the list does.
+
+        It is used at once. Its absence from the list says nothing for a
+        while, and nothing at all while the log is away.
+        """
+        name = entry.target_id
+        if self._board.find(name) is not None or name in self._dropped:
+            return
+        now = trio.current_time()
+        self._board.put_entry(entry, now)
+        self._announced[name] = now + _LISTED_WITHIN_S
+        logs.log_event(
+            events.TARGET_ANNOUNCED,
+            target=name,
+            address=entry.address,
+            service=entry.service,
+        )
+
     def take_change(self, record: ports.KeyedRecord) -> None:
         """Take one target's entry, or its removal."""
         if record.value is None or not self._put(record):
@@ -61,6 +93,11 @@
         if not is_available or not self._is_available:
             self._settled_at = now + _BACK_WITHIN_S
         self._is_available = is_available
+        for name, listed_by in list(self._announced.items()):
+            if not is_available:
+                self._announced[name] = now + _LISTED_WITHIN_S
+            elif now >= listed_by:
+                self._drop_now(name)
         if is_available and now >= self._settled_at:
             for target_id in sorted(self._missing):
                 self._drop_now(target_id)
@@ -74,7 +111,9 @@
         was_leaving = known is not None and known.entry.is_leaving
         self._board.put_entry(entry, trio.current_time())
         self._missing.discard(entry.target_id)
-        if known is None:
+        is_new = known is None or entry.target_id in self._announced
+        self._announced.pop(entry.target_id, None)
+        if is_new:
             logs.log_event(
                 events.TARGET_LISTED,
                 target=entry.target_id,
@@ -99,5 +138,7 @@
             self._drop_now(target_id)
 
     def _drop_now(self, target_id: str) -> None:
+        self._announced.pop(target_id, None)
+        self._dropped.append(target_id)
         if self._board.drop(target_id) is not None:
             logs.log_event(events.TARGET_UNLISTED, target=target_id)
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
@@ -7,6 +7,7 @@
 """
 
 from collections import abc
+import math
 import typing
 
 from gentianpoint_core import deadlines
@@ -108,9 +109,14 @@
 
     def __init__(self) -> None:
         """Start without any."""
+        self.noticed_at = -math.inf
         self._targets: typing.Final[dict[str, Target]] = {}
         self._by_service: typing.Final[dict[str, list[Target]]] = {}
 
+    def note_notice(self, now: float) -> None:
+        """Remember when a target was last given notice; see ``choice``."""
+        self.noticed_at = now
+
     def put_entry(self, entry: TargetEntry, now: float) -> Target:
         """Take a target's entry; a new start replaces the one before."""
         known = self._targets.get(entry.target_id)
@@ -151,4 +157,8 @@
 def _is_same_start(known: TargetEntry, entry: TargetEntry) -> bool:
     if known.service != entry.service or known.address != entry.address:
         return False
+    # An announcement, or an entry of an older writer, may not say when the
+    # target started; address and identifier then have to do.
+    if not known.born_ms or not entry.born_ms:
+        return True
     return known.born_ms == entry.born_ms
