Choose a move's way by the time that is left, and start none without a turn

And all that still waited 1.6 s after the notice started at once, so the copy under way shared its link with them and missed the engine's end ("no answer in time" at the moment of its end, three of six scripts lost there).

Change: the time of a copy is worked out from the engine's bytes a token, its link's rate and the memory in use; a generation is copied ahead when that and what follows fit, and stopped first only when not. Turns go by the memory in use, not by the caller's estimate of the end. No one moves without a turn while the agent's reports come.

--- a/packages/gentianpoint-entry/features/forwarding/forwarding_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/forwarding_builders.py
@@ -148,6 +148,7 @@
         """Start without targets."""
         self.scripts: dict[str, list[str]] = {}
         self.moves: list[str] = []
+        self.stops: list[bool] = []
         self.sends: list[tuple[str, requests.SendOptions]] = []
         self.open: set[str] = set()
         self.most_open = 0
@@ -191,6 +192,7 @@
         deadline: deadlines.Deadline,
     ) -> target_calls.MovedCopy:
         """Answer by the next words for moves."""
+        self.stops.append(stops)
         await trio.sleep(0.05)
         words = self.moves.pop(0) if len(self.moves) > 1 else self.moves[0]
         if words == "unreachable":
--- /dev/null
+++ b/packages/gentianpoint-entry/features/forwarding/steps/agent_turns_steps.py
@@ -0,0 +1,66 @@
+"""Steps for waiting for turns."""
+
+import types
+
+import behave
+import topic_builders
+import trio
+
+from gentianpoint_entry.forwarding import agent_turns
+
+LONGEST_S = 10.0
+
+
+@behave.given("an agent that is heard and gives no turn")
+def make_slow_agent(context):
+    context.heard_s = LONGEST_S * 2
+    context.turn_s = LONGEST_S * 2
+
+
+@behave.given(
+    "an agent that gives no turn and is no longer heard after a second"
+)
+def make_silent_agent(context):
+    context.heard_s = 1.0
+    context.turn_s = LONGEST_S * 2
+
+
+@behave.given("an agent that gives the turn after {wait_ms:d} ms")
+def make_good_agent(context, wait_ms):
+    context.heard_s = LONGEST_S * 2
+    context.turn_s = wait_ms / 1000
+
+
+@behave.when("a generation waits for its turn")
+def wait_turn(context):
+    async def run():
+        began = trio.current_time()
+        turns = agent_turns.AgentTurns(types.SimpleNamespace())
+
+        def is_heard():
+            return trio.current_time() - began < context.heard_s
+
+        async def give_turn():
+            await trio.sleep(context.turn_s)
+            turns.take_turn("request")
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(give_turn)
+            with trio.move_on_after(LONGEST_S) as scope:
+                await turns.wait_turn("request", 100, is_heard)
+            nursery.cancel_scope.cancel()
+        context.has_waited_on = scope.cancelled_caught
+        context.took_ms = (trio.current_time() - began) * 1000
+
+    topic_builders.run_on_clock(run)
+
+
+@behave.then("it still waits after ten seconds")
+def check_waiting(context):
+    assert context.has_waited_on
+
+
+@behave.then("it goes on within {most_ms:d} ms")
+def check_going_on(context, most_ms):
+    assert not context.has_waited_on
+    assert context.took_ms <= most_ms, context.took_ms
--- a/packages/gentianpoint-entry/features/forwarding/steps/stream_calls_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/stream_calls_steps.py
@@ -53,14 +53,22 @@
     context.calls.moves = [word.strip() for word in words.split(",")]
 
 
-async def give_notice(context, shared, number):
+@behave.given("a copy of its memory takes about {copy_ms:d} ms")
+def set_copy_time(context, copy_ms):
+    # A prompt of 100 tokens over a link of 1 Mbit a second.
+    context.engine = context.engine._replace(
+        token_bytes=copy_ms * 1000 / 8 / 100, link_mbps=1.0
+    )
+
+
+async def give_notice(context, shared, number, left_ms=2000):
     """Let target a leave once the caller has an event."""
     wanted = forwarding_builders.make_event(number)
     while wanted not in context.answer.data:
         await trio.sleep(0.01)
     target = shared.board.find("a")
     target.entry = target.entry._replace(is_leaving=True)
-    target.leaves_at = deadlines.make_deadline(2000)
+    target.leaves_at = deadlines.make_deadline(left_ms)
 
 
 async def drop_target(context, shared, number):
@@ -119,6 +127,16 @@
     serve(context, give_notice, number)
 
 
+@behave.when(
+    "the request is served and a leaves {left_ms:d} ms after event {number:d}"
+)
+def serve_with_short_notice(context, left_ms, number):
+    async def give_short_notice(context, shared, number):
+        await give_notice(context, shared, number, left_ms)
+
+    serve(context, give_short_notice, number)
+
+
 @behave.when(
     "the request is served and a leaves the list after event {number:d}"
 )
@@ -217,3 +235,12 @@
     assert len(ends) == 1, ends
     assert ends[0]["longest_pause_ms"] == pause_ms, ends
     assert ends[0]["pause_before_event"] == number, ends
+
+
+@behave.then("its memory was copied {way}")
+def check_copies(context, way):
+    stops = {
+        "ahead and once more at the end": [False, True],
+        "after the stop only": [True],
+    }
+    assert context.calls.stops == stops[way], context.calls.stops
--- a/packages/gentianpoint-entry/features/forwarding/stream_calls.feature
+++ b/packages/gentianpoint-entry/features/forwarding/stream_calls.feature
@@ -152,6 +152,25 @@
     Then the caller has events 1 to 9, each once, as a complete answer
     And target b was asked to go on from the handle of the move
 
+  Scenario Outline: how a generation moves in the time that is left
+    Its turn to move comes late, behind others of its engine. Stopped first, it
+    stands still for all of its copy, which its caller hears; copied ahead
+    where there is no time for that, it is lost with its engine.
+    Given a generation that may run once, without copies
+    And a copy of its memory takes about 500 ms
+    And target a answers: events 1-9 then break
+    And target b answers: events 3-9 then end
+    And moves of memory: copied, copied
+    When the request is served and a leaves <left> ms after event 1
+    Then the caller has events 1 to 9, each once, as a complete answer
+    And its memory was copied <way>
+
+    Examples:
+      | left | way                            |
+      | 1900 | ahead and once more at the end |
+      | 750  | ahead and once more at the end |
+      | 550  | after the stop only            |
+
   Scenario Outline: a generation that can't be moved away
     The engine that leaves takes no new connection, or no other has room. The
     generation runs on as long as its engine does; an entry that closed its
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/agent_turns.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/agent_turns.py
@@ -10,9 +10,8 @@
 
 __all__ = ("AgentTurns",)
 
-_LONGEST_WAIT_S: typing.Final = 1.6
-"""Time after which a generation moves without the turn: its target leaves
-two seconds after its notice, and an agent may have stopped."""
+_LOOK_S: typing.Final = 0.2
+"""Pause between looks at whether the agent is still heard."""
 
 
 class AgentTurns:
@@ -46,15 +45,24 @@
         for given in self._given.values():
             given.set()
 
-    async def wait_turn(self, request: str, tokens: int) -> None:
-        """Return when a request has the turn, or needs none."""
+    async def wait_turn(
+        self, request: str, tokens: int, is_heard: abc.Callable[[], bool]
+    ) -> None:
+        """Return when a request has the turn, or needs none.
+
+        It needs none once ``is_heard()`` says that the agent has stopped.
+        While the agent gives out turns, nothing moves without one: all that
+        wait would start at once, and the copy that has the turn would miss
+        its engine's end behind them.
+        """
         given = trio.Event()
         self._given[request] = given
         self._outgoing.send_nowait(
             {"type": "move_wanted", "request": request, "tokens": tokens}
         )
-        with trio.move_on_after(_LONGEST_WAIT_S):
-            await given.wait()
+        while not given.is_set() and is_heard():
+            with trio.move_on_after(_LOOK_S):
+                await given.wait()
 
     def give_back(self, request: str) -> None:
         """Give the turn back, or stop waiting for it."""
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/generation_moves.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/generation_moves.py
@@ -20,6 +20,7 @@
 from gentianpoint_core.generated import events
 from gentianpoint_entry.forwarding import agent_turns
 from gentianpoint_entry.forwarding import requests
+from gentianpoint_entry.forwarding import routes
 from gentianpoint_entry.forwarding import target_calls
 from gentianpoint_entry.forwarding import targets
 
@@ -30,8 +31,14 @@
 It is less than the usual notice of two seconds."""
 _STOP_MS: typing.Final = 900.0
 """Time for the last copy. It waits behind the copies of other generations."""
-_AHEAD_LEAST_MS: typing.Final = 600
-"""Time before its source leaves up to which a copy is made ahead."""
+_SETTLE_MS: typing.Final = 90.0
+"""Time from the end of a copy made ahead until the generation runs elsewhere:
+the wait for its next event, a call, and the rest of its memory."""
+_FAR_FACTOR: typing.Final = 2.0
+"""Times that a copy takes longer between data centres."""
+_AGENT_QUIET_S: typing.Final = 0.7
+"""Time without a report after which an agent counts as stopped. While an
+engine generates, its report changes ten times a second."""
 
 
 class _Stage(enum.Enum):
@@ -58,15 +65,20 @@
         source: targets.Target,
         choose_destination: abc.Callable[[], typing.Optional[targets.Target]],
         request_id: str,
-        tokens: int,
+        shape: routes.EngineShape,
+        count_memory: abc.Callable[[], int],
     ) -> None:
-        """Move from ``source`` to what is chosen once it is the turn."""
+        """Move from ``source`` to what is chosen once it is the turn.
+
+        ``count_memory`` returns the tokens that it has in memory now.
+        """
         self._calls: typing.Final = calls
         self._source: typing.Final = source
         self._choose_destination: typing.Final = choose_destination
         self.destination: typing.Optional[targets.Target] = None
         self._request_id: typing.Final = request_id
-        self._tokens: typing.Final = tokens
+        self._shape: typing.Final = shape
+        self._count_memory: typing.Final = count_memory
         self._turns: typing.Optional[agent_turns.AgentTurns] = None
         self._stage = _Stage.COPYING
         self._handle = ""
@@ -84,7 +96,9 @@
         turns = self._source.turns
         if turns is not None:
             self._turns = turns
-            await turns.wait_turn(self._request_id, self._tokens)
+            await turns.wait_turn(
+                self._request_id, self._count_memory(), self._is_agent_heard
+            )
         # Chosen only now, since what had room when the move was wanted may
         # be full after those that had the turn before.
         self.destination = self._choose_destination()
@@ -92,7 +106,7 @@
             self._fail("choose destination", "no target has room")
             return
         limit = self._source.leaves_at or deadlines.make_deadline(_AHEAD_MS)
-        if limit.remaining_ms() < _AHEAD_LEAST_MS:
+        if not self._has_time_ahead(limit):
             # One copy, after the stop, is all that there is time for.
             self._stage = _Stage.COPIED
             return
@@ -120,6 +134,25 @@
             took_ms=round((trio.current_time() - began) * 1000),
         )
 
+    def _has_time_ahead(self, limit: deadlines.Deadline) -> bool:
+        """Tell whether the memory can be copied while it goes on.
+
+        A generation that is stopped for all of its copy stands still for
+        some tenths of a second, which callers hear as a pause.
+        """
+        assert self.destination is not None
+        need_ms = self._shape.estimate_copy_ms(self._count_memory())
+        here = self._source.entry.data_centre
+        if self.destination.entry.data_centre != here:
+            need_ms *= _FAR_FACTOR
+        return limit.remaining_ms() >= need_ms + _SETTLE_MS
+
+    def _is_agent_heard(self) -> bool:
+        report = self._source.report
+        if report is None or self._source.turns is None:
+            return False
+        return trio.current_time() - report.received_at < _AGENT_QUIET_S
+
     def end(self) -> None:
         """Give the turn back, whatever became of the move."""
         if self._turns is not None:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/routes.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/routes.py
@@ -99,6 +99,18 @@
     """True when a running generation's memory can be moved."""
     can_back_up: bool
     """True when memory is copied to another engine as it grows."""
+    event_tokens: int = 1
+    """Tokens in an event of a stream."""
+    token_bytes: float = 0.0
+    """Memory of a token, in bytes; 0 if not known."""
+    link_mbps: float = 0.0
+    """Rate at which memory is copied between engines; 0 if not known."""
+
+    def estimate_copy_ms(self, tokens: int) -> float:
+        """Return how long a copy takes within a data centre, 0 if unknown."""
+        if not self.link_mbps:
+            return 0.0
+        return tokens * self.token_bytes * 8 / (self.link_mbps * 1000)
 
 
 class Service(typing.NamedTuple):
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
@@ -19,11 +19,11 @@
 from gentianpoint_entry.forwarding import attempts
 from gentianpoint_entry.forwarding import caller_answers
 from gentianpoint_entry.forwarding import caller_calls
-from gentianpoint_entry.forwarding import choice
 from gentianpoint_entry.forwarding import forwarder
 from gentianpoint_entry.forwarding import generation_moves
 from gentianpoint_entry.forwarding import refusals
 from gentianpoint_entry.forwarding import requests
+from gentianpoint_entry.forwarding import routes
 from gentianpoint_entry.forwarding import stream_events
 from gentianpoint_entry.forwarding import stream_pace
 from gentianpoint_entry.forwarding import stream_runs
@@ -355,7 +355,7 @@
             return await self._go_on_at_backup(run) if is_due else None
         engine = self._request.service.engine
         if engine is not None and engine.can_move:
-            return await self._move_on(run, nursery)
+            return await self._move_on(run, nursery, engine)
         return None
 
     def _has_backup(self, run: stream_runs.StreamRun) -> bool:
@@ -384,7 +384,10 @@
         return following
 
     async def _move_on(
-        self, run: stream_runs.StreamRun, nursery: trio.Nursery
+        self,
+        run: stream_runs.StreamRun,
+        nursery: trio.Nursery,
+        engine: routes.EngineShape,
     ) -> typing.Optional[stream_runs.StreamRun]:
         """Copy the memory ahead; once it is there, go on from it."""
         if self._has_stopped_in_vain:
@@ -397,7 +400,7 @@
             self._move = None
         if self._move is None:
             self._move_again_at = now + _MOVE_AGAIN_S
-            self._move = self._start_move(run.target, nursery)
+            self._move = self._start_move(run.target, nursery, engine)
             return None
         if not self._move.is_ready():
             return None
@@ -420,14 +423,22 @@
         return None
 
     def _start_move(
-        self, target: targets.Target, nursery: trio.Nursery
+        self,
+        target: targets.Target,
+        nursery: trio.Nursery,
+        engine: routes.EngineShape,
     ) -> generation_moves.GenerationMove:
+        def count_memory() -> int:
+            made = self._pace.events * engine.event_tokens
+            return self._request.prompt_tokens + made
+
         move = generation_moves.GenerationMove(
             self._shared.calls,
             target,
             lambda: self._shared.choose_room(self._request, target),
             self._request.request_id,
-            choice.count_tokens(self._request),
+            engine,
+            count_memory,
         )
         nursery.start_soon(move.copy_ahead)
         return move
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_pace.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_pace.py
@@ -24,7 +24,7 @@
         self._route: typing.Final = route
         self._measures: typing.Final = figures
         self._last_at = now
-        self._events = 0
+        self.events = 0
         self._first_ms = -1.0
         self._longest_ms = 0.0
         self._longest_before = 0
@@ -33,24 +33,24 @@
         """Note an event that is given to the caller at ``now``."""
         waited_ms = (now - self._last_at) * 1000
         self._last_at = now
-        self._events += 1
-        if self._events == 1:
+        self.events += 1
+        if self.events == 1:
             self._first_ms = waited_ms
             self._measures.record_first_event(self._route.name, waited_ms)
             return
         if waited_ms > self._longest_ms:
             self._longest_ms = waited_ms
-            self._longest_before = self._events
+            self._longest_before = self.events
         self._measures.record_gap(
             self._route.name, waited_ms, self._route.gap_objective_ms
         )
 
     def describe(self) -> dict[str, typing.Any]:
         """Return the figures for a log line; times in milliseconds."""
-        if not self._events:
+        if not self.events:
             return {"events": 0}
         return {
-            "events": self._events,
+            "events": self.events,
             "first_event_ms": round(self._first_ms),
             "longest_pause_ms": round(self._longest_ms),
             "pause_before_event": self._longest_before,
