Leave engines at addresses that others had to the list

Addresses of targets that have gone are given to other services. An agent whose engine was replaced so asks the newcomer for its identifier and would announce it under its own service; requests would be run by a service that they must not reach until the list corrects it a second later.

Ruled out: asking the newcomer what it serves, since its report names models that several services may have; reading the list in each agent (a call a start and second, and nothing while the log is away).

Change: an agent announces only the engine that it finds at its own start, and an entry takes no announcement of an address that it has known another target at.

--- a/packages/gentianpoint-agent/src/gentianpoint_agent/engine_announcement.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/engine_announcement.py
@@ -1,4 +1,4 @@
-"""Tells entries of an engine that has just started.
+"""Tells entries of the engine that an agent finds at its own start.
 
 The load it answers: engines are taken away every few seconds, and each new
 one is empty just when the others are fullest. The platform's list names it a
@@ -55,25 +55,26 @@
         self._place: typing.Final = place
         self._source: typing.Final = source
         self._entries: typing.Final = tuple(entries)
-        send, receive = trio.open_memory_channel[int](1)
-        self._starts: typing.Final = send
-        self._to_tell: typing.Final = receive
+        self._has_started: typing.Final = trio.Event()
+        self._born_ms = 0
 
     def note_start(self, born_ms: int) -> None:
-        """Learn that the engine has started; 0 for a time not known."""
-        try:
-            self._starts.send_nowait(born_ms)
-        except trio.WouldBlock:
-            # The start before is still being told: the identifier is asked
-            # for only then, so it is the newest one.
-            return
+        """Learn that the engine answers; 0 for a start at a time not known.
+
+        Only the first one counts. Where an engine is gone and another one
+        answers at its address, that may belong to another service, which
+        only the list tells.
+        """
+        if not self._has_started.is_set():
+            self._born_ms = born_ms
+            self._has_started.set()
 
     async def run(self) -> None:
-        """Announce each start, for ever."""
-        async for born_ms in self._to_tell:
-            target = await self._find_identity()
-            if target:
-                await self._announce(target, born_ms)
+        """Announce the engine that this agent found at its own start."""
+        await self._has_started.wait()
+        target = await self._find_identity()
+        if target:
+            await self._announce(target, self._born_ms)
 
     async def _find_identity(self) -> str:
         """Return the engine's identifier, empty if it gives none."""
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/engine_feed.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/engine_feed.py
@@ -38,9 +38,10 @@
         source: ports.EngineStatusSource,
         note_start: abc.Callable[[int], None],
     ) -> None:
-        """Ask ``source``; give ``note_start`` the time of each start.
+        """Ask ``source``, and tell ``note_start`` once it answers.
 
-        That is the Unix time in milliseconds, or 0 where it is not said.
+        It is given the Unix time of the engine's start in milliseconds, or 0
+        where that is not said.
         """
         self._source: typing.Final = source
         self._note_start: typing.Final = note_start
@@ -75,7 +76,7 @@
 
     def _take_status(self, status: ports.EngineStatus) -> None:
         was_leaving = self._status is not None and self._status.is_leaving
-        if self._is_start(status):
+        if self._status is None and not status.is_leaving:
             self._note_start(status.born_ms)
         if status.is_leaving and not was_leaving:
             logs.log_event(
@@ -88,14 +89,6 @@
         if is_changed:
             self._tell()
 
-    def _is_start(self, status: ports.EngineStatus) -> bool:
-        """Tell whether this is the first status of a start of the engine."""
-        if status.is_leaving:
-            return False
-        if self._status is None or self._is_silent:
-            return True
-        return status.born_ms != self._status.born_ms
-
     def _tell(self) -> None:
         self._changed.set()
         self._changed = trio.Event()
--- a/packages/gentianpoint-entry/features/forwarding/steps/target_board_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/target_board_steps.py
@@ -174,3 +174,33 @@
 @behave.then("a is gone for good")
 def check_gone_for_good(context):
     assert context.board.find("a") is None
+
+
+@behave.when(
+    "target b was listed at a's address and dropped, and a is announced"
+)
+def announce_at_address(context):
+    address = forwarding_builders.make_entry("a").address
+    context.listing = target_listing.TargetListing(
+        context.board,
+        lambda record: forwarding_builders.make_entry(
+            record.key, address=address
+        ),
+    )
+
+    async def run():
+        read_list(context, "b")
+        await trio.sleep(3)
+        read_list(context, "")
+        announce(context)
+
+    topic_builders.run_on_clock(run)
+
+
+@behave.then("a is used once the list names it")
+def check_used_once_listed(context):
+    async def run():
+        read_list(context, "a")
+
+    topic_builders.run_on_clock(run)
+    assert context.board.find("a").takes_work()
--- a/packages/gentianpoint-entry/features/forwarding/target_board.feature
+++ b/packages/gentianpoint-entry/features/forwarding/target_board.feature
@@ -60,3 +60,12 @@
     Given a list that names no target
     When target a was listed and dropped, and is announced then
     Then a is gone for good
+
+  Scenario: an announced engine at an address that another target had
+    Addresses of targets that have gone go to other services. An agent that
+    takes the newcomer for its own engine would have a report run by a service
+    that must never see it.
+    Given a list that names no target
+    When target b was listed at a's address and dropped, and a is announced
+    Then a is gone for good
+    But a is used once the list names it
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_listing.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_listing.py
@@ -26,6 +26,9 @@
 _MOST_DROPPED: typing.Final = 128
 """Dropped targets that are remembered; an announcement that was on its way
 for long must not bring one back."""
+_MOST_ADDRESSES: typing.Final = 8192
+"""Addresses that are remembered as used, the newest of them; about 1 MB, and
+three times the targets that a deployment is built for."""
 _BACK_WITHIN_S: typing.Final = 2.2
 """Time after an outage of the log in which targets that are well have written
 their entries again. Until then a missing entry may only mean that it lapsed
@@ -47,6 +50,7 @@
         self._dropped: typing.Final[collections.deque[str]] = (
             collections.deque(maxlen=_MOST_DROPPED)
         )
+        self._addresses: typing.Final[dict[str, None]] = {}
         self._settled_at = -1.0
         self._is_available = True
         self.has_read = False
@@ -66,14 +70,21 @@
     def announce(self, entry: targets.TargetEntry) -> None:
         """Take a target that its agent has told of before the list does.
 
-        It is used at once. Its absence from the list says nothing for a
-        while, and nothing at all while the log is away.
+        It is used at once, unless another target had its address, which
+        only the list can tell apart. Its absence from the list says nothing
+        for a while, and nothing at all while the log is away.
         """
         name = entry.target_id
         if self._board.find(name) is not None or name in self._dropped:
             return
+        if entry.address in self._addresses:
+            # Addresses of targets that have gone are given to other
+            # services, and an agent may not know yet that its engine's was:
+            # requests would be run by a service that they must not reach.
+            return
         now = trio.current_time()
         self._board.put_entry(entry, now)
+        self._remember_address(entry.address)
         self._announced[name] = now + _LISTED_WITHIN_S
         logs.log_event(
             events.TARGET_ANNOUNCED,
@@ -110,6 +121,7 @@
         known = self._board.find(entry.target_id)
         was_leaving = known is not None and known.entry.is_leaving
         self._board.put_entry(entry, trio.current_time())
+        self._remember_address(entry.address)
         self._missing.discard(entry.target_id)
         is_new = known is None or entry.target_id in self._announced
         self._announced.pop(entry.target_id, None)
@@ -129,6 +141,12 @@
             )
         return True
 
+    def _remember_address(self, address: str) -> None:
+        self._addresses.pop(address, None)
+        self._addresses[address] = None
+        if len(self._addresses) > _MOST_ADDRESSES:
+            del self._addresses[next(iter(self._addresses))]
+
     def _drop(self, target_id: str) -> None:
         # The first reading after an outage comes before its end is noted.
         is_settled = trio.current_time() >= self._settled_at
