Specify the move of a generation and show that each guard is needed

Ruled out: backups in the model, whose two engines may overlap for a quarter of a second by design.

Conclusion: one guard, that a copy is taken once, is the engines' own: an entry whose answer from the destination was lost asks the source with the same handle, and relies on the refusal that the pages promise.

--- a/spec/catalogue.py
+++ b/spec/catalogue.py
@@ -10,6 +10,7 @@
 from spec import dispatch
 from spec import dispatch_state
 from spec import fencing
+from spec import moves
 from spec import turns
 
 __all__ = ("SPECIFICATIONS", "Specification")
@@ -56,6 +57,13 @@
     return turns.build_turns(turns.SCOPES[scope], guard)
 
 
+def _build_moves(
+    scope: str, without: typing.Optional[str]
+) -> minicheck.Protocol:
+    guard = None if without is None else moves.Guard(without)
+    return moves.build_moves(moves.SCOPES[scope], guard)
+
+
 def _build_claims(
     scope: str, without: typing.Optional[str]
 ) -> minicheck.Protocol:
@@ -80,6 +88,9 @@
     "turns": Specification(
         tuple(turns.SCOPES), tuple(turns.Guard), _build_turns
     ),
+    "moves": Specification(
+        tuple(moves.SCOPES), tuple(moves.Guard), _build_moves
+    ),
     "claims": Specification(
         tuple(claims.SCOPES), tuple(claims.Guard), _build_claims
     ),
--- a/spec/report.py
+++ b/spec/report.py
@@ -14,6 +14,7 @@
 from spec import configuration
 from spec import dispatch
 from spec import fencing
+from spec import moves
 from spec import search
 from spec import turns
 
@@ -27,6 +28,7 @@
         "configuration": configuration.SCOPES,
         "fencing": fencing.SCOPES,
         "turns": turns.SCOPES,
+        "moves": moves.SCOPES,
         "claims": claims.SCOPES,
     }[specification]
     bounds: list[str] = []
