Drop announcements of engines whose address is none

An address that an agent announces went unchecked into the board; the connection to its agent splits it, and a text that is no address would have raised there and ended the entry.

An engine that is not well at its agent's start is asked six times, a quarter of a second apart, in place of twenty times: a platform may charge for health checks.

--- a/packages/gentianpoint-agent/src/gentianpoint_agent/engine_announcement.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/engine_announcement.py
@@ -20,10 +20,11 @@
 
 __all__ = ("EnginePlace", "EngineAnnouncement")
 
-_ASK_S: typing.Final = 0.1
+_ASK_S: typing.Final = 0.25
 """Pause before an engine that is not well yet is asked for its name again."""
-_ASKS: typing.Final = 20
-"""Times that it is asked; after that the list names it."""
+_ASKS: typing.Final = 6
+"""Times that it is asked; after that the list names it. Each of them may be
+charged for."""
 _TELLS: typing.Final = 3
 """Times that an entry is tried: the list names the engine soon."""
 _TELL_AGAIN_S: typing.Final = 0.3
@@ -130,7 +131,10 @@
 async def _wait_until_closed(
     connection: peer_connections.PeerConnection,
 ) -> None:
-    """Return once the entry has closed the connection, having read it."""
+    """Return once the entry has closed the connection, having read it.
+
+    A connection that is lost looks the same; the list names the engine then.
+    """
     with trio.move_on_after(_TAKEN_S):
         try:
             while True:
--- a/packages/gentianpoint-entry/features/forwarding/engine_announcements.feature
+++ b/packages/gentianpoint-entry/features/forwarding/engine_announcements.feature
@@ -24,3 +24,11 @@
     And an agent that knows the first entry and that address
     When an engine of another service starts
     Then no entry uses the engine
+
+  Scenario: an address that is none
+    An agent's settings are broken. An entry that tried to connect there would
+    end, and with it every answer that it is giving.
+    Given two entries that know each other, and an address where none is
+    And an agent that knows the first entry and that address
+    When an engine at "somewhere" starts
+    Then no entry uses the engine
--- a/packages/gentianpoint-entry/features/forwarding/steps/engine_announcements_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/engine_announcements_steps.py
@@ -76,8 +76,8 @@
     context.seeds = [context.first_address, context.empty]
 
 
-def start_engine(context, service, well_at=1):
-    place = engine_announcement.EnginePlace(service, ENGINE_ADDRESS, "north")
+def start_engine(context, service, well_at=1, address=ENGINE_ADDRESS):
+    place = engine_announcement.EnginePlace(service, address, "north")
 
     async def run():
         announcement = engine_announcement.EngineAnnouncement(
@@ -114,6 +114,11 @@
     start_engine(context, "another service")
 
 
+@behave.when('an engine at "{address}" starts')
+def start_nowhere(context, address):
+    start_engine(context, forwarding_builders.SERVICE, address=address)
+
+
 @behave.then("both entries use the engine")
 def check_used(context):
     for entry in context.entries:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/engine_announcements.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/engine_announcements.py
@@ -3,6 +3,9 @@
 from collections import abc
 import typing
 
+from gentianpoint_core import logs
+from gentianpoint_core import option_types
+from gentianpoint_core.generated import events
 from gentianpoint_entry.forwarding import routes
 from gentianpoint_entry.forwarding import target_listing
 from gentianpoint_entry.forwarding import targets
@@ -26,7 +29,8 @@
         """Take an ``engine_here`` message.
 
         One of a service that the configuration does not know, or knows
-        without engines, is left to the list.
+        without engines, is left to the list; one whose address is none is
+        dropped, since connecting to it would end this process.
         """
         table = self._read_table()
         if table is None:
@@ -34,6 +38,15 @@
         service = table.services.get(message["service"])
         if service is None or service.engine is None:
             return
+        try:
+            option_types.split_address(message["address"])
+        except ValueError as error:
+            logs.log_event(
+                events.ANNOUNCEMENT_IGNORED,
+                target=message["target"],
+                reason=str(error),
+            )
+            return
         self._listing.announce(
             targets.TargetEntry(
                 target_id=message["target"],
