--- /dev/null
+++ b/bench/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Works out what each role costs at the size that is built towards."""
--- a/bench/capacity.py
+++ b/bench/capacity/sizes.py
@@ -1,16 +1,13 @@
-"""Works out docs/CAPACITY.md from the committed results.
+"""What each role costs at the target's sizes, from the committed results.
 
-Every figure of the page is a measured slope times a size of the target, or a
-default of the settings; none is copied by hand. ``--check`` tells whether
-the page is up to date. The words of the page stand in
-``capacity_page.py``.
+Every figure is a measured slope times a size of the target, or a default of
+the settings; none is copied by hand.
 """
 
 from collections import abc
 import json
 import math
 import pathlib
-import sys
 import typing
 
 from bench import measures
@@ -23,9 +20,8 @@
 
 __all__ = ("Budget", "Model", "Role", "load_model")
 
-ROOT: typing.Final = pathlib.Path(__file__).resolve().parent.parent
+ROOT: typing.Final = pathlib.Path(__file__).resolve().parents[2]
 RESULTS: typing.Final = ROOT / "bench" / "results" / "latest.json"
-PAGE: typing.Final = ROOT / "docs" / "CAPACITY.md"
 
 ENTRIES: typing.Final = 380
 AGENTS: typing.Final = 2700
@@ -444,21 +440,3 @@
 def load_model() -> Model:
     """Return the model of the committed results."""
     return Model(json.loads(RESULTS.read_text()))
-
-
-def main() -> int:
-    """Write the page, or check it."""
-    from bench import capacity_page
-
-    text = capacity_page.write_page(load_model())
-    if "--check" in sys.argv[1:]:
-        if PAGE.read_text() == text:
-            return 0
-        print("docs/CAPACITY.md is not what the results give")
-        return 1
-    PAGE.write_text(text)
-    return 0
-
-
-if __name__ == "__main__":
-    sys.exit(main())
