Say in the log when a stopping entry broke an answer off

Both cancel the request, and the line named the caller.

Ruled out: a fault of the leaving itself: the scripts ran for 9.7 to 18.2 s, and no other entry can take a caller's connection over.

Change: a request that is cancelled once this entry's end has come has the outcome entry_stopped.

--- a/packages/gentianpoint-entry/features/forwarding/steps/stream_calls_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/stream_calls_steps.py
@@ -90,7 +90,9 @@
     context.overlap_s = trio.current_time() - asked_at
 
 
-def serve(context, change=give_notice, number=None):
+def serve(
+    context, change=give_notice, number=None, find_end=lambda: None, most_s=99
+):
     context.answer = forwarding_builders.NotedAnswer()
 
     async def run():
@@ -101,14 +103,15 @@
             context.route, context.engine
         )
         handling = request_handling.RequestHandling(
-            shared, forwarding_builders.send_refusal
+            shared, forwarding_builders.send_refusal, find_end
         )
         began = trio.current_time()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(watch_sends, context)
             if number is not None:
                 nursery.start_soon(change, context, shared, number)
-            await handling.serve(request, context.answer)
+            with trio.move_on_after(most_s):
+                await handling.serve(request, context.answer)
             context.took_s = trio.current_time() - began
             nursery.cancel_scope.cancel()
 
@@ -244,3 +247,24 @@
         "after the stop only": [True],
     }
     assert context.calls.stops == stops[way], context.calls.stops
+
+
+@behave.when("the request is served until {who} after {wait_ms:d} ms")
+def serve_until(context, who, wait_ms):
+    began = []
+
+    def find_end():
+        # The entry is told to stop half a second after the request came.
+        now = trio.current_time()
+        began.append(now)
+        if "entry" not in who or now < began[0] + 0.5:
+            return None
+        return began[0] + wait_ms / 1000
+
+    serve(context, find_end=find_end, most_s=wait_ms / 1000)
+
+
+@behave.then("the line that ends the request has the outcome {outcome}")
+def check_outcome(context, outcome):
+    ends = [line for line in context.lines if line["event"] == "request_ended"]
+    assert [line["outcome"] for line in ends] == [outcome], ends
--- a/packages/gentianpoint-entry/features/forwarding/stream_calls.feature
+++ b/packages/gentianpoint-entry/features/forwarding/stream_calls.feature
@@ -226,3 +226,17 @@
     And target a answers: events 1-9 then end, late before 5
     When the request is served
     Then the line that ends the request tells of a pause of 700 ms before event 5
+
+  Scenario Outline: a line tells who broke an answer off
+    A host is stopped while it serves a report that outlasts its grace, and the
+    technician complains. A line that says that the caller left would send the
+    engineer on call the wrong way.
+    Given a generation that may run once, without copies
+    And target a answers: events 1-90 then end
+    When the request is served until <who> after 1000 ms
+    Then the line that ends the request has the outcome <outcome>
+
+    Examples:
+      | who               | outcome       |
+      | the entry ends    | entry_stopped |
+      | the caller leaves | caller_left   |
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/request_handling.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/request_handling.py
@@ -60,12 +60,11 @@
         with structlog.contextvars.bound_contextvars(
             request=request.request_id, route=request.route.name
         ):
-            outcome = "caller_left"
+            outcome = ""
             try:
                 outcome = await self._serve_in_time(call, request, answer)
-            except caller_answers.CallerGoneError:
-                raise
             finally:
+                outcome = outcome or self._name_break()
                 took_ms = round((trio.current_time() - began) * 1000)
                 self._shared.measures.record_request(
                     request.route.name, outcome, answer.status, took_ms
@@ -80,6 +79,18 @@
                     **call.describe_pace(),
                 )
 
+    def _name_break(self) -> str:
+        """Return why a request ended without a final answer.
+
+        Both ends cancel it: the caller by closing its connection, and this
+        entry as it stops with requests that outlasted its leaving. The one
+        is the caller's choice, the other a complaint.
+        """
+        ends_at = self._find_end()
+        if ends_at is not None and trio.current_time() >= ends_at:
+            return "entry_stopped"
+        return "caller_left"
+
     async def _serve_in_time(
         self,
         call: caller_calls.CallerCall,
