--- a/bench/capacity/sizes.py
+++ b/bench/capacity/sizes.py
@@ -13,9 +13,9 @@
 from bench import measures
 from gentianpoint_agent import report_periods
 from gentianpoint_core import peer_connections
-from gentianpoint_entry import agent_links
 from gentianpoint_entry import host_watch
 from gentianpoint_entry import link_pool
+from gentianpoint_entry import link_settings
 from gentianpoint_entry import status_records
 
 __all__ = ("Budget", "Model", "Role", "load_model")
@@ -320,13 +320,13 @@
     def compute_report_s(self, host_links: int) -> float:
         """Return the time between reports on a host with so many links."""
         own_ms = _read_default("agent", "report-ms")
-        return max(own_ms, agent_links.compute_report_ms(host_links)) / 1000
+        return max(own_ms, link_settings.compute_report_ms(host_links)) / 1000
 
     def compute_prefixes_s(self, host_links: int) -> float:
         """Return the time between reports with prefixes, likewise."""
         periods = report_periods.choose_periods(
             _read_default("agent", "report-ms"),
-            agent_links.compute_report_ms(host_links),
+            link_settings.compute_report_ms(host_links),
         )
         return periods.prefixes_ms / 1000
 
--- a/bench/decision_times.py
+++ b/bench/decision_times.py
@@ -27,6 +27,7 @@
 from gentianpoint_core import ports
 from gentianpoint_core.generated import messages
 from gentianpoint_entry import agent_links
+from gentianpoint_entry import link_settings
 from gentianpoint_entry import placement
 
 _ROUNDS: typing.Final = 15
@@ -271,7 +272,7 @@
 
 
 def _make_link(
-    number: int, settings: agent_links.LinkSettings
+    number: int, settings: link_settings.LinkSettings
 ) -> agent_links.AgentLink:
     name = f"agent-{number}"
     data_centre = "north" if number % 2 else "south"
@@ -283,7 +284,7 @@
 
 def measure_placement() -> abc.Iterator[DecisionTime]:
     """Time the choice of a target for a prompt of 4000 characters."""
-    settings = agent_links.LinkSettings(
+    settings = link_settings.LinkSettings(
         "entry", "run", "north", "", 1000, 3000, 64, 2**20
     )
     for size in _TARGETS:
--- a/bench/idle_connections.py
+++ b/bench/idle_connections.py
@@ -24,6 +24,7 @@
 from gentianpoint_core import peer_connections
 from gentianpoint_core import ports
 from gentianpoint_entry import agent_links
+from gentianpoint_entry import link_settings
 from gentianpoint_standins import processes
 
 __all__ = ("measure",)
@@ -63,7 +64,7 @@
             deployments.DATA_CENTRE,
             "live",
         ),
-        agent_links.LinkSettings(
+        link_settings.LinkSettings(
             f"entry-{number}",
             f"incarnation-{number}",
             deployments.DATA_CENTRE,
--- a/packages/gentianpoint-agent/features/report_reader.py
+++ b/packages/gentianpoint-agent/features/report_reader.py
@@ -8,10 +8,11 @@
 from gentianpoint_core import ports
 from gentianpoint_core.generated import messages
 from gentianpoint_entry import agent_links
+from gentianpoint_entry import link_settings
 from gentianpoint_standins import processes
 
 _WITHIN_S: typing.Final = 30
-_SETTINGS: typing.Final = agent_links.LinkSettings(
+_SETTINGS: typing.Final = link_settings.LinkSettings(
     "reader", "incarnation", "zona-norte", "", 1000, 3000, 64, 2**20
 )
 
--- a/packages/gentianpoint-entry/features/link_builders.py
+++ b/packages/gentianpoint-entry/features/link_builders.py
@@ -6,8 +6,9 @@
 from gentianpoint_core import ports
 from gentianpoint_core.generated import messages
 from gentianpoint_entry import agent_links
+from gentianpoint_entry import link_settings
 
-_SETTINGS: typing.Final = agent_links.LinkSettings(
+_SETTINGS: typing.Final = link_settings.LinkSettings(
     "entry-1", "run-1", "north", "key", 1000, 3000, 64, 2**20
 )
 
--- a/packages/gentianpoint-entry/features/steps/link_pool_steps.py
+++ b/packages/gentianpoint-entry/features/steps/link_pool_steps.py
@@ -10,6 +10,7 @@
 from gentianpoint_entry import agent_links
 from gentianpoint_entry import host_watch
 from gentianpoint_entry import link_pool
+from gentianpoint_entry import link_settings
 
 DATA_CENTRE = "zona-norte"
 WITHIN_S = 20
@@ -55,7 +56,7 @@
 
 @behave.when("an entry with {links:d} connections greets its agents")
 def greet(context, links):
-    context.period_ms = agent_links.compute_report_ms(links)
+    context.period_ms = link_settings.compute_report_ms(links)
 
 
 @behave.then("it asks for reports at least {period:d} ms apart")
@@ -90,7 +91,7 @@
     "an agent"
 )
 def greet_one(context, processes, links):
-    settings = agent_links.LinkSettings(
+    settings = link_settings.LinkSettings(
         "entry-1", "run", DATA_CENTRE, "", 1000, 3000, 256, 1024, processes
     )
     link = agent_links.AgentLink(
@@ -150,7 +151,7 @@
 
 @behave.when("nobody listens at the addresses of its agents")
 def lose_agents(context):
-    settings = agent_links.LinkSettings(
+    settings = link_settings.LinkSettings(
         "entry-1", "run", DATA_CENTRE, "", 1000, 3000, 256, 1024
     )
 
@@ -211,7 +212,7 @@
 
 @behave.given("a link whose agent reported {count:d} prefixes")
 def report_prefixes(context, count):
-    settings = agent_links.LinkSettings(
+    settings = link_settings.LinkSettings(
         "entry-1", "run", DATA_CENTRE, "", 1000, 3000, 256, 1024
     )
     context.link = agent_links.AgentLink(
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/agent_links.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/agent_links.py
@@ -19,8 +19,9 @@
 from gentianpoint_core import ports
 from gentianpoint_core.generated import events
 from gentianpoint_core.generated import messages
+from gentianpoint_entry import link_settings
 
-__all__ = ("AgentLink", "LinkCall", "LinkSettings", "compute_report_ms")
+__all__ = ("AgentLink", "LinkCall")
 
 _CLOSE_TIMEOUT_S: typing.Final = 0.2
 _OPEN_TIMEOUT_S: typing.Final = 2
@@ -29,8 +30,6 @@
 _RECOVERY_WITHIN_MS: typing.Final = 5000
 _SPARE_MESSAGES: typing.Final = 16
 _LONGEST_REFUSAL_MS: typing.Final = 1000
-_REPORT_WIRE_BYTES: typing.Final = 250
-_REPORT_BUDGET_BYTES_S: typing.Final = 1500
 _LAST_MESSAGES: typing.Final = frozenset(
     ("ended", "refused", "prepared", "cancelled")
 )
@@ -42,43 +41,6 @@
     return any(isinstance(cause, ConnectionRefusedError) for cause in causes)
 
 
-def compute_report_ms(links: int) -> int:
-    """Return the least time between reports of an agent, milliseconds.
-
-    ``links`` counts those of all entry processes on the host, which share
-    its budget for control traffic, and reports may take about a third of it.
-    With many links each one gets a smaller share, so reports come less
-    often; the entry's own sends since the last report fill the gap.
-
-    >>> compute_report_ms(3)
-    500
-    """
-    return round(links * _REPORT_WIRE_BYTES * 1000 / _REPORT_BUDGET_BYTES_S)
-
-
-class LinkSettings(typing.NamedTuple):
-    """What all links of an entry have in common."""
-
-    name: str
-    """Host of this entry."""
-    incarnation: str
-    """Run of this entry's process."""
-    data_centre: str
-    """Data centre of this entry."""
-    peer_key: str
-    """Key that the processes of the deployment share."""
-    heartbeat_ms: int
-    """Time between heartbeats, milliseconds."""
-    silence_ms: int
-    """Silence after which a connection is lost, milliseconds."""
-    window: int
-    """Items of a call that may be on the way."""
-    max_message_bytes: int
-    """Largest message taken from an agent, bytes."""
-    processes_on_host: int = 1
-    """Entry processes on this entry's host."""
-
-
 class LinkCall:
     """One call on a link, as the dispatcher sees it."""
 
@@ -126,7 +88,7 @@
     def __init__(
         self,
         host: ports.Host,
-        settings: LinkSettings,
+        settings: link_settings.LinkSettings,
         notify: abc.Callable[[], None],
         links: int = 1,
     ) -> None:
@@ -257,7 +219,7 @@
                 "data_centre": self._settings.data_centre,
                 "offset": 0,
                 "window": self._settings.window,
-                "report_ms": compute_report_ms(
+                "report_ms": link_settings.compute_report_ms(
                     self.links * self._settings.processes_on_host
                 ),
             }
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/calls.py
@@ -26,7 +26,7 @@
 from gentianpoint_entry import call_requests
 from gentianpoint_entry import dispatch
 
-__all__ = ("Call", "cancel_generation", "prepare_generation")
+__all__ = ("Call",)
 
 _MOST_ATTEMPTS: typing.Final = 3
 _ACKNOWLEDGE_SHARE: typing.Final = 4
@@ -542,58 +542,3 @@
                 await call.link.send({"type": "release", "call": call.number})
             except peer_connections.PeerConnectionError:
                 return
-
-
-async def prepare_generation(
-    dispatcher: dispatch.Dispatcher, request: call_requests.CallRequest
-) -> str:
-    """Return an identifier that a later call starts, once.
-
-    Raises :class:`errors.CallError` with ``not_run`` when no target gives
-    one out.
-    """
-    call = Call(dispatcher, request)
-    try:
-        while not call.generation:
-            await call.prepare_somewhere()
-    finally:
-        dispatcher.forget_call(call)
-    return call.generation
-
-
-async def cancel_generation(
-    dispatcher: dispatch.Dispatcher, request: call_requests.CallRequest
-) -> bool:
-    """Cancel a generation; False when its home does not hold it.
-
-    A lost link is tried again until the caller gives up: cancelling is
-    idempotent.
-    """
-    while True:
-        try:
-            link = await dispatcher.wait_home(request.generation)
-            answer = await _ask_to_cancel(link, request)
-        except dispatch.HomeLostError:
-            return False
-        except peer_connections.PeerConnectionError:
-            continue
-        if answer is not None:
-            return bool(answer["known"])
-
-
-async def _ask_to_cancel(
-    link: agent_links.AgentLink, request: call_requests.CallRequest
-) -> typing.Optional[codec.MessageMap]:
-    call = link.open_call()
-    try:
-        await link.send(
-            {
-                "type": "cancel",
-                "call": call.number,
-                "generation": request.generation,
-                "customer": request.customer,
-            }
-        )
-        return await call.receive()
-    finally:
-        call.close()
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/entry.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/entry.py
@@ -20,7 +20,6 @@
 from gentianpoint_core.generated import events
 from gentianpoint_entry import administration_routes
 from gentianpoint_entry import administration_state
-from gentianpoint_entry import agent_links
 from gentianpoint_entry import caller_sockets
 from gentianpoint_entry import claim_rates
 from gentianpoint_entry import claim_streams
@@ -33,6 +32,7 @@
 from gentianpoint_entry import host_watch
 from gentianpoint_entry import key_claims
 from gentianpoint_entry import link_pool
+from gentianpoint_entry import link_settings
 from gentianpoint_entry import live_hosts
 from gentianpoint_entry import open_calls
 from gentianpoint_entry import peer_routes
@@ -251,8 +251,8 @@
 
 def _make_link_settings(
     settings: entry_settings.EntrySettings, incarnation: str
-) -> agent_links.LinkSettings:
-    return agent_links.LinkSettings(
+) -> link_settings.LinkSettings:
+    return link_settings.LinkSettings(
         settings.name,
         incarnation,
         settings.data_centre,
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/generation_routes.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/generation_routes.py
@@ -20,6 +20,7 @@
 from gentianpoint_entry import entry_state
 from gentianpoint_entry import generation_answers
 from gentianpoint_entry import open_calls
+from gentianpoint_entry import prepared_generations
 from gentianpoint_entry import request_options
 
 __all__ = ("make_generation_routes",)
@@ -75,7 +76,9 @@
         return await answerer.answer_whole()
 
     async def prepare(request: call_requests.CallRequest) -> quart.Response:
-        prepared = await calls.prepare_generation(state.dispatcher, request)
+        prepared = await prepared_generations.prepare_generation(
+            state.dispatcher, request
+        )
         answer = quart.Response(
             msgspec.json.encode(
                 {"id": prepared, "object": "generation.prepared"}
@@ -169,7 +172,9 @@
         request = find_generation(identifier, customer)
         known = False
         with trio.move_on_after(_CANCEL_WITHIN_S):
-            known = await calls.cancel_generation(state.dispatcher, request)
+            known = await prepared_generations.cancel_generation(
+                state.dispatcher, request
+            )
         if not known:
             raise errors.CallError(
                 errors.UNKNOWN_GENERATION,
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/key_claims.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/key_claims.py
@@ -16,10 +16,10 @@
 from gentianpoint_core.generated import events
 from gentianpoint_core.generated import messages
 from gentianpoint_entry import call_requests
-from gentianpoint_entry import calls
 from gentianpoint_entry import claim_streams
 from gentianpoint_entry import configuration_tail
 from gentianpoint_entry import dispatch
+from gentianpoint_entry import prepared_generations
 
 __all__ = ("KeyClaims", "digest_request", "name_stream")
 
@@ -135,7 +135,9 @@
         self, request: call_requests.CallRequest, stream: str
     ) -> str:
         try:
-            return await calls.prepare_generation(self._dispatcher, request)
+            return await prepared_generations.prepare_generation(
+                self._dispatcher, request
+            )
         except errors.CallError as error:
             if error.code != errors.NOT_RUN:
                 raise
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/link_pool.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/link_pool.py
@@ -10,6 +10,7 @@
 from gentianpoint_core import deadlines
 from gentianpoint_core import ports
 from gentianpoint_entry import agent_links
+from gentianpoint_entry import link_settings
 
 __all__ = ("LinkPool", "choose_hosts", "count_links", "share_links")
 
@@ -96,7 +97,7 @@
     def __init__(
         self,
         nursery: trio.Nursery,
-        settings: agent_links.LinkSettings,
+        settings: link_settings.LinkSettings,
         links_per_service: int,
         configure: abc.Callable[[agent_links.AgentLink], abc.Awaitable[None]],
     ) -> None:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/plain_routes.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/plain_routes.py
@@ -14,6 +14,7 @@
 from gentianpoint_entry import entry_state
 from gentianpoint_entry import error_answers
 from gentianpoint_entry import open_calls
+from gentianpoint_entry import prepared_generations
 from gentianpoint_entry import request_options
 
 __all__ = ("make_plain_routes",)
@@ -159,7 +160,7 @@
             quart.request.method in _IDEMPOTENT_METHODS,
         )
         if request_options.wants_prepare(quart.request.headers):
-            prepared = await calls.prepare_generation(
+            prepared = await prepared_generations.prepare_generation(
                 state.dispatcher, request
             )
             return quart.Response(
