Split the replay's caller and drop what nothing reads

Cause: the caller of a replay was one function of fifty lines, a baseline reached into the forwarder, and the engine kept three figures for nobody.

Change: a class with an attempt and a refusal apart; the baseline asks the choice itself.

--- a/bench/replay/callers.py
+++ b/bench/replay/callers.py
@@ -14,7 +14,7 @@
 from gentianpoint_entry.forwarding import requests
 from gentianpoint_entry.forwarding import routes
 
-__all__ = ("Outcome", "call", "draw_generations", "send_refusal")
+__all__ = ("Caller", "Outcome", "draw_generations", "send_refusal")
 
 _RETRIES: typing.Final = 1
 """Times that a caller comes back."""
@@ -134,53 +134,87 @@
     return source.gammavariate(shape, mean / shape)
 
 
-async def call(
-    generation: shapes.Generation,
-    handlings: abc.Sequence[request_handling.RequestHandling],
-    costs: shapes.EngineCosts,
-    service: routes.Service,
-    source: random.Random,
-) -> Outcome:
-    """Send one generation, come back once if that helps, and tell."""
-    kind = generation.kind
-    began = trio.current_time()
-    deadline = deadlines.make_deadline(kind.deadline_ms)
-    times: list[float] = []
-    refused_after_ms = 0.0
-    end = ""
-    attempt = 0
-    for attempt in range(_RETRIES + 1):
-        number = generation.entry if not attempt else None
-        if number is None:
-            number = source.randrange(len(handlings))
+class Caller:
+    """Sends one generation, and comes back once if that helps."""
+
+    def __init__(
+        self,
+        generation: shapes.Generation,
+        handlings: abc.Sequence[request_handling.RequestHandling],
+        costs: shapes.EngineCosts,
+        service: routes.Service,
+        source: random.Random,
+    ) -> None:
+        """Send ``generation`` through one of the entries' ``handlings``."""
+        self._generation: typing.Final = generation
+        self._handlings: typing.Final = handlings
+        self._costs: typing.Final = costs
+        self._service: typing.Final = service
+        self._source: typing.Final = source
+        self._times: typing.Final[list[float]] = []
+        self._refused_after_ms = 0.0
+        self._comes_back = False
+
+    async def call(self) -> Outcome:
+        """Return what became of the generation."""
+        kind = self._generation.kind
+        began = trio.current_time()
+        deadline = deadlines.make_deadline(kind.deadline_ms)
+        end = ""
+        attempt = 0
+        for attempt in range(_RETRIES + 1):
+            end = await self._try_once(attempt, began, deadline)
+            if not self._comes_back:
+                break
+        return _judge(
+            self._generation,
+            end,
+            began,
+            self._times,
+            self._refused_after_ms,
+            attempt,
+        )
+
+    async def _try_once(
+        self, attempt: int, began: float, deadline: deadlines.Deadline
+    ) -> str:
+        """Make one attempt and return its end."""
+        generation = self._generation
+        kind = generation.kind
+        self._comes_back = False
+        number = generation.entry
+        if attempt:
+            number = self._source.randrange(len(self._handlings))
         answer = _Answer()
         request = _make_request(
-            generation, costs, service, deadline, len(times)
+            generation, self._costs, self._service, deadline, len(self._times)
         )
         leave_at = deadline.at
         if generation.is_impatient:
             leave_at = began + kind.objective_ms / 2000
         with trio.CancelScope(deadline=leave_at) as scope:
-            await handlings[number].serve(request, answer)
-        times += answer.times
+            await self._handlings[number].serve(request, answer)
+        self._times.extend(answer.times)
         if answer.is_finished and answer.refusal is None:
-            end = "on time"
-            break
+            return "on time"
         if scope.cancelled_caught:
-            end = "left" if generation.is_impatient else "broken"
-            break
-        end = "broken"
+            return "left" if generation.is_impatient else "broken"
         if answer.refusal is None:
-            if not kind.may_resume:
-                break
-            continue
-        refused_after_ms = (trio.current_time() - began) * 1000
-        end = "refused"
-        if answer.refusal.status != refusals.NOT_RUN and not kind.may_resume:
-            end = "broken"
-            break
-        await trio.sleep(answer.refusal.retry_after_ms / 1000)
-    return _judge(generation, end, began, times, refused_after_ms, attempt)
+            self._comes_back = kind.may_resume
+            return "broken"
+        return await self._take_refusal(answer.refusal, began)
+
+    async def _take_refusal(
+        self, refusal: refusals.Refusal, began: float
+    ) -> str:
+        """Wait as a refusal says, if coming back is allowed."""
+        self._refused_after_ms = (trio.current_time() - began) * 1000
+        may_have_run = refusal.status != refusals.NOT_RUN
+        if may_have_run and not self._generation.kind.may_resume:
+            return "broken"
+        self._comes_back = True
+        await trio.sleep(refusal.retry_after_ms / 1000)
+        return "refused"
 
 
 def _make_request(
--- a/bench/replay/engine.py
+++ b/bench/replay/engine.py
@@ -30,7 +30,6 @@
         send, receive = trio.open_memory_channel[int](math.inf)
         self.events: typing.Final = send
         self.received: typing.Final = receive
-        self.read_in_vain = 0
 
     @property
     def tokens(self) -> int:
@@ -52,12 +51,9 @@
 class Copy:
     """A generation's memory at an engine that does not run it."""
 
-    def __init__(self, holder: "Engine") -> None:
+    def __init__(self) -> None:
         """Hold nothing yet."""
-        self.holder: typing.Final = holder
         self.tokens = 0
-        self.made_tokens = 0
-        self.is_complete = False
 
 
 class Engine:
--- a/bench/replay/engine_calls.py
+++ b/bench/replay/engine_calls.py
@@ -190,7 +190,7 @@
         if not there.has_room(tokens - held):
             return False
         if copy is None:
-            copy = there.copies[name] = engine.Copy(there)
+            copy = there.copies[name] = engine.Copy()
         copy.tokens = tokens
         self.moved_tokens += tokens - held
         await links.copy_over(
@@ -200,7 +200,6 @@
             here.costs,
             is_far=here.data_centre != there.data_centre,
         )
-        copy.made_tokens = work.made_tokens
         return not there.is_gone
 
     async def _back_up(
--- a/bench/replay/playing.py
+++ b/bench/replay/playing.py
@@ -135,9 +135,8 @@
 
     async def serve(generation: shapes.Generation) -> None:
         await trio.sleep_until(began + generation.at)
-        outcomes.append(
-            await callers.call(generation, handlings, costs, service, source)
-        )
+        caller = callers.Caller(generation, handlings, costs, service, source)
+        outcomes.append(await caller.call())
 
     async with trio.open_nursery() as nursery:
         for generation in drawn:
--- a/bench/replay/policies.py
+++ b/bench/replay/policies.py
@@ -4,6 +4,8 @@
 import itertools
 import typing
 
+import trio
+
 from gentianpoint_entry.forwarding import choice
 from gentianpoint_entry.forwarding import forwarder
 from gentianpoint_entry.forwarding import requests
@@ -83,7 +85,15 @@
         self, request: requests.CallerRequest, runner: targets.Target
     ) -> typing.Optional[targets.Target]:
         """Back up as far as there is room."""
-        return self._choose_other(request, runner, choice.MOST_USED_BY_MOVES)
+        return choice.choose_backup(
+            self.board.list_of(request.service.name),
+            runner,
+            request,
+            self.count_entries(),
+            trio.current_time(),
+            self.source,
+            choice.MOST_USED_BY_MOVES,
+        )
 
 
 POLICIES: typing.Final[abc.Mapping[str, type[forwarder.Forwarder]]] = {
