Let the replay's baselines share what they leave out, and say what is assumed

Cause: two baselines had the same "back nothing up", and an engine's address was searched for beside the place that makes it. The comments on new engines still claimed what the measurement took away.

Change: round robin builds on moves alone; the address is handed on; the comments in the replay's shapes and the agent's module say what holds.

The only deployed file that changes does so in its first comment.

--- a/bench/replay/fleet.py
+++ b/bench/replay/fleet.py
@@ -120,16 +120,15 @@
         item = engine.Engine(f"engine-{number}", centre, self._costs, slowness)
         self.engines[address] = item
         self._nursery.start_soon(item.run)
-        self._nursery.start_soon(self._list_engine, item, known_after_s)
+        self._nursery.start_soon(
+            self._list_engine, item, address, known_after_s
+        )
 
     async def _list_engine(
-        self, item: engine.Engine, known_after_s: float
+        self, item: engine.Engine, address: str, known_after_s: float
     ) -> None:
         await trio.sleep(known_after_s)
         turns = move_turns.MoveTurns()
-        address = next(
-            key for key, value in self.engines.items() if value is item
-        )
         entry = targets.TargetEntry(
             target_id=item.name,
             service=SERVICE,
--- a/bench/replay/policies.py
+++ b/bench/replay/policies.py
@@ -14,7 +14,17 @@
 __all__ = ("POLICIES",)
 
 
-class _RoundRobin(forwarder.Forwarder):
+class _MovesAlone(forwarder.Forwarder):
+    """Our choice and moves, without backups."""
+
+    def choose_backup(
+        self, request: requests.CallerRequest, runner: targets.Target
+    ) -> typing.Optional[targets.Target]:
+        """Back nothing up."""
+        return None
+
+
+class _RoundRobin(_MovesAlone):
     """One target after another, without copies or moves."""
 
     def __init__(self, *args: typing.Any) -> None:
@@ -45,12 +55,6 @@
         """Move nothing."""
         return None
 
-    def choose_backup(
-        self, request: requests.CallerRequest, runner: targets.Target
-    ) -> typing.Optional[targets.Target]:
-        """Back nothing up."""
-        return None
-
 
 class _FewestOutstanding(_RoundRobin):
     """The target with the fewest of this entry's own requests."""
@@ -68,16 +72,6 @@
         )
 
 
-class _MovesAlone(forwarder.Forwarder):
-    """Our choice and moves, without backups."""
-
-    def choose_backup(
-        self, request: requests.CallerRequest, runner: targets.Target
-    ) -> typing.Optional[targets.Target]:
-        """Back nothing up."""
-        return None
-
-
 class _AllBackups(forwarder.Forwarder):
     """Our choice, with a backup for each generation that fits anywhere."""
 
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/engine_announcement.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/engine_announcement.py
@@ -1,10 +1,10 @@
 """Tells entries of the engine that an agent finds at its own start.
 
-The load it answers: engines are taken away every few seconds, and each new
-one is empty just when the others are fullest. The platform's list names it a
-second or more after its start, and while the log is away not at all; its
-agent knows it at once. What an agent tells only brings the engine's use
-forward: entries that it does not reach find the engine on the list.
+The load it answers: engines are taken away every few seconds while the log is
+away, so the list names none of those that come instead, and the known ones
+fill and leave one by one. Beside a list at hand what an agent tells brings an
+engine's use forward by some tenths of a second only; entries that it does not
+reach find the engine on the list.
 """
 
 from collections import abc
