Have agents tell how much of all prompts their engine has still to read

Cause: an entry counts only the prompts of its own requests. An engine that has just started, or has emptied, looks best to all entries; each goes on to send there until the batch in its report has grown, and the engine reads one prompt after the other, 7 tokens a millisecond beside a batch.

Change: the agent works out from the engine's report what is unread, the prompt under way whole and those that wait; entries place by it, and count what they have sent since the report once for each entry. The message loses two fields that no entry read.

The load "busier" is new here: a third more of both kinds on six engines of 24 slots.

--- a/bench/features/steps/replay_steps.py
+++ b/bench/features/steps/replay_steps.py
@@ -58,6 +58,12 @@
     assert broken < add_up(context.others, "broken"), broken
 
 
+@behave.then("ours is late half as often at most")
+def check_late(context):
+    late = add_up(context.ours, "late")
+    assert late * 2 <= add_up(context.others, "late"), late
+
+
 @behave.then("ours breaks off nothing")
 def check_whole(context):
     assert add_up(context.ours, "broken") == 0, context.ours
--- a/bench/replay/callers.py
+++ b/bench/replay/callers.py
@@ -144,8 +144,13 @@
         costs: shapes.EngineCosts,
         service: routes.Service,
         source: random.Random,
+        lost_at: float,
     ) -> None:
-        """Send ``generation`` through one of the entries' ``handlings``."""
+        """Send ``generation`` through one of the entries' ``handlings``.
+
+        All entries are killed at ``lost_at``, on trio's clock.
+        """
+        self._lost_at: typing.Final = lost_at
         self._generation: typing.Final = generation
         self._handlings: typing.Final = handlings
         self._costs: typing.Final = costs
@@ -189,9 +194,9 @@
         request = _make_request(
             generation, self._costs, self._service, deadline, len(self._times)
         )
-        leave_at = deadline.at
+        leave_at = min(deadline.at, self._lost_at)
         if generation.is_impatient:
-            leave_at = began + kind.objective_ms / 2000
+            leave_at = min(leave_at, began + kind.objective_ms / 2000)
         with trio.CancelScope(deadline=leave_at) as scope:
             await self._handlings[number].serve(request, answer)
         self._times.extend(answer.times)
--- a/bench/replay/fleet.py
+++ b/bench/replay/fleet.py
@@ -162,13 +162,15 @@
         seen: abc.Sequence[targets.Target],
         turns: move_turns.MoveTurns,
     ) -> None:
+        is_noticed = False
         while not item.is_gone:
             turns.give_next()
             report = _make_report(item)
             await trio.sleep(_REPORT_LAG_S)
             for target in seen:
                 target.take_report(report)
-            if report.is_leaving:
+            if report.is_leaving and not is_noticed:
+                is_noticed = True
                 for board in self.boards:
                     board.note_notice(report.received_at)
             await trio.sleep(_REPORT_S - _REPORT_LAG_S)
@@ -192,4 +194,14 @@
         is_leaving=is_leaving,
         leaves_at=deadlines.Deadline(item.leaves_at) if is_leaving else None,
         is_silent=False,
+        unread_tokens=_count_unread(item),
+    )
+
+
+def _count_unread(item: engine.Engine) -> int:
+    """Return what an agent would tell: prompts under way count whole."""
+    return sum(
+        work.all_tokens
+        for work in [*item.batch, *item.waiting]
+        if not work.is_running
     )
--- a/bench/replay/loads.py
+++ b/bench/replay/loads.py
@@ -39,7 +39,43 @@
     max_attempts=2,
 )
 _KINDS: typing.Final = (_REPORT, _TAG)
+_ASSESSMENT: typing.Final = shapes.StreamKind(
+    name="assessment",
+    per_s=2.32,
+    prompt_tokens=3079,
+    prompt_spread=0.35,
+    answer_events=232,
+    answer_spread=0.84,
+    most_events=549,
+    objective_ms=1800,
+    pause_ms=180,
+    deadline_ms=39_000,
+    worth=160,
+    late_worth=24,
+    may_resume=False,
+    max_attempts=1,
+)
+_TRIAGE: typing.Final = shapes.StreamKind(
+    name="triage",
+    per_s=3.23,
+    prompt_tokens=2550,
+    prompt_spread=0.6,
+    answer_events=4,
+    answer_spread=0.89,
+    most_events=13,
+    objective_ms=1500,
+    pause_ms=180,
+    deadline_ms=6000,
+    worth=17,
+    late_worth=2.5,
+    may_resume=False,
+    max_attempts=1,
+)
+_BUSIER: typing.Final = (_ASSESSMENT, _TRIAGE)
+"""A third more of both kinds, on engines with a quarter of the slots."""
 _STAYING: typing.Final = shapes.Leaving(every_s=0)
+_AS_ANNOUNCED: typing.Final = shapes.Leaving(known_after_s=(0.7, 0.85))
+"""New engines are known once their agents tell of them."""
 
 _ALL: typing.Final = (
     shapes.Load(
@@ -97,6 +133,25 @@
         leaving=_STAYING,
         gone_at=12,
     ),
+    shapes.Load(
+        "busier",
+        "a third more of both kinds, while engines of few slots leave",
+        _BUSIER,
+        engines=6,
+        leaving=_AS_ANNOUNCED,
+        slots=24,
+        memory_tokens=34_359,
+    ),
+    shapes.Load(
+        "busier, all lost",
+        "the same, and at the end all entries are killed at once",
+        _BUSIER,
+        engines=6,
+        leaving=_AS_ANNOUNCED,
+        slots=24,
+        memory_tokens=34_359,
+        lost_at=34.0,
+    ),
     shapes.Load(
         "impatient",
         "a quarter of the callers leave after half of the objective",
--- a/bench/replay/playing.py
+++ b/bench/replay/playing.py
@@ -70,7 +70,9 @@
 
 
 async def _run(load: shapes.Load, policy: str, seed: int) -> _Played:
-    costs = shapes.EngineCosts()
+    costs = shapes.EngineCosts(
+        slots=load.slots, memory_tokens=load.memory_tokens
+    )
     drawn = callers.draw_generations(load, costs, random.Random(seed))
     outcomes: list[callers.Outcome] = []
     async with trio.open_nursery() as nursery:
@@ -86,7 +88,7 @@
             _make_entry(load, policy, engines, calls, number, seed, nursery)
             for number in range(load.entries)
         ]
-        await _call_all(drawn, handlings, costs, outcomes, seed)
+        await _call_all(load, drawn, handlings, costs, outcomes, seed)
         nursery.cancel_scope.cancel()
     return _Played(outcomes, engines, calls.moved_tokens)
 
@@ -114,6 +116,7 @@
 
 
 async def _call_all(
+    load: shapes.Load,
     drawn: list[shapes.Generation],
     handlings: list[request_handling.RequestHandling],
     costs: shapes.EngineCosts,
@@ -132,10 +135,13 @@
     service = routes.Service(fleet.SERVICE, "/health", 500, shape)
     source = random.Random(seed + 2)
     began = trio.current_time()
+    lost_at = began + load.lost_at
 
     async def serve(generation: shapes.Generation) -> None:
         await trio.sleep_until(began + generation.at)
-        caller = callers.Caller(generation, handlings, costs, service, source)
+        caller = callers.Caller(
+            generation, handlings, costs, service, source, lost_at
+        )
         outcomes.append(await caller.call())
 
     async with trio.open_nursery() as nursery:
--- a/bench/replay/policies.py
+++ b/bench/replay/policies.py
@@ -90,10 +90,27 @@
         )
 
 
+class _OwnPrompts(forwarder.Forwarder):
+    """Our choice, by the prompts of this entry's own requests alone."""
+
+    def choose_target(
+        self,
+        request: requests.CallerRequest,
+        excluded: abc.Collection[str] = (),
+    ) -> typing.Optional[targets.Target]:
+        """Choose as if no report told of prompts that are unread."""
+        for target in self.board.list_of(request.service.name):
+            target.prompt_tokens_since_report = 0
+            if target.report is not None:
+                target.report = target.report._replace(unread_tokens=0)
+        return super().choose_target(request, excluded)
+
+
 POLICIES: typing.Final[abc.Mapping[str, type[forwarder.Forwarder]]] = {
     "ours": forwarder.Forwarder,
     "moves alone": _MovesAlone,
     "all backups": _AllBackups,
+    "own prompts": _OwnPrompts,
     "fewest outstanding": _FewestOutstanding,
     "round robin": _RoundRobin,
 }
--- a/bench/replay/shapes.py
+++ b/bench/replay/shapes.py
@@ -1,5 +1,6 @@
 """What a replay is made of: engines, kinds of generations, and loads."""
 
+import math
 import typing
 
 __all__ = (
@@ -130,6 +131,13 @@
     """When half of the engines die at once; negative for never."""
     impatient_share: float = 0.0
     """Share of callers that leave after half of the objective."""
+    slots: int = 96
+    """Most generations in an engine's batch."""
+    memory_tokens: int = 34_609
+    """Tokens that an engine's memory holds."""
+    lost_at: float = math.inf
+    """When all entries are killed at once, with every stream that they pass
+    on; infinite for never."""
 
 
 class Generation(typing.NamedTuple):
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/engine_feed.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/engine_feed.py
@@ -13,6 +13,7 @@
 import trio
 
 from gentianpoint_agent import move_turns
+from gentianpoint_agent import prompt_backlog
 from gentianpoint_core import logs
 from gentianpoint_core import peer_connections
 from gentianpoint_core import ports
@@ -147,8 +148,7 @@
             "waiting": status.waiting,
             "used_tokens": status.used_tokens,
             "total_tokens": status.total_tokens,
-            "copy_tokens": status.copy_tokens,
-            "next_prompt_tokens": status.next_prompt_tokens,
+            "unread_tokens": prompt_backlog.estimate_unread(status),
             "born_ms": status.born_ms,
             "leaving": status.is_leaving,
             "leaves_in_ms": -1 if leaves_in_ms is None else leaves_in_ms,
--- a/packages/gentianpoint-core/src/gentianpoint_core/ports.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/ports.py
@@ -363,6 +363,11 @@
     """Memory that holds copies of other engines' generations, in tokens."""
     next_prompt_tokens: int
     """Tokens of the prompt that waits first, 0 for none."""
+    generating: int
+    """Requests in the batch that have made an event; the others' prompts are
+    being read."""
+    generating_tokens: int
+    """Memory of those that have made an event, in tokens."""
     born_ms: int
     """Unix time of the engine's start in milliseconds, 0 when not said."""
     is_leaving: bool
--- a/packages/gentianpoint-entry/features/forwarding/choice.feature
+++ b/packages/gentianpoint-entry/features/forwarding/choice.feature
@@ -19,6 +19,17 @@
       | a failure            | memory 0.5     |
       | another data centre  | memory 0.0     |
       | unread 7000          | memory 0.2     |
+      | reported 7000        | memory 0.2     |
+
+  Scenario: prompts that an entry has sent since the report
+    An engine starts empty, and all entries read the same report of it. What
+    this entry has sent since then stands for what the others have sent as
+    well; else all go on to send there, and first events come seconds late.
+    Given an engine a with memory 0.0
+    And an engine b with memory 0.3
+    When 2000 prompt tokens were sent to a since its report
+    And 40 generations are placed by one of 5 entries
+    Then all of them go to b
 
   Scenario Outline: targets that get nothing
     Given an engine a with <a>
--- a/packages/gentianpoint-entry/features/forwarding/steps/choice_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/choice_steps.py
@@ -22,6 +22,7 @@
     is_leaving=False,
     leaves_at=None,
     is_silent=False,
+    unread_tokens=0,
 )
 
 
@@ -46,6 +47,8 @@
             report = report._replace(is_leaving=True)
         case "unread":
             target.unread_prompt_tokens = int(value)
+        case "reported":
+            report = report._replace(unread_tokens=int(value))
         case _:
             change_target(target, words)
     target.take_report(report)
@@ -75,8 +78,18 @@
     return topic_builders.run_on_clock(make)
 
 
+@behave.when("{tokens:d} prompt tokens were sent to {name} since its report")
+def send_prompts(context, tokens, name):
+    context.engines[name].prompt_tokens_since_report = tokens
+
+
 @behave.when("{count:d} generations are placed without sending")
-def place(context, count):
+def place_alone(context, count):
+    place(context, count, 1)
+
+
+@behave.when("{count:d} generations are placed by one of {entries:d} entries")
+def place(context, count, entries):
     request = make_request(context)
     source = random.Random(3)
     context.placed = [
@@ -84,7 +97,7 @@
             context.engines.values(),
             request,
             forwarding_builders.DATA_CENTRE,
-            1,
+            entries,
             _NOW,
             source,
         ).target_id
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/agent_feeds.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/agent_feeds.py
@@ -137,4 +137,5 @@
         is_leaving=message["leaving"],
         leaves_at=leaves_at,
         is_silent=message["silent"],
+        unread_tokens=message["unread_tokens"],
     )
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/choice.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/choice.py
@@ -93,12 +93,21 @@
         score += _SILENT_COST
     score += _score_slots(target, entry_count)
     if request.service.engine is not None:
-        score += target.unread_prompt_tokens / _PREFILL_TOKENS
+        score += _count_unread(target, entry_count) / _PREFILL_TOKENS
         score += _score_memory(target, request, entry_count)
         score += _count_running(target) / _CROWD
     return score
 
 
+def _count_unread(target: targets.Target, entry_count: int) -> int:
+    """Return the prompt tokens that an engine has still to read."""
+    report = target.report
+    if report is None:
+        return target.unread_prompt_tokens
+    sent = target.prompt_tokens_since_report * entry_count
+    return max(target.unread_prompt_tokens, report.unread_tokens + sent)
+
+
 def _score_slots(target: targets.Target, entry_count: int) -> float:
     slots = max(1, target.entry.slots)
     if target.report is None:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
@@ -141,6 +141,8 @@
         target.open_tokens += tokens
         target.sent_since_report += 1
         target.tokens_since_report += tokens
+        if options.copy is None:
+            target.prompt_tokens_since_report += request.prompt_tokens
         logs.log_event(
             events.REQUEST_SENT,
             target=target.target_id,
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
@@ -57,6 +57,8 @@
     """When it goes, if known."""
     is_silent: bool
     """True when the engine no longer answers its agent."""
+    unread_tokens: int
+    """Prompt tokens that it has still to read, of all entries' requests."""
 
 
 class Target:
@@ -76,6 +78,7 @@
         self.open_requests = 0
         self.open_tokens = 0
         self.unread_prompt_tokens = 0
+        self.prompt_tokens_since_report = 0
         self.failures = 0
         self.failed_at = -1e9
 
@@ -100,6 +103,7 @@
         self.report = report
         self.sent_since_report = 0
         self.tokens_since_report = 0
+        self.prompt_tokens_since_report = 0
         if report.leaves_at is not None:
             self.leaves_at = report.leaves_at
 
