Replay what each mechanism is worth, and give attempts up in one place

Change: python -m bench.replay.ablations replays the same loads and seeds with one mechanism off in each row.

Tests: features of orders, retries, at_most_once, open_calls, 46 passed.

--- /dev/null
+++ b/bench/replay/ablations.py
@@ -0,0 +1,156 @@
+"""``python -m bench.replay.ablations``: what each mechanism is worth, alone.
+
+Each row replays the same loads and seeds with one mechanism switched off, by
+replacing the function or constant that it rests on, in a process of its own.
+The difference to the first row is its worth there; what makes none anywhere,
+and that no rule needs, is to be removed.
+"""
+
+import argparse
+from collections import abc
+from concurrent import futures
+import functools
+import typing
+
+from bench.replay import loads
+from bench.replay import playing
+from gentianpoint_entry.forwarding import agent_turns
+from gentianpoint_entry.forwarding import choice
+from gentianpoint_entry.forwarding import generation_moves
+from gentianpoint_entry.forwarding import targets
+
+__all__ = ("ABLATIONS",)
+
+_NEVER: typing.Final = 1e12
+"""A divisor that makes a cost nothing."""
+_LISTED_AFTER_S: typing.Final = (0.8, 1.63)
+"""When the platform's list named new engines, counted from their start."""
+
+
+def _replace(owner: typing.Any, name: str, value: typing.Any) -> None:
+    """Replace an attribute, which must be there, of a class or module."""
+    assert hasattr(owner, name), name
+    setattr(owner, name, value)
+
+
+def _keep_all() -> None:
+    """Switch nothing off."""
+
+
+def _drop_copies_ahead() -> None:
+    def has_time(*args: typing.Any) -> bool:
+        return False
+
+    _replace(generation_moves.GenerationMove, "_has_time_ahead", has_time)
+
+
+def _drop_turns() -> None:
+    async def wait_turn(*args: typing.Any) -> None:
+        return None
+
+    _replace(agent_turns.AgentTurns, "wait_turn", wait_turn)
+
+
+def _drop_reports() -> None:
+    """Let entries know of notices only."""
+    take_report = targets.Target.take_report
+
+    def take_notice(
+        target: targets.Target, report: targets.EngineReport
+    ) -> None:
+        if report.is_leaving:
+            take_report(target, report)
+
+    _replace(targets.Target, "take_report", take_notice)
+
+
+def _drop_announcements() -> None:
+    for name, load in loads.LOADS.items():
+        leaving = load.leaving._replace(known_after_s=_LISTED_AFTER_S)
+        loads.LOADS[name] = load._replace(leaving=leaving)
+
+
+def _drop_memory_cost() -> None:
+    def score_memory(*args: typing.Any) -> float:
+        return 0.0
+
+    _replace(choice, "_score_memory", score_memory)
+
+
+def _drop_distance() -> None:
+    _replace(choice, "_FAR_COST", 0.0)
+    for function in (choice.score_target, choice.choose_target):
+        # Their last argument takes the constant as its default.
+        _replace(function, "__defaults__", (0.0,))
+
+
+def _set(name: str, value: float) -> abc.Callable[[], None]:
+    """Return what replaces one constant of the choice."""
+    return functools.partial(_replace, choice, name, value)
+
+
+class Ablation(typing.NamedTuple):
+    """One mechanism switched off."""
+
+    name: str
+    """What is off."""
+    apply: abc.Callable[[], None] = _keep_all
+    """Switches it off in this process."""
+    policy: str = "ours"
+    """Policy of :mod:`bench.replay.policies` that lacks it."""
+
+
+ABLATIONS: typing.Final = (
+    Ablation("nothing"),
+    Ablation("moves and backups", policy="fewest outstanding"),
+    Ablation("backups", policy="moves alone"),
+    Ablation("turns", _drop_turns),
+    Ablation("copies ahead", _drop_copies_ahead),
+    Ablation("announcements", _drop_announcements),
+    Ablation("agents' reports", _drop_reports),
+    Ablation("prompts of other entries", policy="own prompts"),
+    Ablation("cost of prompts", _set("_PREFILL_TOKENS", _NEVER)),
+    Ablation("cost of a crowd", _set("_CROWD", _NEVER)),
+    Ablation("cost of memory", _drop_memory_cost),
+    Ablation("cost of full memory", _set("_FULL_COST", 0.0)),
+    Ablation("cost of distance", _drop_distance),
+    Ablation("near in haste", _set("_FAR_COST_IN_HASTE", 0.08)),
+    Ablation("memory of failures", _set("_FAILURE_COST", 0.0)),
+    Ablation("noise between equals", _set("_NOISE", 0.0)),
+)
+"""What can be switched off, with nothing off first."""
+
+
+def _play(number: int, load: str, seed: int) -> float:
+    """Return the worth of one replay with one mechanism off."""
+    ablation = ABLATIONS[number]
+    ablation.apply()
+    return playing.play(load, ablation.policy, seed).worth
+
+
+def main() -> None:
+    """Replay all rows and print the mean worth by load."""
+    parser = argparse.ArgumentParser(prog="python -m bench.replay.ablations")
+    parser.add_argument("--loads", nargs="+", required=True)
+    parser.add_argument("--seeds", type=int, default=8)
+    parser.add_argument("--first-seed", type=int, default=101)
+    parser.add_argument("--at-once", type=int, default=4)
+    options = parser.parse_args()
+    seeds = range(options.first_seed, options.first_seed + options.seeds)
+    print("| off | " + " | ".join(options.loads) + " |")
+    print("|---" * (len(options.loads) + 1) + "|")
+    for number, ablation in enumerate(ABLATIONS):
+        cells = []
+        for load in options.loads:
+            # Processes end with the pool, and what they replaced with them.
+            with futures.ProcessPoolExecutor(options.at_once) as pool:
+                jobs = [
+                    pool.submit(_play, number, load, seed) for seed in seeds
+                ]
+                worths = [job.result() for job in jobs]
+            cells.append(f"{sum(worths) / len(worths):.3f}")
+        print(f"| {ablation.name} | " + " | ".join(cells) + " |", flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/replay/fleet.py
+++ b/bench/replay/fleet.py
@@ -79,7 +79,8 @@
             return
         await trio.sleep(leaving.first_at)
         while True:
-            self._nursery.start_soon(self._replace_one)
+            for _ in range(leaving.at_once):
+                self._nursery.start_soon(self._replace_one)
             await trio.sleep(leaving.every_s)
 
     async def _lose_half(self) -> None:
--- a/bench/replay/loads.py
+++ b/bench/replay/loads.py
@@ -39,40 +39,37 @@
     max_attempts=2,
 )
 _KINDS: typing.Final = (_REPORT, _TAG)
-_ASSESSMENT: typing.Final = shapes.StreamKind(
+_ASSESSMENT: typing.Final = _REPORT._replace(
     name="assessment",
     per_s=2.32,
-    prompt_tokens=3079,
-    prompt_spread=0.35,
     answer_events=232,
-    answer_spread=0.84,
     most_events=549,
-    objective_ms=1800,
-    pause_ms=180,
-    deadline_ms=39_000,
     worth=160,
     late_worth=24,
-    may_resume=False,
-    max_attempts=1,
 )
-_TRIAGE: typing.Final = shapes.StreamKind(
+_TRIAGE: typing.Final = _TAG._replace(
     name="triage",
     per_s=3.23,
     prompt_tokens=2550,
-    prompt_spread=0.6,
-    answer_events=4,
-    answer_spread=0.89,
     most_events=13,
-    objective_ms=1500,
-    pause_ms=180,
-    deadline_ms=6000,
     worth=17,
     late_worth=2.5,
     may_resume=False,
     max_attempts=1,
 )
+_FOUR_AT_ONCE: typing.Final = shapes.Leaving(
+    at_once=4, known_after_s=(0.7, 0.85)
+)
 _BUSIER: typing.Final = (_ASSESSMENT, _TRIAGE)
 """A third more of both kinds, on engines with a quarter of the slots."""
+_CROWDED: typing.Final = (
+    _ASSESSMENT._replace(
+        per_s=15.5, answer_events=188, answer_spread=1.344, most_events=445
+    ),
+    _TRIAGE._replace(per_s=17.5, answer_events=3, most_events=10),
+)
+"""Five to seven times as much of both on engines with less memory, which take
+four to five long generations each."""
 _STAYING: typing.Final = shapes.Leaving(every_s=0)
 _AS_ANNOUNCED: typing.Final = shapes.Leaving(known_after_s=(0.7, 0.85))
 """New engines are known once their agents tell of them."""
@@ -152,6 +149,16 @@
         memory_tokens=34_359,
         lost_at=34.0,
     ),
+    shapes.Load(
+        "crowded",
+        "many entries, and engines whose memory is full as four of them leave",
+        _CROWDED,
+        engines=25,
+        entries=28,
+        leaving=_FOUR_AT_ONCE,
+        slots=24,
+        memory_tokens=21_907,
+    ),
     shapes.Load(
         "impatient",
         "a quarter of the callers leave after half of the objective",
--- a/bench/replay/shapes.py
+++ b/bench/replay/shapes.py
@@ -84,6 +84,8 @@
     """Shortest and longest notice."""
     replaced_after_s: float = 4.0
     """Time from a notice until another engine starts."""
+    at_once: int = 1
+    """Engines that get notice together."""
     known_after_s: tuple[float, float] = (0.1, 0.3)
     """Time from its start until entries know it. Sooner than agents tell,
     which takes 0.7 to 0.8 s, so gains by new engines are overstated."""
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/calls.py
@@ -155,9 +155,7 @@
             self.request, lost.link, lost.incarnation
         )
         if not again:
-            self.generation = ""
-            self._lost_attempt = True
-            self._require_retry("the link was lost")
+            self._give_attempt_up("the link was lost")
             return
         try:
             await self._send_offer(lost.link)
@@ -165,6 +163,12 @@
             self._lost_link = lost
             self._drop_link_call()
 
+    def _give_attempt_up(self, reason: str) -> None:
+        """Leave an attempt for one elsewhere, which costs a retry."""
+        self.generation = ""
+        self._lost_attempt = True
+        self._require_retry(reason)
+
     async def prepare_somewhere(self) -> None:
         """Ask one agent for an identifier; it may come or not."""
         link = await self._choose_link()
@@ -348,9 +352,7 @@
         self._drop_link_call()
         if self.delivered == 0 and reason in ("outcome_unknown", "incomplete"):
             if self._may_run_again():
-                self.generation = ""
-                self._lost_attempt = True
-                self._require_retry(message.get("detail", reason))
+                self._give_attempt_up(message.get("detail", reason))
                 return None
             reason = errors.OUTCOME_UNKNOWN
         error = errors.CallError(
