--- a/bench/replay/loads.py
+++ b/bench/replay/loads.py
@@ -73,6 +73,15 @@
 _STAYING: typing.Final = shapes.Leaving(every_s=0)
 _AS_ANNOUNCED: typing.Final = shapes.Leaving(known_after_s=(0.7, 0.85))
 """New engines are known once their agents tell of them."""
+_BUSIER_LOAD: typing.Final = shapes.Load(
+    "busier",
+    "a third more of both kinds, while engines of few slots leave",
+    _BUSIER,
+    engines=6,
+    leaving=_AS_ANNOUNCED,
+    slots=24,
+    memory_tokens=34_359,
+)
 
 _ALL: typing.Final = (
     shapes.Load(
@@ -130,25 +139,48 @@
         leaving=_STAYING,
         gone_at=12,
     ),
-    shapes.Load(
-        "busier",
-        "a third more of both kinds, while engines of few slots leave",
-        _BUSIER,
-        engines=6,
-        leaving=_AS_ANNOUNCED,
-        slots=24,
-        memory_tokens=34_359,
-    ),
-    shapes.Load(
-        "busier, all lost",
-        "the same, and at the end all entries are killed at once",
-        _BUSIER,
-        engines=6,
-        leaving=_AS_ANNOUNCED,
-        slots=24,
-        memory_tokens=34_359,
+    _BUSIER_LOAD,
+    _BUSIER_LOAD._replace(
+        name="busier, all lost",
+        answers="the same, and at the end all entries are killed at once",
         lost_at=34.0,
     ),
+    _BUSIER_LOAD._replace(
+        name="busier, fewer engines",
+        answers="the same on half of the engines",
+        engines=3,
+    ),
+    _BUSIER_LOAD._replace(
+        name="busier, more engines",
+        answers="the same on twice the engines",
+        engines=12,
+    ),
+    _BUSIER_LOAD._replace(
+        name="busier, little memory",
+        answers="the same with a quarter of the memory, on twice the engines",
+        engines=12,
+        memory_tokens=8_600,
+    ),
+    _BUSIER_LOAD._replace(
+        name="busier, slow links",
+        answers="the same with links that are ten times slower",
+        link_mbps=270.0,
+    ),
+    _BUSIER_LOAD._replace(
+        name="busier, long answers",
+        answers="a fifth of the generations, each three times as long",
+        kinds=(
+            _ASSESSMENT._replace(
+                per_s=0.46, answer_events=696, most_events=1647
+            ),
+            _TRIAGE,
+        ),
+    ),
+    _BUSIER_LOAD._replace(
+        name="busier, prompts only",
+        answers="short answers alone, twice as many",
+        kinds=(_TRIAGE._replace(per_s=6.46),),
+    ),
     shapes.Load(
         "crowded",
         "many entries, and engines whose memory is full as four of them leave",
--- a/bench/replay/playing.py
+++ b/bench/replay/playing.py
@@ -71,7 +71,9 @@
 
 async def _run(load: shapes.Load, policy: str, seed: int) -> _Played:
     costs = shapes.EngineCosts(
-        slots=load.slots, memory_tokens=load.memory_tokens
+        slots=load.slots,
+        memory_tokens=load.memory_tokens,
+        link_mbps=load.link_mbps,
     )
     drawn = callers.draw_generations(load, costs, random.Random(seed))
     outcomes: list[callers.Outcome] = []
--- a/bench/replay/shapes.py
+++ b/bench/replay/shapes.py
@@ -137,6 +137,8 @@
     """Most generations in an engine's batch."""
     memory_tokens: int = 34_609
     """Tokens that an engine's memory holds."""
+    link_mbps: float = 2700.0
+    """Rate of an engine's link, for copies of memory."""
     lost_at: float = math.inf
     """When all entries are killed at once, with every stream that they pass
     on; infinite for never."""
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/choice.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/choice.py
@@ -100,11 +100,20 @@
 
 
 def _count_unread(target: targets.Target, entry_count: int) -> int:
-    """Return the prompt tokens that an engine has still to read."""
+    """Return the prompt tokens that an engine has still to read.
+
+    Counting this entry's own prompts only, all entries go on to send to an
+    engine that has just started, and first events come seconds late. With
+    those of all entries, as its agent tells them, the mean worth of eight
+    replays of "busier" is 0.944 instead of 0.907, with 4 instead of 13
+    late answers of 190.
+    """
     report = target.report
     if report is None:
         return target.unread_prompt_tokens
     sent = target.prompt_tokens_since_report * entry_count
+    # An agent that has just lost its engine reports nothing unread, while
+    # what this entry has sent is still there.
     return max(target.unread_prompt_tokens, report.unread_tokens + sent)
 
 
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
@@ -242,4 +242,5 @@
         fields["report_age_ms"] = round(age_s * 1000)
         fields["used_tokens"] = target.report.used_tokens
         fields["waiting"] = target.report.waiting
+        fields["unread_tokens"] = target.report.unread_tokens
     return fields
