--- a/bench/replay/policies.py
+++ b/bench/replay/policies.py
@@ -24,8 +24,18 @@
         return None
 
 
-class _RoundRobin(_MovesAlone):
-    """One target after another, without copies or moves."""
+class _NoMoves(_MovesAlone):
+    """Our choice, without copies or moves."""
+
+    def choose_room(
+        self, request: requests.CallerRequest, source: targets.Target
+    ) -> typing.Optional[targets.Target]:
+        """Move nothing."""
+        return None
+
+
+class _RoundRobin(_NoMoves):
+    """One target after another."""
 
     def __init__(self, *args: typing.Any) -> None:
         super().__init__(*args)
@@ -49,12 +59,6 @@
             if item.target_id not in excluded and item.takes_work()
         ]
 
-    def choose_room(
-        self, request: requests.CallerRequest, source: targets.Target
-    ) -> typing.Optional[targets.Target]:
-        """Move nothing."""
-        return None
-
 
 class _FewestOutstanding(_RoundRobin):
     """The target with the fewest of this entry's own requests."""
@@ -109,6 +113,7 @@
 POLICIES: typing.Final[abc.Mapping[str, type[forwarder.Forwarder]]] = {
     "ours": forwarder.Forwarder,
     "moves alone": _MovesAlone,
+    "no moves": _NoMoves,
     "all backups": _AllBackups,
     "own prompts": _OwnPrompts,
     "fewest outstanding": _FewestOutstanding,
