Tell on the capacity page what reports cost on the users' platform

Each entry hears each agent, whose report changes ten times a second under load: 2.5 KB/s for each engine, worked out from the encoded message, so one engine already takes half of an entry's budget of 5 KB/s and 2,700 take 1,355 times as much. The page names what has to come instead; neither is built. It also names the accelerators now. The constant behind the period is public for it; nothing else changes in the agent.

--- a/bench/capacity/page.py
+++ b/bench/capacity/page.py
@@ -7,6 +7,7 @@
 from bench.capacity import control
 from bench.capacity import mechanisms
 from bench.capacity import platform_load
+from bench.capacity import platform_path
 from bench.capacity import recovery
 from bench.capacity import sizes
 from bench.capacity import tables
@@ -78,6 +79,7 @@
         (
             ("entry hosts", tables.show(sizes.ENTRIES)),
             ("agents, one a replica", tables.show(sizes.AGENTS)),
+            ("accelerators, two a replica", tables.show(2 * sizes.AGENTS)),
             ("requests a second", tables.show(sizes.REQUESTS_S)),
             ("tokens a second", tables.show(sizes.TOKENS_S)),
             (
@@ -165,6 +167,8 @@
         "## Load on the platform\n\n"
         "Worked out from the rates above and measured sizes; the platform "
         "itself is a stand-in here.\n\n" + platform_load.write_platform(model),
+        "### Reports on the users' platform\n\n"
+        + platform_path.write_platform_path(),
         "## Recovery\n\n" + recovery.write_measured_recovery(model),
         "At the target, worked out from measured sizes of messages: each "
         "connection that is lost is replaced by one to the next agent in the "
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/engine_feed.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/engine_feed.py
@@ -19,9 +19,9 @@
 from gentianpoint_core import ports
 from gentianpoint_core.generated import events
 
-__all__ = ("EngineFeed",)
+__all__ = ("ASK_S", "EngineFeed")
 
-_ASK_S: typing.Final = 0.1
+ASK_S: typing.Final = 0.1
 """Pause between questions. An engine goes two seconds after its notice, and
 moving what it runs takes most of that."""
 _LONGEST_QUIET_S: typing.Final = 1.0
@@ -73,7 +73,7 @@
                 failures = 0
                 self._take_status(status)
             self._turns.give_next()
-            await trio.sleep(_ASK_S)
+            await trio.sleep(ASK_S)
 
     def _take_status(self, status: ports.EngineStatus) -> None:
         was_leaving = self._status is not None and self._status.is_leaving
