--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
@@ -77,6 +77,8 @@
         self.tokens_since_report = 0
         self.open_requests = 0
         self.open_tokens = 0
+        # Prompts of this entry alone: those without an event yet, and those
+        # that were sent after the report was made.
         self.unread_prompt_tokens = 0
         self.prompt_tokens_since_report = 0
         self.failures = 0
