Correct why own prompts count beside a report, and derive the crowded load

Cause: read once more. The comment beside the maximum of own and reported prompts gave a reason that nobody had seen and that the agent's code does not bear out: it keeps its last status when its engine falls silent. What the maximum covers is a report that crosses a request. The load "crowded" repeated what "busier" has.

Change: the comment; "crowded" derived from "busier", equal in every figure (compared field by field; only its description is shorter). No behaviour of any deployed part changes.

--- a/bench/replay/loads.py
+++ b/bench/replay/loads.py
@@ -179,14 +179,13 @@
         answers="short answers alone, twice as many",
         kinds=(_TRIAGE._replace(per_s=6.46),),
     ),
-    shapes.Load(
-        "crowded",
-        "many entries, and engines whose memory is full as four of them leave",
-        _CROWDED,
+    _BUSIER_LOAD._replace(
+        name="crowded",
+        answers="many entries, and engines whose memory is full as four leave",
+        kinds=_CROWDED,
         engines=25,
         entries=28,
         leaving=_FOUR_AT_ONCE,
-        slots=24,
         memory_tokens=21_907,
     ),
     shapes.Load(
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/choice.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/choice.py
@@ -112,8 +112,8 @@
     if report is None:
         return target.unread_prompt_tokens
     sent = target.prompt_tokens_since_report * entry_count
-    # An agent that has just lost its engine reports nothing unread, while
-    # what this entry has sent is still there.
+    # A report that was made before a request arrived, and received after it
+    # was sent, has not counted it; this entry's own count has.
     return max(target.unread_prompt_tokens, report.unread_tokens + sent)
 
 
