--- a/bench/replay/callers.py
+++ b/bench/replay/callers.py
@@ -258,6 +258,7 @@
         deadline=deadline,
         prompt_tokens=generation.prompt_tokens,
         likely_output_tokens=generation.hinted_tokens,
+        most_output_tokens=kind.most_events * costs.event_tokens,
         last_event_id=str(events) if events else "",
     )
 
--- a/packages/gentianpoint-entry/features/forwarding/forwarding_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/forwarding_builders.py
@@ -77,6 +77,7 @@
         deadline=deadline,
         prompt_tokens=100,
         likely_output_tokens=100,
+        most_output_tokens=200,
         last_event_id="",
     )
 
--- a/packages/gentianpoint-entry/features/forwarding/leaving.feature
+++ b/packages/gentianpoint-entry/features/forwarding/leaving.feature
@@ -16,3 +16,17 @@
       | generation | 20     | events 1-2 then end | 500  | 503 |
       | plain call | 0      | body            | 2000 | 200    |
       | plain call | 0      | body            | 300  | 503    |
+
+  Scenario Outline: a line tells what decided on a request at a leaving entry
+    A report breaks off as its entry ends. Without the estimate and the time
+    that was left, nobody can tell a wrong estimate from a slow engine.
+    Given a generation of about <tokens> tokens
+    And target a answers: events 1-2 then end
+    When it comes 7000 ms before the entry ends
+    Then the line of the decision says that the request was <decision>
+    And that about <tokens> of 200 tokens were expected, with 7000 ms left
+
+    Examples:
+      | tokens | decision  |
+      | 20     | taken     |
+      | 900    | not taken |
--- a/packages/gentianpoint-entry/features/forwarding/steps/leaving_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/leaving_steps.py
@@ -2,6 +2,7 @@
 
 import behave
 import forwarding_builders
+from structlog import testing
 import topic_builders
 import trio
 
@@ -32,4 +33,30 @@
         )
         await handling.serve(request, context.answer)
 
-    topic_builders.run_on_clock(run)
+    with testing.capture_logs() as lines:
+        topic_builders.run_on_clock(run)
+    context.lines = lines
+
+
+def find_decision(context):
+    (line,) = [
+        line for line in context.lines if line["event"] == "leaving_decision"
+    ]
+    return line
+
+
+@behave.then("the line of the decision says that the request was {decision}")
+def check_decision(context, decision):
+    line = find_decision(context)
+    assert line["is_taken"] is (decision == "taken"), line
+
+
+@behave.then(
+    "that about {likely:d} of {most:d} tokens were expected, with {left:d} ms"
+    " left"
+)
+def check_inputs(context, likely, most, left):
+    line = find_decision(context)
+    assert line["likely_output_tokens"] == likely, line
+    assert line["most_output_tokens"] == most, line
+    assert line["left_ms"] == left, line
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/request_handling.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/request_handling.py
@@ -123,7 +123,16 @@
         if ends_at is None:
             return None
         left_ms = (ends_at - trio.current_time()) * 1000
-        if leaving.may_finish(request, left_ms):
+        is_taken = leaving.may_finish(request, left_ms)
+        logs.log_event(
+            events.LEAVING_DECISION,
+            is_taken=is_taken,
+            left_ms=round(left_ms),
+            estimate_ms=round(leaving.estimate_ms(request)),
+            likely_output_tokens=request.likely_output_tokens,
+            most_output_tokens=request.most_output_tokens,
+        )
+        if is_taken:
             return None
         return refusals.refuse_not_run("this entry is about to end", 0)
 
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/requests.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/requests.py
@@ -36,6 +36,8 @@
     """Tokens of the prompt, 0 for what is no generation."""
     likely_output_tokens: int
     """The caller's estimate, often far off, else the most it allows."""
+    most_output_tokens: int
+    """Length at which the target ends the answer; 0 if not limited."""
     last_event_id: str
     """Last event that the caller has of this stream; empty for none."""
 
