--- a/packages/gentianpoint-entry/features/forwarding/leaving.feature
+++ b/packages/gentianpoint-entry/features/forwarding/leaving.feature
@@ -30,3 +30,18 @@
       | tokens | decision  |
       | 20     | taken     |
       | 900    | not taken |
+
+  Scenario Outline: callers that underestimate while an entry leaves
+    Guards against a generation that is taken after SIGTERM by its caller's
+    estimate, turns out longer, and is cut as the process ends.
+    Given generations of at most <most> tokens with estimates off by seed <seed>
+    When they come while an entry leaves, which takes 7500 ms
+    Then each one is refused as not run, or answered whole
+
+    Examples:
+      | most | seed |
+      | 2000 | 1    |
+      | 2000 | 2    |
+      | 300  | 3    |
+      | 300  | 4    |
+      | 40   | 5    |
--- a/packages/gentianpoint-entry/features/forwarding/steps/leaving_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/leaving_steps.py
@@ -2,6 +2,7 @@
 
 import behave
 import forwarding_builders
+import leaving_builders
 from structlog import testing
 import topic_builders
 import trio
@@ -60,3 +61,28 @@
     assert line["likely_output_tokens"] == likely, line
     assert line["most_output_tokens"] == most, line
     assert line["left_ms"] == left, line
+
+
+@behave.given(
+    "generations of at most {most:d} tokens with estimates off by seed"
+    " {seed:d}"
+)
+def draw_generations(context, most, seed):
+    context.generations = leaving_builders.draw_generations(most, seed)
+
+
+@behave.when("they come while an entry leaves, which takes {leave_ms:d} ms")
+def serve_generations(context, leave_ms):
+    context.answers = leaving_builders.serve_while_leaving(
+        context.generations, leave_ms
+    )
+
+
+@behave.then("each one is refused as not run, or answered whole")
+def check_each_whole(context):
+    cut = [
+        (generation, answer.status)
+        for generation, answer in context.answers
+        if not answer.is_finished or answer.status not in (200, 503)
+    ]
+    assert not cut, f"{len(cut)} of {len(context.answers)} cut: {cut[:3]}"
