--- a/packages/gentianpoint-entry/features/forwarding/fleet_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/fleet_builders.py
@@ -57,6 +57,7 @@
     """One entry: its members, its news, and its topic if it has one."""
 
     def __init__(self, fleet: "Fleet", number: int) -> None:
+        self.number: typing.Final = number
         self.address: typing.Final = f"10.0.{number // 200}.{number % 200}:80"
         data_centre = f"centre-{number % _DATA_CENTRES}"
         self.table: typing.Final = members.MemberTable(
@@ -211,6 +212,12 @@
         for address in list(entry.links):
             self._drop(entry, address)
 
+    def restart(self, entry: Entry) -> None:
+        """End an entry and start it again at its address."""
+        assert self._nursery is not None
+        self.stop(entry)
+        self._nursery.start_soon(self.add(entry.number).run)
+
     def connect(self, entry: Entry) -> None:
         """Open what an entry wants, and close what neither end does."""
         wanted = entry.find_wanted()
--- a/packages/gentianpoint-entry/features/forwarding/fleet_news.feature
+++ b/packages/gentianpoint-entry/features/forwarding/fleet_news.feature
@@ -31,6 +31,21 @@
     And 3 entries hear that an engine is leaving
     Then all entries know within 100 ms
 
+  Scenario Outline: an entry is told to stop, and starts again
+    Guards against callers that are sent from one leaving entry to the next.
+    An entry that went on to count as leaving would put them off for nothing.
+    Given a fleet of <count> entries
+    When <seconds> seconds pass after its start
+    And an entry is told to stop
+    Then all know within 250 ms that one entry is leaving
+    When 6 seconds later it has started again at its address
+    Then all know within <back> ms that no entry is leaving
+
+    Examples:
+      | count | seconds | back |
+      | 3     | 8       | 2000 |
+      | 68    | 8       | 9000 |
+
   Scenario: reports overtake each other
     A report that took a long way comes after a later one. Were it believed,
     an engine that is full would look empty.
--- a/packages/gentianpoint-entry/features/forwarding/leaving.feature
+++ b/packages/gentianpoint-entry/features/forwarding/leaving.feature
@@ -45,3 +45,20 @@
       | 300  | 3    |
       | 300  | 4    |
       | 40   | 5    |
+
+  Scenario Outline: refused callers are told when entries will serve them
+    Guards against callers that are refused twice, by one leaving entry after
+    the other, though a later time would have served them.
+    Given entries of which <leaving> have been leaving for 500 ms of 8000
+    And one more has left for 4000 ms of them
+    And <staying> stay
+    When a caller is refused whose request takes <needs> ms
+    Then the caller comes back after <after> to <before> ms
+
+    Examples:
+      | leaving | staying | needs | after | before | 
+      | 1       | 3       | 20000 | 100   | 300    |
+      | 2       | 2       | 20000 | 6000  | 9000   |
+      | 4       | 0       | 20000 | 9500  | 14250  |
+      | 4       | 0       | 5000  | 100   | 300    |
+      | 1       | 0       | 5000  | 100   | 300    |
--- a/packages/gentianpoint-entry/features/forwarding/leaving_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/leaving_builders.py
@@ -1,4 +1,4 @@
-"""Generations that come to an entry while it leaves."""
+"""Requests that come to an entry while it leaves."""
 
 from collections import abc
 import random
@@ -8,6 +8,10 @@
 import topic_builders
 import trio
 
+from gentianpoint_core import deadlines
+from gentianpoint_entry.forwarding import caller_answers
+from gentianpoint_entry.forwarding import leaving
+from gentianpoint_entry.forwarding import refusals
 from gentianpoint_entry.forwarding import request_handling
 from gentianpoint_entry.forwarding import routes
 
@@ -80,3 +84,50 @@
     with trio.CancelScope(deadline=ends_at):
         await handling.serve(request, answer)
     return answer
+
+
+def draw_returns_ms(
+    leaving_for_ms: abc.Sequence[typing.Optional[float]],
+    leave_ms: float,
+    needed_ms: float,
+) -> list[float]:
+    """Return when callers that a leaving entry refuses are to come back."""
+    return [
+        topic_builders.run_on_clock(
+            _refuse, leaving_for_ms, leave_ms, needed_ms, seed
+        )
+        for seed in range(_COUNT)
+    ]
+
+
+async def _refuse(
+    leaving_for_ms: abc.Sequence[typing.Optional[float]],
+    leave_ms: float,
+    needed_ms: float,
+    seed: int,
+) -> float:
+    noted = []
+
+    async def note(
+        answer: caller_answers.CallerAnswer, refusal: refusals.Refusal
+    ) -> None:
+        noted.append(refusal.retry_after_ms)
+
+    shared = forwarding_builders.make_forwarder(
+        [], forwarding_builders.ScriptedCalls()
+    )
+    shared.source.seed(seed)
+    handling = request_handling.RequestHandling(
+        shared,
+        note,
+        trio.current_time,
+        lambda _: leaving.find_return_ms(leaving_for_ms, leave_ms, needed_ms),
+    )
+    request = forwarding_builders.make_request(
+        forwarding_builders.make_route(routes.RouteKind.STREAM), ENGINE
+    )
+    patient = deadlines.make_deadline(60000)
+    request = request._replace(caller_deadline=patient)
+    await handling.serve(request, forwarding_builders.NotedAnswer())
+    (returns_ms,) = noted
+    return returns_ms
--- a/packages/gentianpoint-entry/features/forwarding/steps/fleet_news_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/fleet_news_steps.py
@@ -78,6 +78,57 @@
     assert 0 < max(context.rates) <= most, max(context.rates)
 
 
+@behave.when("an entry is told to stop")
+def tell_to_stop(context):
+    async def leave(fleet):
+        list(fleet.entries.values())[-1].news.leave()
+
+    context.actions.append(leave)
+
+
+@behave.when("{seconds:d} seconds later it has started again at its address")
+def start_again(context, seconds):
+    async def restart(fleet):
+        await trio.sleep(seconds)
+        fleet.restart(list(fleet.entries.values())[-1])
+
+    context.actions.append(restart)
+
+
+def check_leaving(context, count, within_ms):
+    async def wait(fleet):
+        with trio.move_on_after(within_ms / 1000) as scope:
+            while set(count_leaving(fleet)) != {count}:
+                await trio.sleep(0.01)
+        context.is_late = scope.cancelled_caught
+        context.counts = count_leaving(fleet)
+
+    context.actions.append(wait)
+    play(context)
+    assert not context.is_late, context.counts
+
+
+def count_leaving(fleet):
+    now = trio.current_time()
+    return [
+        sum(
+            passed_ms is not None
+            for passed_ms in entry.table.list_leaving_for_ms(now)
+        )
+        for entry in fleet.entries.values()
+    ]
+
+
+@behave.then("all know within {within_ms:d} ms that one entry is leaving")
+def check_one_leaves(context, within_ms):
+    check_leaving(context, 1, within_ms)
+
+
+@behave.then("all know within {within_ms:d} ms that no entry is leaving")
+def check_none_leaves(context, within_ms):
+    check_leaving(context, 0, within_ms)
+
+
 @behave.when("{count:d} entries hear that an engine is leaving")
 def tell_notice(context, count):
     async def tell(fleet):
--- a/packages/gentianpoint-entry/features/forwarding/steps/leaving_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/leaving_steps.py
@@ -91,3 +91,35 @@
         if not answer.is_finished or answer.status not in (200, 503)
     ]
     assert not cut, f"{len(cut)} of {len(context.answers)} cut: {cut[:3]}"
+
+
+@behave.given(
+    "entries of which {count:d} have been leaving for {passed_ms:d} ms of"
+    " {leave_ms:d}"
+)
+def set_leaving_entries(context, count, passed_ms, leave_ms):
+    context.leaving_for_ms = [passed_ms] * count
+    context.leave_ms = leave_ms
+
+
+@behave.given("one more has left for {passed_ms:d} ms of them")
+def add_leaving_entry(context, passed_ms):
+    context.leaving_for_ms.append(passed_ms)
+
+
+@behave.given("{count:d} stay")
+def add_staying(context, count):
+    context.leaving_for_ms += [None] * count
+
+
+@behave.when("a caller is refused whose request takes {needed_ms:d} ms")
+def refuse_caller(context, needed_ms):
+    context.returns_ms = leaving_builders.draw_returns_ms(
+        context.leaving_for_ms, context.leave_ms, needed_ms
+    )
+
+
+@behave.then("the caller comes back after {after:d} to {before:d} ms")
+def check_returns(context, after, before):
+    first, last = min(context.returns_ms), max(context.returns_ms)
+    assert after <= first and last <= before, (first, last)
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/fleet_news.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/fleet_news.py
@@ -93,6 +93,11 @@
             self.hurry()
         return True
 
+    def leave(self) -> None:
+        """Tell all that this entry has been told to stop."""
+        self.members.leave(trio.current_time())
+        self.hurry()
+
     def tick(self) -> None:
         """Beat, and drop what is old; to be called often."""
         now = trio.current_time()
@@ -121,7 +126,7 @@
     def collect(self, link: LinkNews) -> typing.Optional[_Message]:
         """Return the message with all that a connection lacks, if any."""
         now = trio.current_time()
-        strangers, beats = self._collect_members(link)
+        strangers, beats, leaving = self._collect_members(link)
         reports = self._collect_reports(link, now)
         topics = self._collect_topics(link, now)
         if not (strangers or beats or reports or topics):
@@ -132,27 +137,36 @@
             "clock_ms": round(now * 1000),
             "members": strangers,
             "beats": beats,
+            "leaving": leaving,
             "engines": reports,
             "topics": topics,
         }
 
     def _collect_members(
         self, link: LinkNews
-    ) -> tuple[abc.Sequence[_Message], abc.Mapping[str, int]]:
-        """Return the members that a connection does not know, and beats."""
+    ) -> tuple[
+        abc.Sequence[_Message], abc.Mapping[str, int], abc.Sequence[str]
+    ]:
+        """Return the members that a connection does not know, and beats.
+
+        The third part names those of both that are leaving.
+        """
         strangers = []
         beats = {}
+        leaving = []
         for member in self.members.list_since(link.members_seen):
             known = link.beats.get(member.address, 0)
             if known >= member.beat:
                 continue
             link.beats[member.address] = member.beat
+            if member.is_leaving:
+                leaving.append(member.address)
             if known:
                 beats[member.address] = member.beat
             else:
-                strangers.append(member._asdict())
+                strangers.append(_pack_member(member))
         link.members_seen = self.members.changes
-        return strangers, beats
+        return strangers, beats, leaving
 
     def passes_reports(self) -> bool:
         """Tell whether entries tell each other of engines.
@@ -204,12 +218,19 @@
         now = trio.current_time()
         delay_s = link.delay.measure_s(message["clock_ms"] / 1000, now)
         sent_at = now - delay_s
+        leaving = frozenset(message.get("leaving", ()))
         for row in message["members"]:
-            self._take_member(link, members.Member(**row), now)
+            member = members.Member(
+                **row, is_leaving=row["address"] in leaving
+            )
+            self._take_member(link, member, now)
         for address, beat in message["beats"].items():
             known = self.members.find(address)
             if known is not None:
-                self._take_member(link, known._replace(beat=beat), now)
+                member = known._replace(
+                    beat=beat, is_leaving=address in leaving
+                )
+                self._take_member(link, member, now)
         for row in message["engines"]:
             self._take_engine(link, row, sent_at)
         if not link.delay.is_settled(now):
@@ -224,9 +245,12 @@
     def _take_member(
         self, link: LinkNews, member: members.Member, now: float
     ) -> None:
-        known = link.beats.get(member.address, 0)
-        link.beats[member.address] = max(member.beat, known)
-        self.members.take(member, now)
+        known_beat = link.beats.get(member.address, 0)
+        link.beats[member.address] = max(member.beat, known_beat)
+        known = self.members.find(member.address)
+        is_notice = member.is_leaving and not (known and known.is_leaving)
+        if self.members.take(member, now) and is_notice:
+            self.hurry()
 
     def _take_engine(
         self, link: LinkNews, row: _Message, sent_at: float
@@ -253,6 +277,14 @@
         return news
 
 
+def _pack_member(member: members.Member) -> _Message:
+    return {
+        "address": member.address,
+        "data_centre": member.data_centre,
+        "beat": member.beat,
+    }
+
+
 def _is_news(
     news: topic_follower.TopicNews,
     known: typing.Optional[topic_follower.TopicNews],
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarding_entry.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarding_entry.py
@@ -19,8 +19,12 @@
     followers: abc.Sequence[topic_follower.TopicFollower],
     tasks: abc.Sequence[abc.Callable[[], abc.Awaitable[None]]],
     reload_settings: abc.Callable[[], None],
+    tell_leaving: abc.Callable[[], None],
 ) -> None:
-    """Serve callers until SIGTERM, and then leave in good order."""
+    """Serve callers until SIGTERM, and then leave in good order.
+
+    ``tell_leaving`` tells other entries that this one has begun to leave.
+    """
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
         async with trio.open_nursery() as nursery:
             for follower in followers:
@@ -38,6 +42,7 @@
                 if number == signal.SIGTERM:
                     break
                 reload_settings()
+            tell_leaving()
             await front.leave()
             nursery.cancel_scope.cancel()
     logs.log_event(events.PROCESS_STOPPED)
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/leaving.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/leaving.py
@@ -11,16 +11,20 @@
 broken answer.
 """
 
+from collections import abc
 import math
 import typing
 
 from gentianpoint_entry.forwarding import requests
 from gentianpoint_entry.forwarding import routes
 
-__all__ = ("bound_ms", "may_finish")
+__all__ = ("bound_ms", "find_return_ms")
 
 _PLAIN: typing.Final = 4.0
 """Times the objective that a plain answer may take; few take more."""
+_START_MS: typing.Final = 2000.0
+"""Time from the end of an entry's process until its next start is used by
+the balancer."""
 
 
 def bound_ms(request: requests.CallerRequest) -> float:
@@ -43,6 +47,23 @@
     return route.objective_ms + events * route.gap_objective_ms
 
 
-def may_finish(request: requests.CallerRequest, left_ms: float) -> bool:
-    """Tell whether a request ends within ``left_ms``."""
-    return bound_ms(request) <= left_ms
+def find_return_ms(
+    leaving_for_ms: abc.Sequence[typing.Optional[float]],
+    leave_ms: float,
+    needed_ms: float,
+) -> float:
+    """Return in how many milliseconds a refused caller can be served.
+
+    ``leaving_for_ms`` holds for each entry how long it has been leaving, None
+    for one that stays; each leaves within ``leave_ms``, and until then takes
+    what ends within ``needed_ms`` as long as that fits. A caller that returns
+    meets any of the entries, so half of them have to take it: a second
+    refusal may be its last.
+    """
+    waits = []
+    for passed_ms in leaving_for_ms:
+        left_ms = math.inf if passed_ms is None else leave_ms - passed_ms
+        takes_it = left_ms >= needed_ms
+        waits.append(0.0 if takes_it else left_ms + _START_MS)
+    waits.sort()
+    return max(0.0, waits[(len(waits) - 1) // 2])
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/members.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/members.py
@@ -67,11 +67,15 @@
     """Its data centre."""
     beat: int
     """Number that it raises from time to time."""
+    is_leaving: bool = False
+    """True once it has been told to stop."""
 
 
 class _Heard(typing.NamedTuple):
     member: Member
     at: float
+    leaving_since: typing.Optional[float]
+    """When it was first heard to leave; None while it stays."""
 
 
 class MemberTable:
@@ -113,11 +117,35 @@
         if member.address == self.address:
             # Of a run before this one. Others would take nothing of this run
             # for as many beats.
-            member = Member(self.address, self.data_centre, member.beat + 1)
+            assert known is not None
+            member = known.member._replace(beat=member.beat + 1)
         self._put(member, now)
         self._note_live(now)
         return True
 
+    def leave(self, now: float) -> None:
+        """Note that this entry has been told to stop."""
+        own = self._heard.find(self.address)
+        assert own is not None
+        self._put(
+            own.member._replace(beat=own.member.beat + 1, is_leaving=True), now
+        )
+
+    def list_leaving_for_ms(
+        self, now: float
+    ) -> abc.Sequence[typing.Optional[float]]:
+        """Return for each live member how long it has been leaving.
+
+        It is None for those that stay.
+        """
+        return [
+            None
+            if heard.leaving_since is None
+            else (now - heard.leaving_since) * 1000
+            for address, heard in self._heard.list_all()
+            if address in self._live
+        ]
+
     @property
     def changes(self) -> int:
         """How often a member was heard of."""
@@ -174,7 +202,13 @@
         return self._near, self._far
 
     def _put(self, member: Member, now: float) -> None:
-        self._heard.put(member.address, _Heard(member, now))
+        known = self._heard.find(member.address)
+        since = None if known is None else known.leaving_since
+        if member.is_leaving:
+            since = now if since is None else since
+        else:
+            since = None
+        self._heard.put(member.address, _Heard(member, now, since))
 
     def _note_live(self, now: float) -> None:
         live_s = measure_beat_s(len(self._heard)) * _LIVE_BEATS
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/refusals.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/refusals.py
@@ -30,7 +30,8 @@
 _SHORTEST_RETRY_MS: typing.Final = 150.0
 """Callers that come back sooner meet what refused them."""
 _LONGEST_RETRY_MS: typing.Final = 2500.0
-"""Load and faults change within seconds; later than this nobody knows."""
+"""Load and faults change within seconds; later than this nobody knows,
+unless a refusal says so."""
 _SPREAD: typing.Final = 0.5
 """Share by which the times given out differ, so that callers that were
 refused together do not come back together."""
@@ -45,17 +46,20 @@
     """Sentence for people."""
     retry_after_ms: float
     """When to come back; 0 for nothing said."""
+    longest_retry_ms: float = _LONGEST_RETRY_MS
+    """Most by which the time to come back may be put off."""
 
 
 def choose_retry_after_ms(
-    wait_ms: float, left_ms: float, source: random.Random
+    refusal: Refusal, left_ms: float, source: random.Random
 ) -> float:
     """Return when a caller may come back with a chance.
 
-    ``wait_ms`` is when there is likely room, ``left_ms`` what the caller has
-    left: callers follow the time only up to a third of that.
+    ``left_ms`` is what the caller has left: callers follow the time only up
+    to a third of that.
     """
-    base = min(max(wait_ms, _SHORTEST_RETRY_MS), _LONGEST_RETRY_MS)
+    base = max(refusal.retry_after_ms, _SHORTEST_RETRY_MS)
+    base = min(base, refusal.longest_retry_ms)
     base *= 1 + _SPREAD * source.random()
     return min(base, max(1.0, left_ms / 3))
 
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/request_handling.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/request_handling.py
@@ -1,6 +1,7 @@
 """Serves a request from its decoded form to its one final answer."""
 
 from collections import abc
+import math
 import typing
 
 import structlog
@@ -34,13 +35,16 @@
         shared: forwarder.Forwarder,
         send_refusal: SendRefusal,
         find_end: abc.Callable[[], typing.Optional[float]] = lambda: None,
+        find_return_ms: abc.Callable[[float], float] = lambda needed_ms: 0.0,
     ) -> None:
         """Serve with what all requests share.
 
         ``find_end`` returns when this entry ends, on trio's clock, if it has
-        been told to stop.
+        been told to stop. ``find_return_ms`` returns in how many milliseconds
+        a caller whose request ends within the given ones can be served.
         """
         self._find_end: typing.Final = find_end
+        self._find_return_ms: typing.Final = find_return_ms
         self._shared: typing.Final = shared
         self._send_refusal: typing.Final = send_refusal
 
@@ -123,18 +127,24 @@
         if ends_at is None:
             return None
         left_ms = (ends_at - trio.current_time()) * 1000
-        is_taken = leaving.may_finish(request, left_ms)
+        needed_ms = leaving.bound_ms(request)
+        is_taken = needed_ms <= left_ms
         logs.log_event(
             events.LEAVING_DECISION,
             is_taken=is_taken,
             left_ms=round(left_ms),
-            bound_ms=round(leaving.bound_ms(request)),
+            bound_ms=round(needed_ms),
             likely_output_tokens=request.likely_output_tokens,
             most_output_tokens=request.most_output_tokens,
         )
         if is_taken:
             return None
-        return refusals.refuse_not_run("this entry is about to end", 0)
+        return_ms = self._find_return_ms(needed_ms)
+        refusal = refusals.refuse_not_run(
+            "this entry is about to end", return_ms
+        )
+        # When entries are back is known, unlike when load changes.
+        return refusal._replace(longest_retry_ms=math.inf)
 
     async def _refuse(
         self,
@@ -144,7 +154,7 @@
     ) -> None:
         if refusal.status == refusals.NOT_RUN:
             wait_ms = refusals.choose_retry_after_ms(
-                refusal.retry_after_ms,
+                refusal,
                 request.caller_deadline.remaining_ms(),
                 self._shared.source,
             )
