--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarding_entry.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarding_entry.py
@@ -20,10 +20,13 @@
     tasks: abc.Sequence[abc.Callable[[], abc.Awaitable[None]]],
     reload_settings: abc.Callable[[], None],
     tell_leaving: abc.Callable[[], None],
+    give_up_unanswered: abc.Callable[[], abc.Awaitable[None]],
 ) -> None:
     """Serve callers until SIGTERM, and then leave in good order.
 
-    ``tell_leaving`` tells other entries that this one has begun to leave.
+    ``tell_leaving`` tells other entries that this one has begun to leave, and
+    ``give_up_unanswered`` gives the requests that are left at its end their
+    final answers.
     """
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
         async with trio.open_nursery() as nursery:
@@ -44,5 +47,6 @@
                 reload_settings()
             tell_leaving()
             await front.leave()
+            await give_up_unanswered()
             nursery.cancel_scope.cancel()
     logs.log_event(events.PROCESS_STOPPED)
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/request_handling.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/request_handling.py
@@ -21,6 +21,11 @@
 
 __all__ = ("RequestHandling", "SendRefusal")
 
+_LAST_ANSWERS_S: typing.Final = 0.1
+"""Time for the final answers of an entry that ends."""
+_LOOK_S: typing.Final = 0.005
+"""Pause between looks at whether they have been given."""
+
 SendRefusal = abc.Callable[
     [caller_answers.CallerAnswer, refusals.Refusal], abc.Awaitable[None]
 ]
@@ -47,6 +52,25 @@
         self._find_return_ms: typing.Final = find_return_ms
         self._shared: typing.Final = shared
         self._send_refusal: typing.Final = send_refusal
+        self._running: typing.Final[
+            dict[trio.CancelScope, caller_answers.CallerAnswer]
+        ] = {}
+
+    async def give_up_unanswered(self) -> None:
+        """Give requests whose answer has not begun their final one.
+
+        Returns when all have it, or the time for it is over.
+        """
+        given_up = {
+            scope: answer
+            for scope, answer in self._running.items()
+            if not answer.is_started
+        }
+        for scope in given_up:
+            scope.cancel()
+        with trio.move_on_after(_LAST_ANSWERS_S):
+            while not all(answer.is_finished for answer in given_up.values()):
+                await trio.sleep(_LOOK_S)
 
     async def serve(
         self,
@@ -109,10 +133,19 @@
             await self._refuse(request, answer, refusal)
             return "refused_leaving"
         with trio.CancelScope(deadline=request.deadline.at) as scope:
-            refusal = await call.serve()
+            self._running[scope] = answer
+            try:
+                refusal = await call.serve()
+            finally:
+                del self._running[scope]
         if scope.cancelled_caught and not answer.is_started:
             # Nothing is known to have ended, so nothing is promised.
-            refusal = refusals.refuse_timeout("no answer within its time")
+            is_over = request.deadline.remaining_ms() <= 0
+            refusal = refusals.refuse_timeout(
+                "no answer within its time"
+                if is_over
+                else "this entry ends before the answer"
+            )
         if refusal is not None:
             await self._refuse(request, answer, refusal)
             return f"refused_{refusal.status}"
