--- a/packages/gentianpoint-entry/features/forwarding/caller_connections.feature
+++ b/packages/gentianpoint-entry/features/forwarding/caller_connections.feature
@@ -55,3 +55,19 @@
     And an entry that leaves
     When a caller sends a request on a kept connection
     Then the answer says that the connection closes
+
+  Scenario: the first request of a new connection comes as idle ones close
+    Guards against a caller that has just connected to a leaving entry, and
+    whose request is then read and dropped without an answer.
+    Given a handler that repeats what it was given
+    And an entry that leaves
+    When a caller connects, idle connections are closed, and it sends a request
+    Then it gets an answer
+
+  Scenario: a request crosses the closing of a kept connection
+    Guards against a request that is read on a connection that the entry has
+    closed: its caller may only send it again if it was not read.
+    Given a handler that repeats what it was given
+    And an entry that leaves
+    When a caller that has been answered sends again as idle ones close
+    Then its second request is not read
--- a/packages/gentianpoint-entry/features/forwarding/steps/caller_connections_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/caller_connections_steps.py
@@ -1,5 +1,6 @@
 """Steps for callers' connections, over sockets of this host."""
 
+import contextlib
 import json
 
 import behave
@@ -185,3 +186,69 @@
 @behave.then("the answer says that the connection closes")
 def check_closes(context):
     assert b"connection: close" in context.data.lower()
+
+
+async def run_leaving(context, use):
+    connections = caller_connections.CallerConnections(
+        context.handler, lambda: _LIMITS
+    )
+    listener = (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0]
+    port = listener.socket.getsockname()[1]
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(trio.serve_listeners, connections.serve, [listener])
+        stream = await trio.open_tcp_stream("127.0.0.1", port)
+        await use(stream, connections)
+        nursery.cancel_scope.cancel()
+
+
+@behave.when(
+    "a caller connects, idle connections are closed, and it sends a request"
+)
+def connect_then_send(context):
+    async def use(stream, connections):
+        # The entry takes the connection meanwhile.
+        await trio.sleep(0.1)
+        connections.is_leaving = context.is_leaving
+        connections.close_idle()
+        await trio.sleep(0.1)
+        await send_and_read(context, stream)
+
+    trio.run(run_leaving, context, use)
+
+
+async def send_and_read(context, stream):
+    # Where the entry has closed, what has come is looked at.
+    with contextlib.suppress(trio.BrokenResourceError):
+        await stream.send_all(_FORMS["plain request"].encode())
+    await read_all(context, stream)
+
+
+@behave.then("it gets an answer")
+def check_some_answer(context):
+    assert context.data.startswith(b"HTTP/1.1 200 "), context.data
+
+
+@behave.when("a caller that has been answered sends again as idle ones close")
+def send_across_close(context):
+    async def use(stream, connections):
+        await stream.send_all(_FORMS["request on a kept connection"].encode())
+        assert (await stream.receive_some(65536)).startswith(b"HTTP/1.1 200")
+        connections.is_leaving = context.is_leaving
+        await trio.sleep(0.1)
+        connections.close_idle()
+        await trio.sleep(0.1)
+        await stream.send_all(_FORMS["plain request"].encode())
+        await trio.sleep(0.1)
+        try:
+            await stream.send_all(b"more")
+        except trio.BrokenResourceError:
+            context.was_reset = True
+
+    context.was_reset = False
+    trio.run(run_leaving, context, use)
+
+
+@behave.then("its second request is not read")
+def check_unread(context):
+    # What comes at a closed socket is answered by a reset.
+    assert context.was_reset
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/caller_connections.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/caller_connections.py
@@ -7,6 +7,7 @@
 
 from collections import abc
 import contextlib
+import enum
 import socket
 import struct
 import typing
@@ -28,6 +29,8 @@
 _IDLE_SLACK: typing.Final = 1.25
 """Connections are kept this much longer than the limit for idling, so that a
 request of a caller that keeps to the limit does not cross our closing."""
+_FIRST_REQUEST_S: typing.Final = 1.0
+"""Time for which the first request of a new connection is on its way."""
 _WRITE_STALL_MS: typing.Final = 5000.0
 """Time for which a caller may take nothing of its answer."""
 
@@ -53,6 +56,17 @@
 """Serves one request; an answer left unfinished is reset."""
 
 
+class _End(enum.Enum):
+    """How a connection comes to its end."""
+
+    IDLE = "idle"
+    """No request is under way, and no answer either."""
+    ANSWERED = "answered"
+    """An answer has just been sent."""
+    BROKEN = "broken"
+    """An answer is missing or incomplete."""
+
+
 class _RefusedError(Exception):
     """The request can't be read; the connection ends after an answer."""
 
@@ -142,11 +156,22 @@
         self._handler: typing.Final = handler
         self._read_limits: typing.Final = read_limits
         self._idle: typing.Final[set[trio.CancelScope]] = set()
+        self._first_until: typing.Final[dict[trio.SocketStream, float]] = {}
         self.is_leaving = False
         self.busy_count = 0
 
+    def is_busy(self) -> bool:
+        """Tell whether requests are served, or are sure to come."""
+        now = trio.current_time()
+        return bool(self.busy_count) or any(
+            until > now for until in self._first_until.values()
+        )
+
     def close_idle(self) -> None:
-        """Close connections on which no request is being served."""
+        """Close connections that are kept after an answer, and idle.
+
+        A new connection stays open: its caller has a request for it.
+        """
         for scope in list(self._idle):
             scope.cancel()
 
@@ -155,24 +180,30 @@
         state = h11.Connection(
             h11.SERVER, self._read_limits().header_bytes + _READ_BYTES
         )
-        is_clean = False
+        end = _End.BROKEN
+        self._first_until[stream] = trio.current_time() + _FIRST_REQUEST_S
         try:
             stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            is_clean = await self._serve_requests(stream, state)
+            end = await self._serve_requests(stream, state)
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
             # The caller is gone: there is nobody to tell, and the request
             # under way has been cancelled where it was noticed.
-            is_clean = False
+            end = _End.BROKEN
         finally:
-            if is_clean:
+            self._first_until.pop(stream, None)
+            if end is _End.ANSWERED:
                 await _close_after_answer(stream)
+            elif end is _End.IDLE:
+                # Nothing more is read: a caller whose request crosses this
+                # may send it again only if it was not.
+                stream.socket.close()
             else:
                 _reset(stream)
 
     async def _serve_requests(
         self, stream: trio.SocketStream, state: h11.Connection
-    ) -> bool:
-        """Serve request after request; False when the end is a break."""
+    ) -> _End:
+        """Serve request after request."""
         while True:
             try:
                 request = await self._read_request(stream, state)
@@ -182,7 +213,8 @@
             except _RefusedError as refusal:
                 return await self._refuse(stream, state, refusal)
             if request is None:
-                return True
+                return _End.IDLE
+            self._first_until.pop(stream, None)
             answer = _Answer(state, stream, closes=lambda: self.is_leaving)
             self.busy_count += 1
             try:
@@ -190,11 +222,11 @@
             finally:
                 self.busy_count -= 1
             if not answer.is_finished:
-                return False
+                return _End.BROKEN
             if state.our_state is not h11.DONE:
-                return True
+                return _End.ANSWERED
             if state.their_state is not h11.DONE:
-                return True
+                return _End.ANSWERED
             state.start_next_cycle()
 
     async def _refuse(
@@ -202,16 +234,16 @@
         stream: trio.SocketStream,
         state: h11.Connection,
         refusal: _RefusedError,
-    ) -> bool:
+    ) -> _End:
         if state.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-            return False
+            return _End.BROKEN
         answer = _Answer(state, stream, closes=lambda: True)
         try:
             text = str(refusal).encode(errors="replace")[:200]
             await answer.send_whole(refusal.status, (), text)
         except caller_answers.CallerGoneError:
-            return False
-        return True
+            return _End.BROKEN
+        return _End.ANSWERED
 
     async def _read_request(
         self, stream: trio.SocketStream, state: h11.Connection
@@ -256,6 +288,7 @@
     ) -> typing.Optional[h11.Request]:
         """Return the next head; None when the connection may end."""
         wait_s = limits.idle_ms * _IDLE_SLACK / 1000
+        is_kept = stream not in self._first_until
         is_begun = bool(state.trailing_data[0])
         while True:
             event = state.next_event()
@@ -266,7 +299,7 @@
             if is_begun:
                 wait_s = limits.header_ms * _IDLE_SLACK / 1000
             with trio.move_on_after(wait_s) as scope:
-                if not is_begun:
+                if is_kept and not is_begun:
                     self._idle.add(scope)
                 try:
                     data = await stream.receive_some(_READ_BYTES)
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/caller_front.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/caller_front.py
@@ -93,7 +93,7 @@
         await trio.sleep(min(_NOTICE_S, self._leave_within_s / 2))
         while trio.current_time() < self._leaves_at:
             self._callers.close_idle()
-            if not self._callers.busy_count:
+            if not self._callers.is_busy():
                 return
             await trio.sleep(0.05)
         logs.log_event(
