--- a/packages/gentianpoint-entry/features/forwarding/leaving.feature
+++ b/packages/gentianpoint-entry/features/forwarding/leaving.feature
@@ -46,6 +46,26 @@
       | 300  | 4    |
       | 40   | 5    |
 
+  Scenario Outline: the first event comes late at a leaving entry
+    Guards against a stream that begins with too little time for the rest, so
+    that it is cut as the entry ends.
+    Given a generation of about 20 tokens
+    And target a answers: events 1-<events> then end, late before 1
+    When it comes 4500 ms before the entry ends, which then ends
+    Then the caller has <answer>
+
+    Examples:
+      | events | answer                                     |
+      | 9      | the whole answer                           |
+      | 90     | a final answer that the entry ends, only   |
+
+  Scenario: a route without objectives
+    Guards against a request that counts as ending at once.
+    Given a plain call of a route without objectives
+    And target a answers: mute
+    When it comes 300 ms before the entry ends
+    Then the caller is refused with status 503
+
   Scenario Outline: refused callers are told when entries will serve them
     Guards against callers that are refused twice, by one leaving entry after
     the other, though a later time would have served them.
--- a/packages/gentianpoint-entry/features/forwarding/steps/leaving_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/leaving_steps.py
@@ -20,6 +20,50 @@
     context.calls = forwarding_builders.ScriptedCalls()
 
 
+@behave.when("it comes {left:d} ms before the entry ends, which then ends")
+def serve_to_end(context, left):
+    context.answer = forwarding_builders.NotedAnswer()
+
+    async def run():
+        shared = forwarding_builders.make_forwarder(["a"], context.calls)
+        ends_at = trio.current_time() + left / 1000
+        handling = request_handling.RequestHandling(
+            shared, forwarding_builders.send_refusal, lambda: ends_at
+        )
+        request = forwarding_builders.make_request(
+            context.route, leaving_builders.ENGINE
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(handling.serve, request, context.answer)
+            await trio.sleep_until(ends_at)
+            await handling.give_up_unanswered()
+            nursery.cancel_scope.cancel()
+
+    topic_builders.run_on_clock(run)
+
+
+@behave.then("the caller has the whole answer")
+def check_whole_answer(context):
+    assert context.answer.status == 200, context.answer.status
+    assert context.answer.is_finished
+    for number in range(1, 10):
+        event = forwarding_builders.make_event(number)
+        assert event in context.answer.data, context.answer.data
+
+
+@behave.then("the caller has a final answer that the entry ends, only")
+def check_final_answer(context):
+    assert context.answer.status == 504, context.answer.status
+    assert context.answer.is_finished
+    assert context.answer.data == b"this entry ends before the answer"
+
+
+@behave.given("a plain call of a route without objectives")
+def make_unmeasured(context):
+    make_kind(context, "plain call", 0)
+    context.route = context.route._replace(objective_ms=0.0)
+
+
 @behave.when("it comes {left:d} ms before the entry ends")
 def serve_late(context, left):
     context.answer = forwarding_builders.NotedAnswer()
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/leaving.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/leaving.py
@@ -15,10 +15,11 @@
 import math
 import typing
 
+from gentianpoint_core import deadlines
 from gentianpoint_entry.forwarding import requests
 from gentianpoint_entry.forwarding import routes
 
-__all__ = ("bound_ms", "find_return_ms")
+__all__ = ("bound_ms", "find_return_ms", "find_start_deadline")
 
 _PLAIN: typing.Final = 4.0
 """Times the objective that a plain answer may take; few take more."""
@@ -28,23 +29,47 @@
 
 
 def bound_ms(request: requests.CallerRequest) -> float:
-    """Return the time in which a request ends, in milliseconds."""
-    if request.route.kind is routes.RouteKind.STREAM:
-        needed_ms = _bound_stream_ms(request)
-    else:
-        needed_ms = request.route.objective_ms * _PLAIN
+    """Return the time in which a request is to end, in milliseconds.
+
+    A request ends with its deadline at the latest, and sooner if its route
+    has objectives: a plain answer is likely to, and a stream on time is sure
+    to. What is late all the same is given up by its start deadline, see
+    :func:`find_start_deadline`, or as the entry ends.
+    """
+    route = request.route
+    needed_ms = math.inf
+    if route.kind is routes.RouteKind.STREAM:
+        needed_ms = route.objective_ms + _bound_events_ms(request)
+    elif route.objective_ms:
+        needed_ms = route.objective_ms * _PLAIN
+    if not request.deadline.is_limited():
+        return needed_ms
     return min(needed_ms, request.deadline.remaining_ms())
 
 
-def _bound_stream_ms(request: requests.CallerRequest) -> float:
-    """Return how long a stream on time may last; infinite if unknown."""
-    route = request.route
-    if not request.most_output_tokens or not route.gap_objective_ms:
+def find_start_deadline(
+    request: requests.CallerRequest, ends_at: float
+) -> deadlines.Deadline:
+    """Return until when an answer may begin at an entry that ends.
+
+    A stream that begins later could be cut although its events keep their
+    objective. Its first event is late by then, so it is given whole once it
+    is complete, and a final answer in its place if that is too late.
+    """
+    is_stream = request.route.kind is routes.RouteKind.STREAM
+    if not is_stream or request.deadline.at <= ends_at:
+        return deadlines.Deadline(ends_at)
+    return deadlines.Deadline(ends_at - _bound_events_ms(request) / 1000)
+
+
+def _bound_events_ms(request: requests.CallerRequest) -> float:
+    """Return how long events on time may go on; infinite if unknown."""
+    gap_ms = request.route.gap_objective_ms
+    if not request.most_output_tokens or not gap_ms:
         return math.inf
     engine = request.service.engine
     event_tokens = 1 if engine is None else engine.event_tokens
-    events = math.ceil(request.most_output_tokens / event_tokens)
-    return route.objective_ms + events * route.gap_objective_ms
+    return math.ceil(request.most_output_tokens / event_tokens) * gap_ms
 
 
 def find_return_ms(
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/request_handling.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/request_handling.py
@@ -7,6 +7,7 @@
 import structlog
 import trio
 
+from gentianpoint_core import deadlines
 from gentianpoint_core import logs
 from gentianpoint_core.generated import events
 from gentianpoint_entry.forwarding import caller_answers
@@ -84,7 +85,11 @@
         """
         began = trio.current_time()
         self._shared.limits.note_request(request.service.name, began)
-        call = self._make_call(request, answer)
+        ends_at = self._find_end()
+        start_deadline = deadlines.NO_DEADLINE
+        if ends_at is not None:
+            start_deadline = leaving.find_start_deadline(request, ends_at)
+        call = self._make_call(request, answer, start_deadline)
         with structlog.contextvars.bound_contextvars(
             request=request.request_id, route=request.route.name
         ):
@@ -204,9 +209,12 @@
         self,
         request: requests.CallerRequest,
         answer: caller_answers.CallerAnswer,
+        start_deadline: deadlines.Deadline,
     ) -> caller_calls.CallerCall:
         if request.route.kind is routes.RouteKind.STREAM:
-            return stream_calls.StreamCall(self._shared, request, answer)
+            return stream_calls.StreamCall(
+                self._shared, request, answer, start_deadline
+            )
         return plain_calls.PlainCall(self._shared, request, answer)
 
 
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
@@ -13,6 +13,7 @@
 
 import trio
 
+from gentianpoint_core import deadlines
 from gentianpoint_core import logs
 from gentianpoint_core import ports
 from gentianpoint_core.generated import events
@@ -72,11 +73,18 @@
         shared: forwarder.Forwarder,
         request: requests.CallerRequest,
         answer: caller_answers.CallerAnswer,
+        start_deadline: deadlines.Deadline = deadlines.NO_DEADLINE,
     ) -> None:
-        """Serve ``request`` and answer to ``answer``."""
+        """Serve ``request`` and answer to ``answer``.
+
+        An answer that has not begun by ``start_deadline`` is given whole or
+        not at all.
+        """
         self._shared: typing.Final = shared
         self._request: typing.Final = request
         self._answer: typing.Final = answer
+        self._start_deadline: typing.Final = start_deadline
+        self._held: typing.Final = bytearray()
         self._order: typing.Final = stream_events.EventOrder(
             request.last_event_id
         )
@@ -312,10 +320,18 @@
             return
         self._pace.note_event(trio.current_time())
         if not self._answer.is_started:
+            if self._start_deadline.is_past():
+                self._held.extend(event.data)
+                return
             await self._answer.start(run.answer.status, run.answer.headers)
         await self._answer.send(event.data)
 
     async def _end(self, run: stream_runs.StreamRun) -> None:
+        if self._held:
+            await self._answer.send_whole(
+                run.answer.status, run.answer.headers, bytes(self._held)
+            )
+            return
         if not self._answer.is_started:
             await self._answer.start(run.answer.status, run.answer.headers)
         await self._answer.finish()
