--- a/packages/gentianpoint-entry/features/forwarding/leaving.feature
+++ b/packages/gentianpoint-entry/features/forwarding/leaving.feature
@@ -69,16 +69,27 @@
   Scenario Outline: refused callers are told when entries will serve them
     Guards against callers that are refused twice, by one leaving entry after
     the other, though a later time would have served them.
-    Given entries of which <leaving> have been leaving for 500 ms of 8000
+    Given a data centre of which <leaving> have been leaving for 500 ms of 8000
     And one more has left for 4000 ms of them
-    And <staying> stay
+    And <staying> stay, and <far> stay in other data centres
     When a caller is refused whose request takes <needs> ms
     Then the caller comes back after <after> to <before> ms
 
-    Examples:
-      | leaving | staying | needs | after | before | 
-      | 1       | 3       | 20000 | 100   | 300    |
-      | 2       | 2       | 20000 | 6000  | 9000   |
-      | 4       | 0       | 20000 | 9500  | 14250  |
-      | 4       | 0       | 5000  | 100   | 300    |
-      | 1       | 0       | 5000  | 100   | 300    |
+    Examples: as many stay as leave
+      | leaving | staying | far | needs | after | before |
+      | 1       | 3       | 0   | 20000 | 100   | 300    |
+      | 1       | 3       | 5   | 20000 | 100   | 300    |
+
+    Examples: fewer stay
+      | leaving | staying | far | needs | after | before |
+      | 2       | 2       | 0   | 20000 | 6000  | 9000   |
+      | 4       | 0       | 0   | 20000 | 9500  | 14250  |
+
+    Examples: only entries elsewhere stay, of which the balancer has to learn
+      | leaving | staying | far | needs | after | before |
+      | 4       | 0       | 3   | 20000 | 2100  | 3150   |
+
+    Examples: they end late enough for the request
+      | leaving | staying | far | needs | after | before |
+      | 4       | 0       | 0   | 5000  | 100   | 300    |
+      | 1       | 0       | 0   | 5000  | 100   | 300    |
--- a/packages/gentianpoint-entry/features/forwarding/leaving_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/leaving_builders.py
@@ -87,21 +87,23 @@
 
 
 def draw_returns_ms(
-    leaving_for_ms: abc.Sequence[typing.Optional[float]],
+    near: abc.Sequence[typing.Optional[float]],
+    far: abc.Sequence[typing.Optional[float]],
     leave_ms: float,
     needed_ms: float,
 ) -> list[float]:
     """Return when callers that a leaving entry refuses are to come back."""
     return [
         topic_builders.run_on_clock(
-            _refuse, leaving_for_ms, leave_ms, needed_ms, seed
+            _refuse, near, far, leave_ms, needed_ms, seed
         )
         for seed in range(_COUNT)
     ]
 
 
 async def _refuse(
-    leaving_for_ms: abc.Sequence[typing.Optional[float]],
+    near: abc.Sequence[typing.Optional[float]],
+    far: abc.Sequence[typing.Optional[float]],
     leave_ms: float,
     needed_ms: float,
     seed: int,
@@ -121,7 +123,7 @@
         shared,
         note,
         trio.current_time,
-        lambda _: leaving.find_return_ms(leaving_for_ms, leave_ms, needed_ms),
+        lambda _: leaving.find_return_ms(near, far, leave_ms, needed_ms),
     )
     request = forwarding_builders.make_request(
         forwarding_builders.make_route(routes.RouteKind.STREAM), ENGINE
--- a/packages/gentianpoint-entry/features/forwarding/steps/fleet_news_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/fleet_news_steps.py
@@ -113,7 +113,10 @@
     return [
         sum(
             passed_ms is not None
-            for passed_ms in entry.table.list_leaving_for_ms(now)
+            for is_near in (True, False)
+            for passed_ms in entry.table.list_leaving_for_ms(
+                now, is_near=is_near
+            )
         )
         for entry in fleet.entries.values()
     ]
--- a/packages/gentianpoint-entry/features/forwarding/steps/leaving_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/leaving_steps.py
@@ -138,8 +138,8 @@
 
 
 @behave.given(
-    "entries of which {count:d} have been leaving for {passed_ms:d} ms of"
-    " {leave_ms:d}"
+    "a data centre of which {count:d} have been leaving for {passed_ms:d} ms"
+    " of {leave_ms:d}"
 )
 def set_leaving_entries(context, count, passed_ms, leave_ms):
     context.leaving_for_ms = [passed_ms] * count
@@ -151,15 +151,16 @@
     context.leaving_for_ms.append(passed_ms)
 
 
-@behave.given("{count:d} stay")
-def add_staying(context, count):
-    context.leaving_for_ms += [None] * count
+@behave.given("{near:d} stay, and {far:d} stay in other data centres")
+def add_staying(context, near, far):
+    context.leaving_for_ms += [None] * near
+    context.far = [None] * far
 
 
 @behave.when("a caller is refused whose request takes {needed_ms:d} ms")
 def refuse_caller(context, needed_ms):
     context.returns_ms = leaving_builders.draw_returns_ms(
-        context.leaving_for_ms, context.leave_ms, needed_ms
+        context.leaving_for_ms, context.far, context.leave_ms, needed_ms
     )
 
 
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/caller_front.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/caller_front.py
@@ -10,6 +10,7 @@
 from gentianpoint_core.generated import events
 from gentianpoint_entry.forwarding import caller_answers
 from gentianpoint_entry.forwarding import caller_connections
+from gentianpoint_entry.forwarding import leaving
 from gentianpoint_entry.forwarding import measures
 from gentianpoint_entry.forwarding import routes
 
@@ -18,9 +19,6 @@
 _BACKLOG: typing.Final = 1024
 """New connections that wait to be taken; when it is full the opening packet
 is lost and comes again only after a second."""
-_NOTICE_S: typing.Final = 2.6
-"""Time in which the balancer learns that this entry is not ready: it asks
-once a second and believes the second miss."""
 _LAST_S: typing.Final = 0.45
 """Time before the process is killed at which it ends by itself."""
 
@@ -90,7 +88,9 @@
         logs.log_event(
             events.LEAVING_STARTED, busy_connections=self._callers.busy_count
         )
-        await trio.sleep(min(_NOTICE_S, self._leave_within_s / 2))
+        await trio.sleep(
+            min(leaving.NOTICE_MS / 1000, self._leave_within_s / 2)
+        )
         while trio.current_time() < self._leaves_at:
             self._callers.close_idle()
             if not self._callers.is_busy():
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/leaving.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/leaving.py
@@ -19,7 +19,11 @@
 from gentianpoint_entry.forwarding import requests
 from gentianpoint_entry.forwarding import routes
 
-__all__ = ("bound_ms", "find_return_ms", "find_start_deadline")
+__all__ = ("NOTICE_MS", "bound_ms", "find_return_ms", "find_start_deadline")
+
+NOTICE_MS: typing.Final = 2600.0
+"""Time in which the balancer learns that an entry is not ready: it asks once
+a second and believes the second miss."""
 
 _PLAIN: typing.Final = 4.0
 """Times the objective that a plain answer may take; few take more."""
@@ -73,22 +77,44 @@
 
 
 def find_return_ms(
-    leaving_for_ms: abc.Sequence[typing.Optional[float]],
+    near: abc.Sequence[typing.Optional[float]],
+    far: abc.Sequence[typing.Optional[float]],
     leave_ms: float,
     needed_ms: float,
 ) -> float:
     """Return in how many milliseconds a refused caller can be served.
 
-    ``leaving_for_ms`` holds for each entry how long it has been leaving, None
-    for one that stays; each leaves within ``leave_ms``, and until then takes
-    what ends within ``needed_ms`` as long as that fits. A caller that returns
-    meets any of the entries, so half of them have to take it: a second
-    refusal may be its last.
+    ``near`` holds for each entry of this data centre how many milliseconds it
+    has been leaving, None for one that stays, and ``far`` the same for other
+    data centres. Each leaves within ``leave_ms``, and until then takes what
+    ends within ``needed_ms`` as long as that fits. A caller that returns meets
+    any entry of its data centre, so half of them have to take it: a second
+    refusal may be its last. It meets those elsewhere once the balancer knows
+    that none of its own is ready.
+
+    >>> find_return_ms([500.0, None], [None], 8000.0, 20000.0)
+    0.0
+    >>> find_return_ms([500.0, 900.0], [None], 8000.0, 20000.0)
+    2100.0
     """
+    near_ms = _find_half_ms(near, leave_ms, needed_ms)
+    if not far or None in near:
+        return near_ms
+    unnoticed_ms = NOTICE_MS - min(passed or 0.0 for passed in near)
+    far_ms = _find_half_ms(far, leave_ms, needed_ms)
+    return min(near_ms, max(unnoticed_ms, far_ms))
+
+
+def _find_half_ms(
+    leaving_for_ms: abc.Sequence[typing.Optional[float]],
+    leave_ms: float,
+    needed_ms: float,
+) -> float:
+    """Return in how many milliseconds half of the entries take a request."""
     waits = []
     for passed_ms in leaving_for_ms:
         left_ms = math.inf if passed_ms is None else leave_ms - passed_ms
         takes_it = left_ms >= needed_ms
-        waits.append(0.0 if takes_it else left_ms + _START_MS)
+        waits.append(0.0 if takes_it else max(0.0, left_ms + _START_MS))
     waits.sort()
-    return max(0.0, waits[(len(waits) - 1) // 2])
+    return waits[(len(waits) - 1) // 2]
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/members.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/members.py
@@ -132,11 +132,12 @@
         )
 
     def list_leaving_for_ms(
-        self, now: float
+        self, now: float, *, is_near: bool
     ) -> abc.Sequence[typing.Optional[float]]:
         """Return for each live member how long it has been leaving.
 
-        It is None for those that stay.
+        It is None for those that stay. ``is_near`` asks for the members of
+        this data centre, else for those of the others.
         """
         return [
             None
@@ -144,6 +145,7 @@
             else (now - heard.leaving_since) * 1000
             for address, heard in self._heard.list_all()
             if address in self._live
+            and is_near == (heard.member.data_centre == self.data_centre)
         ]
 
     @property
