--- a/packages/gentianpoint-entry/features/forwarding/caller_connections.feature
+++ b/packages/gentianpoint-entry/features/forwarding/caller_connections.feature
@@ -71,3 +71,18 @@
     And an entry that leaves
     When a caller that has been answered sends again as idle ones close
     Then its second request is not read
+
+  Scenario Outline: an entry that leaves while a request arrives
+    Guards against an entry that ends with a request half read, though it has
+    the time to serve it.
+    Given a handler that repeats what it was given
+    And an entry that leaves
+    When a caller sends half of a <form>
+    Then the entry counts as busy
+    And it is busy no more once the caller has its answer
+
+    Examples:
+      | form                         |
+      | plain request                |
+      | request with a length        |
+      | request on a kept connection |
--- a/packages/gentianpoint-entry/features/forwarding/steps/caller_connections_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/caller_connections_steps.py
@@ -252,3 +252,33 @@
 def check_unread(context):
     # What comes at a closed socket is answered by a reset.
     assert context.was_reset
+
+
+@behave.when("a caller sends half of a {form}")
+def send_half(context, form):
+    text = _FORMS[form].encode()
+    half = len(text) - 2
+
+    async def use(stream, connections):
+        connections.is_leaving = context.is_leaving
+        await stream.send_all(text[:half])
+        # A first request counts for a second in any case.
+        await trio.sleep(1.2)
+        context.was_reading = connections.is_busy()
+        await stream.send_all(text[half:])
+        await read_all(context, stream)
+        await trio.sleep(0.1)
+        context.is_busy_after = connections.is_busy()
+
+    trio.run(run_leaving, context, use)
+
+
+@behave.then("the entry counts as busy")
+def check_busy(context):
+    assert context.was_reading
+
+
+@behave.then("it is busy no more once the caller has its answer")
+def check_answered_then_free(context):
+    assert context.data.startswith(b"HTTP/1.1 200 "), context.data
+    assert not context.is_busy_after
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/caller_connections.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/caller_connections.py
@@ -157,15 +157,16 @@
         self._read_limits: typing.Final = read_limits
         self._idle: typing.Final[set[trio.CancelScope]] = set()
         self._first_until: typing.Final[dict[trio.SocketStream, float]] = {}
+        self._reading: typing.Final[set[trio.SocketStream]] = set()
         self.is_leaving = False
         self.busy_count = 0
 
     def is_busy(self) -> bool:
-        """Tell whether requests are served, or are sure to come."""
+        """Tell whether requests are served, or are on their way."""
+        if self.busy_count or self._reading:
+            return True
         now = trio.current_time()
-        return bool(self.busy_count) or any(
-            until > now for until in self._first_until.values()
-        )
+        return any(until > now for until in self._first_until.values())
 
     def close_idle(self) -> None:
         """Close connections that are kept after an answer, and idle.
@@ -191,6 +192,7 @@
             end = _End.BROKEN
         finally:
             self._first_until.pop(stream, None)
+            self._reading.discard(stream)
             if end is _End.ANSWERED:
                 await _close_after_answer(stream)
             elif end is _End.IDLE:
@@ -207,6 +209,7 @@
         while True:
             try:
                 request = await self._read_request(stream, state)
+                self._reading.discard(stream)
             except h11.RemoteProtocolError as error:
                 refusal = _RefusedError(error.error_status_hint, str(error))
                 return await self._refuse(stream, state, refusal)
@@ -290,6 +293,8 @@
         wait_s = limits.idle_ms * _IDLE_SLACK / 1000
         is_kept = stream not in self._first_until
         is_begun = bool(state.trailing_data[0])
+        if is_begun:
+            self._reading.add(stream)
         while True:
             event = state.next_event()
             if isinstance(event, h11.Request):
@@ -307,6 +312,7 @@
                     self._idle.discard(scope)
                 state.receive_data(data)
                 is_begun = True
+                self._reading.add(stream)
             if scope.cancelled_caught:
                 if is_begun:
                     raise _RefusedError(408, "the head does not arrive")
