--- a/packages/gentianpoint-entry/features/forwarding/caller_connections.feature
+++ b/packages/gentianpoint-entry/features/forwarding/caller_connections.feature
@@ -39,8 +39,15 @@
     Then the caller's connection is reset
 
   Scenario: a fault in serving one request
+    Guards against a request that ends without a final answer.
     Given a handler that raises an error nobody expects
     When a caller sends a plain request
+    Then it is answered with status 502 and the connection ends
+
+  Scenario: a fault in the middle of an answer
+    Guards against half an answer that ends like a whole one.
+    Given a handler that raises an error in the middle of its answer
+    When a caller sends a plain request
     Then the caller's connection is reset
 
   Scenario: a caller that leaves
@@ -86,3 +93,10 @@
       | plain request                |
       | request with a length        |
       | request on a kept connection |
+
+  Scenario: a caller reads nothing as its entry ends
+    Guards against a process that waits for a stalled caller until it is
+    killed.
+    Given a handler whose answer is longer than its caller reads
+    When the time for writing ends 200 ms after the request
+    Then the handler learns that its caller is gone
--- a/packages/gentianpoint-entry/features/forwarding/steps/caller_connections_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/caller_connections_steps.py
@@ -6,6 +6,7 @@
 import behave
 import trio
 
+from gentianpoint_entry.forwarding import caller_answers
 from gentianpoint_entry.forwarding import caller_connections
 from gentianpoint_entry.forwarding import routes
 
@@ -70,6 +71,30 @@
     context.is_leaving = False
 
 
+@behave.given("a handler that raises an error in the middle of its answer")
+def make_raising_late(context):
+    async def handle(request, answer):
+        await answer.start(200, ())
+        await answer.send(b"half")
+        raise ZeroDivisionError("a fault")
+
+    context.handler = handle
+    context.is_leaving = False
+
+
+@behave.given("a handler whose answer is longer than its caller reads")
+def make_long(context):
+    context.is_gone = False
+
+    async def handle(request, answer):
+        try:
+            await answer.send_whole(200, (), b"x" * 50_000_000)
+        except caller_answers.CallerGoneError:
+            context.is_gone = True
+
+    context.handler = handle
+
+
 @behave.given("a handler that waits for ever")
 def make_waiting(context):
     context.was_cancelled = False
@@ -282,3 +307,22 @@
 def check_answered_then_free(context):
     assert context.data.startswith(b"HTTP/1.1 200 "), context.data
     assert not context.is_busy_after
+
+
+@behave.when("the time for writing ends {wait_ms:d} ms after the request")
+def end_writing(context, wait_ms):
+    async def use(stream, connections):
+        connections.write_until = trio.current_time() + wait_ms / 1000
+        await stream.send_all(_FORMS["plain request"].encode())
+        # Longer than this, a caller counts as gone in any case.
+        with trio.move_on_after(3):
+            while not context.is_gone:
+                await trio.sleep(0.01)
+        context.was_told = context.is_gone
+
+    trio.run(run_leaving, context, use)
+
+
+@behave.then("the handler learns that its caller is gone")
+def check_gone(context):
+    assert context.was_told
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/caller_connections.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/caller_connections.py
@@ -8,6 +8,7 @@
 from collections import abc
 import contextlib
 import enum
+import math
 import socket
 import struct
 import typing
@@ -19,6 +20,7 @@
 from gentianpoint_core import logs
 from gentianpoint_core.generated import events
 from gentianpoint_entry.forwarding import caller_answers
+from gentianpoint_entry.forwarding import refusals
 from gentianpoint_entry.forwarding import routes
 
 __all__ = ("CallerConnections", "Handler", "RawRequest")
@@ -84,12 +86,14 @@
         stream: trio.SocketStream,
         *,
         closes: abc.Callable[[], bool],
+        find_write_end: abc.Callable[[], float],
     ) -> None:
         self.is_started = False
         self.is_finished = False
         self._state: typing.Final = state
         self._stream: typing.Final = stream
         self._closes: typing.Final = closes
+        self._find_write_end: typing.Final = find_write_end
 
     async def send_whole(
         self,
@@ -114,6 +118,8 @@
     async def start(
         self, status: int, headers: abc.Sequence[tuple[bytes, bytes]]
     ) -> None:
+        # Cancelled here, the answer may still be another one.
+        await trio.lowlevel.checkpoint_if_cancelled()
         self.is_started = True
         self.status = status
         await self._write(self._frame_head(status, headers))
@@ -135,7 +141,9 @@
         return self._state.send(response) or b""
 
     async def _write(self, data: bytes) -> None:
-        with trio.move_on_after(_WRITE_STALL_MS / 1000) as scope:
+        limit = deadlines.make_deadline(_WRITE_STALL_MS)
+        limit = limit.earlier(deadlines.Deadline(self._find_write_end()))
+        with trio.CancelScope(deadline=limit.at) as scope:
             try:
                 await self._stream.send_all(data)
             except (trio.BrokenResourceError, OSError) as error:
@@ -159,6 +167,7 @@
         self._first_until: typing.Final[dict[trio.SocketStream, float]] = {}
         self._reading: typing.Final[set[trio.SocketStream]] = set()
         self.is_leaving = False
+        self.write_until = math.inf
         self.busy_count = 0
 
     def is_busy(self) -> bool:
@@ -218,7 +227,12 @@
             if request is None:
                 return _End.IDLE
             self._first_until.pop(stream, None)
-            answer = _Answer(state, stream, closes=lambda: self.is_leaving)
+            answer = _Answer(
+                state,
+                stream,
+                closes=lambda: self.is_leaving,
+                find_write_end=lambda: self.write_until,
+            )
             self.busy_count += 1
             try:
                 await self._serve_one(stream, state, request, answer)
@@ -240,7 +254,12 @@
     ) -> _End:
         if state.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return _End.BROKEN
-        answer = _Answer(state, stream, closes=lambda: True)
+        answer = _Answer(
+            state,
+            stream,
+            closes=lambda: True,
+            find_write_end=lambda: self.write_until,
+        )
         try:
             text = str(refusal).encode(errors="replace")[:200]
             await answer.send_whole(refusal.status, (), text)
@@ -337,12 +356,23 @@
                 # reset by its serving task.
                 pass
             except Exception as error:
-                # A fault in serving one request must not end the others:
-                # the caller sees a reset, and the log says why.
+                # A fault in serving one request must not end the others.
                 logs.log_event(events.REQUEST_CRASHED, exc_info=error)
+                await _answer_crash(answer)
             nursery.cancel_scope.cancel()
 
 
+async def _answer_crash(answer: _Answer) -> None:
+    """Give a request that a fault has ended its final answer.
+
+    The request may have run, so the status promises nothing.
+    """
+    if answer.is_started:
+        return
+    with contextlib.suppress(caller_answers.CallerGoneError):
+        await answer.send_whole(refusals.BAD_GATEWAY, (), b"")
+
+
 async def _watch_caller(
     stream: trio.SocketStream, state: h11.Connection, scope: trio.CancelScope
 ) -> None:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/caller_front.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/caller_front.py
@@ -22,6 +22,10 @@
 _LAST_S: typing.Final = 0.45
 """Time before the process is killed at which it ends by itself."""
 
+_LAST_WRITES_S: typing.Final = 0.2
+"""Time after that for what callers still take; a stalled one would hold the
+process until it is killed."""
+
 
 class FrontAddresses(typing.NamedTuple):
     """Where an entry listens, each as IP:PORT."""
@@ -85,6 +89,7 @@
         now = trio.current_time()
         self._leaves_at = now + self._leave_within_s - _LAST_S
         self._callers.is_leaving = True
+        self._callers.write_until = self._leaves_at + _LAST_WRITES_S
         logs.log_event(
             events.LEAVING_STARTED, busy_connections=self._callers.busy_count
         )
