--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/caller_front.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/caller_front.py
@@ -21,7 +21,6 @@
 is lost and comes again only after a second."""
 _LAST_S: typing.Final = 0.45
 """Time before the process is killed at which it ends by itself."""
-
 _LAST_WRITES_S: typing.Final = 0.2
 """Time after that for what callers still take; a stalled one would hold the
 process until it is killed."""
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/leaving.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/leaving.py
@@ -37,8 +37,7 @@
 
     A request ends with its deadline at the latest, and sooner if its route
     has objectives: a plain answer is likely to, and a stream on time is sure
-    to. What is late all the same is given up by its start deadline, see
-    :func:`find_start_deadline`, or as the entry ends.
+    to. For those that are late all the same see :func:`find_start_deadline`.
     """
     route = request.route
     needed_ms = math.inf
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/members.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/members.py
@@ -204,12 +204,11 @@
         return self._near, self._far
 
     def _put(self, member: Member, now: float) -> None:
-        known = self._heard.find(member.address)
-        since = None if known is None else known.leaving_since
+        since = None
         if member.is_leaving:
+            known = self._heard.find(member.address)
+            since = known.leaving_since if known else None
             since = now if since is None else since
-        else:
-            since = None
         self._heard.put(member.address, _Heard(member, now, since))
 
     def _note_live(self, now: float) -> None:
