--- a/packages/gentianpoint-entry/features/forwarding/plain_calls.feature
+++ b/packages/gentianpoint-entry/features/forwarding/plain_calls.feature
@@ -52,3 +52,13 @@
     When the request is served
     Then the caller is given status 500
     And 2 targets were asked
+
+  Scenario: a target's failure is replaced by another target's answer
+    The caller notices a longer wait at most. Without a line nobody finds the
+    target that fails, and retries seem to come from nowhere.
+    Given a plain request that may be repeated
+    And target a answers: failure
+    And target b answers: body
+    When the request is served
+    Then the caller is given the body of b
+    And a line tells of status 500 at a, which has run it
--- a/packages/gentianpoint-entry/features/forwarding/steps/plain_calls_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/plain_calls_steps.py
@@ -43,3 +43,13 @@
 @behave.then("it took less than half a second")
 def check_quick(context):
     assert context.took_s < 0.5
+
+
+@behave.then("a line tells of status {status:d} at {name}, which has run it")
+def check_failure_line(context, status, name):
+    (line,) = [
+        line for line in context.lines if line["event"] == "attempt_failed"
+    ]
+    assert line["target"] == name, line
+    assert line["reason"].endswith(f"status {status}"), line
+    assert line["may_have_run"], line
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/plain_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/plain_calls.py
@@ -129,14 +129,24 @@
     ) -> bool:
         self._check_answer(target, got)
         if got.status >= 500 and self._is_worth_another():
-            self.attempts.note_run()
-            target.note_failure(trio.current_time())
+            self._note_status(target, got)
             return False
         if got.status < 500:
             self._shared.note_success(target)
         await self._answer.send_whole(got.status, got.headers, body)
         return True
 
+    def _note_status(
+        self, target: targets.Target, got: target_calls.TargetAnswer
+    ) -> None:
+        error = ports.PortError(
+            "receive answer",
+            target.entry.address,
+            f"the target answered with status {got.status}",
+            took_effect=True,
+        )
+        self.attempts.note_error(target, error)
+
     def _check_answer(
         self, target: targets.Target, got: target_calls.TargetAnswer
     ) -> None:
