--- a/packages/gentianpoint-entry/features/forwarding/forwarding_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/forwarding_builders.py
@@ -250,7 +250,10 @@
 
 
 def make_forwarder(
-    names: abc.Sequence[str], calls: ScriptedCalls
+    names: abc.Sequence[str],
+    calls: ScriptedCalls,
+    *,
+    retry_slack: float = 20.0,
 ) -> forwarder.Forwarder:
     """Return a forwarder for targets of these names, the first preferred."""
     board = targets.TargetBoard()
@@ -260,7 +263,7 @@
     return forwarder.Forwarder(
         board,
         calls,
-        retry_limits.RetryLimits(0.2, 10.0, 20.0),
+        retry_limits.RetryLimits(0.2, 10.0, retry_slack),
         DATA_CENTRE,
         lambda: 1,
         random.Random(1),
--- a/packages/gentianpoint-entry/features/forwarding/plain_calls.feature
+++ b/packages/gentianpoint-entry/features/forwarding/plain_calls.feature
@@ -53,6 +53,17 @@
     Then the caller is given status 500
     And 2 targets were asked
 
+  Scenario: a target's own failure when no retry is left
+    A target fails while many others do, so the budget for retries is spent.
+    Its answer is there: the caller gets it, and isn't told that it was lost.
+    Given a plain request that may be repeated
+    And target a answers: failure
+    And target b answers: body
+    And no retry is left
+    When the request is served
+    Then the caller is given status 500
+    And 1 targets were asked
+
   Scenario: a target's failure is replaced by another target's answer
     The caller notices a longer wait at most. Without a line nobody finds the
     target that fails, and retries seem to come from nowhere.
@@ -62,3 +73,16 @@
     When the request is served
     Then the caller is given the body of b
     And a line tells of status 500 at a, which has run it
+
+  Scenario: the last target that a request is sent to fails
+    Three targets are full and the fourth fails. Were its answer dropped for
+    a fifth attempt that is never made, the caller would get none.
+    Given a plain request that may be repeated
+    And target a answers: refuse
+    And target b answers: refuse
+    And target c answers: refuse
+    And target d answers: failure
+    And target e answers: body
+    When the request is served
+    Then the caller is given status 500
+    And 4 targets were asked
--- a/packages/gentianpoint-entry/features/forwarding/steps/plain_calls_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/plain_calls_steps.py
@@ -22,6 +22,11 @@
     context.calls = forwarding_builders.ScriptedCalls()
 
 
+@behave.given("no retry is left")
+def spend_retries(context):
+    context.retry_slack = 0.0
+
+
 @behave.then("the caller is given the body of {name}")
 def check_body(context, name):
     assert context.answer.data == f"body of {name}".encode()
--- a/packages/gentianpoint-entry/features/forwarding/steps/stream_calls_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/stream_calls_steps.py
@@ -97,7 +97,9 @@
 
     async def run():
         shared = forwarding_builders.make_forwarder(
-            sorted(context.calls.scripts), context.calls
+            sorted(context.calls.scripts),
+            context.calls,
+            retry_slack=getattr(context, "retry_slack", 20.0),
         )
         request = forwarding_builders.make_request(
             context.route, context.engine
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/plain_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/plain_calls.py
@@ -45,6 +45,7 @@
         self._request: typing.Final = request
         self._answer: typing.Final = answer
         self.attempts = attempts.Attempts(shared, request)
+        self._has_retry = False
 
     async def serve(self) -> typing.Optional[refusals.Refusal]:
         """Answer the caller; return a refusal if there is no answer."""
@@ -54,7 +55,7 @@
             )
             if target is None:
                 break
-            if number and not self._shared.take_retry(self._request):
+            if number and not self._take_retry():
                 break
             self.attempts.tried.add(target.target_id)
             try:
@@ -69,6 +70,13 @@
             self._answer, "the target's answer was lost, and it may have run"
         )
 
+    def _take_retry(self) -> bool:
+        """Take a retry, unless one is held for the next attempt."""
+        if self._has_retry:
+            self._has_retry = False
+            return True
+        return self._shared.take_retry(self._request)
+
     async def _try_target(self, target: targets.Target) -> bool:
         """Send to one target; True when the caller has its answer."""
         patience = trio.CancelScope(deadline=self._find_patience())
@@ -130,7 +138,11 @@
         self._check_answer(target, got)
         if got.status >= 500 and self._is_worth_another():
             self._note_status(target, got)
-            return False
+            # Taken here: once the failure is dropped, its caller could only
+            # be told that the outcome is unknown.
+            self._has_retry = self._shared.take_retry(self._request)
+            if self._has_retry:
+                return False
         if got.status < 500:
             self._shared.note_success(target)
         await self._answer.send_whole(got.status, got.headers, body)
@@ -162,8 +174,10 @@
 
     def _is_worth_another(self) -> bool:
         """Tell whether a failure is better replaced by another target's."""
+        tried = self.attempts.tried
         if not self.attempts.may_run_again(besides=1):
             return False
+        if len(tried) >= _MOST_SENDS:
+            return False
         # The target itself is among those tried.
-        other = self._shared.choose_target(self._request, self.attempts.tried)
-        return other is not None
+        return self._shared.choose_target(self._request, tried) is not None
