--- a/packages/gentianpoint-entry/features/steps/summary_steps.py
+++ b/packages/gentianpoint-entry/features/steps/summary_steps.py
@@ -11,6 +11,8 @@
 _MOVED = ("generation_moved", {"target": "t-2"})
 _FAILED = ("attempt_failed", {"target": "t-1"})
 _SPENT = ("retry_budget_spent", {})
+_DECIDED_FOR = ("leaving_decision", {"is_taken": True, "left_ms": 900})
+_DECIDED_AGAINST = ("leaving_decision", {"is_taken": False, "left_ms": 9})
 
 
 def end(outcome, **fields):
@@ -51,6 +53,27 @@
         end("answered", late="start"),
     ],
     "outlasted the leaving of its entry": [_SENT, end("entry_stopped")],
+    "was taken by a leaving entry and outlasted it": [
+        _DECIDED_FOR,
+        _SENT,
+        end("entry_stopped"),
+    ],
+    "was taken by a leaving entry and answered": [
+        _DECIDED_FOR,
+        _SENT,
+        end("answered", late=""),
+    ],
+    "was refused by a leaving entry": [
+        _DECIDED_AGAINST,
+        end("refused_leaving", status=503),
+    ],
+    "had no answer at its deadline": [_SENT, end("refused_504", status=504)],
+    "lost its answer with no retry left": [
+        _SENT,
+        _FAILED,
+        _SPENT,
+        end("refused_502", status=502),
+    ],
     "was left by its caller": [_SENT, end("caller_left")],
 }
 
@@ -75,6 +98,41 @@
     context.lines = make_lines(story, "entry-1")
 
 
+@behave.given("log lines of requests that came to leaving entries")
+def make_leaving(context):
+    stories = (
+        "was taken by a leaving entry and outlasted it",
+        "was taken by a leaving entry and answered",
+        "was refused by a leaving entry",
+        "was answered",
+    )
+    context.lines = [
+        line
+        for number, story in enumerate(stories)
+        for line in make_lines(story, f"entry-{number}")
+    ]
+
+
+@behave.when("the requests at leaving entries are counted")
+def count_leaving(context):
+    context.counts = loss_summary.count_leaving(reversed(context.lines))
+
+
+@behave.then(
+    "{taken:d} were taken, of which {broken:d} broke off, and {refused:d} was"
+    " refused"
+)
+def check_leaving(context, taken, broken, refused):
+    assert context.counts == {ROUTE: (taken, broken, refused)}
+    _, row = loss_summary.make_leaving_table(context.counts)
+    assert row.split() == [ROUTE, str(taken), str(broken), str(refused)], row
+
+
+@behave.then("there is no table of them")
+def check_no_table(context):
+    assert loss_summary.make_leaving_table(context.counts) == []
+
+
 @behave.when("the causes are counted")
 def count(context):
     context.counts = loss_summary.count_causes(reversed(context.lines))
--- a/packages/gentianpoint-entry/features/summary.feature
+++ b/packages/gentianpoint-entry/features/summary.feature
@@ -22,6 +22,10 @@
       | was late at its start                          | late, waited for the target  |
       | was late at its start after a failed attempt   | late, after failed tries     |
       | outlasted the leaving of its entry             | entry stopped                |
+      | was taken by a leaving entry and outlasted it  | entry stopped, taken as it left |
+      | was refused by a leaving entry                 | refused, entry about to stop |
+      | had no answer at its deadline                  | no answer in its time        |
+      | lost its answer with no retry left             | answer of the target lost    |
       | was left by its caller                         | caller left                  |
 
   Scenario: an attempt of a caller at two entries
@@ -30,3 +34,15 @@
     Given log lines of a request that was answered, at two entries
     When the causes are counted
     Then two requests of the route count as "in time"
+
+  Scenario: what leaving entries did with requests
+    Hosts are replaced one by one, and reports break off. Whether entries
+    take what they can't end, or refuse what they could, shows in the counts.
+    Given log lines of requests that came to leaving entries
+    When the requests at leaving entries are counted
+    Then 2 were taken, of which 1 broke off, and 1 was refused
+
+  Scenario: no entry was leaving
+    Given log lines of a request that was answered
+    When the requests at leaving entries are counted
+    Then there is no table of them
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/explain_command.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/explain_command.py
@@ -7,6 +7,7 @@
 import typer
 
 from gentianpoint_entry import log_lines
+from gentianpoint_entry import loss_summary
 
 __all__ = ("explain_request", "register_explain_command")
 
@@ -15,6 +16,25 @@
 )
 _NEAR: typing.Final = ("target", "source", "peer", "address")
 """Fields by which lines of other processes belong to a request's way."""
+_OF_PROCESS: typing.Final = frozenset(
+    (
+        "entry_started",
+        "leaving_started",
+        "lines_left_out",
+        "log_available",
+        "log_unavailable",
+        "process_stopped",
+        "shutdown_overdue",
+    )
+)
+"""Events of a whole process that concern all requests there."""
+_ENDS: typing.Final = frozenset(("entry_started", "process_stopped"))
+"""Events by which a process is known to have ended, the one before too."""
+_OF_LISTING: typing.Final = frozenset(
+    ("connection_opened", "target_announced", "target_listed")
+)
+"""Events that each process has for each target as it learns of it; those of
+other processes tell nothing of a request."""
 
 
 def explain_request(
@@ -23,31 +43,73 @@
     """Return a request's way, a line a step, in the order of time.
 
     With it come the lines of all processes that tell of a target that the
-    request was at, while it was under way: its notice, its loss, its moves.
+    request was at, while it was under way: its notice, its loss, its moves;
+    and what its entries tell of themselves. What became of it stands last.
     """
-    lines = sorted(
-        log_lines.read_lines(texts), key=lambda line: line.timestamp
-    )
+    lines = log_lines.sort_lines(texts)
     own = [line for line in lines if line.fields.get("request") == request]
     if not own:
         return []
-    names = {line.fields.get(name) for line in own for name in _NEAR}
-    names -= {None, ""}
-    first, last = own[0].timestamp, own[-1].timestamp
+    way = [
+        *own,
+        *_find_around(lines, own),
+        *_find_ends(lines, own),
+    ]
+    way.sort(key=lambda line: line.timestamp)
     return [
-        _describe(line)
-        for line in lines
-        if first <= line.timestamp <= last
-        and (
-            line.fields.get("request") == request
-            or (
-                "request" not in line.fields
-                and names & {line.fields.get(name) for name in _NEAR}
-            )
-        )
+        *map(_describe, way),
+        *(
+            f"{host}: {cause}"
+            for host, cause in loss_summary.find_causes(lines, request)
+        ),
     ]
 
 
+def _find_around(
+    lines: abc.Sequence[log_lines.Line], own: abc.Sequence[log_lines.Line]
+) -> abc.Iterator[log_lines.Line]:
+    """Yield the lines of no request that tell of what a request met."""
+    names = {name for line in own for name in _list_names(line)}
+    hosts = {line.fields.get("host") for line in own}
+    for line in lines:
+        if not own[0].timestamp <= line.timestamp <= own[-1].timestamp:
+            continue
+        if "request" in line.fields:
+            continue
+        event = line.fields["event"]
+        if line.fields.get("host") in hosts:
+            is_near = event in _OF_PROCESS or bool(names & _list_names(line))
+        else:
+            is_near = event not in _OF_LISTING and bool(
+                names & _list_names(line)
+            )
+        if is_near:
+            yield line
+
+
+def _find_ends(
+    lines: abc.Sequence[log_lines.Line], own: abc.Sequence[log_lines.Line]
+) -> abc.Iterator[log_lines.Line]:
+    """Yield what became of entries that have no line of a request's end."""
+    last = {line.fields.get("host"): line for line in own}
+    for host, line in last.items():
+        if line.fields["event"] == "request_ended":
+            continue
+        for later in lines:
+            if (
+                later.timestamp > own[-1].timestamp
+                and later.fields.get("host") == host
+                and later.fields["event"] in _ENDS
+            ):
+                yield later
+                break
+
+
+def _list_names(line: log_lines.Line) -> abc.Set[str]:
+    found = (line.fields.get(name) for name in _NEAR)
+    return {name for name in found if isinstance(name, str) and name}
+
+
 def _describe(line: log_lines.Line) -> str:
     fields = line.fields
     details = ", ".join(
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/log_lines.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/log_lines.py
@@ -7,7 +7,7 @@
 import sys
 import typing
 
-__all__ = ("Line", "open_texts", "read_lines")
+__all__ = ("Line", "open_texts", "read_lines", "sort_lines")
 
 
 class Line(typing.NamedTuple):
@@ -27,13 +27,18 @@
             continue
         try:
             fields = json.loads(text[start:])
-        except ValueError:
+        except (ValueError, RecursionError):
             # Output of something else, or a line that was cut.
             continue
-        if isinstance(fields, dict) and "event" in fields:
+        if isinstance(fields, dict) and isinstance(fields.get("event"), str):
             yield Line(str(fields.get("timestamp", "")), fields)
 
 
+def sort_lines(texts: abc.Iterable[str]) -> abc.Sequence[Line]:
+    """Return the log lines in texts in the order of time."""
+    return sorted(read_lines(texts), key=lambda line: line.timestamp)
+
+
 def open_texts(
     files: typing.Optional[abc.Sequence[pathlib.Path]],
 ) -> abc.Iterable[str]:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/loss_summary.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/loss_summary.py
@@ -12,9 +12,18 @@
 
 from gentianpoint_entry import log_lines
 
-__all__ = ("Cause", "count_causes", "make_table")
+__all__ = (
+    "Cause",
+    "LeavingCounts",
+    "count_causes",
+    "count_leaving",
+    "find_causes",
+    "make_leaving_table",
+    "make_table",
+)
 
 _ANSWERED: typing.Final = "answered"
+_OUT_OF_TIME: typing.Final = frozenset(("refused_504", "timeout"))
 
 
 class Cause:
@@ -23,6 +32,8 @@
     IN_TIME: typing.Final = "in time"
     UNDER_WAY: typing.Final = "under way as its entry ended"
     ENTRY_STOPPED: typing.Final = "entry stopped"
+    TAKEN_LEAVING: typing.Final = "entry stopped, taken as it left"
+    REFUSED_LEAVING: typing.Final = "refused, entry about to stop"
     CALLER_LEFT: typing.Final = "caller left"
     ENGINE_LEFT: typing.Final = "broken off, target had notice"
     TARGET_LOST: typing.Final = "broken off, target lost"
@@ -30,16 +41,30 @@
     NO_RETRY: typing.Final = "refused, no retry left"
     REFUSED: typing.Final = "refused"
     LOST_ANSWER: typing.Final = "answer of the target lost"
+    NO_ANSWER: typing.Final = "no answer in its time"
     LATE_MOVE: typing.Final = "late, paused in a move"
     LATE_PAUSE: typing.Final = "late, paused"
     LATE_TRIES: typing.Final = "late, after failed tries"
     LATE_FIRST: typing.Final = "late, waited for the target"
 
 
+class LeavingCounts(typing.NamedTuple):
+    """What became of requests that came to entries told to stop."""
+
+    taken: int = 0
+    """Requests that were taken."""
+    broken_off: int = 0
+    """Requests of these that outlasted their entry."""
+    refused: int = 0
+    """Requests that were refused, as not run."""
+
+
 class _Request:
     """The lines of one request at one entry."""
 
-    def __init__(self) -> None:
+    def __init__(self, name: str, host: str) -> None:
+        self.name: typing.Final = name
+        self.host: typing.Final = host
         self.route = "?"
         self.events: typing.Final[list[log_lines.Line]] = []
 
@@ -57,19 +82,58 @@
 
     Lines may be mixed, and in any order.
     """
-    lines = sorted(
-        log_lines.read_lines(texts), key=lambda line: line.timestamp
-    )
+    counts: dict[str, collections.Counter[str]] = {}
+    for request, cause in _judge_requests(log_lines.sort_lines(texts)):
+        counts.setdefault(request.route, collections.Counter())[cause] += 1
+    return counts
+
+
+def find_causes(
+    lines: abc.Sequence[log_lines.Line], name: str
+) -> abc.Sequence[tuple[str, str]]:
+    """Return what became of one request, for each entry that had it.
+
+    Each is the entry's host and the cause; ``lines`` are in order of time.
+    """
+    return [
+        (request.host, cause)
+        for request, cause in _judge_requests(lines)
+        if request.name == name
+    ]
+
+
+def count_leaving(
+    texts: abc.Iterable[str],
+) -> abc.Mapping[str, LeavingCounts]:
+    """Return what leaving entries did with requests, by route."""
+    counts: dict[str, LeavingCounts] = {}
+    for request, cause in _judge_requests(log_lines.sort_lines(texts)):
+        decision = request.find("leaving_decision")
+        if decision is None:
+            continue
+        known = counts.get(request.route, LeavingCounts())
+        if decision.fields.get("is_taken"):
+            is_broken = cause == Cause.TAKEN_LEAVING
+            known = known._replace(
+                taken=known.taken + 1,
+                broken_off=known.broken_off + is_broken,
+            )
+        else:
+            known = known._replace(refused=known.refused + 1)
+        counts[request.route] = known
+    return counts
+
+
+def _judge_requests(
+    lines: abc.Sequence[log_lines.Line],
+) -> abc.Iterator[tuple[_Request, str]]:
     leaving = {
         str(line.fields.get("target"))
         for line in lines
         if line.fields["event"] == "target_leaving"
     }
-    counts: dict[str, collections.Counter[str]] = {}
     for request in _gather(lines):
-        cause = _find_cause(request, leaving)
-        counts.setdefault(request.route, collections.Counter())[cause] += 1
-    return counts
+        yield request, _find_cause(request, leaving)
 
 
 def _gather(lines: abc.Sequence[log_lines.Line]) -> abc.Iterable[_Request]:
@@ -79,7 +143,7 @@
         if not name:
             continue
         key = (str(line.fields.get("host", "")), str(name))
-        request = found.setdefault(key, _Request())
+        request = found.setdefault(key, _Request(key[1], key[0]))
         request.events.append(line)
         request.route = str(line.fields.get("route") or request.route)
     return found.values()
@@ -91,18 +155,24 @@
         return Cause.UNDER_WAY
     outcome = str(end.fields.get("outcome", ""))
     if outcome == "entry_stopped":
-        return Cause.ENTRY_STOPPED
+        was_leaving = request.find("leaving_decision") is not None
+        return Cause.TAKEN_LEAVING if was_leaving else Cause.ENTRY_STOPPED
+    if outcome == "refused_leaving":
+        return Cause.REFUSED_LEAVING
     if outcome == "caller_left":
         return Cause.CALLER_LEFT
+    if outcome in _OUT_OF_TIME:
+        return Cause.NO_ANSWER
     if outcome == "broken_off":
         is_noticed = _find_last_target(request) in leaving
         return Cause.ENGINE_LEFT if is_noticed else Cause.TARGET_LOST
     if outcome == _ANSWERED:
         return _judge_answer(request, end)
-    if request.find("retry_budget_spent") is not None:
-        return Cause.NO_RETRY
     if outcome == "refused_502":
+        # It may have run, with retries left or without.
         return Cause.LOST_ANSWER
+    if request.find("retry_budget_spent") is not None:
+        return Cause.NO_RETRY
     return Cause.REFUSED
 
 
@@ -141,3 +211,21 @@
         f"{route:24} {cause:32} {number:7} {share:6.1%}"
         for route, cause, number, share in rows
     ]
+
+
+def make_leaving_table(
+    counts: abc.Mapping[str, LeavingCounts],
+) -> abc.Sequence[str]:
+    """Return the lines of a table with its head; none without counts."""
+    if not counts:
+        return []
+    head = f"{'at entries told to stop':24}" + "".join(
+        f" {name:>10}" for name in ("taken", "broken off", "refused")
+    )
+    return [
+        head,
+        *(
+            f"{route:24} {row.taken:10} {row.broken_off:10} {row.refused:10}"
+            for route, row in sorted(counts.items())
+        ),
+    ]
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/summary_command.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/summary_command.py
@@ -22,8 +22,13 @@
         ] = None,
     ) -> None:
         """Count requests by route and by what kept them from being in time."""
-        counts = loss_summary.count_causes(log_lines.open_texts(files))
-        for row in loss_summary.make_table(counts):
+        texts = list(log_lines.open_texts(files))
+        counts = loss_summary.count_causes(texts)
+        leaving = loss_summary.count_leaving(texts)
+        for row in (
+            *loss_summary.make_table(counts),
+            *loss_summary.make_leaving_table(leaving),
+        ):
             typer.echo(row)
         if not counts:
             typer.echo("no line tells of a request", err=True)
