--- a/packages/gentianpoint-entry/features/forwarding/steps/stream_events_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/stream_events_steps.py
@@ -2,7 +2,10 @@
 
 import behave
 import forwarding_builders
+import hypothesis
+from hypothesis import strategies
 import topic_builders
+import trio
 
 from gentianpoint_entry.forwarding import stream_events
 
@@ -13,16 +16,23 @@
     context.data = data.replace(b"\n", b"\r\n") if ends == "CRLF" else data
 
 
+async def send_pieces(pieces):
+    for piece in pieces:
+        yield piece
+
+
+async def read_pieces(pieces):
+    events = stream_events.split_events(send_pieces(pieces))
+    return [event async for event in events]
+
+
 @behave.when("they come in pieces of {size:d} bytes")
 def read_events(context, size):
-    async def send_pieces():
-        for start in range(0, len(context.data), size):
-            yield context.data[start : start + size]
-
     async def read():
-        return [
-            event async for event in stream_events.split_events(send_pieces())
-        ]
+        data = context.data
+        return await read_pieces(
+            [data[place : place + size] for place in range(0, len(data), size)]
+        )
 
     context.events = topic_builders.run_on_clock(read)
 
@@ -60,3 +70,64 @@
 @behave.then("these are passed on: {given}")
 def check_given(context, given):
     assert context.given_events == given, context.given_events
+
+
+@behave.given("a caller that has an event of {count:d} digits")
+def make_long_order(context, count):
+    context.order = stream_events.EventOrder("9" * count)
+
+
+@behave.when("an event of {count:d} digits comes")
+def take_long_event(context, count):
+    data = b"id: " + b"9" * count + b"\n\n"
+    (context.event,) = trio.run(read_pieces, [data])
+
+
+@behave.then("the event is passed on")
+def check_passed_on(context):
+    assert context.order.take(context.event)
+
+
+def make_pieces():
+    return strategies.lists(
+        strategies.one_of(
+            strategies.binary(max_size=6),
+            strategies.sampled_from(
+                (
+                    b"id: 1\n\n",
+                    b"id:2\r\n\r\n",
+                    b"id: \xb2\n\n",
+                    b"id: -1\n\n",
+                    b"id: " + b"9" * 5000,
+                    b"data: x",
+                    b"\n\n",
+                )
+            ),
+        ),
+        max_size=8,
+    )
+
+
+@behave.then(
+    "whatever bytes come, all are passed on in order or the stream breaks off"
+)
+def check_any_bytes(context):
+    @hypothesis.settings(
+        max_examples=300, deadline=None, derandomize=True, database=None
+    )
+    @hypothesis.given(make_pieces())
+    def check(pieces):
+        events = trio.run(read_pieces, pieces)
+        assert b"".join(event.data for event in events) == b"".join(pieces)
+        order = stream_events.EventOrder("")
+        try:
+            numbers = [
+                event.number
+                for event in events
+                if order.take(event) and event.number is not None
+            ]
+        except stream_events.EventOrderError:
+            return
+        assert numbers == sorted(set(numbers))
+
+    check()
--- a/packages/gentianpoint-entry/features/forwarding/stream_events.feature
+++ b/packages/gentianpoint-entry/features/forwarding/stream_events.feature
@@ -28,3 +28,27 @@
       | 2    | 3 5     | 3 and then a failure |
       |      | 1 2 2 3 | 1 2 3                |
       |      | 1 2 4   | 1 2 and then a failure |
+
+  Scenario Outline: identifiers that are no numbers
+    Callers and targets choose identifiers. An error at one would reset the
+    caller's stream, or that of a request that could be answered.
+    Given a caller that has the event "<last>"
+    When events come with the numbers 1 2
+    Then these are passed on: 1 2
+
+    Examples:
+      | last                                        |
+      | none                                        |
+      | ²                                           |
+      | ١                                           |
+      | -1                                          |
+
+  Scenario: identifiers of thousands of digits
+    Given a caller that has an event of 5000 digits
+    When an event of 5000 digits comes
+    Then the event is passed on
+
+  Scenario: bytes that are no events
+    A target that is broken sends anything. Its bytes reach the caller as they
+    came, or the stream breaks off; no error ends the request otherwise.
+    Then whatever bytes come, all are passed on in order or the stream breaks off
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_events.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_events.py
@@ -14,6 +14,9 @@
 _EVENT_END: typing.Final = re.compile(rb"\n\n|\r\n\r\n")
 _MOST_EVENT_BYTES: typing.Final = 1 << 20
 """Longest event that is held until its end; far above any real one."""
+_MOST_DIGITS: typing.Final = 18
+"""Digits of the longest identifier that counts as a number. Python reads no
+number of thousands of digits."""
 
 
 class StreamEvent(typing.NamedTuple):
@@ -51,19 +54,22 @@
 def _read_number(data: bytes) -> typing.Optional[int]:
     for line in data.split(b"\n"):
         if line.startswith(b"id:"):
-            text = line[3:].strip()
-            return int(text) if text.isdigit() else None
+            return _parse_number(line[3:].strip())
     return None
 
 
+def _parse_number(text: bytes) -> typing.Optional[int]:
+    # Digits of bytes are those of ASCII; a text has many others.
+    is_number = text.isdigit() and len(text) <= _MOST_DIGITS
+    return int(text) if is_number else None
+
+
 class EventOrder:
     """Follows the numbers of the events that a caller has been given."""
 
     def __init__(self, last_event_id: str) -> None:
         """Start after the event that the caller has already, if any."""
-        self.last: typing.Optional[int] = (
-            int(last_event_id) if last_event_id.isdigit() else None
-        )
+        self.last = _parse_number(last_event_id.encode())
         self._step: typing.Optional[int] = None
 
     def take(self, event: StreamEvent) -> bool:
