--- /dev/null
+++ b/packages/gentianpoint-entry/features/forwarding/steps/peer_messages_steps.py
@@ -0,0 +1,222 @@
+"""Steps for messages from other processes."""
+
+import functools
+
+import behave
+import forwarding_builders
+import hypothesis
+from hypothesis import strategies
+import peer_builders
+from structlog import testing
+import topic_builders
+import trio
+
+from gentianpoint_core import peer_connections
+from gentianpoint_core import peer_sockets
+from gentianpoint_core.generated import messages
+from gentianpoint_entry.forwarding import agent_feeds
+from gentianpoint_entry.forwarding import choice
+from gentianpoint_entry.forwarding import entry_peers
+from gentianpoint_entry.forwarding import fleet_news
+from gentianpoint_entry.forwarding import members
+from gentianpoint_entry.forwarding import peer_links
+from gentianpoint_entry.forwarding import routes
+from gentianpoint_entry.forwarding import targets
+from gentianpoint_entry.forwarding import topic_follower
+
+EXAMPLES = 300
+ADDRESS = "10.0.0.1:80"
+AGENT = "10.0.0.9:90"
+TOPIC = "topic"
+FROM_ENTRIES = (
+    messages.Gossip,
+    messages.RecordsWanted,
+    messages.RecordsFound,
+    messages.EngineHere,
+)
+FROM_AGENTS = (messages.EngineState, messages.MoveTurn)
+NUMBERS = strategies.one_of(
+    strategies.integers(0, 3),
+    strategies.integers(),
+    strategies.sampled_from((10**400, -(10**400), 10**5000, 2**63, -1)),
+)
+TEXTS = strategies.one_of(
+    strategies.sampled_from((ADDRESS, AGENT, TOPIC, "[", "", "10.0.0.2:80")),
+    strategies.text(max_size=4),
+)
+
+
+def make_rows(kinds):
+    # The classes of messages name only these types.
+    strategies.register_type_strategy(int, NUMBERS)
+    strategies.register_type_strategy(str, TEXTS)
+    drawn = [strategies.from_type(kind) for kind in kinds]
+    return strategies.lists(strategies.one_of(drawn), max_size=5)
+
+
+def try_all(kinds, bring):
+    """Bring messages of ``kinds`` in every way that is drawn."""
+
+    @hypothesis.settings(
+        max_examples=EXAMPLES,
+        deadline=None,
+        derandomize=True,
+        database=None,
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    @hypothesis.given(make_rows(kinds))
+    def check(rows):
+        with testing.capture_logs():
+            topic_builders.run_on_clock(functools.partial(bring, rows))
+
+    check()
+
+
+class IdleReader(topic_follower.RecordReader):
+    """Takes records and does nothing with them."""
+
+    def take_newest(self, records):
+        """Take the newest records."""
+
+    def take_change(self, record):
+        """Take a change."""
+
+    def note_source(self, *, is_available):
+        """Learn nothing."""
+
+
+def make_follower(peers):
+    return topic_follower.TopicFollower(
+        TOPIC,
+        topic_builders.FakeTopic(2),
+        IdleReader(),
+        topic_follower.make_waiting_pace(2000),
+        lambda: peers.list_topics(TOPIC),
+        lambda: 1,
+    )
+
+
+async def bring_to_peers(rows):
+    news = fleet_news.FleetNews(members.MemberTable(ADDRESS, "north"))
+    peers = entry_peers.EntryPeers(news, ())
+    follower = make_follower(peers)
+    news.add_topic(follower)
+    connection = peer_builders.ScriptedConnection(rows)
+    link = peer_links.PeerLink(connection, is_dialled=False)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(follower.run)
+        await trio.sleep(1.5)
+        try:
+            await peers._serve(link)
+        except* peer_connections.PeerConnectionError:
+            pass
+        news.tick()
+        nursery.cancel_scope.cancel()
+    # Others are told, and are connected to.
+    other = peer_builders.ScriptedConnection(())
+    message = news.collect(fleet_news.LinkNews(trio.current_time()))
+    if message is not None:
+        await other.send(message)
+    news.members.choose_neighbours(())
+    entry_peers.read_rank(news, TOPIC)()
+
+
+@behave.then(
+    "whatever other entries send, only the connection ends, and what is passed"
+    " on is sent"
+)
+def check_peers(context):
+    try_all(FROM_ENTRIES, bring_to_peers)
+
+
+async def bring_to_feeds(rows):
+    board = targets.TargetBoard()
+    target = board.put_entry(
+        forwarding_builders.make_entry("a", born_ms=0), trio.current_time()
+    )
+    news = fleet_news.FleetNews(members.MemberTable(ADDRESS, "north"))
+    feeds = agent_feeds.AgentFeeds(board, lambda _: AGENT, news)
+    connection = peer_builders.ScriptedConnection(rows)
+    try:
+        await feeds._take_reports(target, AGENT, connection)
+    except* peer_connections.PeerConnectionError:
+        pass
+    route = forwarding_builders.make_route(routes.RouteKind.STREAM)
+    request = forwarding_builders.make_request(
+        route, forwarding_builders.ENGINE
+    )
+    shared = forwarding_builders.make_forwarder("b", None)
+    choice.choose_target(
+        [target, shared.board.find("b")],
+        request,
+        forwarding_builders.DATA_CENTRE,
+        1,
+        trio.current_time(),
+        shared.source,
+    )
+    if target.leaves_at is not None:
+        assert target.leaves_at.remaining_ms() >= 0
+    news.tick()
+    for report in [target.report] if target.report else ():
+        news.put_report(AGENT, report)
+    message = news.collect(fleet_news.LinkNews(trio.current_time()))
+    if message is not None:
+        await connection.send(message)
+
+
+@behave.then(
+    "whatever an agent sends, only the connection ends, and engines can be"
+    " chosen among"
+)
+def check_feeds(context):
+    try_all(FROM_AGENTS, bring_to_feeds)
+
+
+@behave.given("an entry that asks another one for records")
+def make_question(context):
+    context.answer = {
+        "type": "records_found",
+        "number": 1,
+        "known": True,
+        "end": 7,
+        "whole": False,
+        "records": [],
+    }
+
+
+@behave.when("three answers come at once")
+def answer_again(context):
+    async def run():
+        connection = peer_builders.ScriptedConnection(())
+        link = peer_links.PeerLink(connection, is_dialled=True)
+        topic = peer_links.PeerTopic(link, TOPIC)
+
+        async def ask():
+            context.found = await topic.read_changes(3, 0, 1000)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await trio.testing.wait_all_tasks_blocked()
+            for _ in range(3):
+                link.take_answer(context.answer)
+
+    trio.run(run)
+
+
+@behave.then("the records are read")
+def check_found(context):
+    assert context.found.end == 7
+
+
+@behave.then("connecting to {address} fails as to one that can't be reached")
+def check_address(context, address):
+    async def run():
+        async with peer_sockets.open_connection(address):
+            raise AssertionError("connected")
+
+    try:
+        trio.run(run)
+    except peer_connections.PeerConnectionError as error:
+        assert error.step == "connect", error
+        return
+    raise AssertionError("no error")
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/agent_feeds.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/agent_feeds.py
@@ -180,7 +180,12 @@
         agent: str,
         message: abc.Mapping[str, typing.Any],
     ) -> None:
-        report = engine_reports.make_report(message, trio.current_time())
+        try:
+            report = engine_reports.make_report(message, trio.current_time())
+        except OverflowError as error:
+            raise peer_connections.PeerConnectionError(
+                "decode message", agent, str(error)
+            ) from error
         self._news.put_report(agent, report)
         self._apply(target, report)
 
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/engine_reports.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/engine_reports.py
@@ -15,12 +15,34 @@
 
 _UNKNOWN_MS: typing.Final = -1
 _ROW_LENGTH: typing.Final = 11
+_MOST: typing.Final = 1 << 62
+"""Highest figure of a report, of either sign; higher ones can't all be
+counted with."""
+
+
+_FIGURES: typing.Final = (
+    "age_ms",
+    "running",
+    "waiting",
+    "used_tokens",
+    "total_tokens",
+    "leaves_in_ms",
+    "unread_tokens",
+    "born_ms",
+    "run",
+    "number",
+)
+"""Fields with numbers in an agent's message."""
 
 
 def make_report(
     message: abc.Mapping[str, typing.Any], now: float
 ) -> targets.EngineReport:
-    """Return the report in an agent's message that arrived at ``now``."""
+    """Return the report in an agent's message that arrived at ``now``.
+
+    Raises OverflowError if a figure is out of range.
+    """
+    _check_range([message[name] for name in _FIGURES])
     made_at = now - message["age_ms"] / 1000
     return targets.EngineReport(
         received_at=made_at,
@@ -63,10 +85,12 @@
 ) -> typing.Optional[targets.EngineReport]:
     """Return the report in a row that was sent at ``now``, None if it is none.
 
-    Rows may get longer in later releases; what follows is left alone.
+    Rows may get longer in later releases; what follows is left alone. Raises
+    OverflowError if a figure is out of range.
     """
     if len(row) < _ROW_LENGTH:
         return None
+    _check_range(row[:_ROW_LENGTH])
     return targets.EngineReport(
         agent_run=row[0],
         number=row[1],
@@ -99,6 +123,11 @@
     return report.received_at > known.received_at
 
 
+def _check_range(figures: abc.Sequence[int]) -> None:
+    if min(figures) < -_MOST or max(figures) > _MOST:
+        raise OverflowError("a figure of a report is out of range")
+
+
 def _make_end(
     leaves_in_ms: int, now: float
 ) -> typing.Optional[deadlines.Deadline]:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/entry_peers.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/entry_peers.py
@@ -253,7 +253,13 @@
             link.address = message["address"]
             link.connection.peer = link.address
             logs.log_event(events.CONNECTION_OPENED, peer=link.address)
-        for name, news in self._news.take(link.news, message):
+        try:
+            topics = self._news.take(link.news, message)
+        except OverflowError as error:
+            raise peer_connections.PeerConnectionError(
+                "decode message", link.address, str(error)
+            ) from error
+        for name, news in topics:
             follower = self._news.find_topic(name)
             if follower is not None:
                 follower.offer(peer_links.PeerTopic(link, name), news)
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/peer_links.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/peer_links.py
@@ -17,6 +17,7 @@
 
 __all__ = ("PeerLink", "PeerTopic", "find_records")
 
+_MOST_OFFSET: typing.Final = (1 << 63) - 1
 _Message = abc.Mapping[str, typing.Any]
 
 
@@ -114,6 +115,13 @@
                 "the peer has not read the topic either",
                 took_effect=False,
             )
+        if answer["end"] > _MOST_OFFSET:
+            raise ports.PortError(
+                "ask for records",
+                self._link.address,
+                "the end is no offset",
+                took_effect=False,
+            )
         records = [
             ports.KeyedRecord(
                 item["key"], item["value"] or None, item["offset"]
