--- a/packages/gentianpoint-entry/features/forwarding/peer_messages.feature
+++ b/packages/gentianpoint-entry/features/forwarding/peer_messages.feature
@@ -9,3 +9,9 @@
 
   Scenario: reports of an agent
     Then whatever an agent sends, only the connection ends, and engines can be chosen among
+
+  Scenario: more answers than questions
+    An entry answers again and again. Only one of the answers is waited for.
+    Given an entry that asks another one for records
+    When three answers come at once
+    Then the records are read
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/peer_links.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/peer_links.py
@@ -74,7 +74,7 @@
 
     def take_answer(self, message: _Message) -> None:
         """Give an answer to whoever waits for it."""
-        waiting = self._waiting.get(message["number"])
+        waiting = self._waiting.pop(message["number"], None)
         if waiting is not None:
             waiting.send_nowait(message)
 
