--- a/packages/gentianpoint-core/src/gentianpoint_core/peer_sockets.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/peer_sockets.py
@@ -63,6 +63,7 @@
     """
     async with contextlib.AsyncExitStack() as stack:
         try:
+            option_types.split_address(address)
             websocket = await stack.enter_async_context(
                 websockets.trio.client.connect(
                     f"ws://{address}/",
@@ -76,6 +77,7 @@
             )
         except (
             OSError,
+            ValueError,
             trio.TooSlowError,
             TimeoutError,
             websockets.exceptions.WebSocketException,
--- a/packages/gentianpoint-entry/features/forwarding/peer_messages.feature
+++ b/packages/gentianpoint-entry/features/forwarding/peer_messages.feature
@@ -15,3 +15,14 @@
     Given an entry that asks another one for records
     When three answers come at once
     Then the records are read
+
+  Scenario Outline: an address that is none
+    Members are told of from entry to entry, and each connects to some.
+    Then connecting to <address> fails as to one that can't be reached
+
+    Examples:
+      | address     |
+      | [           |
+      | 10.0.0.1    |
+      | host        |
+      | 10.0.0.1:99999 |
