--- a/packages/gentianpoint-entry/src/gentianpoint_entry/cli.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/cli.py
@@ -19,6 +19,7 @@
     "get": "Show the resources of a kind, or one of them.",
     "watch": "Print each change as a JSON line, and where it is in force.",
     "delete": "Delete a resource.",
+    "check": "Tell what is wrong with a deploy folder or settings.",
     "explain": "Print a request's way from log lines.",
     "summary": "Count requests by what kept them from being in time.",
     "load": "Send a load of a scenario and report what callers see.",
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/operator_app.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/operator_app.py
@@ -4,6 +4,7 @@
 
 import typer
 
+from gentianpoint_entry import check_command
 from gentianpoint_entry import explain_command
 from gentianpoint_entry import load_command
 from gentianpoint_entry import operator_commands
@@ -26,6 +27,7 @@
 
 
 operator_commands.register_operator_commands(app)
+check_command.register_check_command(app)
 explain_command.register_explain_command(app)
 summary_command.register_summary_command(app)
 load_command.register_load_command(app)
