--- a/packages/gentianpoint-core/features/kept_connections.feature
+++ b/packages/gentianpoint-core/features/kept_connections.feature
@@ -20,6 +20,10 @@
       | answer 1 saying close              | 2     |
       | answer 1, late answer 1, answer 2  | 1     |
       | unframed answer 1 and close        | 2     |
+      | answer 1 saying timeout 5, answer 2 | 1    |
+      | answer 1 saying timeout 1, answer 2 | 2    |
+      | answer 1 saying timeout of 400 digits, answer 2 | 1 |
+      | answer 1 saying timeout of 5000 digits, answer 2 | 1 |
 
   Scenario Outline: a request that fails
     Given a target that on its first connection sends: <first>
--- a/packages/gentianpoint-core/features/scripted_target.py
+++ b/packages/gentianpoint-core/features/scripted_target.py
@@ -18,6 +18,12 @@
         return head + b"\r\n" + body
     if "saying close" in words:
         head += b"Connection: close\r\n"
+    if "saying timeout of" in words:
+        count = int(words.split("timeout of ")[1].split(" ")[0])
+        head += b"Keep-Alive: timeout=" + b"9" * count + b"\r\n"
+    elif "saying timeout" in words:
+        seconds = words.split("timeout ")[1].encode()
+        head += b"Keep-Alive: timeout=" + seconds + b"\r\n"
     length = str(len(body)).encode()
     whole = head + b"Content-Length: " + length + b"\r\n\r\n" + body
     if "half of" in words:
--- a/packages/gentianpoint-core/src/gentianpoint_core/kept_connections.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/kept_connections.py
@@ -30,6 +30,9 @@
 _IDLE_MS: typing.Final = 4000.0
 """Time for which a connection is kept when its other end says nothing. Longer
 keeping risks a request on a connection that is being closed."""
+_MOST_IDLE_DIGITS: typing.Final = 9
+"""Digits of the longest time, in seconds, that another end is taken to have
+announced; longer ones can't all be counted with."""
 _IDLE_MARGIN_MS: typing.Final = 1000.0
 """A connection is dropped this much before the time its other end announced,
 so that no request crosses the closing; announced times are whole seconds."""
@@ -280,7 +283,9 @@
     """Return how long a connection may idle by a ``Keep-Alive`` header."""
     for part in keep_alive.split(b","):
         name, _, value = part.strip().partition(b"=")
-        if name.lower() == b"timeout" and value.isdigit():
+        if name.lower() != b"timeout" or not value.isdigit():
+            continue
+        if len(value) <= _MOST_IDLE_DIGITS:
             return min(_IDLE_MS, int(value) * 1000 - _IDLE_MARGIN_MS)
     return _IDLE_MS
 
