--- a/bench/replay/ablations.py
+++ b/bench/replay/ablations.py
@@ -116,7 +116,7 @@
     Ablation("cost of memory", _drop_memory_cost),
     Ablation("cost of full memory", _set("_FULL_COST", 0.0)),
     Ablation("cost of distance", _drop_distance),
-    Ablation("near in haste", _set("_FAR_COST_IN_HASTE", 0.08)),
+    Ablation("near in haste", _set("_LOSS_COST", 0.0)),
     Ablation("memory of failures", _set("_FAILURE_COST", 0.0)),
     Ablation("noise between equals", _set("_NOISE", 0.0)),
 )
--- a/packages/gentianpoint-entry/features/forwarding/choice.feature
+++ b/packages/gentianpoint-entry/features/forwarding/choice.feature
@@ -100,15 +100,19 @@
   Scenario Outline: a destination near by when time is short
     An engine has two seconds' notice and seven generations, and a copy takes
     twice as long between data centres. The near engine, though fuller, lets
-    more of them go before the end; with two generations there is time.
+    more of them go before the end; with two generations there is time. An
+    engine that has just started far away is empty, and would draw them all:
+    those that wait for their turn behind such copies would be lost.
     Given an engine a with running <running>
-    And an engine near with running 2
+    And an engine near with <load>
     And an engine far with another data centre
     And a copy of a generation takes 200 ms near by
     When a leaves in 1900 ms and a destination is chosen
     Then it is <destination>
 
     Examples:
-      | running | destination |
-      | 7       | near        |
-      | 2       | far         |
+      | running | load        | destination |
+      | 7       | running 2   | near        |
+      | 7       | running 9   | near        |
+      | 7       | memory 0.96 | far         |
+      | 2       | running 2   | far         |
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/choice.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/choice.py
@@ -40,10 +40,10 @@
 _FAR_COST: typing.Final = 0.08
 """Another data centre weighs like a twelfth of the slots taken: bytes between
 them are priced, and a request there takes some milliseconds more."""
-_FAR_COST_IN_HASTE: typing.Final = 0.6
-"""The same for a move from a target with more generations than it has time
-for: a copy takes twice as long between data centres, so one near by leaves
-time for the next."""
+_LOSS_COST: typing.Final = 1.0
+"""A generation that is left behind weighs like all slots taken. Its loss is
+certain, while those that crowd another target are only lost if that one gets
+notice too."""
 FAR_FACTOR: typing.Final = 2.0
 """Times that a copy of memory takes longer between data centres."""
 _FULL_COST: typing.Final = 4.0
@@ -245,9 +245,7 @@
         and _find_used_share(item, request, 1) <= most_used
     ]
     near = runner.entry.data_centre
-    far_cost = _FAR_COST
-    if _is_in_haste(runner, request, now):
-        far_cost = _FAR_COST_IN_HASTE
+    far_cost = _find_far_cost(runner, request, now)
     return choose_target(
         others,
         request,
@@ -260,20 +258,26 @@
     )
 
 
-def _is_in_haste(
+def _find_far_cost(
     runner: targets.Target, request: requests.CallerRequest, now: float
-) -> bool:
-    """Tell whether a target has too many generations for the time left.
+) -> float:
+    """Return what a destination in another data centre adds to its score.
 
-    That is reckoned as if all of them were as large as this one and went to
-    other data centres, one after another.
+    A copy takes longer between data centres, and generations that wait for it
+    may be left behind as the runner goes. How many are is reckoned as if all
+    were as large as this one and went the same way, one after another.
     """
     engine = request.service.engine
     if engine is None or runner.leaves_at is None:
-        return False
-    copy_ms = engine.estimate_copy_ms(count_tokens(request)) * FAR_FACTOR
-    left_ms = (runner.leaves_at.at - now) * 1000
-    return _count_running(runner) * copy_ms > left_ms
+        return _FAR_COST
+    copy_ms = engine.estimate_copy_ms(count_tokens(request))
+    if copy_ms <= 0:
+        return _FAR_COST
+    left_ms = max(0.0, (runner.leaves_at.at - now) * 1000)
+    running = _count_running(runner)
+    near = min(running, left_ms / copy_ms)
+    far = min(running, left_ms / (copy_ms * FAR_FACTOR))
+    return _FAR_COST + _LOSS_COST * (near - far)
 
 
 def _count_running(target: targets.Target) -> int:
