--- a/bench/replay/ablations.py
+++ b/bench/replay/ablations.py
@@ -82,8 +82,9 @@
 def _drop_distance() -> None:
     _replace(choice, "_FAR_COST", 0.0)
     for function in (choice.score_target, choice.choose_target):
-        # Their last argument takes the constant as its default.
-        _replace(function, "__defaults__", (0.0,))
+        # The first of their defaults is the constant.
+        _, *others = function.__defaults__ or ()
+        _replace(function, "__defaults__", (0.0, *others))
 
 
 def _set(name: str, value: float) -> abc.Callable[[], None]:
