--- a/bench/replay/policies.py
+++ b/bench/replay/policies.py
@@ -3,6 +3,7 @@
 from collections import abc
 import itertools
 import typing
+from unittest import mock
 
 import trio
 
@@ -34,6 +35,17 @@
         return None
 
 
+class _SharedDestinations(forwarder.Forwarder):
+    """Our choice, where engines that leave together share destinations."""
+
+    def choose_room(
+        self, request: requests.CallerRequest, source: targets.Target
+    ) -> typing.Optional[targets.Target]:
+        """Choose as if no other engine left."""
+        with mock.patch.object(choice, "_OTHERS_COST", 0.0):
+            return super().choose_room(request, source)
+
+
 class _RoundRobin(_NoMoves):
     """One target after another."""
 
@@ -123,6 +135,7 @@
     "no moves": _NoMoves,
     "all backups": _AllBackups,
     "own prompts": _OwnPrompts,
+    "shared destinations": _SharedDestinations,
     "best of all": _BestOfAll,
     "fewest outstanding": _FewestOutstanding,
     "round robin": _RoundRobin,
--- a/packages/gentianpoint-entry/features/forwarding/choice.feature
+++ b/packages/gentianpoint-entry/features/forwarding/choice.feature
@@ -116,3 +116,32 @@
       | 7       | running 9   | near        |
       | 7       | memory 0.96 | far         |
       | 2       | running 2   | far         |
+
+  Scenario Outline: destinations of engines that leave together
+    Several engines get notice at once. If all moved their generations to the
+    one that looks emptiest, copies would wait on its link until the end of
+    the notice, and the last ones would be lost.
+    Given an engine a with notice
+    And an engine b with <b>
+    And an engine c with memory 0.1
+    And an engine d with memory 0.3
+    And an engine e with <e>
+    When the entry chooses a destination for a generation at <runner>
+    Then it is <destination>
+
+    Examples:
+      | b          | e          | runner | destination |
+      | notice     | memory 0.5 | a      | c           |
+      | notice     | memory 0.5 | b      | d           |
+      | notice     | notice     | a      | c           |
+      | notice     | notice     | b      | d           |
+      | notice     | notice     | e      | c           |
+      | memory 0.5 | memory 0.5 | a      | c           |
+
+  Scenario: the own destination is full
+    Given an engine a with notice
+    And an engine b with notice
+    And an engine c with memory 0.1
+    And an engine d with memory 0.94
+    When the entry chooses a destination for a generation at b
+    Then it is c
--- a/packages/gentianpoint-entry/features/forwarding/steps/choice_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/choice_steps.py
@@ -160,6 +160,25 @@
 
 @behave.when("a backup is chosen for a generation at a by the entry")
 def choose_by_entry(context):
+    choose_at_entry(
+        context,
+        lambda shared, request: shared.choose_backup(
+            request, shared.board.find("a")
+        ),
+    )
+
+
+@behave.when("the entry chooses a destination for a generation at {runner}")
+def choose_room(context, runner):
+    choose_at_entry(
+        context,
+        lambda shared, request: shared.choose_room(
+            request, shared.board.find(runner)
+        ),
+    )
+
+
+def choose_at_entry(context, choose):
     async def run():
         await trio.sleep(_NOW)
         calls = forwarding_builders.ScriptedCalls()
@@ -169,12 +188,14 @@
                 forwarding_builders.make_entry(name), 0.0
             )
             target.take_report(context.engines[name].report)
-        shared.board.note_notice(trio.current_time() - context.notice_ago_s)
+        if "notice_ago_s" in context:
+            noticed_at = trio.current_time() - context.notice_ago_s
+            shared.board.note_notice(noticed_at)
         request = forwarding_builders.make_request(
             forwarding_builders.make_route(routes.RouteKind.STREAM),
             forwarding_builders.ENGINE,
         )
-        return shared.choose_backup(request, shared.board.find("a"))
+        return choose(shared, request)
 
     chosen = topic_builders.run_on_clock(run)
     context.backup = "none" if chosen is None else chosen.target_id
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/choice.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/choice.py
@@ -65,6 +65,9 @@
 together, and only some of them can be moved in time."""
 MOST_USED_BY_MOVES: typing.Final = 0.95
 """Share up to which a target takes generations that would else be lost."""
+_OTHERS_COST: typing.Final = 3.0
+"""A destination of another leaving target is taken only before one that is
+full: the copies of both would wait for each other on its link."""
 _NOISE: typing.Final = 0.02
 """Breaks ties between equals."""
 _REQUEST_COST: typing.Final = 0.05
@@ -154,16 +157,20 @@
     source: random.Random,
     far_cost: float = _FAR_COST,
     others_per_s: float = 0.0,
+    avoided: abc.Collection[str] = (),
 ) -> typing.Optional[targets.Target]:
     """Return one of the best targets that take work, or None.
 
-    ``others_per_s`` is how many such requests other entries send a second.
+    ``others_per_s`` is how many such requests other entries send a second,
+    ``avoided`` names targets that are to be taken only if they are much
+    better.
     """
     scored = [
         (
             score_target(
                 target, request, data_centre, entry_count, now, far_cost
             )
+            + (_OTHERS_COST if target.target_id in avoided else 0.0)
             + source.random() * _NOISE,
             target,
         )
@@ -232,6 +239,7 @@
     source: random.Random,
     most_used: float,
     others_per_s: float = 0.0,
+    avoided: abc.Collection[str] = (),
 ) -> typing.Optional[targets.Target]:
     """Return the target that takes a copy of what ``runner`` generates.
 
@@ -255,6 +263,7 @@
         source,
         far_cost,
         others_per_s,
+        avoided,
     )
 
 
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
@@ -14,6 +14,7 @@
 from gentianpoint_entry.forwarding import arrivals
 from gentianpoint_entry.forwarding import choice
 from gentianpoint_entry.forwarding import measures
+from gentianpoint_entry.forwarding import move_destinations
 from gentianpoint_entry.forwarding import requests
 from gentianpoint_entry.forwarding import retry_limits
 from gentianpoint_entry.forwarding import target_calls
@@ -118,7 +119,14 @@
         Its memory is counted there at once, so that the generations that
         move at the same time don't all go to one target.
         """
-        target = self._choose_other(request, source, choice.MOST_USED_BY_MOVES)
+        target = self._choose_other(
+            request,
+            source,
+            choice.MOST_USED_BY_MOVES,
+            move_destinations.list_of_others(
+                source, self.board.list_of(request.service.name)
+            ),
+        )
         if target is not None:
             target.note_sent(
                 trio.current_time(),
@@ -142,6 +150,7 @@
         request: requests.CallerRequest,
         runner: targets.Target,
         most_used: float,
+        avoided: abc.Collection[str] = (),
     ) -> typing.Optional[targets.Target]:
         now = trio.current_time()
         return choice.choose_backup(
@@ -153,6 +162,7 @@
             self.source,
             most_used,
             self._estimate_others_per_s(now),
+            avoided,
         )
 
     @contextlib.asynccontextmanager
--- /dev/null
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/move_destinations.py
@@ -0,0 +1,51 @@
+"""Which targets the generations of each leaving target move to.
+
+The load it answers: several engines get notice at the same moment, and the
+entries with generations there would all move them to the few that look
+emptiest. Copies to one engine wait on its link one after another, so most of
+a notice of two seconds passes, and generations stand still or are lost. Here
+each leaving engine has destinations of its own, by a rule that all entries
+compute alike from the same list.
+"""
+
+from collections import abc
+
+from gentianpoint_entry.forwarding import targets
+
+__all__ = ("list_of_others",)
+
+
+def list_of_others(
+    runner: targets.Target, listed: abc.Iterable[targets.Target]
+) -> abc.Collection[str]:
+    """Return the targets that are destinations of others than ``runner``.
+
+    A data centre's targets are shared out among those that leave it; where
+    none does, among all that leave.
+    """
+    known = sorted(listed, key=lambda target: target.target_id)
+    leaving = [
+        target for target in known if target is runner or _is_leaving(target)
+    ]
+    if len(leaving) < 2:
+        return frozenset()
+    staying: dict[str, list[targets.Target]] = {}
+    for target in known:
+        if target.takes_work():
+            staying.setdefault(target.entry.data_centre, []).append(target)
+    others: set[str] = set()
+    for data_centre, here in staying.items():
+        near = [
+            target
+            for target in leaving
+            if target.entry.data_centre == data_centre
+        ]
+        sharing = near or leaving
+        for number, target in enumerate(here):
+            if sharing[number % len(sharing)] is not runner:
+                others.add(target.target_id)
+    return others
+
+
+def _is_leaving(target: targets.Target) -> bool:
+    return not (target.is_gone or target.is_replaced or target.takes_work())
