--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -46,6 +46,44 @@
       | repeatably |
       | once       |
 
+  Scenario Outline: a call has no answer as its entry's time to stop is over
+  Guards against a connection that is reset without an answer: its caller
+  could not tell whether the call ran.
+
+    Given a deployment of 1 entry that stops within 500 ms and 1 target
+    And the engines make no steps
+    When a caller asks <how> for 500 tokens in the background
+    And the engines have started it
+    And the first entry is told to stop
+    Then the caller is told outcome_unknown
+    And the first entry has exited with 0
+
+    Examples:
+      | how        |
+      | repeatably |
+      | once       |
+
+  Scenario: a plain call has no answer as its entry's time to stop is over
+  Guards against the same reset of a call that must not be sent again.
+
+    Given a deployment of 1 entry that stops within 500 ms and 1 plain target
+    And the plain services answer late
+    When a caller sends POST to the plain service in the background
+    And a plain service has run it
+    And the first entry is told to stop
+    Then the caller is told outcome_unknown
+    And the first entry has exited with 0
+
+  Scenario: a stream has begun as its entry's time to stop is over
+  Guards against a stream that is reset: it ends with an event that names the
+  generation, and another entry gives the rest.
+
+    Given a deployment of 2 entries that stop within 500 ms and 1 target
+    When a caller reads a stream of 3000 tokens
+    And after 10 tokens the first entry is told to stop
+    Then the stream ends as incomplete
+    And the last entry has the rest of its 3000 tokens
+
   Scenario: a leaving entry can't say not run of a prepared generation
   A caller started its prepared report at one entry and lost it; it starts it
   again at an entry that is leaving, which knows nothing of it. That entry
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -8,6 +8,20 @@
 from features.steps import streams_steps
 
 
+@behave.given(
+    "a deployment of {entries:d} {noun} within {within:d} ms and"
+    " {targets:d} {kind}"
+)
+def start_hurried(context, entries, noun, within, targets, kind):
+    context.fixture = builders.start_fixture(
+        context.deployment,
+        entries,
+        targets,
+        service=builders.PLAIN if kind == "plain target" else builders.MODEL,
+        entry={"shutdown_within_ms": within},
+    )
+
+
 @behave.when("after {count:d} tokens the agent that serves it is told to stop")
 def stop_agent(context, count):
     context.reader.wait_for_tokens(count)
@@ -65,6 +79,28 @@
     check_numbers(context.reader, count)
 
 
+@behave.then("the stream ends as {code}")
+def check_ends_as(context, code):
+    context.reader.wait_for_end()
+    assert context.reader.error.get("code") == code, context.reader.describe()
+    generation = context.reader.error["generation"]
+    assert generation == context.reader.generation
+
+
+@behave.then("the last entry has the rest of its {count:d} tokens")
+def check_rest(context, count):
+    begun = context.reader.numbers
+    rest = stream_readers.StreamReader(
+        context.fixture.entries[-1],
+        "",
+        resume=context.reader.generation,
+        after=begun[-1],
+    )
+    rest.wait_for_end()
+    assert rest.done, rest.describe()
+    assert begun + rest.numbers == list(range(1, count + 1))
+
+
 @behave.then("the agent has exited with {status:d}")
 def check_agent_exit(context, status):
     assert context.deployment.wait_for_exit(context.leaving.agent) == status
--- /dev/null
+++ b/packages/gentianpoint-entry/features/shutdown_builders.py
@@ -0,0 +1,85 @@
+"""A dispatcher whose one agent is connected and answers nothing."""
+
+import types
+import typing
+
+import link_builders
+
+from gentianpoint_core import codec
+from gentianpoint_core import deadlines
+from gentianpoint_core.generated import messages
+from gentianpoint_entry import agent_links
+from gentianpoint_entry import call_requests
+from gentianpoint_entry import dispatch
+from gentianpoint_entry import link_pool
+from gentianpoint_entry import placement_policy
+
+__all__ = ("IDENTIFIER", "make_dispatcher", "make_request")
+
+IDENTIFIER: typing.Final = "agent-1~run-1~1~secret"
+"""A generation of the agent."""
+_WELCOME: typing.Final[messages.Welcome] = {
+    "type": "welcome",
+    "version": codec.PROTOCOL_VERSION,
+    "peer": "agent-1",
+    "incarnation": "run-1",
+    "target": "agent-1",
+    "leaving": False,
+}
+_REQUEST: typing.Final[messages.Request] = {
+    "kind": "generation",
+    "prompt": "a",
+    "max_tokens": 1,
+    "method": "",
+    "path": "",
+    "headers": [],
+    "body": b"",
+}
+
+
+class _MuteConnection:
+    async def send(self, message: codec.MessageMap) -> None:
+        """Take a message that is never answered."""
+
+
+class _FirstLink(placement_policy.PlacementPolicy):
+    def choose(
+        self,
+        candidates: typing.Sequence[agent_links.AgentLink],
+        prompt: str,
+    ) -> agent_links.AgentLink:
+        return candidates[0]
+
+
+def make_dispatcher() -> dispatch.Dispatcher:
+    """Return the dispatcher of an entry with the silent agent only."""
+    link = link_builders.make_link("agent-1", "north")
+    link.welcome = _WELCOME
+    link._connection = typing.cast(typing.Any, _MuteConnection())
+    pool = types.SimpleNamespace(
+        list_links=lambda service: [link],
+        find_target=lambda target, incarnation="": link,
+    )
+    return dispatch.Dispatcher(
+        typing.cast(link_pool.LinkPool, pool), _FirstLink(), 64
+    )
+
+
+def make_request(
+    repeatable: bool, generation: str = ""
+) -> call_requests.CallRequest:
+    """Return a request without deadlines."""
+    return call_requests.CallRequest(
+        "request-1",
+        "service",
+        "customer",
+        1.0,
+        0,
+        0,
+        repeatable,
+        _REQUEST,
+        deadlines.NO_DEADLINE,
+        deadlines.NO_DEADLINE,
+        generation,
+        0.0,
+    )
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/agent_links.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/agent_links.py
@@ -76,6 +76,11 @@
         """Tell the receiver that the link is lost."""
         self._sender.close()
 
+    def end(self) -> None:
+        """Receive what has come already, and no more."""
+        self.link.forget_call(self.number)
+        self.lose()
+
     def close(self) -> None:
         """Receive no more."""
         self._receiver.close()
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/calls.py
@@ -41,7 +41,7 @@
     """Run of the agent that got the attempt."""
 
 
-class Call:
+class Call(dispatch.OpenCall):
     """One request from its first offer to its final answer."""
 
     def __init__(
@@ -120,14 +120,38 @@
             retry_after_ms=error.retry_after_ms,
         )
 
+    def end_wait(self) -> None:
+        """Receive what has come already, then the answer that there is."""
+        if self._link_call is not None:
+            self._link_call.end()
+
+    def _make_overdue(self) -> errors.CallError:
+        """Return the answer of a call that the entry can't wait for.
+
+        Its generation is not withdrawn: its caller may come back for it
+        through another entry.
+        """
+        # What the caller named may have been started through another entry.
+        may_have_run = self._may_have_started or bool(self.request.generation)
+        return errors.CallError(
+            errors.OUTCOME_UNKNOWN if may_have_run else errors.NOT_RUN,
+            "this entry ends before the call",
+            step="receive items",
+            peer=self._get_peer(),
+            retry_after_ms=dispatch.RETRY_AFTER_MS,
+        )
+
     async def _receive_part(self) -> call_requests.CallPart:
         while True:
             if self._link_call is None:
-                await self._place()
+                with self._dispatcher.shutdown.limit_wait(self._make_overdue):
+                    await self._place()
                 continue
             await self._acknowledge()
             message = await self._link_call.receive()
             if message is None:
+                if self._dispatcher.shutdown.is_over:
+                    raise self._make_overdue()
                 self._recover_from_loss()
                 continue
             part = await self._handle(message)
@@ -481,13 +505,14 @@
         assert call is not None
         self._acknowledged = self.delivered
         try:
-            await call.link.send(
-                {
-                    "type": "acknowledge",
-                    "call": call.number,
-                    "through": self.delivered,
-                }
-            )
+            with self._dispatcher.shutdown.limit_wait(self._make_overdue):
+                await call.link.send(
+                    {
+                        "type": "acknowledge",
+                        "call": call.number,
+                        "through": self.delivered,
+                    }
+                )
         except peer_connections.PeerConnectionError:
             return  # The receiver notices the lost link itself.
 
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/dispatch.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/dispatch.py
@@ -14,8 +14,9 @@
 from gentianpoint_entry import link_pool
 from gentianpoint_entry import placement_policy
 from gentianpoint_entry import retry_budgets
+from gentianpoint_entry import shutdown_limits
 
-__all__ = ("RETRY_AFTER_MS", "Dispatcher", "HomeLostError")
+__all__ = ("RETRY_AFTER_MS", "Dispatcher", "HomeLostError", "OpenCall")
 
 RETRY_AFTER_MS: typing.Final = 1000
 """When to come back where nothing better is known, milliseconds."""
@@ -27,6 +28,13 @@
     """The home of a generation is gone, or does not come back in time."""
 
 
+class OpenCall:
+    """What counts as a call in flight."""
+
+    def end_wait(self) -> None:
+        """Wait for no further message of an agent."""
+
+
 class Dispatcher:
     """Finds links for calls, and bounds their retries."""
 
@@ -39,18 +47,19 @@
         """Offer calls on the links of ``pool`` as ``policy`` chooses."""
         self.pool: typing.Final = pool
         self.window: typing.Final = window
+        self.shutdown: typing.Final = shutdown_limits.ShutdownLimits()
         self._policy: typing.Final = policy
-        self._open_calls: typing.Final[set[object]] = set()
+        self._open_calls: typing.Final[set[OpenCall]] = set()
         self._budgets: typing.Final = retry_budgets.RetryBudgets()
 
     def add_call(
-        self, call: object, request: call_requests.CallRequest
+        self, call: OpenCall, request: call_requests.CallRequest
     ) -> None:
         """Count an open call; a fresh one adds to the retry budget."""
         self._open_calls.add(call)
         self._budgets.note_request(request.service, request.retry_share)
 
-    def forget_call(self, call: object) -> None:
+    def forget_call(self, call: OpenCall) -> None:
         """Count a call no more."""
         self._open_calls.discard(call)
 
@@ -62,6 +71,12 @@
         """
         return len(self._open_calls)
 
+    def end_calls(self) -> None:
+        """Have all calls that still wait answer what they can."""
+        self.shutdown.end_waits()
+        for call in self._open_calls:
+            call.end_wait()
+
     async def choose_link(
         self, request: call_requests.CallRequest, tried: typing.Collection[str]
     ) -> agent_links.AgentLink:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/entry.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/entry.py
@@ -156,7 +156,8 @@
     """Finish what runs, then stop the server.
 
     While calls run, new ones get a final answer that says when to come back;
-    the health check turns, so the balancer sends callers elsewhere.
+    the health check turns, so the balancer sends callers elsewhere. When the
+    time is over, callers without an answer are told that there is none.
     """
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
@@ -171,6 +172,7 @@
         logs.log_event(
             events.SHUTDOWN_OVERDUE, running=state.dispatcher.count_calls()
         )
+    state.dispatcher.end_calls()
     stop.set()
 
 
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/key_claims.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/key_claims.py
@@ -82,13 +82,20 @@
         key stands for another request, and with ``outcome_unknown`` when
         the claim can't be found out.
         """
-        marker = object()
+        marker = dispatch.OpenCall()
         fresh = request._replace(retry_share=0.0)
         # The call counts as open from here: an entry that is told to stop
         # would else cut it between claim and start.
         self._dispatcher.add_call(marker, fresh)
         try:
-            return await self._bind(fresh, key, request)
+            with self._dispatcher.shutdown.limit_wait(
+                lambda: claim_streams.make_unknown(
+                    "this entry ends before the key is bound; send the same"
+                    " key again",
+                    name_stream(request.customer, key),
+                )
+            ):
+                return await self._bind(fresh, key, request)
         finally:
             self._dispatcher.forget_call(marker)
 
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/prepared_generations.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/prepared_generations.py
@@ -7,6 +7,7 @@
 import typing
 
 from gentianpoint_core import codec
+from gentianpoint_core import errors
 from gentianpoint_core import peer_connections
 from gentianpoint_entry import agent_links
 from gentianpoint_entry import call_requests
@@ -26,13 +27,23 @@
     """
     call = calls.Call(dispatcher, request)
     try:
-        while not call.generation:
-            await call.prepare_somewhere()
+        with dispatcher.shutdown.limit_wait(_make_overdue):
+            while not call.generation:
+                await call.prepare_somewhere()
     finally:
         dispatcher.forget_call(call)
     return call.generation
 
 
+def _make_overdue() -> errors.CallError:
+    return errors.CallError(
+        errors.NOT_RUN,
+        "this entry ends before an identifier came",
+        step="prepare generation",
+        retry_after_ms=dispatch.RETRY_AFTER_MS,
+    )
+
+
 async def cancel_generation(
     dispatcher: dispatch.Dispatcher, request: call_requests.CallRequest
 ) -> bool:
