--- a/packages/gentianpoint-entry/features/shutdown_limits.feature
+++ b/packages/gentianpoint-entry/features/shutdown_limits.feature
@@ -21,3 +21,4 @@
       | the rest of a generation      | incomplete      | incomplete      |
       | an identifier                 | not_run         | not_run         |
       | the claim of its key          | outcome_unknown | outcome_unknown |
+      | the cancel of a generation    | outcome_unknown | outcome_unknown |
--- a/packages/gentianpoint-entry/features/steps/shutdown_limits_steps.py
+++ b/packages/gentianpoint-entry/features/steps/shutdown_limits_steps.py
@@ -52,6 +52,8 @@
             await prepared_generations.prepare_generation(dispatcher, once)
         case "the claim of its key":
             await bind_key(dispatcher, once)
+        case "the cancel of a generation":
+            await prepared_generations.cancel_generation(dispatcher, named)
         case _:
             raise AssertionError(what)
 
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/prepared_generations.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/prepared_generations.py
@@ -50,8 +50,30 @@
     """Cancel a generation; False when its home does not hold it.
 
     A lost link is tried again until the caller gives up: cancelling is
-    idempotent.
+    idempotent. Raises :class:`errors.CallError` with ``outcome_unknown``
+    when the entry ends before.
     """
+    marker = dispatch.OpenCall()
+    dispatcher.add_call(marker, request)
+    try:
+        with dispatcher.shutdown.limit_wait(_make_uncancelled):
+            return await _cancel(dispatcher, request)
+    finally:
+        dispatcher.forget_call(marker)
+
+
+def _make_uncancelled() -> errors.CallError:
+    return errors.CallError(
+        errors.OUTCOME_UNKNOWN,
+        "this entry ends before the generation's home answers; cancel again",
+        step="cancel generation",
+        retry_after_ms=dispatch.RETRY_AFTER_MS,
+    )
+
+
+async def _cancel(
+    dispatcher: dispatch.Dispatcher, request: call_requests.CallRequest
+) -> bool:
     while True:
         try:
             link = await dispatcher.wait_home(request.generation)
