--- a/features/isolation.feature
+++ b/features/isolation.feature
@@ -48,6 +48,16 @@
     Then the stream ends with the error cancelled
     And the engines run nothing any more
 
+  Scenario: a cancel that the generation's home does not answer
+  Guards against a customer who is told that its report is not held while it
+  runs on.
+
+    Given a deployment of 1 entry and 1 target
+    When a caller reads a stream of 4000 tokens
+    And after 10 tokens its customer cancels it with the agents frozen
+    Then the caller is told outcome_unknown
+    And it is told when to come back
+
   Scenario: a service of other customers does not exist for a caller
   The service answers named customers only. Others are told the same as for a
   service that was never declared.
--- a/features/steps/isolation_steps.py
+++ b/features/steps/isolation_steps.py
@@ -7,6 +7,7 @@
 
 from features import builders
 from features import stream_readers
+from features.steps import at_most_once_steps
 
 
 @behave.when("{count:d} callers read streams of different lengths")
@@ -97,12 +98,25 @@
 def cancel_elsewhere(context, count):
     context.reader.wait_for_tokens(count)
     entry = context.fixture.entries[-1]
-    answer = httpx.delete(
+    answer = send_cancel(context, entry)
+    assert answer.status_code == 200, answer.text
+
+
+def send_cancel(context, entry):
+    return httpx.delete(
         f"{entry.url}/v1/generations/{context.reader.generation}",
         headers=builders.make_headers(),
         timeout=builders.CALL_TIMEOUT_S,
     )
-    assert answer.status_code == 200, answer.text
+
+
+@behave.when(
+    "after {count:d} tokens its customer cancels it with the agents frozen"
+)
+def cancel_frozen(context, count):
+    context.reader.wait_for_tokens(count)
+    at_most_once_steps.freeze_agents(context)
+    context.answer = send_cancel(context, context.fixture.entries[0])
 
 
 @behave.then("the engines run nothing any more")
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/generation_routes.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/generation_routes.py
@@ -4,7 +4,6 @@
 
 import msgspec
 import quart
-import trio
 
 from gentianpoint_core import configuration
 from gentianpoint_core import deadlines
@@ -26,7 +25,6 @@
 __all__ = ("make_generation_routes",)
 
 _JSON: typing.Final = "application/json"
-_CANCEL_WITHIN_S: typing.Final = 10
 _EMPTY_REQUEST: typing.Final[messages.Request] = {
     "kind": "generation",
     "prompt": "",
@@ -170,11 +168,9 @@
     async def cancel(identifier: str) -> quart.Response:
         customer = authenticate()
         request = find_generation(identifier, customer)
-        known = False
-        with trio.move_on_after(_CANCEL_WITHIN_S):
-            known = await prepared_generations.cancel_generation(
-                state.dispatcher, request
-            )
+        known = await prepared_generations.cancel_generation(
+            state.dispatcher, request
+        )
         if not known:
             raise errors.CallError(
                 errors.UNKNOWN_GENERATION,
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/prepared_generations.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/prepared_generations.py
@@ -6,6 +6,8 @@
 
 import typing
 
+import trio
+
 from gentianpoint_core import codec
 from gentianpoint_core import errors
 from gentianpoint_core import peer_connections
@@ -16,6 +18,8 @@
 
 __all__ = ("cancel_generation", "prepare_generation")
 
+_CANCEL_WITHIN_S: typing.Final = 10
+
 
 async def prepare_generation(
     dispatcher: dispatch.Dispatcher, request: call_requests.CallRequest
@@ -49,25 +53,30 @@
 ) -> bool:
     """Cancel a generation; False when its home does not hold it.
 
-    A lost link is tried again until the caller gives up: cancelling is
-    idempotent. Raises :class:`errors.CallError` with ``outcome_unknown``
-    when the entry ends before.
+    A lost link is tried again for some seconds: cancelling is idempotent.
+    Raises :class:`errors.CallError` with ``outcome_unknown`` when the home
+    does not answer, or the entry ends before it does: it may run on.
     """
     marker = dispatch.OpenCall()
     dispatcher.add_call(marker, request)
     try:
         with dispatcher.shutdown.limit_wait(_make_uncancelled):
-            return await _cancel(dispatcher, request)
+            with trio.move_on_after(_CANCEL_WITHIN_S):
+                return await _cancel(dispatcher, request)
+        raise _make_uncancelled("its home does not answer; cancel it again")
     finally:
         dispatcher.forget_call(marker)
 
 
-def _make_uncancelled() -> errors.CallError:
+def _make_uncancelled(
+    reason: str = "this entry ends before its home answers; cancel it again",
+    retry_after_ms: int = dispatch.RETRY_AFTER_MS,
+) -> errors.CallError:
     return errors.CallError(
         errors.OUTCOME_UNKNOWN,
-        "this entry ends before the generation's home answers; cancel again",
+        reason,
         step="cancel generation",
-        retry_after_ms=dispatch.RETRY_AFTER_MS,
+        retry_after_ms=retry_after_ms,
     )
 
 
@@ -78,8 +87,8 @@
         try:
             link = await dispatcher.wait_home(request.generation)
             answer = await _ask_to_cancel(link, request)
-        except dispatch.HomeLostError:
-            return False
+        except dispatch.HomeLostError as error:
+            raise _make_uncancelled(str(error), 0) from error
         except peer_connections.PeerConnectionError:
             continue
         if answer is not None:
