--- a/bench/features/soak.feature
+++ b/bench/features/soak.feature
@@ -26,6 +26,8 @@
       | a version that is missing after 2.1 s      | a version is in force in time        |
       | a run 2.1 s after the target's notice      | a leaving target gets nothing new    |
       | a service that never comes back            | service is back                      |
+      | tags of which none is served               | each kind of request is served       |
+      | a second in which the soak stood still     | the soak itself keeps up             |
       | 100 repeats within a second                | repeats keep to their budget         |
 
   Scenario Outline: what is no broken promise
@@ -42,6 +44,17 @@
       | a version that is missing at an entry that started again |
       | a run 1.9 s after the target's notice             |
 
+  Scenario Outline: many entries are probed no more often than the soak bears
+    Guards against a log and targets that are slow since probes of 60 entries
+    keep the process busy that serves them: then no entry ever comes up.
+    When <entries> entries are probed
+    Then there are at most 40 probes in a second
+
+    Examples:
+      | entries |
+      | 3       |
+      | 60      |
+
   Scenario: a short soak
     Faults and changes come for some seconds, overlapping, to three entries,
     three engines with their agents and two plain targets. Promises with a
--- a/bench/features/soak_builders.py
+++ b/bench/features/soak_builders.py
@@ -103,6 +103,16 @@
     facts.answers.append(make_answer("tag-5", body))
 
 
+def _refuse_tags(facts: seen.Facts) -> None:
+    for number in range(20):
+        refusal = make_answer(f"tag-{number}", b"busy", status=503)
+        facts.answers.append(refusal)
+
+
+def _stand_still(facts: seen.Facts) -> None:
+    facts.lags_s.append(1.1)
+
+
 def _lose_service(facts: seen.Facts) -> None:
     facts.answers[-1] = facts.answers[-1]._replace(status=0, body=b"")
 
@@ -157,6 +167,8 @@
         lambda facts: _add_late_run(facts, 2.1)
     ),
     "a service that never comes back": _lose_service,
+    "tags of which none is served": _refuse_tags,
+    "a second in which the soak stood still": _stand_still,
     "100 repeats within a second": _add_repeats,
     "a status that runs twice": lambda facts: facts.runs.extend(
         [make_run("status-7"), make_run("status-7", 10.2)]
--- a/bench/features/steps/soak_steps.py
+++ b/bench/features/steps/soak_steps.py
@@ -7,6 +7,7 @@
 import trio
 
 from bench.features import soak_builders
+from bench.soak import callers
 from bench.soak import checks
 from bench.soak import fleet
 from bench.soak import playing
@@ -56,3 +57,13 @@
         answer.status == 200 and answer.is_whole
         for answer in context.facts.answers
     )
+
+
+@behave.when("{count:d} entries are probed")
+def probe(context, count):
+    context.rate = count / callers.find_probe_pause(count)
+
+
+@behave.then("there are at most {most:d} probes in a second")
+def check_rate(context, most):
+    assert context.rate <= most, context.rate
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -6,14 +6,21 @@
 import typing
 import uuid
 
-import httpx
 import trio
 
 from bench.soak import facts as seen
 from bench.soak import kinds
 from bench.soak import programs
+from gentianpoint_core import kept_connections
+from gentianpoint_core import ports
 
-__all__ = ("Balancer", "EntryPlace", "call_for_ever", "probe_for_ever")
+__all__ = (
+    "Balancer",
+    "EntryPlace",
+    "call_for_ever",
+    "find_probe_pause",
+    "probe_for_ever",
+)
 
 MAIN_KEY: typing.Final = "key-of-all-versions"
 _LOOK_S: typing.Final = 0.5
@@ -21,7 +28,11 @@
 _PAUSE_S: typing.Final = 0.06
 _PROBE_S: typing.Final = 0.15
 _PROBE_ANSWER_S: typing.Final = 1.0
-_IDLE_S: typing.Final = 6.0
+_MOST_PROBES: typing.Final = 40
+"""Probes of all entries together in a second, each of two requests."""
+_CONNECT_MS: typing.Final = 1000.0
+_OK: typing.Final = 200
+_NOT_RUN: typing.Final = 503
 _NOT_FOUND: typing.Final = 404
 _NO_KEY: typing.Final = 401
 
@@ -56,6 +67,11 @@
         ]
         return ready or list(self._entries)
 
+    async def wait_all_ready(self) -> None:
+        """Return once every entry is in rotation."""
+        while max(self._misses.values()) >= _MOST_MISSES:
+            await trio.sleep(_LOOK_S)
+
     async def run(self) -> None:
         """Ask each entry again and again."""
         async with trio.open_nursery() as nursery:
@@ -63,38 +79,105 @@
                 nursery.start_soon(self._ask, number, place)
 
     async def _ask(self, number: int, place: EntryPlace) -> None:
-        url = f"http://{place.ready}/api/readiness"
-        async with httpx.AsyncClient(timeout=_LOOK_S) as client:
-            while True:
-                try:
-                    is_ready = (await client.get(url)).status_code == 200
-                except httpx.HTTPError:
-                    # An entry that is down is what this looks for.
-                    is_ready = False
-                self._misses[number] = (
-                    0 if is_ready else self._misses[number] + 1
-                )
-                await trio.sleep(_LOOK_S)
+        connections = kept_connections.KeptConnections(
+            place.ready, _LOOK_S * 1000
+        )
+        request = _make_request(b"GET", "/api/readiness", place.ready, {}, b"")
+        while True:
+            answer = await _exchange(connections, request, _LOOK_S)
+            is_ready = answer.is_whole and answer.status == _OK
+            self._misses[number] = 0 if is_ready else self._misses[number] + 1
+            await trio.sleep(_LOOK_S)
+
+
+class _Answer(typing.NamedTuple):
+    """What came back; the status is 0 if nothing did."""
+
+    status: int
+    body: bytes
+    is_whole: bool
+
+
+async def _exchange(
+    connections: kept_connections.KeptConnections,
+    request: kept_connections.ExchangeRequest,
+    within_s: float,
+) -> _Answer:
+    status, parts, is_whole = 0, [], False
+    with (
+        trio.move_on_after(within_s),
+        contextlib.suppress(ports.PortError),
+    ):
+        # What fails here is an answer that isn't whole, which is noted.
+        async with connections.exchange(request) as exchange:
+            status = exchange.status
+            async for part in exchange.receive_body():
+                parts.append(part)
+            is_whole = True
+    return _Answer(status, b"".join(parts), is_whole)
+
+
+def _make_request(
+    method: bytes,
+    path: str,
+    host: str,
+    headers: abc.Mapping[str, str],
+    body: bytes,
+) -> kept_connections.ExchangeRequest:
+    fields = [("Host", host), *headers.items()]
+    return kept_connections.ExchangeRequest(
+        method,
+        path.encode(),
+        [(name.encode(), value.encode()) for name, value in fields],
+        body,
+    )
+
+
+class _Caller:
+    """A caller with its connections, which it keeps."""
+
+    def __init__(self) -> None:
+        self._connections: typing.Final[
+            dict[str, kept_connections.KeptConnections]
+        ] = {}
+
+    async def call(
+        self, place: EntryPlace, kind: kinds.RequestKind
+    ) -> seen.Answer:
+        """Send a request and return what came of it."""
+        request_id = f"{kind.name}-{uuid.uuid4().hex}"
+        request = _make_request(
+            b"POST",
+            f"/{kind.name}/x",
+            kinds.HOST,
+            _make_headers(request_id, kind.deadline_ms, MAIN_KEY),
+            b"prompt",
+        )
+        connections = self._connections.setdefault(
+            place.front,
+            kept_connections.KeptConnections(place.front, _CONNECT_MS),
+        )
+        sent_at = trio.current_time()
+        answer = await _exchange(connections, request, kind.deadline_ms / 1000)
+        return seen.Answer(request_id, kind.name, sent_at, *answer)
 
 
 async def call_for_ever(
     balancer: Balancer, facts: seen.Facts, source: random.Random
 ) -> None:
     """Send requests, one after the other, over connections that are kept."""
-    limits = httpx.Limits(keepalive_expiry=_IDLE_S)
-    async with httpx.AsyncClient(limits=limits) as client:
-        while True:
-            kind = source.choice(kinds.KINDS)
-            place = source.choice(balancer.list_ready())
-            facts.answers.append(await _call(client, place, kind))
-            await trio.sleep(source.random() * _PAUSE_S)
+    caller = _Caller()
+    while True:
+        kind = source.choice(kinds.KINDS)
+        place = source.choice(balancer.list_ready())
+        facts.answers.append(await caller.call(place, kind))
+        await trio.sleep(source.random() * _PAUSE_S)
 
 
 def _make_headers(
     request_id: str, deadline_ms: int, key: str
 ) -> dict[str, str]:
     return {
-        "Host": kinds.HOST,
         "X-Gentianpoint-Request-Id": request_id,
         "X-Gentianpoint-Request-Deadline": str(deadline_ms),
         "X-Gentianpoint-Model": "m",
@@ -103,48 +186,33 @@
     }
 
 
-async def _call(
-    client: httpx.AsyncClient, place: EntryPlace, kind: kinds.RequestKind
-) -> seen.Answer:
-    request_id = f"{kind.name}-{uuid.uuid4().hex}"
-    sent_at = trio.current_time()
-    status, parts, is_whole = 0, [], False
-    with (
-        trio.move_on_after(kind.deadline_ms / 1000),
-        contextlib.suppress(httpx.HTTPError),
-    ):
-        # What fails here is an answer that isn't whole, which is noted.
-        async with client.stream(
-            "POST",
-            f"http://{place.front}/{kind.name}/x",
-            headers=_make_headers(request_id, kind.deadline_ms, MAIN_KEY),
-            content=b"prompt",
-            timeout=None,
-        ) as answer:
-            status = answer.status_code
-            async for part in answer.aiter_bytes():
-                parts.append(part)
-            is_whole = True
-    body = b"".join(parts)
-    return seen.Answer(request_id, kind.name, sent_at, status, body, is_whole)
+def find_probe_pause(entries: int) -> float:
+    """Return the seconds between two probes of an entry.
+
+    Probes of all entries together keep to a rate that the soak's own process
+    can bear; else it would be the log and the targets that are slow.
+    """
+    return max(_PROBE_S, entries / _MOST_PROBES)
 
 
-async def probe_for_ever(place: EntryPlace, facts: seen.Facts) -> None:
+async def probe_for_ever(
+    place: EntryPlace, facts: seen.Facts, pause_s: float
+) -> None:
     """Ask an entry again and again for what the newest version says.
 
     Each version adds a route, and takes the key of the one before away.
     """
-    async with httpx.AsyncClient(timeout=_PROBE_ANSWER_S) as client:
-        while True:
-            if facts.changes:
-                version = facts.changes[-1].version
-                await _probe(client, place, facts, version, is_key=False)
-                await _probe(client, place, facts, version, is_key=True)
-            await trio.sleep(_PROBE_S)
+    connections = kept_connections.KeptConnections(place.front, _CONNECT_MS)
+    while True:
+        if facts.changes:
+            version = facts.changes[-1].version
+            for is_key in (False, True):
+                await _probe(connections, place, facts, version, is_key=is_key)
+        await trio.sleep(pause_s)
 
 
 async def _probe(
-    client: httpx.AsyncClient,
+    connections: kept_connections.KeptConnections,
     place: EntryPlace,
     facts: seen.Facts,
     version: int,
@@ -152,21 +220,19 @@
     is_key: bool,
 ) -> None:
     key = f"key-{version - 1}" if is_key else MAIN_KEY
-    path = "status/x" if is_key else f"version-{version}/x"
+    path = "/status/x" if is_key else f"/version-{version}/x"
     request_id = f"probe-{uuid.uuid4().hex}"
     pid = place.program.pid
     sent_at = trio.current_time()
-    try:
-        answer = await client.post(
-            f"http://{place.front}/{path}",
-            headers=_make_headers(request_id, 1000, key),
-        )
-    except httpx.HTTPError:
+    headers = _make_headers(request_id, 1000, key)
+    request = _make_request(b"POST", path, kinds.HOST, headers, b"")
+    answer = await _exchange(connections, request, _PROBE_ANSWER_S)
+    if not answer.is_whole:
         # An entry that is down, or was, shows nothing of its version.
         return
-    if answer.status_code == 503 or pid != place.program.pid:
+    if answer.status == _NOT_RUN or pid != place.program.pid:
         return
-    refused = answer.status_code == (_NO_KEY if is_key else _NOT_FOUND)
+    refused = answer.status == (_NO_KEY if is_key else _NOT_FOUND)
     if is_key and refused:
         # So does an entry that is two versions behind; its route tells.
         return
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -37,6 +37,10 @@
     """Length of that window."""
     memory_mb: float = 150.0
     """Memory of an entry."""
+    asked_enough: int = 20
+    """Requests of a kind of which one is served, at least."""
+    lag_s: float = 1.0
+    """Time for which the soak's own process may stand still."""
     are_timed: bool = True
     """False leaves out the promises with a time, which a busy machine
     can't be held to."""
@@ -66,6 +70,8 @@
         _check_retries(facts, bounds),
         _check_endings(facts),
         _check_memory(facts, bounds),
+        _check_served(facts, bounds),
+        _check_lag(facts, bounds),
         _check_in_force(facts, bounds),
         _check_leaving(facts, bounds),
         _check_recovery(facts, bounds),
@@ -293,3 +299,30 @@
     )
     tested = len(facts.most_memory_mb)
     return _judge("memory is bounded", tested, failures)
+
+
+def _check_served(facts: seen.Facts, bounds: Bounds) -> Verdict:
+    asked = collections.Counter(answer.kind for answer in facts.answers)
+    served = {
+        answer.kind
+        for answer in facts.answers
+        if answer.status == 200 and answer.is_whole
+    }
+    due = [kind for kind in asked if asked[kind] >= bounds.asked_enough]
+    failures = (
+        f"none of {asked[kind]} {kind}" for kind in due if kind not in served
+    )
+    return _judge("each kind of request is served", len(due), failures)
+
+
+def _check_lag(facts: seen.Facts, bounds: Bounds) -> Verdict:
+    """Check that stand-ins and callers were as quick as they pretend.
+
+    Where their process stands still, the log is slow and time-outs of the
+    programs say nothing of them.
+    """
+    late = [lag_s for lag_s in facts.lags_s if lag_s > bounds.lag_s]
+    failures = (f"stood still for {lag_s:.1f} s" for lag_s in late)
+    return _judge(
+        "the soak itself keeps up", len(facts.lags_s), failures, is_timed=True
+    )
--- a/bench/soak/facts.py
+++ b/bench/soak/facts.py
@@ -119,5 +119,7 @@
         self.leavings: typing.Final[list[Leaving]] = []
         self.endings: typing.Final[list[Ending]] = []
         self.most_memory_mb: typing.Final[dict[str, float]] = {}
+        self.lags_s: typing.Final[list[float]] = []
+        """How late the soak's own process was, each time that it looked."""
         self.calm_from = 0.0
         """End of the last fault."""
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -15,13 +15,13 @@
 
 from bench.soak import callers
 from bench.soak import facts as seen
+from bench.soak import http_serving
 from bench.soak import kinds
 from bench.soak import platform_log
 from bench.soak import platform_targets
 from bench.soak import programs
 from gentianpoint_core import option_types
 from gentianpoint_standins import relay
-from gentianpoint_standins import serving
 
 __all__ = ("Fleet", "FleetSize", "NetworkSlot")
 
@@ -186,14 +186,16 @@
         ``task_status`` is told once all that listens here does.
         """
         async with trio.open_nursery() as nursery:
-            log = self.log.make_app()
-            await serving.open_app(nursery, log, self._log_address)
+            await http_serving.open_server(
+                nursery, self._log_address, self.log.serve
+            )
             for number, item in enumerate(self.log_relays):
                 address = f"{self._slot.find_ip(3, number)}:{_LOG_PORT}"
                 await _open_relay(nursery, item, address)
             for target in self.targets:
-                app = target.make_app()
-                await serving.open_app(nursery, app, target.place.own)
+                await http_serving.open_server(
+                    nursery, target.place.own, target.serve
+                )
                 await _open_relay(nursery, target.relay, target.place.listed)
                 nursery.start_soon(target.run)
             for place in self.entries:
--- a/bench/soak/platform_log.py
+++ b/bench/soak/platform_log.py
@@ -6,12 +6,13 @@
 import random
 import struct
 import typing
+import urllib.parse
 
-import quart
-import quart_trio
 import trio
 
-from gentianpoint_standins import serving
+from bench.soak import http_serving
+from gentianpoint_entry.forwarding import caller_answers
+from gentianpoint_entry.forwarding import caller_connections
 
 __all__ = ("CONFIGURATION", "TARGETS", "PlatformLog")
 
@@ -60,12 +61,32 @@
         self._trouble = ""
         self._changed = trio.Event()
 
-    def make_app(self) -> quart_trio.QuartTrio:
-        """Make the application."""
-        app = serving.make_app("platform-log")
-        app.add_url_rule("/api/log-read", view_func=self.read)
-        app.add_url_rule("/api/log-newest", view_func=self.read_newest)
-        return app
+    async def serve(
+        self,
+        raw: caller_connections.RawRequest,
+        answer: caller_answers.CallerAnswer,
+    ) -> None:
+        """Answer one request."""
+        path, _, text = raw.target.decode().partition("?")
+        query = dict(urllib.parse.parse_qsl(text))
+        topic = self._topics[query["topic"]]
+        if not await self._passes_trouble(answer):
+            return
+        if path == "/api/log-newest":
+            await _answer_newest(topic, answer)
+            return
+        start = int(query["from"])
+        if start >= len(topic.records):
+            with trio.move_on_after(int(query.get("wait_ms", 0)) / 1000):
+                await topic.written.wait()
+            if not await self._passes_trouble(answer):
+                return
+        if start < topic.first:
+            await http_serving.answer_json(answer, {"error": "expired"}, 410)
+            return
+        head = struct.pack(">QQ", len(topic.records), topic.first)
+        body = head + b"".join(topic.records[start:])
+        await answer.send_whole(200, (), body)
 
     def set_trouble(self, trouble: str) -> None:
         """Be ``silent``, ``busy``, ``slow``, ``losing``, or well."""
@@ -91,48 +112,13 @@
         self._topics[topic].append(key, value)
         return trio.current_time()
 
-    async def read(self) -> quart.Response:
-        """Answer a reading from an offset."""
-        query = quart.request.args
-        topic = self._topics[query["topic"]]
-        start = int(query["from"])
-        wait_ms = int(query.get("wait_ms", 0))
-        if refusal := await self._meet_trouble():
-            return refusal
-        if start < topic.first:
-            return serving.answer_refusal(410, "expired")
-        if start >= len(topic.records):
-            with trio.move_on_after(wait_ms / 1000):
-                await topic.written.wait()
-        if refusal := await self._meet_trouble():
-            return refusal
-        head = struct.pack(">QQ", len(topic.records), topic.first)
-        return quart.Response(head + b"".join(topic.records[start:]))
-
-    async def read_newest(self) -> quart.Response:
-        """Answer with the newest record of each key."""
-        topic = self._topics[quart.request.args["topic"]]
-        if refusal := await self._meet_trouble():
-            return refusal
-        items = [
-            {
-                "key": key,
-                "value": base64.b64encode(value).decode(),
-                "offset": offset,
-            }
-            for key, (offset, value) in topic.newest.items()
-        ]
-        body = {
-            "items": items,
-            "more_pages": False,
-            "end": len(topic.records),
-        }
-        return serving.answer_json(body)
-
-    async def _meet_trouble(self) -> typing.Optional[quart.Response]:
+    async def _passes_trouble(
+        self, answer: caller_answers.CallerAnswer
+    ) -> bool:
         """Let a call meet the trouble of this moment.
 
-        One that meets silence, or whose answer is lost, is never answered.
+        Returns False when it was refused. One that meets silence, or whose
+        answer is lost, is never answered.
         """
         loses = self._trouble == _LOSING
         if loses and self._source.random() < _LOST_SHARE:
@@ -140,7 +126,24 @@
         if self._trouble == _SILENT:
             await trio.sleep_forever()
         if self._trouble == _BUSY:
-            return serving.answer_refusal(503, "busy")
+            await http_serving.answer_json(answer, {"error": "busy"}, 503)
+            return False
         if self._trouble == _SLOW:
             await trio.sleep(_SLOW_S)
-        return None
+        return True
+
+
+async def _answer_newest(
+    topic: _Topic, answer: caller_answers.CallerAnswer
+) -> None:
+    """Answer with the newest record of each key."""
+    items = [
+        {
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "offset": offset,
+        }
+        for key, (offset, value) in topic.newest.items()
+    ]
+    body = {"items": items, "more_pages": False, "end": len(topic.records)}
+    await http_serving.answer_json(answer, body)
--- a/bench/soak/platform_targets.py
+++ b/bench/soak/platform_targets.py
@@ -1,20 +1,19 @@
 """Targets as entries meet them: engines that stream, and plain services."""
 
-from collections import abc
 import random
 import time
 import typing
 import zlib
 
-import quart
-import quart_trio
 import trio
 
 from bench.soak import facts as seen
+from bench.soak import http_serving
 from bench.soak import kinds
 from bench.soak import platform_log
+from gentianpoint_entry.forwarding import caller_answers
+from gentianpoint_entry.forwarding import caller_connections
 from gentianpoint_standins import relay
-from gentianpoint_standins import serving
 
 __all__ = ("Target", "TargetPlace", "count_events")
 
@@ -27,9 +26,11 @@
 _EVENT_S: typing.Final = 0.03
 _PLAIN_S: typing.Final = 0.02
 _MOST_EVENTS: typing.Final = 60
-_SEAL: typing.Final = "X-Gentianpoint-Server-Seal"
-_REQUEST_ID: typing.Final = "X-Gentianpoint-Request-Id"
-_NOT_EXECUTED: typing.Final = "X-Gentianpoint-Not-Executed"
+_SEAL: typing.Final = b"x-gentianpoint-server-seal"
+_REQUEST_ID: typing.Final = "x-gentianpoint-request-id"
+_EXPECTED: typing.Final = "x-gentianpoint-expect-instance"
+_NOT_EXECUTED: typing.Final = (b"x-gentianpoint-not-executed", b"1")
+_INSTANCE: typing.Final = b"x-gentianpoint-instance-id"
 
 
 def count_events(request_id: str) -> int:
@@ -82,15 +83,18 @@
         """Identifier of the start that serves now."""
         return f"i-{self.place.number}-{self._starts}"
 
-    def make_app(self) -> quart_trio.QuartTrio:
-        """Make the application."""
-        app = serving.make_app(f"target-{self.place.number}")
-        app.add_url_rule("/health", view_func=self.show_health)
-        app.add_url_rule("/api/report", view_func=self.report)
-        app.add_url_rule(
-            "/<path:path>", view_func=self.serve, methods=["POST", "GET"]
-        )
-        return app
+    async def serve(
+        self,
+        raw: caller_connections.RawRequest,
+        answer: caller_answers.CallerAnswer,
+    ) -> None:
+        """Answer one request; one left unfinished is broken off."""
+        if raw.target == b"/health":
+            await self._show_health(answer)
+        elif raw.target == b"/api/report":
+            await http_serving.answer_json(answer, self._report())
+        else:
+            await self._work(raw, answer)
 
     async def run(self) -> None:
         """Start, and write the entry at each heartbeat, for ever."""
@@ -155,16 +159,14 @@
         self._is_up = False
         self.relay.apply(relay.RelayFaults(cut=True, refuse=True))
 
-    async def show_health(self) -> quart.Response:
-        """Answer a health check."""
+    async def _show_health(self, answer: caller_answers.CallerAnswer) -> None:
         status = 200 if self._is_up and not self._is_leaving else 503
-        answer = serving.answer_json({}, status)
-        answer.headers["X-Gentianpoint-Instance-Id"] = self.target_id
-        return answer
+        instance = (_INSTANCE, self.target_id.encode())
+        await http_serving.answer_json(answer, {}, status, instance)
 
-    async def report(self) -> quart.Response:
-        """Answer the agent beside this engine."""
-        fields = {
+    def _report(self) -> dict[str, typing.Any]:
+        """Return what the agent beside this engine learns."""
+        return {
             "stage": "combined",
             "active": self._active,
             "queued": 0,
@@ -174,41 +176,44 @@
             "state": "draining" if self._is_leaving else "in_service",
             "born": self._born_ms,
         }
-        return serving.answer_json(fields)
 
-    async def serve(self, path: str) -> quart.Response:
-        """Work on a request."""
-        headers = quart.request.headers
-        await quart.request.get_data()
+    async def _work(
+        self,
+        raw: caller_connections.RawRequest,
+        answer: caller_answers.CallerAnswer,
+    ) -> None:
+        headers = http_serving.read_headers(raw)
         request_id = headers.get(_REQUEST_ID, "")
-        expected = headers.get("X-Gentianpoint-Expect-Instance", "")
-        if expected != self.target_id or not self._is_up:
-            refusal = serving.answer_refusal(421, "another start")
-            refusal.headers[_NOT_EXECUTED] = "1"
-            return refusal
-        after = int(headers.get("Last-Event-Id", 0) or 0)
+        if headers.get(_EXPECTED) != self.target_id or not self._is_up:
+            error = {"error": "another start"}
+            await http_serving.answer_json(answer, error, 421, _NOT_EXECUTED)
+            return
+        after = int(headers.get("last-event-id", 0) or 0)
         service = self.place.service
         now = trio.current_time()
         self._facts.runs.append(
             seen.Run(request_id, service, self.target_id, now, after)
         )
+        marks = (
+            (_REQUEST_ID.encode(), request_id.encode()),
+            (_SEAL, f"seal.{request_id}".encode()),
+        )
         if self._source.random() < self.failing_share:
-            answer = serving.answer_refusal(500, "failed")
+            error = {"error": "failed"}
+            await http_serving.answer_json(answer, error, 500, *marks)
         elif self._source.random() < self.losing_share:
-            return serving.drop_reply()
+            await http_serving.drop_reply(answer)
         elif service == kinds.ENGINES:
-            events = self._generate(request_id, after)
-            answer = quart.Response(events, content_type="text/event-stream")
+            event_stream = (b"content-type", b"text/event-stream")
+            await answer.start(200, (*marks, event_stream))
+            await self._generate(request_id, after, answer)
         else:
             await trio.sleep(_PLAIN_S)
-            answer = quart.Response(request_id.encode())
-        answer.headers[_REQUEST_ID] = request_id
-        answer.headers[_SEAL] = f"seal.{request_id}"
-        return answer
+            await answer.send_whole(200, marks, request_id.encode())
 
     async def _generate(
-        self, request_id: str, after: int
-    ) -> abc.AsyncIterator[bytes]:
+        self, request_id: str, after: int, answer: caller_answers.CallerAnswer
+    ) -> None:
         start = self._starts
         most = count_events(request_id)
         self._active += 1
@@ -216,8 +221,9 @@
             for number in range(after + 1, most + 1):
                 await trio.sleep(_EVENT_S)
                 if start != self._starts or not self._is_up:
-                    raise serving.DroppedConnectionError
+                    return
                 data = f"id: {number}\ndata: {request_id}/{number}/{most}\n\n"
-                yield data.encode()
+                await answer.send(data.encode())
+            await answer.finish()
         finally:
             self._active -= 1
--- a/bench/soak/playing.py
+++ b/bench/soak/playing.py
@@ -18,7 +18,9 @@
 
 __all__ = ("SoakOptions", "play")
 
-_WARM_UP_S: typing.Final = 4.0
+_MOST_WARM_UP_S: typing.Final = 60.0
+"""Longest time until every entry is ready; many programs on few cores take
+long to start."""
 _CALLERS: typing.Final = 8
 _CALM_S: typing.Final = 17.0
 """Time after the last step: the bound of recovery, and some seconds in which
@@ -27,6 +29,7 @@
 _FAULTY_SHARE: typing.Final = 0.3
 _RESTARTED_S: typing.Final = 1.0
 """Time after its end in which a program has started again."""
+_LAG_LOOK_S: typing.Final = 0.1
 _TARGETS: typing.Final = "targets"
 """Stands for an entry where a fault concerns targets alone."""
 
@@ -208,13 +211,18 @@
             await nursery.start(_run_fleet, parts)
             await player.change()
             nursery.start_soon(balancer.run)
-            await trio.sleep(_WARM_UP_S)
+            with trio.move_on_after(_MOST_WARM_UP_S):
+                await balancer.wait_all_ready()
             for _ in range(_CALLERS):
                 nursery.start_soon(
                     callers.call_for_ever, balancer, facts, source
                 )
+            nursery.start_soon(_watch_lag, facts)
+            pause_s = callers.find_probe_pause(len(parts.entries))
             for place in parts.entries:
-                nursery.start_soon(callers.probe_for_ever, place, facts)
+                nursery.start_soon(
+                    callers.probe_for_ever, place, facts, pause_s
+                )
             await _carry_all_out(options, player)
             facts.calm_from = max(facts.calm_from, trio.current_time())
             await trio.sleep(_CALM_S)
@@ -224,6 +232,14 @@
     return facts
 
 
+async def _watch_lag(facts: seen.Facts) -> None:
+    """Note how late this process is, for ever."""
+    while True:
+        due_at = trio.current_time() + _LAG_LOOK_S
+        await trio.sleep_until(due_at)
+        facts.lags_s.append(trio.current_time() - due_at)
+
+
 async def _end_when_told() -> None:
     """End by an error once told to, so that all that was started ends."""
     with trio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as signals:
--- a/bench/soak/programs.py
+++ b/bench/soak/programs.py
@@ -24,6 +24,8 @@
 _KILL_AFTER_S: typing.Final = 8.0
 """Time after the signal to end at which the platform kills."""
 _MEMORY_S: typing.Final = 1.0
+_STARTS: typing.Final = trio.CapacityLimiter(4)
+"""Programs that are being started at once."""
 
 
 class Program:
@@ -59,20 +61,29 @@
         """Start it, and start it again whenever it has ended."""
         try:
             while True:
-                self._start()
+                await self._start()
                 await self._watch()
                 await trio.sleep(_RESTART_S)
         finally:
             self.kill()
 
-    def _start(self) -> None:
+    async def _start(self) -> None:
+        """Start it from a thread, since starting waits for the system.
+
+        A cancelled soak waits for that thread, and so knows the process.
+        """
         self._is_expected_to_end = False
+        self._process = await trio.to_thread.run_sync(
+            self._open_process, limiter=_STARTS
+        )
+
+    def _open_process(self) -> subprocess.Popen[bytes]:
         environment = {
             **os.environ,
             "GENTIANPOINT_CONFIG": str(self._settings),
         }
         with self.log_path.open("ab") as output:
-            self._process = subprocess.Popen(
+            return subprocess.Popen(
                 [sys.executable, str(_ROOT / "platform" / self._script)],
                 stdin=subprocess.DEVNULL,
                 stdout=output,
