--- a/bench/features/soak.feature
+++ b/bench/features/soak.feature
@@ -26,6 +26,12 @@
       | a version that is missing after 2.1 s      | a version is in force in time        |
       | a run 2.1 s after the target's notice      | a leaving target gets nothing new    |
       | a service that never comes back            | service is back                      |
+      | a report cut that was sent 2 s after SIGTERM | what a leaving entry takes is not cut |
+      | a report without a head that ran, sent 2 s after SIGTERM | what a leaving entry takes is not cut |
+      | a report cut 6 s after SIGTERM, sent before it | what an entry has read is answered |
+      | a report cut by an entry that stays        | what an entry has read is answered   |
+      | a report that ran and got no answer        | what an entry has read is answered   |
+      | a connection closed 1.1 s after a request  | what an entry has read is answered   |
       | tags of which none is served               | each kind of request is served       |
       | a second in which the soak stood still     | the soak itself keeps up             |
       | 100 repeats within a second                | repeats keep to their budget         |
@@ -38,7 +44,12 @@
     Examples:
       | case                                              |
       | a status that runs twice                          |
-      | a stream that breaks off after event 2 of 3       |
+      | a stream that breaks off as its target ends       |
+      | a stream that breaks off as its entry is killed   |
+      | a report cut 7 s after SIGTERM, sent before it    |
+      | a report cut at an entry paused as it was leaving |
+      | a report refused 2 s after SIGTERM                |
+      | a connection closed 0.9 s after a request         |
       | a version that is missing after 1.9 s             |
       | a version that is missing 2.9 s after a fault     |
       | a version that is missing at an entry that started again |
--- a/bench/features/soak_builders.py
+++ b/bench/features/soak_builders.py
@@ -10,6 +10,7 @@
 _PID: typing.Final = 7
 _TARGET: typing.Final = "i-1-1"
 _CHANGED_AT: typing.Final = 20.0
+_STOPPED_AT: typing.Final = 12.0
 _CALM_FROM: typing.Final = 40.0
 
 
@@ -113,6 +114,59 @@
     facts.lags_s.append(1.1)
 
 
+def _add_cut(
+    facts: seen.Facts,
+    sent_after_s: float,
+    cut_after_s: float,
+    *,
+    status: int = 200,
+    pid: int = _PID,
+    kind: str = "",
+) -> None:
+    """Let a report be cut, at times after SIGTERM of the one process.
+
+    With a fault's ``kind``, that comes 3.5 s after SIGTERM for half a second.
+    """
+    facts.stops.append(seen.Stop(_ENTRY, _PID, _STOPPED_AT))
+    body = make_stream("report-7", (1,), 3) if status else b""
+    sent_at = _STOPPED_AT + sent_after_s
+    answer = make_answer(
+        "report-7", body, status=status, is_whole=False, sent_at=sent_at
+    )
+    facts.answers.append(
+        answer._replace(
+            entry=_ENTRY,
+            pid=pid,
+            ended_at=_STOPPED_AT + cut_after_s,
+            end="cut",
+        )
+    )
+    if kind:
+        concerned = _ENTRY if kind.startswith("entry") else seen.TARGETS
+        begins_at = _STOPPED_AT + 3.5
+        facts.disturbances.append(
+            seen.Disturbance(concerned, kind, begins_at, begins_at + 0.5)
+        )
+
+
+def _add_headless(facts: seen.Facts) -> None:
+    _add_cut(facts, 2.0, 2.1, status=0)
+    facts.runs.append(make_run("report-7", _STOPPED_AT + 2))
+
+
+def _add_unanswered(facts: seen.Facts) -> None:
+    _add_cut(facts, 2.0, 2.1, status=0, pid=8)
+    facts.runs.append(make_run("report-7", _STOPPED_AT + 2))
+
+
+def _add_refusal(facts: seen.Facts) -> None:
+    facts.stops.append(seen.Stop(_ENTRY, _PID, _STOPPED_AT))
+    refusal = make_answer(
+        "report-7", b"leaving", status=503, sent_at=_STOPPED_AT + 2
+    )
+    facts.answers.append(refusal._replace(entry=_ENTRY, pid=_PID))
+
+
 def _lose_service(facts: seen.Facts) -> None:
     facts.answers[-1] = facts.answers[-1]._replace(status=0, body=b"")
 
@@ -126,7 +180,7 @@
 
 
 def _disturb_and_miss(facts: seen.Facts) -> None:
-    facts.disturbances.append(seen.Disturbance("", 30.0, 31.0))
+    facts.disturbances.append(seen.Disturbance("", "log_silent", 30.0, 31.0))
     _add_missing(facts, 3.9)
 
 
@@ -173,8 +227,35 @@
     "a status that runs twice": lambda facts: facts.runs.extend(
         [make_run("status-7"), make_run("status-7", 10.2)]
     ),
-    "a stream that breaks off after event 2 of 3": (
-        lambda facts: _add_stream(facts, (1, 2), is_whole=False)
+    "a report cut that was sent 2 s after SIGTERM": (
+        lambda facts: _add_cut(facts, 2.0, 4.0)
+    ),
+    "a report without a head that ran, sent 2 s after SIGTERM": _add_headless,
+    "a report cut 6 s after SIGTERM, sent before it": (
+        lambda facts: _add_cut(facts, -1.0, 6.0)
+    ),
+    "a report cut by an entry that stays": (
+        lambda facts: _add_cut(facts, 2.0, 4.0, pid=8)
+    ),
+    "a report that ran and got no answer": _add_unanswered,
+    "a connection closed 1.1 s after a request": (
+        lambda facts: _add_cut(facts, 2.0, 3.1, status=0)
+    ),
+    "a stream that breaks off as its target ends": (
+        lambda facts: _add_cut(facts, 2.0, 4.0, kind="target_kill")
+    ),
+    "a stream that breaks off as its entry is killed": (
+        lambda facts: _add_cut(facts, 2.0, 4.0, kind="entry_kill")
+    ),
+    "a report cut 7 s after SIGTERM, sent before it": (
+        lambda facts: _add_cut(facts, -1.0, 7.0)
+    ),
+    "a report cut at an entry paused as it was leaving": (
+        lambda facts: _add_cut(facts, 6.0, 8.0, kind="entry_pause")
+    ),
+    "a report refused 2 s after SIGTERM": _add_refusal,
+    "a connection closed 0.9 s after a request": (
+        lambda facts: _add_cut(facts, 2.0, 2.9, status=0)
     ),
     "a version that is missing after 1.9 s": (
         lambda facts: _add_missing(facts, 1.9)
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -1,7 +1,6 @@
 """Callers, the balancer before them, and probes of what is in force."""
 
 from collections import abc
-import contextlib
 import random
 import typing
 import uuid
@@ -30,6 +29,8 @@
 _PROBE_ANSWER_S: typing.Final = 1.0
 _MOST_PROBES: typing.Final = 40
 """Probes of all entries together in a second, each of two requests."""
+_ESTIMATE_SPREAD: typing.Final = 1.0
+"""Standard deviation of the logarithm of estimated over real length."""
 _CONNECT_MS: typing.Final = 1000.0
 _OK: typing.Final = 200
 _NOT_RUN: typing.Final = 503
@@ -59,13 +60,15 @@
         )
 
     def list_ready(self) -> list[EntryPlace]:
-        """Return the entries in rotation; all of them if none is."""
+        """Return the entries in rotation; all if fewer than half are."""
         ready = [
             place
             for number, place in enumerate(self._entries)
             if self._misses[number] < _MOST_MISSES
         ]
-        return ready or list(self._entries)
+        if len(ready) * 2 < len(self._entries):
+            return list(self._entries)
+        return ready
 
     async def wait_all_ready(self) -> None:
         """Return once every entry is in rotation."""
@@ -85,7 +88,7 @@
         request = _make_request(b"GET", "/api/readiness", place.ready, {}, b"")
         while True:
             answer = await _exchange(connections, request, _LOOK_S)
-            is_ready = answer.is_whole and answer.status == _OK
+            is_ready = answer == _Answer(_OK, b"", "answered")
             self._misses[number] = 0 if is_ready else self._misses[number] + 1
             await trio.sleep(_LOOK_S)
 
@@ -95,7 +98,7 @@
 
     status: int
     body: bytes
-    is_whole: bool
+    end: typing.Literal["answered", "cut", "given_up", "not_sent"]
 
 
 async def _exchange(
@@ -103,18 +106,21 @@
     request: kept_connections.ExchangeRequest,
     within_s: float,
 ) -> _Answer:
-    status, parts, is_whole = 0, [], False
-    with (
-        trio.move_on_after(within_s),
-        contextlib.suppress(ports.PortError),
-    ):
-        # What fails here is an answer that isn't whole, which is noted.
-        async with connections.exchange(request) as exchange:
-            status = exchange.status
-            async for part in exchange.receive_body():
-                parts.append(part)
-            is_whole = True
-    return _Answer(status, b"".join(parts), is_whole)
+    status = 0
+    parts: list[bytes] = []
+    with trio.move_on_after(within_s):
+        try:
+            async with connections.exchange(request) as exchange:
+                status = exchange.status
+                async for part in exchange.receive_body():
+                    parts.append(part)
+            return _Answer(status, b"".join(parts), "answered")
+        except ports.PortError as error:
+            # What the entry ends too soon is noted as such.
+            if not error.took_effect:
+                return _Answer(0, b"", "not_sent")
+            return _Answer(status, b"".join(parts), "cut")
+    return _Answer(status, b"".join(parts), "given_up")
 
 
 def _make_request(
@@ -136,40 +142,74 @@
 class _Caller:
     """A caller with its connections, which it keeps."""
 
-    def __init__(self) -> None:
+    def __init__(self, source: random.Random, *, stays: bool) -> None:
+        self._source: typing.Final = source
+        self._stays: typing.Final = stays
         self._connections: typing.Final[
-            dict[str, kept_connections.KeptConnections]
+            dict[int, kept_connections.KeptConnections]
         ] = {}
+        self._last: typing.Optional[tuple[EntryPlace, int]] = None
+
+    def choose_place(self, balancer: Balancer) -> EntryPlace:
+        """Return the next entry; one that stays keeps to a process."""
+        if self._last is not None and self._stays:
+            place, pid = self._last
+            if place.program.pid == pid and place.program.is_running:
+                return place
+        return self._source.choice(balancer.list_ready())
 
     async def call(
         self, place: EntryPlace, kind: kinds.RequestKind
     ) -> seen.Answer:
         """Send a request and return what came of it."""
-        request_id = f"{kind.name}-{uuid.uuid4().hex}"
+        most = self._source.choice(kind.most_events)
+        request_id = f"{kind.name}-{most}-{uuid.uuid4().hex}"
+        error = self._source.lognormvariate(0, _ESTIMATE_SPREAD)
+        estimate = round(kinds.count_events(request_id) * error)
+        headers = {
+            **_make_headers(request_id, kind.deadline_ms, MAIN_KEY),
+            "X-Gentianpoint-Token-Count": f"100,{most}",
+            "X-Gentianpoint-Length-Hint": str(estimate),
+        }
         request = _make_request(
-            b"POST",
-            f"/{kind.name}/x",
-            kinds.HOST,
-            _make_headers(request_id, kind.deadline_ms, MAIN_KEY),
-            b"prompt",
+            b"POST", f"/{kind.name}/x", kinds.HOST, headers, b"prompt"
         )
+        pid = place.program.pid
+        self._last = (place, pid)
         connections = self._connections.setdefault(
-            place.front,
-            kept_connections.KeptConnections(place.front, _CONNECT_MS),
+            pid, kept_connections.KeptConnections(place.front, _CONNECT_MS)
         )
         sent_at = trio.current_time()
         answer = await _exchange(connections, request, kind.deadline_ms / 1000)
-        return seen.Answer(request_id, kind.name, sent_at, *answer)
+        return seen.Answer(
+            request_id,
+            kind.name,
+            sent_at,
+            answer.status,
+            answer.body,
+            answer.end == "answered",
+            place.program.name,
+            pid,
+            trio.current_time(),
+            answer.end,
+        )
 
 
 async def call_for_ever(
-    balancer: Balancer, facts: seen.Facts, source: random.Random
+    balancer: Balancer,
+    facts: seen.Facts,
+    source: random.Random,
+    *,
+    stays: bool,
 ) -> None:
-    """Send requests, one after the other, over connections that are kept."""
-    caller = _Caller()
+    """Send requests, one after the other, over connections that are kept.
+
+    A caller that ``stays`` uses a process until it is gone.
+    """
+    caller = _Caller(source, stays=stays)
     while True:
         kind = source.choice(kinds.KINDS)
-        place = source.choice(balancer.list_ready())
+        place = caller.choose_place(balancer)
         facts.answers.append(await caller.call(place, kind))
         await trio.sleep(source.random() * _PAUSE_S)
 
@@ -181,7 +221,6 @@
         "X-Gentianpoint-Request-Id": request_id,
         "X-Gentianpoint-Request-Deadline": str(deadline_ms),
         "X-Gentianpoint-Model": "m",
-        "X-Gentianpoint-Token-Count": "100,60",
         "Authorization": f"Bearer {key}",
     }
 
@@ -227,7 +266,7 @@
     headers = _make_headers(request_id, 1000, key)
     request = _make_request(b"POST", path, kinds.HOST, headers, b"")
     answer = await _exchange(connections, request, _PROBE_ANSWER_S)
-    if not answer.is_whole:
+    if answer.end != "answered":
         # An entry that is down, or was, shows nothing of its version.
         return
     if answer.status == _NOT_RUN or pid != place.program.pid:
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -12,6 +12,12 @@
 
 _NOT_RUN: typing.Final = frozenset((408, 421, 429, 503))
 """Statuses that say that a request has not run and never will."""
+_OF_ENTRY: typing.Final = frozenset(("entry_kill", "entry_pause"))
+"""Faults that cut what an entry has taken."""
+_OF_AGENT: typing.Final = frozenset(("agent_kill", "agent_pause"))
+"""Faults that cut nothing: requests don't pass through agents."""
+_SIGNAL_S: typing.Final = 0.2
+"""Time until a program knows of a signal."""
 _MOST_NAMED: typing.Final = 5
 """Failures of one promise that are named."""
 
@@ -39,6 +45,15 @@
     """Memory of an entry."""
     asked_enough: int = 20
     """Requests of a kind of which one is served, at least."""
+    grace_s: float = 8.0
+    """Time from the signal to end until a program is killed."""
+    outlast_share: float = 5 / 6
+    """Share of it after which a request may be cut that came before it."""
+    silent_s: float = 5.0
+    """Time for which kept connections that fell silent are still used."""
+    read_s: float = 1.0
+    """Time for which a request may lie unread in a connection that is
+    closed."""
     lag_s: float = 1.0
     """Time for which the soak's own process may stand still."""
     are_timed: bool = True
@@ -71,6 +86,8 @@
         _check_endings(facts),
         _check_memory(facts, bounds),
         _check_served(facts, bounds),
+        _check_taken(facts, bounds),
+        _check_final(facts, bounds),
         _check_lag(facts, bounds),
         _check_in_force(facts, bounds),
         _check_leaving(facts, bounds),
@@ -315,6 +332,119 @@
     return _judge("each kind of request is served", len(due), failures)
 
 
+class _Cut(typing.NamedTuple):
+    """An entry ended a connection before the answer was whole."""
+
+    answer: seen.Answer
+    """What came of the request."""
+    stopped_at: typing.Optional[float]
+    """When the process was told to end, None if it was not."""
+    was_taken: bool
+    """True when a target ran it, or an answer had begun."""
+
+    def is_late(self) -> bool:
+        """Tell whether the request was sent to an entry told to end."""
+        return (
+            self.stopped_at is not None
+            and self.answer.sent_at > self.stopped_at + _SIGNAL_S
+        )
+
+    def describe(self) -> str:
+        """Return what happened and when."""
+        answer = self.answer
+        stopped = ""
+        if self.stopped_at is not None:
+            stopped = f", SIGTERM at {self.stopped_at:.2f} s"
+        return (
+            f"{answer.request_id} at {answer.entry}, status {answer.status},"
+            f" sent at {answer.sent_at:.2f} s, cut at"
+            f" {answer.ended_at:.2f} s{stopped}"
+        )
+
+
+def _find_stops(facts: seen.Facts) -> dict[int, float]:
+    """Return when each process was first told to end."""
+    stops: dict[int, float] = {}
+    for stop in facts.stops:
+        stops.setdefault(stop.pid, stop.at)
+    return stops
+
+
+def _list_cuts(facts: seen.Facts, bounds: Bounds) -> list[_Cut]:
+    """Return what was cut by nothing but the entry itself."""
+    stops = _find_stops(facts)
+    ran = {run.request_id for run in facts.runs}
+    cuts = [
+        _Cut(
+            answer,
+            stops.get(answer.pid),
+            answer.status != 0 or answer.request_id in ran,
+        )
+        for answer in facts.answers
+        if answer.end == "cut"
+    ]
+    return [cut for cut in cuts if not _is_excused(facts, cut, bounds)]
+
+
+def _is_excused(facts: seen.Facts, cut: _Cut, bounds: Bounds) -> bool:
+    answer = cut.answer
+    for item in facts.disturbances:
+        if item.begins_at > answer.ended_at:
+            continue
+        if item.entry == answer.entry and item.kind in _OF_ENTRY:
+            excused_until = item.ends_at
+            begins_at = min(answer.sent_at, cut.stopped_at or answer.sent_at)
+        elif item.entry == seen.TARGETS and item.kind not in _OF_AGENT:
+            excused_until = item.ends_at + bounds.silent_s
+            begins_at = answer.sent_at
+        else:
+            continue
+        if excused_until >= begins_at:
+            return True
+    return False
+
+
+def _check_taken(facts: seen.Facts, bounds: Bounds) -> Verdict:
+    """Check what was sent to entries that had been told to end."""
+    stops = _find_stops(facts)
+    tested = sum(
+        answer.end != "not_sent"
+        and answer.sent_at > stops[answer.pid] + _SIGNAL_S
+        for answer in facts.answers
+        if answer.pid in stops
+    )
+    failures = (
+        cut.describe()
+        for cut in _list_cuts(facts, bounds)
+        if cut.is_late() and cut.was_taken
+    )
+    return _judge("what a leaving entry takes is not cut", tested, failures)
+
+
+def _check_final(facts: seen.Facts, bounds: Bounds) -> Verdict:
+    """Check that what an entry has read is answered to its end.
+
+    Without a run or the head of an answer only the time shows that it was
+    read: one that crosses the closing of its connection ends soon.
+    """
+    tested = sum(answer.end in ("answered", "cut") for answer in facts.answers)
+    failures = []
+    for cut in _list_cuts(facts, bounds):
+        answer = cut.answer
+        took_s = answer.ended_at - answer.sent_at
+        was_read = bounds.are_timed and took_s > bounds.read_s
+        if cut.is_late() and cut.was_taken:
+            # The promise on leaving entries has it.
+            continue
+        if cut.stopped_at is not None and not cut.is_late():
+            grace_s = bounds.grace_s * bounds.outlast_share
+            if answer.ended_at >= cut.stopped_at + grace_s:
+                continue
+        if cut.was_taken or was_read:
+            failures.append(cut.describe())
+    return _judge("what an entry has read is answered", tested, failures)
+
+
 def _check_lag(facts: seen.Facts, bounds: Bounds) -> Verdict:
     """Check that stand-ins and callers were as quick as they pretend.
 
--- a/bench/soak/configurations.py
+++ b/bench/soak/configurations.py
@@ -36,7 +36,7 @@
         max_attempts=kind.max_attempts,
         sticky=kind.is_stream,
         resumable=kind.is_stream and kind.may_run_again,
-        gap_goal_ms=500,
+        gap_goal_ms=100,
     )
 
 
--- a/bench/soak/facts.py
+++ b/bench/soak/facts.py
@@ -6,6 +6,7 @@
 import typing
 
 __all__ = (
+    "TARGETS",
     "Answer",
     "Change",
     "Disturbance",
@@ -14,8 +15,12 @@
     "Leaving",
     "Probe",
     "Run",
+    "Stop",
 )
 
+TARGETS: typing.Final = "targets"
+"""Stands for an entry where a fault concerns targets alone."""
+
 
 class Run(typing.NamedTuple):
     """A target began to work on a request."""
@@ -47,6 +52,14 @@
     """What came of the body."""
     is_whole: bool
     """True when the answer ended as a complete one does."""
+    entry: str = ""
+    """Entry that it was sent to."""
+    pid: int = 0
+    """Process of the entry."""
+    ended_at: float = 0.0
+    """When the answer, or the connection, ended."""
+    end: typing.Literal["answered", "cut", "given_up", "not_sent"] = "answered"
+    """How it ended: whole, by the entry before that, or by the caller."""
 
 
 class Change(typing.NamedTuple):
@@ -80,6 +93,8 @@
 
     entry: str
     """Entry that it concerns; empty for all."""
+    kind: str
+    """Kind of the step, as :mod:`bench.soak.schedule` names it."""
     begins_at: float
     """When it began."""
     ends_at: float
@@ -95,6 +110,17 @@
     """When the log acknowledged it."""
 
 
+class Stop(typing.NamedTuple):
+    """An entry was told to end."""
+
+    entry: str
+    """Its name."""
+    pid: int
+    """Its process."""
+    at: float
+    """When the signal was sent."""
+
+
 class Ending(typing.NamedTuple):
     """A program ended without being told to."""
 
@@ -117,6 +143,7 @@
         self.probes: typing.Final[list[Probe]] = []
         self.disturbances: typing.Final[list[Disturbance]] = []
         self.leavings: typing.Final[list[Leaving]] = []
+        self.stops: typing.Final[list[Stop]] = []
         self.endings: typing.Final[list[Ending]] = []
         self.most_memory_mb: typing.Final[dict[str, float]] = {}
         self.lags_s: typing.Final[list[float]] = []
--- a/bench/soak/kinds.py
+++ b/bench/soak/kinds.py
@@ -1,8 +1,18 @@
 """The kinds of request that a soak's callers send."""
 
 import typing
+import zlib
 
-__all__ = ("ENGINES", "HOST", "KINDS", "PLAIN", "RequestKind", "find_kind")
+__all__ = (
+    "ENGINES",
+    "HOST",
+    "KINDS",
+    "PLAIN",
+    "RequestKind",
+    "count_events",
+    "find_kind",
+    "find_most_events",
+)
 
 HOST: typing.Final = "soak.example"
 ENGINES: typing.Final = "engines"
@@ -28,11 +38,15 @@
     """Time that its caller waits."""
     max_attempts: int
     """Targets that one request may be sent to."""
+    most_events: tuple[int, ...] = (1,)
+    """Bounds on the events of its streams, of which each has one."""
 
 
 KINDS: typing.Final = (
-    RequestKind("report", ENGINES, "streaming", False, True, 12000, 1),
-    RequestKind("tag", ENGINES, "streaming", True, True, 6000, 2),
+    RequestKind(
+        "report", ENGINES, "streaming", False, True, 12000, 1, (20, 60, 200)
+    ),
+    RequestKind("tag", ENGINES, "streaming", True, True, 6000, 2, (20, 60)),
     RequestKind("lookup", PLAIN, "non_idempotent", False, False, 1500, 2),
     RequestKind("status", PLAIN, "idempotent", True, False, 1500, 2),
 )
@@ -42,3 +56,17 @@
     """Return the kind of a request, by its identifier; None for probes."""
     name = request_id.partition("-")[0]
     return next((kind for kind in KINDS if kind.name == name), None)
+
+
+def find_most_events(request_id: str) -> int:
+    """Return the bound on a stream's events that its caller gives."""
+    return int(request_id.split("-")[1])
+
+
+def count_events(request_id: str) -> int:
+    """Return the events of a stream, which follow from its identifier.
+
+    >>> count_events("tag-20-a") == count_events("tag-20-a")
+    True
+    """
+    return 1 + zlib.crc32(request_id.encode()) % find_most_events(request_id)
--- a/bench/soak/platform_targets.py
+++ b/bench/soak/platform_targets.py
@@ -3,7 +3,6 @@
 import random
 import time
 import typing
-import zlib
 
 import trio
 
@@ -15,7 +14,7 @@
 from gentianpoint_entry.forwarding import caller_connections
 from gentianpoint_standins import relay
 
-__all__ = ("Target", "TargetPlace", "count_events")
+__all__ = ("Target", "TargetPlace")
 
 _BEAT_S: typing.Final = 1.2
 _BEATS_MISSED: typing.Final = 3
@@ -25,7 +24,6 @@
 _START_S: typing.Final = 1.0
 _EVENT_S: typing.Final = 0.03
 _PLAIN_S: typing.Final = 0.02
-_MOST_EVENTS: typing.Final = 60
 _SEAL: typing.Final = b"x-gentianpoint-server-seal"
 _REQUEST_ID: typing.Final = "x-gentianpoint-request-id"
 _EXPECTED: typing.Final = "x-gentianpoint-expect-instance"
@@ -33,11 +31,6 @@
 _INSTANCE: typing.Final = b"x-gentianpoint-instance-id"
 
 
-def count_events(request_id: str) -> int:
-    """Return the events of a stream, which follow from its identifier."""
-    return 1 + zlib.crc32(request_id.encode()) % _MOST_EVENTS
-
-
 class TargetPlace(typing.NamedTuple):
     """Where a target is, and what it serves."""
 
@@ -215,7 +208,7 @@
         self, request_id: str, after: int, answer: caller_answers.CallerAnswer
     ) -> None:
         start = self._starts
-        most = count_events(request_id)
+        most = kinds.count_events(request_id)
         self._active += 1
         try:
             for number in range(after + 1, most + 1):
--- a/bench/soak/playing.py
+++ b/bench/soak/playing.py
@@ -1,6 +1,7 @@
 """Plays a schedule and returns what was seen."""
 
 from collections import abc
+import functools
 import pathlib
 import random
 import signal
@@ -21,7 +22,7 @@
 _MOST_WARM_UP_S: typing.Final = 60.0
 """Longest time until every entry is ready; many programs on few cores take
 long to start."""
-_CALLERS: typing.Final = 8
+_CALLERS: typing.Final = 16
 _CALM_S: typing.Final = 17.0
 """Time after the last step: the bound of recovery, and some seconds in which
 it is put to the test."""
@@ -29,9 +30,10 @@
 _FAULTY_SHARE: typing.Final = 0.3
 _RESTARTED_S: typing.Final = 1.0
 """Time after its end in which a program has started again."""
+_ROW_SHARE: typing.Final = 5
+_MOST_ROW_PAUSE_S: typing.Final = 1.2
+"""Longest pause between the stops of two entries; each takes longer to end."""
 _LAG_LOOK_S: typing.Final = 0.1
-_TARGETS: typing.Final = "targets"
-"""Stands for an entry where a fault concerns targets alone."""
 
 _LOG_TROUBLES: typing.Final = {
     "log_silent": "silent",
@@ -86,7 +88,7 @@
             return
         ends_at = trio.current_time()
         self._facts.disturbances.append(
-            seen.Disturbance(disturbed, begins_at, ends_at)
+            seen.Disturbance(disturbed, step.kind, begins_at, ends_at)
         )
         self._facts.calm_from = max(self._facts.calm_from, ends_at)
 
@@ -102,15 +104,18 @@
             return self._parts.entries[number].program.name
         if group == "entry":
             return await self._trouble_entry(step)
+        if group == "entries":
+            await self._stop_in_row(step)
+            return ""
         if group == "agent":
             await self._trouble_agent(step)
-            return _TARGETS
+            return seen.TARGETS
         if group == "target":
             await self._trouble_target(step)
-            return _TARGETS
+            return seen.TARGETS
         if group == "service":
             await self._kill_service(step)
-            return _TARGETS
+            return seen.TARGETS
         for _ in range(step.changes):
             await self.change()
             await trio.sleep(_CHANGE_PAUSE_S)
@@ -162,6 +167,15 @@
         await trio.sleep(_RESTARTED_S)
         return program.name
 
+    async def _stop_in_row(self, step: schedule.Step) -> None:
+        """Stop all entries, each before the one before it has ended."""
+        pause_s = min(step.for_s / _ROW_SHARE, _MOST_ROW_PAUSE_S)
+        async with trio.open_nursery() as nursery:
+            for place in self._parts.entries:
+                nursery.start_soon(place.program.stop)
+                await trio.sleep(pause_s)
+        await trio.sleep(_RESTARTED_S)
+
     async def _trouble_agent(self, step: schedule.Step) -> None:
         agent = self._parts.agents[step.place % len(self._parts.agents)]
         if step.kind == "agent_kill":
@@ -213,10 +227,11 @@
             nursery.start_soon(balancer.run)
             with trio.move_on_after(_MOST_WARM_UP_S):
                 await balancer.wait_all_ready()
-            for _ in range(_CALLERS):
-                nursery.start_soon(
-                    callers.call_for_ever, balancer, facts, source
+            for number in range(_CALLERS):
+                call = functools.partial(
+                    callers.call_for_ever, stays=number % 2 == 0
                 )
+                nursery.start_soon(call, balancer, facts, source)
             nursery.start_soon(_watch_lag, facts)
             pause_s = callers.find_probe_pause(len(parts.entries))
             for place in parts.entries:
--- a/bench/soak/programs.py
+++ b/bench/soak/programs.py
@@ -57,6 +57,11 @@
         """Identifier of the process, 0 while there is none."""
         return 0 if self._process is None else self._process.pid
 
+    @property
+    def is_running(self) -> bool:
+        """True until the process has ended, also while it is told to."""
+        return self._process is not None and self._process.poll() is None
+
     async def run(self) -> None:
         """Start it, and start it again whenever it has ended."""
         try:
@@ -131,9 +136,12 @@
     async def stop(self) -> None:
         """Tell it to end, and kill it when its time is over."""
         process = self._process
-        if process is None:
+        if process is None or process.poll() is not None:
             return
         self._is_expected_to_end = True
+        self._facts.stops.append(
+            seen.Stop(self.name, process.pid, trio.current_time())
+        )
         self._signal(signal.SIGTERM)
         with trio.move_on_after(_KILL_AFTER_S):
             while process.poll() is None:
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -10,6 +10,7 @@
     "entry_stop",
     "entry_pause",
     "entry_reload",
+    "entries_stop",
     "agent_kill",
     "agent_pause",
     "log_silent",
@@ -38,6 +39,9 @@
 """Time after each series in which only the configuration changes. Promises
 with a time hold from some seconds after the last fault, so without a lull
 they would hardly ever be put to the test."""
+_ROW_SHARE: typing.Final = 0.5
+"""Share of series after which all entries are stopped in a row."""
+_ROW_WITHIN_S: typing.Final = 3.0
 _MOST_FAULTS: typing.Final = 6
 """Faults of one series."""
 _MOST_S: typing.Final = 7.0
@@ -77,6 +81,9 @@
         for _ in range(2):
             at = begins_at + source.uniform(0, _SERIES_S + _LULL_S)
             steps.append(_draw_step(source, at, "changes"))
+        if source.random() < _ROW_SHARE:
+            at = begins_at + _SERIES_S + source.uniform(0, _ROW_WITHIN_S)
+            steps.append(_draw_step(source, at, "entries_stop"))
         begins_at += _SERIES_S + _LULL_S
     return sorted(steps)
 
