--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -28,6 +28,17 @@
     And the stream ends whole with 150 tokens
     And the first entry has exited with 0
 
+  Scenario: an entry that is told to stop twice finishes its stream
+  Guards against a second signal that ends the process at once, with all
+  answers that are on their way.
+
+    Given a deployment of 2 entries and 1 target
+    When a caller reads a stream of 150 tokens
+    And after 10 tokens the first entry is told to stop
+    And after 20 tokens the first entry is told to stop
+    Then the stream ends whole with 150 tokens
+    And the first entry has exited with 0
+
   Scenario Outline: an entry that is told to stop finishes what has not begun
   The entry's process gets the signal to stop while a caller still waits for
   the first word of its answer. The answer comes whole before the entry exits.
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/entry.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/entry.py
@@ -150,8 +150,18 @@
     )
 
 
-async def _leave_at_signal(
-    state: entry_state.EntryState, stop: trio.Event
+async def _watch_signals(told: trio.Event) -> None:
+    """Set ``told`` at the first signal to end, and take all further ones.
+
+    A signal that nobody takes would end the process with what still runs.
+    """
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            told.set()
+
+
+async def _leave_when_told(
+    state: entry_state.EntryState, told: trio.Event, stop: trio.Event
 ) -> None:
     """Finish what runs, then stop the server.
 
@@ -159,9 +169,7 @@
     the health check turns, so the balancer sends callers elsewhere. When the
     time is over, callers without an answer are told that there is none.
     """
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            break
+    await told.wait()
     state.leaving = True
     logs.log_event(events.LEAVING_STARTED, reason="told to stop")
     within_s = state.settings.shutdown_within_ms / 1000
@@ -239,8 +247,10 @@
                 log, tail, live, pool.list_all_links
             ).run
         )
+        told = trio.Event()
         stop = trio.Event()
-        nursery.start_soon(_leave_at_signal, state, stop)
+        nursery.start_soon(_watch_signals, told)
+        nursery.start_soon(_leave_when_told, state, told, stop)
         logs.log_event(
             events.ENTRY_STARTED,
             listen=settings.listen,
