--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -14,6 +14,11 @@
 from bench.soak import playing
 from bench.soak import schedule
 
+_BOUNDS: typing.Final = {
+    "platform": checks.Bounds(),
+    "own": checks.Bounds(in_force_s=7.0, do_agents_carry=True),
+}
+
 
 def _tell(
     verdicts: typing.Sequence[checks.Verdict],
@@ -64,6 +69,10 @@
         int, typer.Option(help="Engines, each with an agent.")
     ] = 3,
     plain: typing.Annotated[int, typer.Option(help="Plain targets.")] = 2,
+    interface: typing.Annotated[
+        typing.Literal["platform", "own"],
+        typer.Option(help="The users' platform, or the own interface."),
+    ] = "platform",
     timed: typing.Annotated[
         bool, typer.Option(help="Check promises with a time as well.")
     ] = True,
@@ -74,9 +83,13 @@
     played = 0
     while played < seeds or time.monotonic() < until:
         options = playing.SoakOptions(
-            seed + played, length_s, fleet.FleetSize(entries, engines, plain)
+            seed + played,
+            length_s,
+            fleet.FleetSize(entries, engines, plain),
+            interface,
         )
-        if not play_one(options, checks.Bounds(are_timed=timed)):
+        bounds = _BOUNDS[interface]._replace(are_timed=timed)
+        if not play_one(options, bounds):
             broken.append(options.seed)
         played += 1
     print(f"{played} seeds, {len(broken)} with a broken promise: {broken}")
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from bench.soak import dialects
 from bench.soak import facts as seen
 from bench.soak import kinds
 from bench.soak import programs
@@ -21,7 +22,6 @@
     "probe_for_ever",
 )
 
-MAIN_KEY: typing.Final = "key-of-all-versions"
 _LOOK_S: typing.Final = 0.5
 _MOST_MISSES: typing.Final = 2
 _PAUSE_S: typing.Final = 0.06
@@ -33,9 +33,6 @@
 """Standard deviation of the logarithm of estimated over real length."""
 _CONNECT_MS: typing.Final = 1000.0
 _OK: typing.Final = 200
-_NOT_RUN: typing.Final = 503
-_NOT_FOUND: typing.Final = 404
-_NO_KEY: typing.Final = 401
 
 
 class EntryPlace(typing.NamedTuple):
@@ -52,9 +49,12 @@
 class Balancer:
     """Knows which entries take connections, as a balancer does."""
 
-    def __init__(self, entries: abc.Sequence[EntryPlace]) -> None:
+    def __init__(
+        self, entries: abc.Sequence[EntryPlace], dialect: dialects.Dialect
+    ) -> None:
         """Ask ``entries``."""
         self._entries: typing.Final = entries
+        self._dialect: typing.Final = dialect
         self._misses: typing.Final = dict.fromkeys(
             range(len(entries)), _MOST_MISSES
         )
@@ -85,27 +85,19 @@
         connections = kept_connections.KeptConnections(
             place.ready, _LOOK_S * 1000
         )
-        request = _make_request(b"GET", "/api/readiness", place.ready, {}, b"")
+        request = dialects.ask(b"GET", self._dialect.ready_path, {})
         while True:
             answer = await _exchange(connections, request, _LOOK_S)
-            is_ready = answer == _Answer(_OK, b"", "answered")
+            is_ready = answer.is_whole and answer.status == _OK
             self._misses[number] = 0 if is_ready else self._misses[number] + 1
             await trio.sleep(_LOOK_S)
 
 
-class _Answer(typing.NamedTuple):
-    """What came back; the status is 0 if nothing did."""
-
-    status: int
-    body: bytes
-    end: typing.Literal["answered", "cut", "given_up", "not_sent"]
-
-
 async def _exchange(
     connections: kept_connections.KeptConnections,
     request: kept_connections.ExchangeRequest,
     within_s: float,
-) -> _Answer:
+) -> dialects.Outcome:
     status = 0
     parts: list[bytes] = []
     with trio.move_on_after(within_s):
@@ -114,35 +106,27 @@
                 status = exchange.status
                 async for part in exchange.receive_body():
                     parts.append(part)
-            return _Answer(status, b"".join(parts), "answered")
+            body = b"".join(parts)
+            return dialects.Outcome(status, body, "answered", is_whole=True)
         except ports.PortError as error:
             # What the entry ends too soon is noted as such.
             if not error.took_effect:
-                return _Answer(0, b"", "not_sent")
-            return _Answer(status, b"".join(parts), "cut")
-    return _Answer(status, b"".join(parts), "given_up")
-
-
-def _make_request(
-    method: bytes,
-    path: str,
-    host: str,
-    headers: abc.Mapping[str, str],
-    body: bytes,
-) -> kept_connections.ExchangeRequest:
-    fields = [("Host", host), *headers.items()]
-    return kept_connections.ExchangeRequest(
-        method,
-        path.encode(),
-        [(name.encode(), value.encode()) for name, value in fields],
-        body,
-    )
+                return dialects.Outcome(0, b"", "not_sent")
+            return dialects.Outcome(status, b"".join(parts), "cut")
+    return dialects.Outcome(status, b"".join(parts), "given_up")
 
 
 class _Caller:
     """A caller with its connections, which it keeps."""
 
-    def __init__(self, source: random.Random, *, stays: bool) -> None:
+    def __init__(
+        self,
+        dialect: dialects.Dialect,
+        source: random.Random,
+        *,
+        stays: bool,
+    ) -> None:
+        self._dialect: typing.Final = dialect
         self._source: typing.Final = source
         self._stays: typing.Final = stays
         self._connections: typing.Final[
@@ -166,14 +150,7 @@
         request_id = f"{kind.name}-{most}-{uuid.uuid4().hex}"
         error = self._source.lognormvariate(0, _ESTIMATE_SPREAD)
         estimate = round(kinds.count_events(request_id) * error)
-        headers = {
-            **_make_headers(request_id, kind.deadline_ms, MAIN_KEY),
-            "X-Gentianpoint-Token-Count": f"100,{most}",
-            "X-Gentianpoint-Length-Hint": str(estimate),
-        }
-        request = _make_request(
-            b"POST", f"/{kind.name}/x", kinds.HOST, headers, b"prompt"
-        )
+        request = self._dialect.make_call(kind, request_id, estimate)
         pid = place.program.pid
         self._last = (place, pid)
         connections = self._connections.setdefault(
@@ -181,22 +158,25 @@
         )
         sent_at = trio.current_time()
         answer = await _exchange(connections, request, kind.deadline_ms / 1000)
+        ended_at = trio.current_time()
+        answer = self._dialect.read_outcome(request_id, answer)
         return seen.Answer(
             request_id,
             kind.name,
             sent_at,
             answer.status,
             answer.body,
-            answer.end == "answered",
+            answer.is_whole,
             place.program.name,
             pid,
-            trio.current_time(),
+            ended_at,
             answer.end,
         )
 
 
 async def call_for_ever(
     balancer: Balancer,
+    dialect: dialects.Dialect,
     facts: seen.Facts,
     source: random.Random,
     *,
@@ -206,7 +186,7 @@
 
     A caller that ``stays`` uses a process until it is gone.
     """
-    caller = _Caller(source, stays=stays)
+    caller = _Caller(dialect, source, stays=stays)
     while True:
         kind = source.choice(kinds.KINDS)
         place = caller.choose_place(balancer)
@@ -214,17 +194,6 @@
         await trio.sleep(source.random() * _PAUSE_S)
 
 
-def _make_headers(
-    request_id: str, deadline_ms: int, key: str
-) -> dict[str, str]:
-    return {
-        "X-Gentianpoint-Request-Id": request_id,
-        "X-Gentianpoint-Request-Deadline": str(deadline_ms),
-        "X-Gentianpoint-Model": "m",
-        "Authorization": f"Bearer {key}",
-    }
-
-
 def find_probe_pause(entries: int) -> float:
     """Return the seconds between two probes of an entry.
 
@@ -235,53 +204,43 @@
 
 
 async def probe_for_ever(
-    place: EntryPlace, facts: seen.Facts, pause_s: float
+    place: EntryPlace,
+    dialect: dialects.Dialect,
+    facts: seen.Facts,
+    pause_s: float,
 ) -> None:
-    """Ask an entry again and again for what the newest version says.
-
-    Each version adds a route, and takes the key of the one before away.
-    """
+    """Ask an entry again and again for what the newest version says."""
     connections = kept_connections.KeptConnections(place.front, _CONNECT_MS)
     while True:
         if facts.changes:
-            version = facts.changes[-1].version
-            for is_key in (False, True):
-                await _probe(connections, place, facts, version, is_key=is_key)
+            await _probe(connections, place, dialect, facts)
         await trio.sleep(pause_s)
 
 
 async def _probe(
     connections: kept_connections.KeptConnections,
     place: EntryPlace,
+    dialect: dialects.Dialect,
     facts: seen.Facts,
-    version: int,
-    *,
-    is_key: bool,
 ) -> None:
-    key = f"key-{version - 1}" if is_key else MAIN_KEY
-    path = "/status/x" if is_key else f"/version-{version}/x"
-    request_id = f"probe-{uuid.uuid4().hex}"
-    pid = place.program.pid
-    sent_at = trio.current_time()
-    headers = _make_headers(request_id, 1000, key)
-    request = _make_request(b"POST", path, kinds.HOST, headers, b"")
-    answer = await _exchange(connections, request, _PROBE_ANSWER_S)
-    if answer.end != "answered":
-        # An entry that is down, or was, shows nothing of its version.
-        return
-    if answer.status == _NOT_RUN or pid != place.program.pid:
-        return
-    refused = answer.status == (_NO_KEY if is_key else _NOT_FOUND)
-    if is_key and refused:
-        # So does an entry that is two versions behind; its route tells.
-        return
-    facts.probes.append(
-        seen.Probe(
-            place.program.name,
-            pid,
-            version,
-            sent_at,
-            trio.current_time(),
-            is_in_force=not is_key and not refused,
-        )
-    )
+    version = facts.changes[-1].version
+    requests = dialect.make_probes(version, f"probe-{uuid.uuid4().hex}")
+    for number, request in enumerate(requests):
+        pid = place.program.pid
+        sent_at = trio.current_time()
+        answer = await _exchange(connections, request, _PROBE_ANSWER_S)
+        if not answer.is_whole or pid != place.program.pid:
+            # An entry that is down, or was, shows nothing of its version.
+            continue
+        is_in_force = dialect.judge_probe(number, answer.status)
+        if is_in_force is not None:
+            facts.probes.append(
+                seen.Probe(
+                    place.program.name,
+                    pid,
+                    version,
+                    sent_at,
+                    trio.current_time(),
+                    is_in_force,
+                )
+            )
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -15,7 +15,7 @@
 _OF_ENTRY: typing.Final = frozenset(("entry_kill", "entry_pause"))
 """Faults that cut what an entry has taken."""
 _OF_AGENT: typing.Final = frozenset(("agent_kill", "agent_pause"))
-"""Faults that cut nothing: requests don't pass through agents."""
+"""Faults that cut nothing where requests don't pass through agents."""
 _SIGNAL_S: typing.Final = 0.2
 """Time until a program knows of a signal."""
 _MOST_NAMED: typing.Final = 5
@@ -56,6 +56,9 @@
     closed."""
     lag_s: float = 1.0
     """Time for which the soak's own process may stand still."""
+    do_agents_carry: bool = False
+    """True where requests pass through agents, so that faults of these cut
+    them."""
     are_timed: bool = True
     """False leaves out the promises with a time, which a busy machine
     can't be held to."""
@@ -394,7 +397,9 @@
         if item.entry == answer.entry and item.kind in _OF_ENTRY:
             excused_until = item.ends_at
             begins_at = min(answer.sent_at, cut.stopped_at or answer.sent_at)
-        elif item.entry == seen.TARGETS and item.kind not in _OF_AGENT:
+        elif item.entry == seen.TARGETS and (
+            bounds.do_agents_carry or item.kind not in _OF_AGENT
+        ):
             excused_until = item.ends_at + bounds.silent_s
             begins_at = answer.sent_at
         else:
--- a/bench/soak/configurations.py
+++ b/bench/soak/configurations.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from bench.soak import callers
+from bench.soak import dialects
 from bench.soak import kinds
 
 __all__ = ("make_configuration",)
@@ -65,7 +65,7 @@
             {"name": kinds.PLAIN, "health_path": "/health", "conn_limit": 99},
         ],
         "tenants": [
-            {"name": "all", "api_keys": [callers.MAIN_KEY]},
+            {"name": "all", "api_keys": [dialects.MAIN_KEY]},
             {"name": "newest", "api_keys": [f"key-{version}"]},
         ],
         "limits": {"idle_timeout_ms": 9000},
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -9,6 +9,7 @@
 import pathlib
 import random
 import socket
+import sys
 import typing
 
 import trio
@@ -19,11 +20,12 @@
 from bench.soak import kinds
 from bench.soak import platform_log
 from bench.soak import platform_targets
+from bench.soak import players
 from bench.soak import programs
 from gentianpoint_core import option_types
 from gentianpoint_standins import relay
 
-__all__ = ("Fleet", "FleetSize", "NetworkSlot")
+__all__ = ("Fleet", "FleetSize", "NetworkSlot", "open_relay")
 
 _FIRST_SLOT: typing.Final = 40
 _LAST_SLOT: typing.Final = 250
@@ -79,7 +81,7 @@
         self._guard.close()
 
 
-class Fleet:
+class Fleet(players.Parts):
     """All parts of a soak."""
 
     def __init__(
@@ -104,13 +106,13 @@
             )
             for number in range(count)
         ]
-        self.log_relays: typing.Final = [
+        self.log_relays = [
             relay.Relay(self._log_address) for _ in range(size.entries)
         ]
-        self.entries: typing.Final = [
+        self.entries = [
             self._place_entry(number) for number in range(size.entries)
         ]
-        self.agents: typing.Final = [
+        self.agents = [
             self._make_agent(number) for number in range(size.engines)
         ]
 
@@ -178,7 +180,13 @@
     ) -> programs.Program:
         path = self._folder / f"{name}.toml"
         path.write_text(_write_toml(settings))
-        return programs.Program(name, script, path, self._facts)
+        return programs.Program(
+            name,
+            [sys.executable, str(programs.ROOT / "platform" / script)],
+            {"GENTIANPOINT_CONFIG": str(path)},
+            path.with_suffix(".log"),
+            self._facts,
+        )
 
     async def run(self, task_status: typing.Any) -> None:
         """Serve the stand-ins and run the programs, until cancelled.
@@ -191,12 +199,12 @@
             )
             for number, item in enumerate(self.log_relays):
                 address = f"{self._slot.find_ip(3, number)}:{_LOG_PORT}"
-                await _open_relay(nursery, item, address)
+                await open_relay(nursery, item, address)
             for target in self.targets:
                 await http_serving.open_server(
                     nursery, target.place.own, target.serve
                 )
-                await _open_relay(nursery, target.relay, target.place.listed)
+                await open_relay(nursery, target.relay, target.place.listed)
                 nursery.start_soon(target.run)
             for place in self.entries:
                 nursery.start_soon(place.program.run)
@@ -204,10 +212,14 @@
                 nursery.start_soon(agent.run)
             task_status.started()
 
+    def note_runs(self, facts: seen.Facts) -> None:
+        """Note nothing: targets write down each run as it begins."""
+
 
-async def _open_relay(
+async def open_relay(
     nursery: trio.Nursery, item: relay.Relay, address: str
 ) -> None:
+    """Let a relay take connections at an address."""
     host, port = option_types.split_address(address)
     listeners = await trio.open_tcp_listeners(port, host=host)
     nursery.start_soon(trio.serve_listeners, item.accept, listeners)
--- /dev/null
+++ b/bench/soak/own_fleet.py
@@ -0,0 +1,239 @@
+"""The parts of a soak on the project's own interface.
+
+The log, the host list, engines and plain services are processes. Relays
+stand before the log for each entry, before each agent and each target.
+"""
+
+import functools
+import hashlib
+import pathlib
+import sys
+import typing
+
+import trio
+
+from bench.soak import callers
+from bench.soak import facts as seen
+from bench.soak import fleet
+from bench.soak import kinds
+from bench.soak import own_dialect
+from bench.soak import players
+from bench.soak import programs
+from gentianpoint_standins import addresses
+from gentianpoint_standins import engine_streams
+from gentianpoint_standins import processes
+from gentianpoint_standins import relay
+
+__all__ = ("OwnFleet", "OwnTarget")
+
+_DATA_CENTRES: typing.Final = 3
+_STEP_MS: typing.Final = 20
+_SHUTDOWN_WITHIN_MS: typing.Final = 7000
+"""Less than the time after which a program that was told to end is killed."""
+_BINARIES: typing.Final = pathlib.Path(sys.executable).parent
+
+
+class OwnTarget(typing.NamedTuple):
+    """A target, and the links to it and to the agent beside it."""
+
+    name: str
+    """Its name, and that of its agent."""
+    service: str
+    """Its service."""
+    data_centre: str
+    """Its data centre."""
+    address: str
+    """IP:PORT at which it listens."""
+    relay: relay.Relay
+    """Between the agent and the target."""
+    relay_address: str
+    """IP:PORT of that relay."""
+    agent_address: str
+    """IP:PORT at which its agent listens."""
+    agent_relay: relay.Relay
+    """Between entries and the agent."""
+    agent_relay_address: str
+    """IP:PORT of that relay."""
+
+
+class OwnFleet(players.Parts):
+    """All parts of a soak."""
+
+    def __init__(
+        self,
+        size: fleet.FleetSize,
+        folder: pathlib.Path,
+        local: processes.LocalDeployment,
+        facts: seen.Facts,
+    ) -> None:
+        """Put the parts together; output goes into ``folder``."""
+        self._folder: typing.Final = folder
+        self.local: typing.Final = local
+        self._facts: typing.Final = facts
+        self._log_address: typing.Final = addresses.reserve_address()
+        self._hosts_address: typing.Final = addresses.reserve_address()
+        self._engines: typing.Final = size.engines
+        self.targets: typing.Final = [
+            self._place_target(number)
+            for number in range(size.engines + size.plain)
+        ]
+        self.handles: typing.Final[dict[str, processes.ProcessHandle]] = {}
+        self.log_relays = [
+            relay.Relay(self._log_address) for _ in range(size.entries)
+        ]
+        self._log_relay_addresses: typing.Final = [
+            addresses.reserve_address() for _ in range(size.entries)
+        ]
+        self.entries = [
+            self._place_entry(number) for number in range(size.entries)
+        ]
+        self.agents = [self._make_agent(target) for target in self.targets]
+
+    def _place_target(self, number: int) -> OwnTarget:
+        is_engine = number < self._engines
+        address = addresses.reserve_address()
+        agent_address = addresses.reserve_address()
+        return OwnTarget(
+            f"target-{number}",
+            kinds.ENGINES if is_engine else kinds.PLAIN,
+            f"centre-{number % _DATA_CENTRES}",
+            address,
+            relay.Relay(address),
+            addresses.reserve_address(),
+            agent_address,
+            relay.Relay(agent_address),
+            addresses.reserve_address(),
+        )
+
+    def _place_entry(self, number: int) -> callers.EntryPlace:
+        address = addresses.reserve_address()
+        key = self.local.operator_key.encode()
+        name = f"entry-{number}"
+        options: dict[str, processes.Option] = {
+            "name": name,
+            "data_centre": f"centre-{number % _DATA_CENTRES}",
+            "listen": address,
+            "log_url": f"http://{self._log_relay_addresses[number]}",
+            "hosts_url": f"http://{self._hosts_address}",
+            "operator_key_hash": hashlib.sha256(key).hexdigest(),
+            "shutdown_within_ms": _SHUTDOWN_WITHIN_MS,
+        }
+        command = [str(_BINARIES / "gentianpoint"), "entry"]
+        program = self._make_program(name, command, options)
+        return callers.EntryPlace(program, address, address)
+
+    def _make_agent(self, target: OwnTarget) -> programs.Program:
+        options = {
+            "name": target.name,
+            "data_centre": target.data_centre,
+            "listen": target.agent_address,
+            "log_url": f"http://{self._log_address}",
+            "service": target.service,
+            "target": target.name,
+            "target_url": f"http://{target.relay_address}",
+            "target_kind": _name_kind(target),
+        }
+        command = [str(_BINARIES / "gentianpoint-agent")]
+        return self._make_program(f"agent-{target.name}", command, options)
+
+    def _make_program(
+        self,
+        name: str,
+        command: typing.Sequence[str],
+        options: typing.Mapping[str, processes.Option],
+    ) -> programs.Program:
+        return programs.Program(
+            name,
+            [*command, *processes.make_flags(options)],
+            {"GENTIANPOINT_PEER_KEY": self.local.peer_key},
+            self._folder / f"{name}.log",
+            self._facts,
+        )
+
+    async def run(self, task_status: typing.Any) -> None:
+        """Run the stand-ins, relays and programs, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            for item, address in zip(
+                self.log_relays, self._log_relay_addresses, strict=True
+            ):
+                await fleet.open_relay(nursery, item, address)
+            for target in self.targets:
+                await fleet.open_relay(
+                    nursery, target.relay, target.relay_address
+                )
+                await fleet.open_relay(
+                    nursery, target.agent_relay, target.agent_relay_address
+                )
+            await trio.to_thread.run_sync(self._start_standins)
+            for program in self.agents:
+                nursery.start_soon(program.run)
+            for place in self.entries:
+                nursery.start_soon(place.program.run)
+            task_status.started()
+
+    def _start_standins(self) -> None:
+        self.handles["log"] = self.local.start_log(listen=self._log_address)
+        self.local.start_hosts(listen=self._hosts_address)
+        for target in self.targets:
+            start = self.local.start_plain
+            options: dict[str, processes.Option] = {"listen": target.address}
+            if target.service == kinds.ENGINES:
+                start = self.local.start_engine
+                options["step_ms"] = _STEP_MS
+            self.handles[target.name] = start(target.name, **options)
+            self.register(target, "live")
+        for number, place in enumerate(self.entries):
+            self._put_host(
+                place.program.name,
+                role="entry",
+                service="",
+                target="",
+                address=place.front,
+                data_centre=f"centre-{number % _DATA_CENTRES}",
+                state="live",
+            )
+
+    def register(self, target: OwnTarget, state: str) -> None:
+        """Write the agent beside a target into the host list."""
+        self._put_host(
+            target.name,
+            role="agent",
+            service=target.service,
+            target=target.name,
+            address=target.agent_relay_address,
+            data_centre=target.data_centre,
+            state=state,
+        )
+
+    def _put_host(self, name: str, **row: str) -> None:
+        self.local.call("PUT", f"{self.local.hosts_url}/hosts/{name}", row)
+
+    async def set_faults(self, name: str, **faults: typing.Any) -> None:
+        """Change the faults of the log or of a target."""
+        await trio.to_thread.run_sync(
+            functools.partial(
+                self.local.set_faults, self.handles[name], **faults
+            )
+        )
+
+    def note_runs(self, facts: seen.Facts) -> None:
+        """Note what targets have run, by what they counted."""
+        for target in self.targets:
+            found = self.local.read_witness(self.handles[target.name])
+            counts = found["prompts" if "prompts" in found else "tags"]
+            for answer in facts.answers:
+                prompt = own_dialect.make_prompt(answer.request_id)
+                digest = engine_streams.digest_prompt(prompt)
+                count = counts.get(digest, counts.get(answer.request_id, 0))
+                run = seen.Run(
+                    answer.request_id,
+                    target.service,
+                    target.name,
+                    answer.sent_at,
+                    0,
+                )
+                facts.runs.extend([run] * count)
+
+
+def _name_kind(target: OwnTarget) -> str:
+    return "engine" if target.service == kinds.ENGINES else "plain"
--- /dev/null
+++ b/bench/soak/platform_player.py
@@ -0,0 +1,76 @@
+"""The faults of a soak on the users' platform."""
+
+import typing
+
+import trio
+
+from bench.soak import configurations
+from bench.soak import facts as seen
+from bench.soak import fleet
+from bench.soak import platform_log
+from bench.soak import players
+from bench.soak import schedule
+
+__all__ = ("PlatformPlayer",)
+
+_FAULTY_SHARE: typing.Final = 0.3
+_LOG_TROUBLES: typing.Final = {
+    "log_silent": "silent",
+    "log_busy": "busy",
+    "log_slow": "slow",
+    "log_loses_answers": "losing",
+}
+
+
+class PlatformPlayer(players.Player):
+    """Disturbs the platform's stand-ins."""
+
+    def __init__(self, parts: fleet.Fleet, facts: seen.Facts) -> None:
+        """Disturb ``parts`` and note it in ``facts``."""
+        super().__init__(parts, facts)
+        self._parts: typing.Final = parts
+
+    async def write(self, version: int) -> float:
+        """Write a version; return when it was acknowledged."""
+        return await self._parts.log.append(
+            platform_log.CONFIGURATION,
+            "config",
+            configurations.make_configuration(version),
+        )
+
+    async def trouble_log(self, step: schedule.Step) -> None:
+        """Let the log have a trouble for the step's time."""
+        log = self._parts.log
+        if step.kind == "log_forgets":
+            log.forget()
+            return
+        log.set_trouble(_LOG_TROUBLES[step.kind])
+        await self.last(log, step, lambda: log.set_trouble(""))
+
+    async def kill_service(self, step: schedule.Step) -> None:
+        """Kill all targets of one service at once."""
+        targets = self._parts.targets
+        service = targets[step.place % len(targets)].place.service
+        async with trio.open_nursery() as nursery:
+            for target in targets:
+                if target.place.service == service:
+                    nursery.start_soon(target.die)
+
+    async def trouble_target(self, step: schedule.Step) -> None:
+        """Let a target, or the way to it, have a trouble."""
+        target = self._parts.targets[step.place % len(self._parts.targets)]
+        match step.kind:
+            case "target_kill":
+                await target.die()
+            case "target_leave":
+                await target.leave()
+            case "target_fails":
+                target.failing_share = _FAULTY_SHARE
+                await trio.sleep(step.for_s)
+                target.failing_share = 0.0
+            case "target_loses_answers":
+                target.losing_share = _FAULTY_SHARE
+                await trio.sleep(step.for_s)
+                target.losing_share = 0.0
+            case _:
+                await self.trouble_link(step, target.relay)
--- /dev/null
+++ b/bench/soak/players.py
@@ -0,0 +1,177 @@
+"""Carries out the steps of a schedule, whatever the programs' interface."""
+
+import abc
+from collections import abc as collections_abc
+import typing
+
+import trio
+
+from bench.soak import callers
+from bench.soak import facts as seen
+from bench.soak import programs
+from bench.soak import schedule
+from gentianpoint_standins import relay
+
+__all__ = ("Parts", "Player")
+
+_CHANGE_PAUSE_S: typing.Final = 0.45
+_RESTARTED_S: typing.Final = 1.0
+"""Time after its end in which a program has started again."""
+_ROW_SHARE: typing.Final = 5
+_MOST_ROW_PAUSE_S: typing.Final = 1.2
+"""Longest pause between the stops of two entries; each takes longer to end."""
+_LINK_FAULTS: typing.Final = {
+    "silent": relay.RelayFaults(silence="existing"),
+    "cut": relay.RelayFaults(cut=True),
+    "refuses": relay.RelayFaults(cut=True, refuse=True),
+    "stalls": relay.RelayFaults(stall=True),
+}
+
+
+class Parts(abc.ABC):
+    """The parts of a soak that every interface has."""
+
+    entries: collections_abc.Sequence[callers.EntryPlace]
+    """Entries."""
+    agents: collections_abc.Sequence[programs.Program]
+    """Agents."""
+    log_relays: collections_abc.Sequence[relay.Relay]
+    """The link of each entry to the log."""
+
+    @abc.abstractmethod
+    async def run(self, task_status: typing.Any) -> None:
+        """Run all parts until cancelled; tell once callers may come."""
+
+    @abc.abstractmethod
+    def note_runs(self, facts: seen.Facts) -> None:
+        """Note what ran, where that is known only at the end."""
+
+
+class Player(abc.ABC):
+    """Carries out the steps of one soak."""
+
+    def __init__(self, parts: Parts, facts: seen.Facts) -> None:
+        """Disturb ``parts`` and note it in ``facts``."""
+        self._shared: typing.Final = parts
+        self._facts: typing.Final = facts
+        self._latest: typing.Final[dict[object, schedule.Step]] = {}
+        self._writing: typing.Final = trio.Lock()
+
+    @abc.abstractmethod
+    async def write(self, version: int) -> float:
+        """Write a version; return when it was acknowledged."""
+
+    @abc.abstractmethod
+    async def trouble_log(self, step: schedule.Step) -> None:
+        """Let the log have a trouble for the step's time."""
+
+    @abc.abstractmethod
+    async def trouble_target(self, step: schedule.Step) -> None:
+        """Let a target, or the way to it, have a trouble."""
+
+    @abc.abstractmethod
+    async def kill_service(self, step: schedule.Step) -> None:
+        """Let all targets of a service end at once."""
+
+    async def change(self) -> None:
+        """Write the next version; versions wait for each other."""
+        async with self._writing:
+            version = len(self._facts.changes) + 1
+            acked_at = await self.write(version)
+            self._facts.changes.append(seen.Change(version, acked_at))
+
+    async def carry_out(self, step: schedule.Step) -> None:
+        """Let one step happen, and note whom it disturbed until when."""
+        begins_at = trio.current_time()
+        disturbed = await self._act(step)
+        if disturbed is None:
+            return
+        ends_at = trio.current_time()
+        self._facts.disturbances.append(
+            seen.Disturbance(disturbed, step.kind, begins_at, ends_at)
+        )
+        self._facts.calm_from = max(self._facts.calm_from, ends_at)
+
+    async def _act(self, step: schedule.Step) -> typing.Optional[str]:
+        """Carry a step out; return the entry it concerns, "" for all."""
+        group = step.kind.partition("_")[0]
+        if step.kind.startswith("log_link"):
+            number = step.place % len(self._shared.log_relays)
+            await self.trouble_link(step, self._shared.log_relays[number])
+            return self._shared.entries[number].program.name
+        if group == "log":
+            await self.trouble_log(step)
+            return ""
+        if group == "entry":
+            return await self._trouble_entry(step)
+        if group == "entries":
+            await self._stop_in_row(step)
+            return ""
+        if group == "agent":
+            await self._trouble_agent(step)
+            return seen.TARGETS
+        if group == "target":
+            await self.trouble_target(step)
+            return seen.TARGETS
+        if group == "service":
+            await self.kill_service(step)
+            return seen.TARGETS
+        for _ in range(step.changes):
+            await self.change()
+            await trio.sleep(_CHANGE_PAUSE_S)
+        return None
+
+    async def last(
+        self,
+        owner: object,
+        step: schedule.Step,
+        end: collections_abc.Callable[[], None],
+    ) -> None:
+        """Wait, and end what a later step for ``owner`` hasn't replaced."""
+        self._latest[owner] = step
+        await trio.sleep(step.for_s)
+        if self._latest[owner] is step:
+            end()
+
+    async def trouble_link(
+        self, step: schedule.Step, link: relay.Relay
+    ) -> None:
+        """Let a link have the trouble that the step's kind ends with."""
+        link.apply(_LINK_FAULTS[step.kind.rpartition("_")[2]])
+        if step.kind.endswith(("silent", "cut")):
+            return
+        await self.last(link, step, lambda: link.apply(relay.RelayFaults()))
+
+    async def _trouble_entry(
+        self, step: schedule.Step
+    ) -> typing.Optional[str]:
+        place = self._shared.entries[step.place % len(self._shared.entries)]
+        program = place.program
+        if step.kind == "entry_reload":
+            program.reload()
+            return None
+        if step.kind == "entry_pause":
+            await program.pause(step.for_s)
+            return program.name
+        if step.kind == "entry_kill":
+            program.kill()
+        else:
+            await program.stop()
+        await trio.sleep(_RESTARTED_S)
+        return program.name
+
+    async def _stop_in_row(self, step: schedule.Step) -> None:
+        """Stop all entries, each before the one before it has ended."""
+        pause_s = min(step.for_s / _ROW_SHARE, _MOST_ROW_PAUSE_S)
+        async with trio.open_nursery() as nursery:
+            for place in self._shared.entries:
+                nursery.start_soon(place.program.stop)
+                await trio.sleep(pause_s)
+        await trio.sleep(_RESTARTED_S)
+
+    async def _trouble_agent(self, step: schedule.Step) -> None:
+        agent = self._shared.agents[step.place % len(self._shared.agents)]
+        if step.kind == "agent_kill":
+            agent.kill()
+        else:
+            await agent.pause(step.for_s)
--- a/bench/soak/programs.py
+++ b/bench/soak/programs.py
@@ -4,20 +4,21 @@
 and it ends only those that it has started, by their identifiers.
 """
 
+from collections import abc
 import os
 import pathlib
 import signal
 import subprocess
-import sys
 import typing
 
 import trio
 
 from bench.soak import facts as seen
 
-__all__ = ("Program",)
+__all__ = ("ROOT", "Program")
 
-_ROOT: typing.Final = pathlib.Path(__file__).resolve().parent.parent.parent
+ROOT: typing.Final = pathlib.Path(__file__).resolve().parent.parent.parent
+"""Folder of the project."""
 _LOOK_S: typing.Final = 0.1
 _RESTART_S: typing.Final = 0.5
 """Time after which the platform starts a process again."""
@@ -34,24 +35,24 @@
     def __init__(
         self,
         name: str,
-        script: str,
-        settings: pathlib.Path,
+        command: abc.Sequence[str],
+        settings: abc.Mapping[str, str],
+        log_path: pathlib.Path,
         facts: seen.Facts,
     ) -> None:
-        """Run ``platform/SCRIPT`` with a settings file."""
+        """Run ``command`` with ``settings`` as environment variables.
+
+        What it prints, over all its starts, goes to ``log_path``.
+        """
         self.name: typing.Final = name
-        self._script: typing.Final = script
+        self._command: typing.Final = command
         self._settings: typing.Final = settings
+        self._log_path: typing.Final = log_path
         self._facts: typing.Final = facts
         self._process: typing.Optional[subprocess.Popen[bytes]] = None
         self._is_expected_to_end = False
         self._memory_at = 0.0
 
-    @property
-    def log_path(self) -> pathlib.Path:
-        """File with what it printed, over all its starts."""
-        return self._settings.with_suffix(".log")
-
     @property
     def pid(self) -> int:
         """Identifier of the process, 0 while there is none."""
@@ -83,18 +84,14 @@
         )
 
     def _open_process(self) -> subprocess.Popen[bytes]:
-        environment = {
-            **os.environ,
-            "GENTIANPOINT_CONFIG": str(self._settings),
-        }
-        with self.log_path.open("ab") as output:
+        with self._log_path.open("ab") as output:
             return subprocess.Popen(
-                [sys.executable, str(_ROOT / "platform" / self._script)],
+                self._command,
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=output,
-                cwd=_ROOT,
-                env=environment,
+                cwd=ROOT,
+                env={**os.environ, **self._settings},
             )
 
     async def _watch(self) -> None:
