--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -22,10 +22,10 @@
   the answer is delivered whole.
 
     Given a deployment of 2 entries and 1 target
-    When a caller reads a stream of 150 tokens
+    When a caller reads a stream of 400 tokens
     And after 10 tokens the first entry is told to stop
     Then a new caller at the first entry is told not_run
-    And the stream ends whole with 150 tokens
+    And the stream ends whole with 400 tokens
     And the first entry has exited with 0
 
   Scenario: an entry that is told to stop twice finishes its stream
@@ -39,6 +39,15 @@
     Then the stream ends whole with 150 tokens
     And the first entry has exited with 0
 
+  Scenario: a caller goes on to ask as its entry leaves
+  Guards against requests that an entry reads after its last call has ended
+  without ever answering: their callers wait until the process is gone.
+
+    Given a deployment of 2 entries and 1 target
+    When a caller reads a stream of 50 tokens as the first entry is told to stop
+    And goes on to ask on its connection until it is told to close it
+    Then each of its requests got a final answer
+
   Scenario Outline: an entry that is told to stop finishes what has not begun
   The entry's process gets the signal to stop while a caller still waits for
   the first word of its answer. The answer comes whole before the entry exits.
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -1,6 +1,7 @@
 """Steps for hosts that leave."""
 
 import behave
+import httpx
 
 from features import builders
 from features import stream_readers
@@ -192,3 +193,48 @@
         context.fixture.targets[0].target
     )
     assert witness["started"] == 0, witness
+
+
+def make_call(context, prompt, **body):
+    return {
+        "url": f"{context.fixture.entries[0].url}/v1/completions",
+        "json": {"model": builders.MODEL, "prompt": prompt, **body},
+        "headers": builders.make_headers(),
+    }
+
+
+@behave.when(
+    "a caller reads a stream of {count:d} tokens as the first entry is told"
+    " to stop"
+)
+def read_and_stop(context, count):
+    context.client = httpx.Client(
+        timeout=builders.CALL_TIMEOUT_S,
+        limits=httpx.Limits(max_connections=1),
+    )
+    call = make_call(context, f"tokens:{count}", stream=True)
+    with context.client.stream("POST", **call) as answer:
+        lines = answer.iter_lines()
+        next(lines)
+        context.deployment.ask_to_stop(context.fixture.entries[0])
+        assert "data: [DONE]" in list(lines)
+
+
+@behave.when("goes on to ask on its connection until it is told to close it")
+def go_on(context):
+    context.outcomes = []
+    is_open = True
+    while is_open:
+        try:
+            answer = context.client.post(**make_call(context, "tokens:5"))
+        except httpx.HTTPError as error:
+            context.outcomes.append(repr(error))
+            break
+        context.outcomes.append(answer.status_code)
+        is_open = answer.headers.get("Connection") != "close"
+    context.client.close()
+
+
+@behave.then("each of its requests got a final answer")
+def check_final(context):
+    assert set(context.outcomes) == {503}, context.outcomes
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/entry.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/entry.py
@@ -51,6 +51,10 @@
 _INCARNATION_BYTES: typing.Final = 6
 _MAX_AGENT_MESSAGE_BYTES: typing.Final = 16 * 1024 * 1024
 _DRAIN_POLL_S: typing.Final = 0.05
+_LAST_ANSWERS_S: typing.Final = 0.3
+"""Time after the last call in which callers that go on to ask on its
+connection are told to close it; the server answers nothing on connections
+that outlast it."""
 _CLOSE_WITHIN_S: typing.Final = 2.0
 _HEAD_WITHIN_S: typing.Final = 5.0
 _BODY_WITHIN_S: typing.Final = 30.0
@@ -104,6 +108,12 @@
             retry_after_ms=_UNREADY_RETRY_MS,
         )
 
+    @app.after_request
+    async def close_when_leaving(answer: quart.Response) -> quart.Response:
+        if state.leaving:
+            answer.headers["Connection"] = "close"
+        return answer
+
     @app.errorhandler(errors.CallError)
     async def answer_error(error: errors.CallError) -> quart.Response:
         return error_answers.make_error_answer(error)
@@ -181,6 +191,7 @@
             events.SHUTDOWN_OVERDUE, running=state.dispatcher.count_calls()
         )
     state.dispatcher.end_calls()
+    await trio.sleep(_LAST_ANSWERS_S)
     stop.set()
 
 
