--- a/bench/soak/own_fleet.py
+++ b/bench/soak/own_fleet.py
@@ -28,7 +28,7 @@
 
 _DATA_CENTRES: typing.Final = 3
 _STEP_MS: typing.Final = 20
-_SHUTDOWN_WITHIN_MS: typing.Final = 7000
+_SHUTDOWN_WITHIN_MS: typing.Final = 5500
 """Less than the time after which a program that was told to end is killed."""
 _BINARIES: typing.Final = pathlib.Path(sys.executable).parent
 
