--- a/packages/gentianpoint-entry/features/forwarding/steps/stream_calls_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/stream_calls_steps.py
@@ -242,6 +242,17 @@
     assert ends[0]["pause_before_event"] == number, ends
 
 
+@behave.then(
+    "the line that sends the request tells of {prompt:d} prompt and"
+    " {output:d} output tokens"
+)
+def check_size_line(context, prompt, output):
+    sent = [line for line in context.lines if line["event"] == "request_sent"]
+    assert len(sent) == 1, sent
+    assert sent[0]["prompt_tokens"] == prompt, sent
+    assert sent[0]["likely_output_tokens"] == output, sent
+
+
 @behave.then("its memory was copied {way}")
 def check_copies(context, way):
     stops = {
--- a/packages/gentianpoint-entry/features/forwarding/stream_calls.feature
+++ b/packages/gentianpoint-entry/features/forwarding/stream_calls.feature
@@ -239,6 +239,14 @@
     When the request is served
     Then the line that ends the request tells of a pause of 700 ms before event 5
 
+  Scenario: the line that sends a stream tells its size
+    Many callers complain, and what the losses cost can't be told: a lost
+    answer of 2,000 tokens counts like one of four.
+    Given a generation that may run once, without copies
+    And target a answers: events 1-3 then end
+    When the request is served
+    Then the line that sends the request tells of 100 prompt and 100 output tokens
+
   Scenario Outline: a line tells who broke an answer off
     A host is stopped while it serves a report that outlasts its grace, and the
     technician complains. A line that says that the caller left would send the
--- a/packages/gentianpoint-entry/features/steps/summary_steps.py
+++ b/packages/gentianpoint-entry/features/steps/summary_steps.py
@@ -4,6 +4,7 @@
 import explain_lines
 
 from gentianpoint_entry import loss_summary
+from gentianpoint_entry import lost_worth
 
 ROUTE = "reports"
 _SENT = ("request_sent", {"target": "t-1"})
@@ -148,3 +149,62 @@
 @behave.then('two requests of the route count as "{cause}"')
 def check_two(context, cause):
     assert context.counts == {ROUTE: {cause: 2}}, context.counts
+
+
+@behave.given("log lines of requests for 100 tokens each")
+def make_sized(context):
+    context.lines = []
+    for row in context.table:
+        events = (
+            ("request_sent", make_size(int(row["output tokens"]))),
+            end(**make_end(row["end"])),
+        )
+        for second, (event, fields) in enumerate(events):
+            context.lines.append(
+                explain_lines.make_line(
+                    second,
+                    "entry-1",
+                    event,
+                    request=row["request"],
+                    route=row["route"],
+                    **fields,
+                )
+            )
+
+
+def make_size(output_tokens):
+    return {
+        "target": "t-1",
+        "prompt_tokens": 100,
+        "likely_output_tokens": output_tokens,
+    }
+
+
+def make_end(text):
+    if text == "late":
+        return {"outcome": "answered", "late": "start"}
+    return {"outcome": text, "late": ""}
+
+
+@behave.when('the losses are weighed with "{worths}"')
+def weigh(context, worths):
+    parsed = dict(lost_worth.parse_worth(text) for text in worths.split())
+    judged = loss_summary.list_judged(reversed(context.lines))
+    context.losses = lost_worth.weigh_losses(judged, parsed)
+
+
+@behave.then("the shares of all worth that were lost are")
+def check_losses(context):
+    wanted = {
+        (row["route"], row["cause"]): row["lost"] for row in context.table
+    }
+    found = {
+        (route, cause): f"{lost:.3f}"
+        for route, causes in context.losses.items()
+        for cause, lost in causes.items()
+    }
+    assert found == wanted, found
+    counts = loss_summary.count_causes(reversed(context.lines))
+    table = loss_summary.make_table(counts, context.losses)
+    weighed = [row for row in table if row.count("%") == 2]
+    assert len(weighed) == len(wanted), table
--- a/packages/gentianpoint-entry/features/summary.feature
+++ b/packages/gentianpoint-entry/features/summary.feature
@@ -46,3 +46,22 @@
     Given log lines of a request that was answered
     When the requests at leaving entries are counted
     Then there is no table of them
+
+  Scenario: causes are weighed by the worth that they took
+    The commonest cause may cost little: short answers are many, and one long
+    answer that is lost is worth more than all of them.
+    Given log lines of requests for 100 tokens each
+      | request | route   | output tokens | end         |
+      | r-1     | reports | 0             | answered    |
+      | r-2     | reports | 20            | broken_off  |
+      | r-3     | reports | 10            | late        |
+      | r-4     | tags    | 0             | broken_off  |
+      | r-5     | other   | 0             | broken_off  |
+      | r-6     | reports | 10            | caller_left |
+    When the losses are weighed with "reports=10,4 tags=2"
+    Then the shares of all worth that were lost are
+      | route   | cause                       | lost  |
+      | reports | in time                     | 0.000 |
+      | reports | broken off, target lost     | 0.422 |
+      | reports | late, waited for the target | 0.188 |
+      | tags    | broken off, target lost     | 0.062 |
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
@@ -187,6 +187,7 @@
             service=request.service.name,
             backup=options.backup_address,
             after_event=options.last_event_id,
+            **_describe_size(request),
             **_describe_target(target),
         )
         try:
@@ -268,6 +269,16 @@
         return False
 
 
+def _describe_size(request: requests.CallerRequest) -> dict[str, int]:
+    """Return what a generation asks of an engine, for a log line."""
+    if request.service.engine is None:
+        return {}
+    return {
+        "prompt_tokens": request.prompt_tokens,
+        "likely_output_tokens": request.likely_output_tokens,
+    }
+
+
 def _describe_target(target: targets.Target) -> dict[str, typing.Any]:
     """Return what is believed of a target, with its age, for a log line."""
     fields: dict[str, typing.Any] = {"open_requests": target.open_requests}
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/loss_summary.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/loss_summary.py
@@ -14,15 +14,19 @@
 
 __all__ = (
     "Cause",
+    "JudgedRequest",
     "LeavingCounts",
     "count_causes",
     "count_leaving",
     "find_causes",
+    "list_judged",
     "make_leaving_table",
     "make_table",
 )
 
 _ANSWERED: typing.Final = "answered"
+_OUTPUT_WEIGHT: typing.Final = 10.0
+"""Prompt tokens that keep an engine as busy as one output token."""
 _OUT_OF_TIME: typing.Final = frozenset(("refused_504", "timeout"))
 
 
@@ -59,6 +63,17 @@
     """Requests that were refused, as not run."""
 
 
+class JudgedRequest(typing.NamedTuple):
+    """What became of one request at one entry."""
+
+    route: str
+    """Name of its route."""
+    cause: str
+    """One of the causes."""
+    size: typing.Optional[float]
+    """What it asks of an engine, in prompt tokens; None if not told."""
+
+
 class _Request:
     """The lines of one request at one entry."""
 
@@ -88,6 +103,24 @@
     return counts
 
 
+def list_judged(texts: abc.Iterable[str]) -> abc.Sequence[JudgedRequest]:
+    """Return what became of each request; lines may be in any order."""
+    return [
+        JudgedRequest(request.route, cause, _find_size(request))
+        for request, cause in _judge_requests(log_lines.sort_lines(texts))
+    ]
+
+
+def _find_size(request: _Request) -> typing.Optional[float]:
+    """Return its size as the entry knew it when it sent the request."""
+    sent = request.find("request_sent")
+    if sent is None or "prompt_tokens" not in sent.fields:
+        return None
+    prompt = float(sent.fields["prompt_tokens"])
+    output = float(sent.fields.get("likely_output_tokens") or 0)
+    return prompt + _OUTPUT_WEIGHT * output
+
+
 def find_causes(
     lines: abc.Sequence[log_lines.Line], name: str
 ) -> abc.Sequence[tuple[str, str]]:
@@ -198,19 +231,21 @@
 
 def make_table(
     counts: abc.Mapping[str, abc.Mapping[str, int]],
+    losses: typing.Optional[abc.Mapping[str, abc.Mapping[str, float]]] = None,
 ) -> abc.Sequence[str]:
-    """Return the lines of a table, the most frequent causes first."""
-    rows = [
-        (route, cause, number, number / sum(causes.values()))
-        for route, causes in sorted(counts.items())
-        for cause, number in sorted(
-            causes.items(), key=lambda item: (-item[1], item[0])
-        )
-    ]
-    return [
-        f"{route:24} {cause:32} {number:7} {share:6.1%}"
-        for route, cause, number, share in rows
-    ]
+    """Return the lines of a table, the most frequent causes first.
+
+    ``losses`` adds a column: the share of all worth that a cause took.
+    """
+    table = []
+    for route, causes in sorted(counts.items()):
+        asked = sum(causes.values())
+        ranked = sorted(causes.items(), key=lambda item: (-item[1], item[0]))
+        for cause, number in ranked:
+            row = f"{route:24} {cause:32} {number:7} {number / asked:6.1%}"
+            lost = (losses or {}).get(route, {}).get(cause)
+            table.append(row if lost is None else f"{row} {lost:7.2%}")
+    return table
 
 
 def make_leaving_table(
