Limit what all entries together send to a cold target

Callers see a target end, with all that it runs, as its data centre comes back or as it joins: every entry takes the cold target for an empty one and sends to it. A cold target was only ranked lower, by half a score, and only after its first record; a target that becomes cold later was never known as cold.

Change: the limit is divided among the entries without asking. Each computes whole requests a second from the members that it knows, by a hash of target and member (decisions/cold_limits), and an entry that does not know the others yet has none. It counts first sends, second sends and generations that go on from a copy alike. When only cold targets are left, a request waits for up to half of its objective and is otherwise refused at once, with the time at which a target opens. Cold are: what a record says, also later ones; an announced engine; a target whose data centre was taken back.

The order of members for a shared task moves into the package of decisions, as both use it.

--- a/bench/replay/fleet.py
+++ b/bench/replay/fleet.py
@@ -159,7 +159,7 @@
             data_centre=item.data_centre,
             slots=self._costs.slots,
             is_leaving=False,
-            slow_start_ms=0.0,
+            cold_left_ms=0.0,
             started_ms=1,
         )
         seen = []
--- a/packages/gentianpoint-entry/features/forwarding/crash_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/crash_builders.py
@@ -72,7 +72,7 @@
             data_centre=forwarding_builders.DATA_CENTRE,
             slots=_SLOTS,
             is_leaving=False,
-            slow_start_ms=0.0,
+            cold_left_ms=0.0,
             started_ms=1 + number,
         )
         self.ended: typing.Final = trio.Event()
--- a/packages/gentianpoint-entry/features/forwarding/forwarding_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/forwarding_builders.py
@@ -94,7 +94,7 @@
         data_centre=DATA_CENTRE,
         slots=16,
         is_leaving=False,
-        slow_start_ms=0.0,
+        cold_left_ms=0.0,
         started_ms=1,
     )
     return entry._replace(**changes)
--- a/packages/gentianpoint-entry/features/forwarding/steps/agent_watch_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/agent_watch_steps.py
@@ -6,9 +6,9 @@
 import fleet_builders
 import forwarding_builders
 
+from gentianpoint_core.decisions import ranking
 from gentianpoint_entry.forwarding import agent_watch
 from gentianpoint_entry.forwarding import members
-from gentianpoint_entry.forwarding import ranking
 from gentianpoint_entry.forwarding import targets
 
 AGENT = "10.9.0.1:7000"
--- a/packages/gentianpoint-entry/features/forwarding/steps/shared_readings_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/shared_readings_steps.py
@@ -6,8 +6,8 @@
 import topic_builders
 import trio
 
+from gentianpoint_core.decisions import ranking
 from gentianpoint_entry.forwarding import link_delay
-from gentianpoint_entry.forwarding import ranking
 from gentianpoint_entry.forwarding import topic_follower
 
 _START_S = 6.0
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/agent_watch.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/agent_watch.py
@@ -11,8 +11,8 @@
 from collections import abc
 import typing
 
+from gentianpoint_core.decisions import ranking
 from gentianpoint_entry.forwarding import members
-from gentianpoint_entry.forwarding import ranking
 from gentianpoint_entry.forwarding import targets
 
 __all__ = ("AgentWatch",)
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/attempts.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/attempts.py
@@ -106,4 +106,7 @@
         if self.may_have_run:
             return refusals.refuse_outcome_unknown(unknown_outcome_reason)
         reason = "no target took the request"
-        return refusals.refuse_not_run(reason, self._retry_after_ms)
+        wait_ms = max(
+            self._retry_after_ms, self._shared.find_opening_ms(self._request)
+        )
+        return refusals.refuse_not_run(reason, wait_ms)
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/engine_announcements.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/engine_announcements.py
@@ -55,7 +55,7 @@
                 data_centre=message["data_centre"],
                 slots=service.engine.slots,
                 is_leaving=False,
-                slow_start_ms=0.0,
+                cold_left_ms=service.cold_ms,
                 started_ms=message["born_ms"],
             )
         )
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/entry_peers.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/entry_peers.py
@@ -8,6 +8,7 @@
 """
 
 from collections import abc
+import math
 import typing
 
 import trio
@@ -16,10 +17,10 @@
 from gentianpoint_core import peer_connections
 from gentianpoint_core import peer_sockets
 from gentianpoint_core import ports
+from gentianpoint_core.decisions import ranking
 from gentianpoint_core.generated import events
 from gentianpoint_entry.forwarding import gossip_state
 from gentianpoint_entry.forwarding import peer_links
-from gentianpoint_entry.forwarding import ranking
 
 __all__ = ("MAX_SEND_INTERVAL_S", "EntryPeers", "make_rank_lookup")
 
@@ -39,6 +40,9 @@
 _SEED_CONTACT_S: typing.Final = 4.0
 """Seconds between attempts to reach seeds that are not live members. Groups
 of entries that were separated know of each other only by the seeds."""
+_MEMBERS_KNOWN_S: typing.Final = 2.0
+"""Seconds after its start within which an entry that reaches others has heard
+of all of them: the time to connect, and a few rounds of gossip."""
 _MAX_RELAYED_ENGINES: typing.Final = 512
 """Engines that are remembered as passed on, so as not to do so again."""
 _Message = abc.Mapping[str, typing.Any]
@@ -87,6 +91,7 @@
         self._links: typing.Final[list[peer_links.PeerLink]] = []
         self._seed_contact_at = 0.0
         self._relayed: typing.Final[dict[str, None]] = {}
+        self._began_at = math.inf
 
     def replace_seeds(self, seeds: abc.Sequence[str]) -> None:
         """Use other seed addresses, as after a reload of the settings."""
@@ -116,6 +121,18 @@
             return 0
         return self.count_entries()
 
+    def list_limit_sharers(self) -> frozenset[str]:
+        """Return the entries that divide a limit among them by their names.
+
+        Empty while this entry may not know them all, which is for a moment
+        after its start and until another entry was heard of.
+        """
+        if not self._seeds:
+            return frozenset((self._address,))
+        known = self._gossip.members.list_known()
+        is_young = trio.current_time() - self._began_at < _MEMBERS_KNOWN_S
+        return frozenset() if is_young or len(known) == 1 else known
+
     def list_peer_topics(self, name: str) -> abc.Sequence[ports.KeyedTopic]:
         """Return the copies of a topic at all connected entries."""
         return [
@@ -126,6 +143,7 @@
 
     async def run(self) -> None:
         """Accept and open connections until cancelled."""
+        self._began_at = trio.current_time()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
                 peer_sockets.serve_connections,
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
@@ -10,12 +10,14 @@
 
 from gentianpoint_core import logs
 from gentianpoint_core import ports
+from gentianpoint_core.decisions import cold_limits
 from gentianpoint_core.generated import events
 from gentianpoint_entry.forwarding import arrivals
 from gentianpoint_entry.forwarding import entry_metrics
 from gentianpoint_entry.forwarding import move_destinations
 from gentianpoint_entry.forwarding import requests
 from gentianpoint_entry.forwarding import retry_limits
+from gentianpoint_entry.forwarding import routes
 from gentianpoint_entry.forwarding import target_calls
 from gentianpoint_entry.forwarding import target_ends
 from gentianpoint_entry.forwarding import target_selection
@@ -25,6 +27,10 @@
 
 _STALE_CHECK_INTERVAL_S: typing.Final = 5.0
 """Seconds between checks for connections to targets that have gone."""
+_COLD_WAIT_SHARE: typing.Final = 0.5
+"""Share of the route's objective for which a request may wait for a target
+that is cold. The rest is for its answer; after a longer wait the caller is
+better served by coming back."""
 _RELEASE_TIMEOUT_S: typing.Final = 0.3
 """Seconds allowed for releasing a copy, which expires by itself otherwise."""
 
@@ -52,12 +58,14 @@
         metrics: entry_metrics.EntryMetrics,
         ends: target_ends.TargetEnds,
         count_retry_sharers: typing.Optional[abc.Callable[[], int]] = None,
+        cold: typing.Optional[cold_limits.ColdLimits] = None,
     ) -> None:
         """Serve from ``data_centre`` as one of ``count_entries()`` entries.
 
         ``ends`` is told of connections that break off, and of answers.
         ``count_retry_sharers`` returns how many entries share the limit on
-        retries, if that differs.
+        retries, if that differs. ``cold`` limits the requests to cold
+        targets; by default this entry has the whole limit.
         """
         self.registry: typing.Final = registry
         self.calls: typing.Final = calls
@@ -70,6 +78,9 @@
         self.rng: typing.Final = rng
         self.metrics: typing.Final = metrics
         self._ends: typing.Final = ends
+        self._cold: typing.Final = cold or cold_limits.ColdLimits(
+            "", lambda: frozenset(("",))
+        )
         self._arrival_rate: typing.Final = arrivals.ArrivalRate()
         send, receive = trio.open_memory_channel[_UnusedCopy](math.inf)
         self._unused_sender: typing.Final = send
@@ -84,18 +95,94 @@
         while True:
             await trio.sleep(_STALE_CHECK_INTERVAL_S)
             self.calls.close_unlisted(self.registry.list_all())
+            self._cold.forget_idle(trio.current_time())
 
-    def choose_target(
+    async def find_target(
         self,
         request: requests.CallerRequest,
         excluded: abc.Collection[str] = (),
     ) -> typing.Optional[targets.Target]:
-        """Return the best target for a request, or None."""
-        candidates = [
+        """Return the best target, after a short wait for a cold one.
+
+        None if there is none, or none within the time that a wait may take.
+        """
+        began = trio.current_time()
+        wait_s = request.route.objective_ms * _COLD_WAIT_SHARE / 1000
+        while True:
+            target = self.choose_target(request, excluded)
+            if target is not None:
+                return target
+            opens_at = self._find_opening(request, excluded)
+            if opens_at > began + wait_s:
+                return None
+            logs.log_event(
+                events.COLD_LIMIT_REACHED,
+                service=request.service.name,
+                wait_ms=round((opens_at - trio.current_time()) * 1000),
+            )
+            await trio.sleep_until(opens_at)
+
+    def find_opening_ms(self, request: requests.CallerRequest) -> float:
+        """Return in how many milliseconds a target can take a request.
+
+        0 if one can at once, or if it is not known when one can.
+        """
+        opens_at = self._find_opening(request)
+        if math.isinf(opens_at):
+            return 0.0
+        return max(0.0, (opens_at - trio.current_time()) * 1000)
+
+    def _find_opening(
+        self,
+        request: requests.CallerRequest,
+        excluded: abc.Collection[str] = (),
+    ) -> float:
+        """Return when the first target can take a request; may be infinite."""
+        now = trio.current_time()
+        return min(
+            (
+                self._find_permitted_at(target, request.service, now)
+                for target in self.registry.list_by_service(
+                    request.service.name
+                )
+                if target.target_id not in excluded and target.accepts_work()
+            ),
+            default=math.inf,
+        )
+
+    def _find_permitted_at(
+        self, target: targets.Target, service: routes.Service, now: float
+    ) -> float:
+        """Return when a request may be sent to a target that takes work."""
+        cold_until = target.find_cold_until(service.cold_ms)
+        if not service.cold_per_s or now >= cold_until:
+            return now
+        permitted_at = self._cold.find_permitted_at(
+            target.target_id, service.cold_per_s, now
+        )
+        return min(cold_until, permitted_at)
+
+    def _list_permitted(
+        self,
+        request: requests.CallerRequest,
+        excluded: abc.Collection[str] = (),
+    ) -> abc.Sequence[targets.Target]:
+        """Return the targets to which a request may be sent now."""
+        now = trio.current_time()
+        return [
             target
             for target in self.registry.list_by_service(request.service.name)
             if target.target_id not in excluded
+            and self._find_permitted_at(target, request.service, now) <= now
         ]
+
+    def choose_target(
+        self,
+        request: requests.CallerRequest,
+        excluded: abc.Collection[str] = (),
+    ) -> typing.Optional[targets.Target]:
+        """Return the best target for a request, or None."""
+        candidates = self._list_permitted(request, excluded)
         now = trio.current_time()
         if request.service.engine is not None:
             self._arrival_rate.note(now)
@@ -163,7 +250,7 @@
     ) -> typing.Optional[targets.Target]:
         now = trio.current_time()
         return target_selection.choose_copy_destination(
-            self.registry.list_by_service(request.service.name),
+            self._list_permitted(request),
             runner,
             request,
             self.count_entries(),
@@ -182,6 +269,7 @@
         options: requests.SendOptions,
     ) -> abc.AsyncIterator[target_calls.TargetAnswer]:
         """Send a request, and count it at its target until it ends."""
+        await self._wait_until_permitted(target, request)
         tokens = target_selection.count_tokens(request)
         now = trio.current_time()
         target.open_request(now, tokens)
@@ -208,6 +296,32 @@
         finally:
             target.close_request(tokens)
 
+    async def _wait_until_permitted(
+        self, target: targets.Target, request: requests.CallerRequest
+    ) -> None:
+        """Wait until a chosen target may get a request, and count it there.
+
+        Others may have used up the limit of a cold target since the choice.
+        Raises ``ports.PortError`` if its data centre is evacuated.
+        """
+        while True:
+            now = trio.current_time()
+            permitted_at = self._find_permitted_at(
+                target, request.service, now
+            )
+            if permitted_at <= now:
+                break
+            await trio.sleep_until(permitted_at)
+        if target.is_evacuated:
+            raise ports.PortError(
+                "send request",
+                target.entry.address,
+                "the data centre is evacuated",
+                took_effect=False,
+            )
+        if request.service.cold_per_s:
+            self._cold.note_sent(target.target_id, now)
+
     def schedule_copy_release(self, target: targets.Target, name: str) -> None:
         """Queue a copy for :meth:`release_unused_copies`."""
         if not target.is_gone:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/members.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/members.py
@@ -10,8 +10,8 @@
 import typing
 
 from gentianpoint_core import deadlines
+from gentianpoint_core.decisions import ranking
 from gentianpoint_entry import change_log
-from gentianpoint_entry.forwarding import ranking
 
 __all__ = (
     "MAX_FULL_MESH_PEERS",
@@ -176,6 +176,10 @@
         """Return how many entries share the limits of the whole fleet."""
         return len(self._known)
 
+    def list_known(self) -> frozenset[str]:
+        """Return the addresses of all members that :meth:`count` counts."""
+        return frozenset(address for address, _ in self._known.list_all())
+
     def list_live(self) -> abc.Collection[str]:
         """Return the addresses of the live members, this one among them."""
         return self._live
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/plain_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/plain_calls.py
@@ -55,7 +55,7 @@
         for number in range(_MAX_SENDS):
             if await self.attempts.is_suspect():
                 return self.attempts.refuse_suspect(self._answer)
-            target = self._shared.choose_target(
+            target = await self._shared.find_target(
                 self._request, self.attempts.tried
             )
             if target is None:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/routes.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/routes.py
@@ -124,6 +124,11 @@
     """Connections that a target accepts from all callers together."""
     engine: typing.Optional[EngineSpec]
     """Set when its targets are model engines."""
+    cold_ms: float = 0.0
+    """How long a target is cold after its start, in milliseconds."""
+    cold_per_s: float = 0.0
+    """Requests a second that a cold target bears from all entries together;
+    0 if cold targets need no limit."""
 
 
 class CallerLimits(typing.NamedTuple):
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_selection.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_selection.py
@@ -37,9 +37,8 @@
 _SILENT_COST: typing.Final = 10.0
 """Score of an engine that does not answer its own agent. It is the last choice
 but still one, since the agent may be at fault."""
-_SLOW_COST: typing.Final = 0.5
-"""Score of a target that has just started, equal to half of its slots
-taken."""
+_COLD_COST: typing.Final = 0.5
+"""Score of a target that is cold, equal to half of its slots taken."""
 _DISTANCE_COST: typing.Final = 0.08
 """Score of a target in another data centre, equal to a twelfth of the slots
 taken. Traffic between data centres is billed, and a request there takes some
@@ -97,8 +96,8 @@
     score = 0.0
     if target.entry.data_centre != data_centre:
         score += distance_cost
-    if now < target.slow_start_until:
-        score += _SLOW_COST
+    if now < target.find_cold_until(request.service.cold_ms):
+        score += _COLD_COST
     if target.failures and now - target.failed_at < _FAILURE_WINDOW_S:
         score += _FAILURE_COST * min(3, target.failures)
     if target.report is not None and target.report.is_silent:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
@@ -38,8 +38,8 @@
     """Requests that it runs concurrently."""
     is_leaving: bool
     """True when it accepts no new work."""
-    slow_start_ms: float
-    """Milliseconds for which it is still slow after its start."""
+    cold_left_ms: float
+    """Milliseconds for which it is still cold."""
     started_ms: int
     """Unix time of its start in milliseconds, 0 if not said. The same
     identifier with another time is a new start, without the old state."""
@@ -100,7 +100,12 @@
         # Offset of its newest record in the list.
         self.offset = _NOT_LISTED
         self.leaves_at: typing.Optional[deadlines.Deadline] = None
-        self.slow_start_until = now + entry.slow_start_ms / 1000
+        # True while its data centre is evacuated.
+        self.is_evacuated = False
+        # Until when it is cold by its own entry.
+        self.cold_until = now + entry.cold_left_ms / 1000
+        # When it may have become cold without saying so yet.
+        self.maybe_cold_since = -math.inf
         self.report: typing.Optional[EngineReport] = None
         # Before the first report, the time at which the target was added.
         self.last_report_at = now
@@ -126,10 +131,19 @@
 
     def accepts_work(self) -> bool:
         """Tell whether new work may be sent here."""
-        if self.is_gone or self.is_replaced or self.entry.is_leaving:
+        if self.is_gone or self.is_replaced or self.is_evacuated:
+            return False
+        if self.entry.is_leaving:
             return False
         return self.report is None or not self.report.is_leaving
 
+    def find_cold_until(self, cold_ms: float) -> float:
+        """Return until when it counts as cold, on trio's clock.
+
+        ``cold_ms`` is how long its service's targets are cold after a start.
+        """
+        return max(self.cold_until, self.maybe_cold_since + cold_ms / 1000)
+
     def note_failure(self, now: float) -> None:
         """Record a failure at ``now``, which lowers the target's rank."""
         self.failures += 1
@@ -194,6 +208,7 @@
     def __init__(self) -> None:
         """Start without targets."""
         self.last_leaving_notice_at = -math.inf
+        self._evacuated: frozenset[str] = frozenset()
         self._targets: typing.Final[dict[str, Target]] = {}
         self._by_service: typing.Final[dict[str, list[Target]]] = {}
         self._by_address: typing.Final[
@@ -208,6 +223,22 @@
         """
         self.last_leaving_notice_at = now
 
+    def set_evacuated(
+        self, data_centres: abc.Collection[str], now: float
+    ) -> None:
+        """Let the targets of ``data_centres``, and no others, get no work.
+
+        Those of a data centre that is taken back may be cold, which their
+        entries in the list tell only later.
+        """
+        taken_back = self._evacuated - frozenset(data_centres)
+        self._evacuated = frozenset(data_centres)
+        for target in self._targets.values():
+            data_centre = target.entry.data_centre
+            target.is_evacuated = data_centre in self._evacuated
+            if data_centre in taken_back:
+                target.maybe_cold_since = now
+
     def put_entry(
         self, entry: TargetEntry, now: float, offset: int = _NOT_LISTED
     ) -> Target:
@@ -219,6 +250,10 @@
         known = self._targets.get(entry.target_id)
         if known is not None and _is_same_start(known.entry, entry):
             known.entry = entry
+            known.cold_until = max(
+                known.cold_until, now + entry.cold_left_ms / 1000
+            )
+            known.is_evacuated = entry.data_centre in self._evacuated
             known.is_gone = False
             # It still writes its entry, so it was wrong to conclude from
             # another target's answer that it has ended.
@@ -230,6 +265,7 @@
             self.drop(entry.target_id)
         target = Target(entry, now)
         target.offset = offset
+        target.is_evacuated = entry.data_centre in self._evacuated
         self._targets[entry.target_id] = target
         self._by_service.setdefault(entry.service, []).append(target)
         self._list_at_address(target).append(target)
