Send nothing to data centres that are evacuated, on the platform

Callers whose requests go to a data centre that an operator empties lose them when its power is cut. Cause: the record of an evacuation was passed over.

A target of an evacuated data centre takes no work: first and second sends, backups and destinations of moves leave it out; a move whose destination is evacuated meanwhile is given up and another destination chosen; a generation is not sent back to an evacuated target that had stopped it; and the one place that sends checks once more. What runs there moves out as from a target that leaves.

Tests: 12 entries that send all the time, a first reader that stops, is turned away or cut off at any phase, an evacuation that is taken back at once, by turns, twice, of all data centres, of an unknown one; an entry that starts in the middle; moves and backups.

--- a/packages/gentianpoint-entry/features/forwarding/fleet_log.py
+++ b/packages/gentianpoint-entry/features/forwarding/fleet_log.py
@@ -21,10 +21,12 @@
         self.calls = 0
         self._written = trio.Event()
 
-    def write(self, key: str) -> None:
-        """Append a record."""
+    def write(
+        self, key: str, value: typing.Optional[bytes] = b"value"
+    ) -> None:
+        """Append a record, which removes the key if it has no value."""
         offset = len(self.records)
-        self.records.append(ports.KeyedRecord(key, b"value", offset))
+        self.records.append(ports.KeyedRecord(key, value, offset))
         self._written.set()
         self._written = trio.Event()
 
@@ -84,17 +86,25 @@
 class PollingFleet:
     """Entries that follow one topic together."""
 
-    def __init__(self, count: int, timing: topic_follower.PollTiming) -> None:
+    def __init__(
+        self,
+        count: int,
+        timing: topic_follower.PollTiming,
+        make_consumer: abc.Callable[
+            [], topic_follower.RecordConsumer
+        ] = TimingConsumer,
+    ) -> None:
         self.log: typing.Final = FleetLog()
         self.fleet: typing.Final = fleet_builders.Fleet(count)
-        self.consumers: typing.Final[dict[str, TimingConsumer]] = {}
+        self.consumers: typing.Final[dict[str, typing.Any]] = {}
         self._timing: typing.Final = timing
+        self._make_consumer: typing.Final = make_consumer
 
     def start(self, nursery: trio.Nursery) -> None:
         """Start all entries."""
         self.fleet.start(nursery)
         for entry in self.fleet.entries.values():
-            consumer = TimingConsumer()
+            consumer = self._make_consumer()
             self.consumers[entry.address] = consumer
             topic = EntryTopic(self.log, entry.address)
             entry.follow(topic, consumer, self._timing)
--- a/packages/gentianpoint-entry/features/forwarding/steps/stream_calls_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/stream_calls_steps.py
@@ -111,8 +111,11 @@
         handler = request_handling.RequestHandler(
             shared, forwarding_builders.send_refusal, find_shutdown_time
         )
+        if "before" in context:
+            await context.before(context, shared, number)
         began = trio.current_time()
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(shared.release_unused_copies)
             nursery.start_soon(measure_overlap, context)
             if number is not None:
                 nursery.start_soon(change, context, shared, number)
@@ -124,6 +127,7 @@
     with testing.capture_logs() as lines:
         topic_builders.run_on_mock_clock(run)
     context.lines = lines
+    context.freed = context.calls.freed_copies
 
 
 @behave.when("the request is served")
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/generation_moves.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/generation_moves.py
@@ -99,6 +99,18 @@
         """Tell whether the generation can be stopped for the last copy."""
         return self._stage is _Stage.COPIED
 
+    def destination_accepts_work(self) -> bool:
+        """Tell whether the generation may still continue where it is copied.
+
+        The destination may have begun to leave, or its data centre may have
+        been evacuated, since it was chosen.
+        """
+        return self.destination is not None and self.destination.accepts_work()
+
+    def abandon(self) -> None:
+        """Give the move up, so that another destination can be chosen."""
+        self._fail("copy the rest", "the destination takes no work any more")
+
     def has_failed(self) -> bool:
         """Tell whether no copy could be made."""
         return self._stage is _Stage.FAILED
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
@@ -105,7 +105,7 @@
 
     async def serve(self) -> typing.Optional[refusals.Refusal]:
         """Answer the caller; return a refusal if there is no answer."""
-        plan = self._plan_first()
+        plan = await self._plan_first()
         for _ in range(_MAX_RUNS):
             if plan is None:
                 break
@@ -113,14 +113,14 @@
                 return self.attempts.refuse_suspect(self._answer)
             run = await self._open(plan)
             if run is None:
-                plan = self._plan_retry()
+                plan = await self._plan_retry()
                 continue
             if run.answer.status >= 300:
                 return await self._forward_failure(run)
             broken = await self._forward_runs(run)
             if broken is None:
                 return None
-            plan = self._plan_after_break(broken)
+            plan = await self._plan_after_break(broken)
         return self._give_up()
 
     def describe_timing(self) -> dict[str, typing.Any]:
@@ -134,17 +134,19 @@
 
     # Planning of runs.
 
-    def _plan_first(self) -> typing.Optional[stream_runs.RunPlan]:
-        target = self._shared.choose_target(self._request)
+    async def _plan_first(self) -> typing.Optional[stream_runs.RunPlan]:
+        target = await self._shared.find_target(self._request)
         if target is None:
             return None
         return self._plan(target, requests.SendOptions())
 
-    def _plan_retry(self) -> typing.Optional[stream_runs.RunPlan]:
+    async def _plan_retry(self) -> typing.Optional[stream_runs.RunPlan]:
         """Plan a new run after one that failed or was refused."""
         if not self.attempts.may_send_again():
             return None
-        target = self._shared.choose_target(self._request, self.attempts.tried)
+        target = await self._shared.find_target(
+            self._request, self.attempts.tried
+        )
         if target is None or not self._shared.take_retry(self._request):
             return None
         options = requests.SendOptions(
@@ -152,15 +154,15 @@
         )
         return self._plan(target, options)
 
-    def _plan_after_break(
+    async def _plan_after_break(
         self, run: stream_runs.StreamRun
     ) -> typing.Optional[stream_runs.RunPlan]:
         """Plan how the stream continues after its target broke off."""
         backup = run.backup
-        if backup is not None and not backup.is_gone:
+        if backup is not None and not (backup.is_gone or backup.is_evacuated):
             self._log_move(run.target, backup, "backup after a break")
             return self._plan_from_backup(backup)
-        return self._plan_retry()
+        return await self._plan_retry()
 
     def _plan_from_backup(self, backup: targets.Target) -> stream_runs.RunPlan:
         copy = requests.MemoryCopy(
@@ -284,14 +286,18 @@
         uses it when the run continues there. After a move to another target
         the copy is left over.
         """
-        unused = "" if self._move is None else self._move.take_unused_handle()
-        if unused:
-            self._shared.schedule_copy_release(run.target, unused)
+        self._release_unused_copy(run)
         if next_run is not None and run.backup is not None:
             self._shared.schedule_copy_release(
                 run.backup, self._request.request_id
             )
 
+    def _release_unused_copy(self, run: stream_runs.StreamRun) -> None:
+        """Release the copy that a move has made and not used."""
+        unused = "" if self._move is None else self._move.take_unused_handle()
+        if unused:
+            self._shared.schedule_copy_release(run.target, unused)
+
     async def _cancel_when_silent(
         self, run: stream_runs.StreamRun, nursery: trio.Nursery
     ) -> None:
@@ -445,6 +451,10 @@
             return None
         if not self._move.is_ready():
             return None
+        if not self._move.destination_accepts_work():
+            self._move.abandon()
+            self._release_unused_copy(run)
+            return None
         stopped = await self._move.stop_and_copy()
         # Lets the next move use the links while this generation is taken over.
         self._move.release_turn()
@@ -452,7 +462,7 @@
             # The generation continues at its source, or its stream breaks off.
             return None
         self._had_no_room_after_stop = not stopped.is_at_destination
-        candidates = [run.target]
+        candidates = [] if run.target.is_evacuated else [run.target]
         if stopped.is_at_destination and self._move.destination is not None:
             candidates.insert(0, self._move.destination)
         for target in candidates:
