Evacuate data centres on the own interface

Operators of the own interface had no way to empty a data centre: each of its hosts had to be taken off the host list, one by one, and calls that waited at agents there started as soon as there was room.

Change: `gentianpoint evacuate DATA_CENTRE [--end]`, `gentianpoint evacuations` and /admin/v1/evacuations. Records expire, so one entry after the other repeats the state while a data centre is evacuated. Entries place no call there, connect to agents elsewhere when all theirs are concerned, and tell agents by two new optional fields of `configure`. Agents take the newest word of any entry, refuse offers and waiting calls, and say so in their reports, from which an entry without the log learns it. An entry is ready once it has read the stream or the log fails.

--- a/features/commands.feature
+++ b/features/commands.feature
@@ -29,6 +29,18 @@
     Then the exit code is 3
     And the output says there is no customers/eva
 
+  Scenario: a data centre is evacuated, shown and taken back
+    When the operator runs evacuate zona-norte
+    Then the exit code is 0
+    And the output says zona-norte evacuated
+    When the operator repeats evacuations until it says 1 of 1 connected agents
+    And the operator runs evacuate zona-norte --end
+    Then the exit code is 0
+    And the output says zona-norte taken back
+    When the operator repeats evacuations until it says nothing
+    And an operator with a wrong key runs evacuate zona-norte
+    Then the exit code is 3
+
   Scenario: more resources than one answer holds
     When 620 customers more are declared
     And the operator runs get customers
--- a/features/steps/commands_steps.py
+++ b/features/steps/commands_steps.py
@@ -7,12 +7,14 @@
 import subprocess
 import sys
 import tempfile
+import time
 
 import behave
 import httpx
 
 from features import administration
 
+WITHIN_S = 30.0
 COMMAND = pathlib.Path(sys.executable).parent / "gentianpoint"
 
 
@@ -70,6 +72,17 @@
     run(context, shlex.split(arguments))
 
 
+@behave.when("the operator repeats {arguments} until it says {text}")
+def run_until(context, arguments, text):
+    expected = "" if text == "nothing" else text
+    until = time.monotonic() + WITHIN_S
+    while True:
+        found = run(context, shlex.split(arguments)).stdout
+        if expected in found and bool(found) == bool(expected):
+            return
+        assert time.monotonic() < until, found
+
+
 @behave.when("an operator with a wrong key runs {arguments}")
 def run_with_wrong_key(context, arguments):
     run(context, shlex.split(arguments), key="wrong")
--- a/packages/gentianpoint-agent/features/entry_connections.feature
+++ b/packages/gentianpoint-agent/features/entry_connections.feature
@@ -91,6 +91,38 @@
     Then both offers are refused with not_run
     And the target ran 0 call
 
+  Scenario: the data centre of the agent is evacuated
+    Guards against an entry that can't read the log and goes on to offer calls
+    to an evacuated data centre: the agent has heard it from another entry.
+    Given an agent with a connection from entry run r1
+    When another connection from entry run r2 is opened
+    And connection 1 tells of an evacuation as of offset 5
+    And connection 2 tells of no evacuation as of offset 3
+    And an offer of attempt a1 arrives on connection 2
+    Then the offer on connection 2 is refused with not_run
+    And the target ran 0 call
+    And its reports say that it is evacuated
+
+  Scenario: the data centre of the agent is taken back
+    Given an agent with a connection from entry run r1
+    When connection 1 tells of an evacuation as of offset 5
+    And connection 1 tells of no evacuation as of offset 6
+    And an offer of attempt a1 arrives on connection 1
+    Then the target ran 1 call
+
+  Scenario: calls that wait as the data centre is evacuated
+    Guards against calls that start at an evacuated target minutes later, when
+    those before them have ended. They are refused, so that entries can have
+    them run elsewhere. What runs is finished.
+    Given an agent with a connection from entry run r1
+    And its target runs one call at a time, which does not end
+    When an offer of attempt a1 arrives on connection 1
+    And another connection from entry run r2 is opened
+    And an offer of attempt a2 arrives on connection 2
+    And connection 1 tells of an evacuation as of offset 5
+    Then the offer on connection 2 is refused with not_run
+    And the target ran 1 call
+
   Scenario: random messages with valid types
     Then random messages raise nothing but a connection's error
 
--- a/packages/gentianpoint-agent/features/entry_stage.py
+++ b/packages/gentianpoint-agent/features/entry_stage.py
@@ -144,6 +144,8 @@
     def __init__(self) -> None:
         """Create a service that has run no call."""
         self.calls: typing.Final[list[abc.Sequence[tuple[str, str]]]] = []
+        self.may_end = trio.Event()
+        self.may_end.set()
 
     @contextlib.asynccontextmanager
     async def send_call(
@@ -155,6 +157,7 @@
     ) -> abc.AsyncIterator[ports.PlainAnswer]:
         """Record a call and return a short answer."""
         self.calls.append(headers)
+        await self.may_end.wait()
         yield ports.PlainAnswer(200, (), self._iterate())
 
     async def _iterate(self) -> abc.AsyncIterator[bytes]:
@@ -194,6 +197,11 @@
         websocket.deliver(make_hello(run, **versions))
         self._nursery.start_soon(self._serve, len(self.websockets))
 
+    def block_target(self) -> None:
+        """Let the target run one call at a time, and end none."""
+        self.state.control._policy = baseline_policies.FixedPolicy(1)
+        self.target.may_end = trio.Event()
+
     def suspend_admission(self) -> None:
         """Suspend admission, as the agent does while its target loads."""
         self.state.suspend_admission("the target is loading")
--- a/packages/gentianpoint-agent/features/steps/entry_connections_steps.py
+++ b/packages/gentianpoint-agent/features/steps/entry_connections_steps.py
@@ -82,6 +82,52 @@
     context.stage.call(websocket.deliver, message)
 
 
+def tell_evacuation(context, number, is_evacuated, offset):
+    message = {
+        "type": "configure",
+        "offset": 0,
+        "revision": 0,
+        "service": b"",
+        "replicas": 1,
+        "evacuated": is_evacuated,
+        "evacuations_offset": offset,
+    }
+    websocket = context.agent.websockets[number - 1]
+    context.stage.call(websocket.deliver, message)
+
+
+@behave.when(
+    "connection {number:d} tells of an evacuation as of offset {offset:d}"
+)
+def begin_evacuation(context, number, offset):
+    tell_evacuation(context, number, True, offset)
+
+
+@behave.when(
+    "connection {number:d} tells of no evacuation as of offset {offset:d}"
+)
+def end_evacuation(context, number, offset):
+    tell_evacuation(context, number, False, offset)
+
+
+@behave.then("its reports say that it is evacuated")
+def check_report(context):
+    assert context.stage.call(context.agent.state.make_report)["evacuated"]
+
+
+@behave.given("its target runs one call at a time, which does not end")
+def block_target(context):
+    context.stage.call(context.agent.block_target)
+
+
+@behave.then("the offer on connection {number:d} is refused with {code}")
+def check_refused_on(context, number, code):
+    context.stage.pass_time(0.1)
+    sent = context.agent.websockets[number - 1].sent
+    refusals = [row for row in sent if row["type"] == "refused"]
+    assert [row["code"] for row in refusals] == [code], sent
+
+
 @behave.when(
     "a resume with the call number of that offer arrives on connection 1"
 )
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/admission.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/admission.py
@@ -180,6 +180,11 @@
         if ticket.wait_deadline.is_limited() and excess_ms > 0:
             self._refuse(ticket, "the wait would be too long", excess_ms)
 
+    def refuse_waiting(self, reason: str) -> None:
+        """Refuse all calls that wait."""
+        for ticket in self._queue.list_all():
+            self._refuse(ticket, reason, 0.0)
+
     def _predict_wait_ms(self, ahead: int) -> float:
         return self._drain.predict_wait_ms(ahead)
 
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/agent_state.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/agent_state.py
@@ -9,6 +9,7 @@
 from gentianpoint_agent import applied_service
 from gentianpoint_agent import cached_prefixes
 from gentianpoint_agent import call_runner
+from gentianpoint_agent import evacuation_notice
 from gentianpoint_agent import generation_table
 from gentianpoint_agent import generations
 from gentianpoint_agent import lifecycle
@@ -19,7 +20,7 @@
 from gentianpoint_core.generated import events
 from gentianpoint_core.generated import messages
 
-__all__ = ("AgentState", "OpenConnection")
+__all__ = ("EVACUATED_REASON", "AgentState", "OpenConnection")
 
 
 class OpenConnection(abc.ABC):
@@ -37,6 +38,8 @@
         """Close the connection and wait until nothing more is read."""
 
 
+EVACUATED_REASON: typing.Final = "the data centre is evacuated"
+"""Reason of refusals while the agent's data centre is evacuated."""
 _MAX_REPORTED_PREFIXES: typing.Final = 64
 """Most cached prefixes in one report to entries."""
 _REPORT_VALID_MS: typing.Final = 5000
@@ -68,6 +71,9 @@
         self.connections: typing.Final[set[OpenConnection]] = set()
         self.prefixes: typing.Final = cached_prefixes.CachedPrefixes()
         self.suspension_reason = ""
+        self.evacuation: typing.Final = evacuation_notice.EvacuationNotice(
+            settings.data_centre
+        )
         self._report_valid_until = deadlines.Deadline(0.0)
         self._nursery: typing.Final = nursery
         self._runner: typing.Final = runner
@@ -84,6 +90,15 @@
         """Accept new calls again."""
         self.suspension_reason = ""
 
+    def apply_evacuation(self, message: messages.Configure) -> None:
+        """Apply an entry's word on whether this data centre is evacuated.
+
+        Calls that wait here are refused, so that entries can place them in
+        other data centres. Calls that run are finished.
+        """
+        if self.evacuation.apply(message) and self.evacuation.is_evacuated:
+            self.control.refuse_waiting(EVACUATED_REASON)
+
     def record_report(self, load: ports.EngineLoad) -> None:
         """Store a load report of the engine."""
         self._report_valid_until = deadlines.make_deadline(_REPORT_VALID_MS)
@@ -143,7 +158,7 @@
         load = self.control.load
         used = load.blocks_used / load.blocks if load and load.blocks else 0.0
         predicted = self.control.predict_memory()
-        return {
+        report: messages.Report = {
             "type": "report",
             "running": self.control.count_running(),
             "queued": self.control.count_queued(),
@@ -154,6 +169,9 @@
             "age_ms": load.age_ms if load else 0,
             "prefixes": self.prefixes.list_recent(_MAX_REPORTED_PREFIXES),
         }
+        if self.evacuation.is_evacuated:
+            report["evacuated"] = True
+        return report
 
     def abandon_orphans(self) -> None:
         """Cancel generations that nobody has read for too long.
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/entry_connections.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/entry_connections.py
@@ -311,6 +311,8 @@
 
     def _require_accepting_work(self, step: str) -> None:
         reason = self._state.suspension_reason
+        if self._state.evacuation.is_evacuated:
+            reason = agent_state.EVACUATED_REASON
         if self._state.lifecycle.is_leaving():
             reason = "the target is leaving"
         if reason:
@@ -416,6 +418,7 @@
             feed.close(self._state.settings.orphan_ms)
 
     async def _configure(self, message: messages.Configure) -> None:
+        self._state.apply_evacuation(message)
         try:
             self._state.service.apply(message)
         except (msgspec.MsgspecError, ValueError, RecursionError) as error:
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/fair_queue.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/fair_queue.py
@@ -116,6 +116,12 @@
         """Return the number of waiting calls."""
         return self._count
 
+    def list_all(self) -> abc.Sequence[Ticket]:
+        """Return all waiting calls."""
+        return [
+            ticket for tickets in self._tickets.values() for ticket in tickets
+        ]
+
     def count_customers(self) -> int:
         """Return the number of customers that have a finish tag."""
         return len(self._finish_tags)
--- a/packages/gentianpoint-entry/features/link_pool.feature
+++ b/packages/gentianpoint-entry/features/link_pool.feature
@@ -55,6 +55,18 @@
       | 2         | 120     | 30     | 4     |
       | 3         | 180     | 30     | 6     |
 
+  Scenario: the data centre of all connected agents is evacuated
+  An entry prefers agents of its own data centre. Guards against an entry that
+  refuses all calls while that is evacuated, since it has no connection to the
+  others, and against agents that never hear of the end of the evacuation.
+
+    Given an entry with 4 connections to agents here, of 6 here and 6 elsewhere
+    When its data centre is evacuated
+    Then it has 4 connections for new calls, all elsewhere
+    And it keeps the connections to the agents here
+    When its data centre is taken back
+    Then it has 4 connections for new calls, all here
+
   Scenario: all connected agents of a service become unreachable at once
   A failed network switch cuts off all agents of a service that an entry is
   connected to, which the host list reflects only minutes later. Until then
--- a/packages/gentianpoint-entry/features/steps/configuration_sender_steps.py
+++ b/packages/gentianpoint-entry/features/steps/configuration_sender_steps.py
@@ -4,11 +4,13 @@
 
 import behave
 import link_builders
+import suspect_builders
 import trio
 import trio.testing
 
 from gentianpoint_core import ports
 from gentianpoint_entry import configuration_sender
+from gentianpoint_entry import evacuation_stream
 from gentianpoint_entry import live_hosts
 from gentianpoint_entry import status_writer
 
@@ -51,7 +53,7 @@
     """A link whose first send takes until the configuration has changed."""
 
     def __init__(self, tail):
-        self.host = types.SimpleNamespace(service=SERVICE)
+        self.host = types.SimpleNamespace(service=SERVICE, data_centre="north")
         self.offsets = []
         self._tail = tail
 
@@ -95,10 +97,15 @@
     context.confirms = what != "nothing"
 
 
+def make_evacuations():
+    """Return evacuations that are not read from any log."""
+    return evacuation_stream.EvacuationStream(suspect_builders.SharedLog(), 1)
+
+
 async def send_around_change(context, change):
     """Run the sender until it waits, call ``change``, and run it again."""
     sender = configuration_sender.ConfigurationSender(
-        context.tail, context.hosts
+        context.tail, context.hosts, make_evacuations()
     )
     async with trio.open_nursery() as nursery:
         nursery.start_soon(sender.send_updates, context.link)
@@ -139,7 +146,7 @@
 
     async def run_sender():
         sender = configuration_sender.ConfigurationSender(
-            context.tail, context.hosts
+            context.tail, context.hosts, make_evacuations()
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(sender.send_updates, context.link)
--- a/packages/gentianpoint-entry/features/steps/link_pool_steps.py
+++ b/packages/gentianpoint-entry/features/steps/link_pool_steps.py
@@ -238,3 +238,68 @@
 @behave.then("the link knows {count:d} prefixes")
 def check_prefixes(context, count):
     assert len(context.link.prefixes) == count
+
+
+@behave.given(
+    "an entry with 4 connections to agents here, of 6 here and 6 elsewhere"
+)
+def make_split_agents(context):
+    entries = [make_host("entry", number) for number in range(60)]
+    near = [make_host("agent", number) for number in range(6)]
+    far = [
+        make_host("agent", number)._replace(data_centre="zona-sur")
+        for number in range(6, 12)
+    ]
+    context.hosts = [
+        host._replace(address="127.0.0.1:1") for host in entries + near + far
+    ]
+    context.evacuations = []
+
+
+@behave.when("its data centre is evacuated")
+def evacuate_own(context):
+    context.evacuations.append(frozenset((DATA_CENTRE,)))
+
+
+@behave.when("its data centre is taken back")
+def take_own_back(context):
+    context.evacuations.append(frozenset())
+
+
+def open_links(context):
+    """Return the links after the evacuations, and their data centres."""
+    settings = link_settings.LinkSettings(
+        "entry-1", "run", DATA_CENTRE, "", 1000, 3000, 256, 1024
+    )
+
+    async def follow():
+        async with trio.open_nursery() as nursery:
+            pool = link_pool.LinkPool(nursery, settings, 4, sleep_forever)
+            pool.update_hosts(context.hosts)
+            for evacuated in context.evacuations:
+                pool.set_evacuated(evacuated)
+            nursery.cancel_scope.cancel()
+        return pool.list_links("modelo-taller")
+
+    return trio.run(follow)
+
+
+@behave.then("it has {count:d} connections for new calls, all {where}")
+def check_open_links(context, count, where):
+    expected = DATA_CENTRE if where == "here" else "zona-sur"
+    found = [
+        link.host.data_centre
+        for link in open_links(context)
+        if not link.is_evacuated
+    ]
+    assert found == [expected] * count, found
+
+
+@behave.then("it keeps the connections to the agents here")
+def check_kept_links(context):
+    found = [
+        link.host.data_centre
+        for link in open_links(context)
+        if link.is_evacuated
+    ]
+    assert found == [DATA_CENTRE] * 4, found
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/administration_client.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/administration_client.py
@@ -165,6 +165,19 @@
             f"{method} {path}", self._entries[0], _describe_refusal(answer)
         )
 
+    def set_evacuation(self, data_centre: str, *, is_evacuated: bool) -> int:
+        """Begin or end an evacuation; return the offset of its record."""
+        method = "PUT" if is_evacuated else "DELETE"
+        name = urllib.parse.quote(data_centre, safe="")
+        answer = self.call(method, f"evacuations/{name}")
+        if answer.is_error:
+            raise AdministrationError(
+                f"{method} evacuations/{name}",
+                self._entries[0],
+                _describe_refusal(answer),
+            )
+        return int(msgspec.json.decode(answer.content)["revision"])
+
     def watch(
         self, plural: str, after: typing.Optional[int]
     ) -> abc.Iterator[abc.Mapping[str, typing.Any]]:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/agent_links.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/agent_links.py
@@ -128,6 +128,7 @@
         self.refused_until = deadlines.Deadline(0.0)
         self.prefixes: frozenset[int] = frozenset()
         self.leaving = False
+        self.is_evacuated = False
         self.failures = 0
         self._settings: typing.Final = settings
         self._connection: typing.Optional[peer_connections.PeerConnection] = (
@@ -145,7 +146,20 @@
 
     def is_usable(self) -> bool:
         """Tell whether new calls can be offered on the link."""
-        return self.is_connected() and not self.leaving
+        return (
+            self.is_connected()
+            and not self.leaving
+            and not self.is_evacuated
+            and not self.refuses_as_evacuated()
+        )
+
+    def refuses_as_evacuated(self) -> bool:
+        """Tell whether the agent reports that its data centre is evacuated.
+
+        It may have heard of that from another entry, while this one can't
+        read the log.
+        """
+        return self.report is not None and self.report.get("evacuated", False)
 
     def is_connected(self) -> bool:
         """Tell whether a connection is open and its handshake is done."""
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/cli.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/cli.py
@@ -19,6 +19,8 @@
     "get": "Show the resources of a kind, or one of them.",
     "watch": "Print each change, and where it is in force, as JSON.",
     "delete": "Delete a resource.",
+    "evacuate": "Send no new work to a data centre, or take it back.",
+    "evacuations": "Show the evacuated data centres.",
     "check": "Report the problems of a deploy folder and settings files.",
     "explain": "Print the timeline of a request from log lines.",
     "summary": "Count requests by why they were not answered in time.",
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/configuration_sender.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/configuration_sender.py
@@ -1,13 +1,16 @@
 """Sends agents the configuration of their service."""
 
+from collections import abc
 import typing
 
 import trio
 
 from gentianpoint_core import configuration
+from gentianpoint_core import ports
 from gentianpoint_core.generated import messages
 from gentianpoint_entry import agent_links
 from gentianpoint_entry import configuration_tail
+from gentianpoint_entry import evacuation_stream
 from gentianpoint_entry import live_hosts
 
 __all__ = ("ConfigurationSender",)
@@ -23,6 +26,8 @@
     """Revision of the service's resource; 0 when there is none."""
     replicas: int
     """Number of live targets of the service."""
+    is_evacuated: bool
+    """True while the agent's data centre is evacuated."""
 
 
 class ConfigurationSender:
@@ -39,19 +44,28 @@
         self,
         tail: configuration_tail.ConfigurationTail,
         hosts: live_hosts.LiveHosts,
+        evacuated: evacuation_stream.EvacuationStream,
     ) -> None:
-        """Send resources of ``tail`` and numbers of targets in ``hosts``."""
+        """Send resources of ``tail`` and numbers of targets in ``hosts``.
+
+        ``evacuated`` tells which agents are in an evacuated data centre.
+        """
         self._tail: typing.Final = tail
         self._hosts: typing.Final = hosts
+        self._evacuated: typing.Final = evacuated
 
     async def send_updates(self, link: agent_links.AgentLink) -> None:
         """Send the service's resource, and again after each change of it."""
         await self._tail.wait_ready()
         sent: typing.Optional[_Content] = None
         while True:
-            message = self._make_message(link.host.service)
+            message = self._make_message(link.host)
             offset = message["offset"]
-            content = _Content(message["revision"], message["replicas"])
+            content = _Content(
+                message["revision"],
+                message["replicas"],
+                message["evacuated"],
+            )
             if content != sent:
                 await link.send(message)
                 sent = content
@@ -61,19 +75,42 @@
             # A change that was applied during the send has already been
             # announced. Waiting now would miss it, and the agent would keep
             # the old resource until some later change.
-            if self._tail.state.offset == offset:
+            is_evacuated = self._is_evacuated(link.host)
+            if (
+                self._tail.state.offset == offset
+                and is_evacuated == content.is_evacuated
+            ):
                 # The wait is limited because the number of targets, which
                 # comes from the host list, changes without notice here.
                 with trio.move_on_after(_RECOUNT_INTERVAL_S):
-                    await self._tail.wait_changed()
+                    await self._wait_changed()
+
+    async def _wait_changed(self) -> None:
+        """Wait until the configuration or an evacuation changes."""
+        async with trio.open_nursery() as nursery:
+
+            async def wait(
+                wait_changed: abc.Callable[[], abc.Awaitable[None]],
+            ) -> None:
+                await wait_changed()
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(wait, self._tail.wait_changed)
+            nursery.start_soon(wait, self._evacuated.wait_changed)
+
+    def _is_evacuated(self, host: ports.Host) -> bool:
+        evacuated = self._evacuated.evacuations.data_centres
+        return host.data_centre in evacuated
 
-    def _make_message(self, service: str) -> messages.Configure:
+    def _make_message(self, host: ports.Host) -> messages.Configure:
         state = self._tail.state
-        resource = state.find_resource(configuration.SERVICE, service)
+        resource = state.find_resource(configuration.SERVICE, host.service)
         return {
             "type": "configure",
             "offset": state.offset,
             "revision": resource.revision if resource else 0,
             "service": resource.spec if resource else b"",
-            "replicas": self._hosts.count_targets(service),
+            "replicas": self._hosts.count_targets(host.service),
+            "evacuated": self._is_evacuated(host),
+            "evacuations_offset": self._evacuated.offset,
         }
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/entry.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/entry.py
@@ -29,6 +29,8 @@
 from gentianpoint_entry import dispatch
 from gentianpoint_entry import entry_state
 from gentianpoint_entry import error_answers
+from gentianpoint_entry import evacuation_routes
+from gentianpoint_entry import evacuation_stream
 from gentianpoint_entry import generation_routes
 from gentianpoint_entry import host_watch
 from gentianpoint_entry import key_claims
@@ -68,14 +70,24 @@
     max_connections=100, max_keepalive_connections=20
 )
 _HEALTH_PATH: typing.Final = "/health"
+_EVACUATIONS_UNREAD: typing.Final = "the evacuations are being read"
 _UNREADY_RETRY_MS: typing.Final = 1000
 """Retry-After of calls that are refused before the entry is ready,
 milliseconds."""
 
 
 def _make_app(
-    state: entry_state.EntryState, tracker: status_tracker.StatusTracker
+    state: entry_state.EntryState,
+    tracker: status_tracker.StatusTracker,
+    evacuated: evacuation_stream.EvacuationStream,
 ) -> quart_trio.QuartTrio:
+    list_links = state.dispatcher.pool.list_all_links
+
+    def explain_unready() -> str:
+        if not state.tail.is_ready():
+            return state.tail.explain_unready()
+        return "" if evacuated.is_ready() else _EVACUATIONS_UNREAD
+
     app = quart_trio.QuartTrio(__name__)
     app.asgi_app = open_calls.ClosingMiddleware(  # type: ignore[method-assign]
         app.asgi_app
@@ -95,6 +107,11 @@
             )
         )
     )
+    app.register_blueprint(
+        evacuation_routes.make_evacuation_routes(
+            evacuated, list_links, state.settings.operator_key_hash
+        )
+    )
     app.register_blueprint(
         peer_routes.make_peer_routes(state.tail, state.settings.peer_key)
     )
@@ -103,14 +120,15 @@
     async def refuse_until_ready() -> None:
         # Without a configuration every customer key is unknown. Callers
         # would get "unauthorized", which they don't retry.
-        if state.tail.is_ready() or quart.request.path == _HEALTH_PATH:
+        reason = explain_unready()
+        if not reason or quart.request.path == _HEALTH_PATH:
             return
         code = errors.NOT_RUN
         if request_options.may_have_run(quart.request.headers):
             code = errors.OUTCOME_UNKNOWN
         raise errors.CallError(
             code,
-            state.tail.explain_unready(),
+            reason,
             step="take request",
             peer=state.settings.name,
             retry_after_ms=_UNREADY_RETRY_MS,
@@ -136,8 +154,8 @@
     async def get_health() -> quart.Response:
         if state.leaving:
             return quart.Response("leaving\n", status=503)
-        if not state.tail.is_ready():
-            reason = state.tail.explain_unready()
+        reason = explain_unready()
+        if reason:
             return quart.Response(f"not ready: {reason}\n", status=503)
         return quart.Response("ready\n")
 
@@ -145,9 +163,7 @@
 
 
 async def _serve_http(
-    state: entry_state.EntryState,
-    tracker: status_tracker.StatusTracker,
-    stop: trio.Event,
+    state: entry_state.EntryState, app: quart_trio.QuartTrio, stop: trio.Event
 ) -> None:
     config = caller_sockets.CallerConfig()
     config.silence_ms = state.settings.caller_silence_ms
@@ -159,7 +175,6 @@
     # which would otherwise stay open for ever.
     config.keep_alive_timeout = _HEAD_TIMEOUT_S
     config.h11_max_incomplete_size = 64 * 1024
-    app = _make_app(state, tracker)
     await hypercorn.trio.serve(
         app,  # type: ignore[arg-type]
         config,
@@ -227,7 +242,12 @@
         peers = peer_state.PeerStateClient(hosts, client, settings.peer_key)
         tail = configuration_tail.ConfigurationTail(log, peers)
         writer = snapshot_writer.SnapshotWriter(log, tail, hosts, settings)
-        sender = configuration_sender.ConfigurationSender(tail, hosts)
+        evacuated = evacuation_stream.EvacuationStream(
+            log, settings.snapshot_interval_ms
+        )
+        sender = configuration_sender.ConfigurationSender(
+            tail, hosts, evacuated
+        )
         pool = link_pool.LinkPool(
             nursery,
             _make_link_settings(settings, incarnation),
@@ -236,6 +256,7 @@
             ),
             sender.send_updates,
         )
+        evacuated.add_watcher(pool.set_evacuated)
         suspects = suspect_stream.SuspectStream(
             log, crash_suspects.CrashSuspects()
         )
@@ -271,6 +292,7 @@
             log, tail, hosts, pool.list_all_links
         )
         nursery.start_soon(suspects.run)
+        nursery.start_soon(evacuated.run)
         nursery.start_soon(writer.run)
         nursery.start_soon(tracker.run)
         nursery.start_soon(
@@ -289,7 +311,8 @@
             listen=settings.listen,
             incarnation=incarnation,
         )
-        await _serve_http(state, tracker, stop)
+        app = _make_app(state, tracker, evacuated)
+        await _serve_http(state, app, stop)
         nursery.cancel_scope.cancel()
     logs.log_event(events.PROCESS_STOPPED)
 
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
@@ -159,7 +159,7 @@
     ) -> typing.Optional[stream_runs.RunPlan]:
         """Plan how the stream continues after its target broke off."""
         backup = run.backup
-        if backup is not None and not (backup.is_gone or backup.is_evacuated):
+        if backup is not None and not backup.is_gone:
             self._log_move(run.target, backup, "backup after a break")
             return self._plan_from_backup(backup)
         return await self._plan_retry()
@@ -462,7 +462,7 @@
             # The generation continues at its source, or its stream breaks off.
             return None
         self._had_no_room_after_stop = not stopped.is_at_destination
-        candidates = [] if run.target.is_evacuated else [run.target]
+        candidates = [run.target]
         if stopped.is_at_destination and self._move.destination is not None:
             candidates.insert(0, self._move.destination)
         for target in candidates:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/link_pool.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/link_pool.py
@@ -125,6 +125,7 @@
         self._hosts: dict[str, ports.Host] = {}
         self._unreachable: typing.Final[dict[str, deadlines.Deadline]] = {}
         self._wanted_count = 0
+        self._evacuated: frozenset[str] = frozenset()
         self._changed = trio.Event()
 
     async def wait_changed(self) -> None:
@@ -215,16 +216,45 @@
                 del self._unreachable[name]
         self._reconcile_links()
 
-    def _reconcile_links(self) -> None:
-        """Open missing links and close those that are no longer chosen."""
-        chosen = choose_hosts(
-            self._hosts.values(),
+    def set_evacuated(self, data_centres: frozenset[str]) -> None:
+        """Place no new calls in ``data_centres``, and place them elsewhere."""
+        self._evacuated = data_centres
+        for link in self._links.values():
+            link.is_evacuated = link.host.data_centre in data_centres
+        self._reconcile_links()
+        self._notify()
+
+    def _choose_hosts(
+        self, hosts: abc.Iterable[ports.Host]
+    ) -> abc.Sequence[ports.Host]:
+        return choose_hosts(
+            hosts,
             self._settings.name,
             self._settings.data_centre,
             self._links_per_service,
             self._unreachable,
         )
-        wanted = {host.host: host for host in chosen}
+
+    def _choose_wanted(self) -> dict[str, ports.Host]:
+        """Return the hosts to which links are kept, by their names.
+
+        During an evacuation these are as many in other data centres as
+        usual, and besides the usual ones, which have to hear of its end.
+        """
+        hosts = self._hosts.values()
+        chosen = list(self._choose_hosts(hosts))
+        if self._evacuated:
+            chosen += self._choose_hosts(
+                host
+                for host in hosts
+                if host.role == "entry"
+                or host.data_centre not in self._evacuated
+            )
+        return {host.host: host for host in chosen}
+
+    def _reconcile_links(self) -> None:
+        """Open missing links and close those that are no longer chosen."""
+        wanted = self._choose_wanted()
         self._wanted_count = len(wanted)
         for name, host in wanted.items():
             link = self._links.get(name)
@@ -248,6 +278,7 @@
         link = agent_links.AgentLink(
             host, self._settings, self._notify, self._wanted_count
         )
+        link.is_evacuated = host.data_centre in self._evacuated
         scope = trio.CancelScope()
         self._links[host.host] = link
         self._scopes[host.host] = scope
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/operator_commands.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/operator_commands.py
@@ -286,7 +286,39 @@
     raise typer.Exit(code)
 
 
+def evacuate(
+    entry: Entries,
+    key: Key,
+    data_centre: typing.Annotated[
+        str, typer.Argument(help="Name of the data centre.")
+    ],
+    end: typing.Annotated[
+        bool, typer.Option("--end", help="Take the data centre back.")
+    ] = False,
+) -> None:
+    """Send no new work to the targets of a data centre, until --end.
+
+    Calls that run there are finished. Exit code 3 means that it is not known
+    whether the log has the evacuation; the command can be repeated.
+    """
+    with _connect(entry, key) as client:
+        offset = client.set_evacuation(data_centre, is_evacuated=not end)
+    word = "taken back" if end else "evacuated"
+    typer.echo(f"{data_centre} {word}, revision {offset}")
+
+
+def evacuations(entry: Entries, key: Key) -> None:
+    """Show the evacuated data centres, and how many agents obey."""
+    with _connect(entry, key) as client:
+        found = client.read("evacuations")
+    for row in found["items"]:
+        typer.echo(
+            f"{row['name']}\trevision {row['revision']}\t{row['n']} of "
+            f"{row['of']} connected agents refuse new calls"
+        )
+
+
 def register_operator_commands(app: typer.Typer) -> None:
     """Add the commands to ``app``."""
-    for command in (apply, get, watch, delete):
+    for command in (apply, get, watch, delete, evacuate, evacuations):
         app.command()(command)
