Ask agents for their engine's present state before a generation is sent

Callers of one generation in twenty got their first event late although most engines had nothing to do. After all hosts lost power, 115 requests were refused by engines' earlier starts, which the list still named; entries that have just started have no retry, so their callers came back to the same.

Change: of the engines that look best, four are asked by datagram what their state is now (engine_probes; the agent polls its engine, which costs nothing there: state_answers), and the best of those that answer gets the generation. An answer also names the start of the engine; one with another name is not used any more. An agent that misses two answers is left out for two seconds.

Four are taken: with six an agent is asked half again as often.

Datagrams, as the connections between entries and agents are few by design: a connection for each question would cost three round trips and a handshake.

--- a/bench/replay/fleet.py
+++ b/bench/replay/fleet.py
@@ -12,13 +12,18 @@
 from gentianpoint_core import deadlines
 from gentianpoint_core import peer_connections
 from gentianpoint_entry.forwarding import agent_turns
+from gentianpoint_entry.forwarding import engine_probes
 from gentianpoint_entry.forwarding import targets
 
-__all__ = ("SERVICE", "Fleet")
+__all__ = ("SERVICE", "Fleet", "FleetProbes")
 
 SERVICE: typing.Final = "engines"
 _REPORT_S: typing.Final = 0.1
 """Time between two looks of an agent at its engine."""
+_PROBE_S: typing.Final = 0.003
+"""Time until agents have answered what their engines' states are."""
+_EVACUATION_KNOWN_S: typing.Final = 0.1
+"""Time until all entries know of an evacuation, or of its end."""
 _UNLISTED_S: typing.Final = 1.0
 """Time until an engine that has gone leaves the list."""
 
@@ -44,6 +49,27 @@
         )
 
 
+class FleetProbes(engine_probes.EngineProbes):
+    """Asks the agents of one entry's targets for their present states."""
+
+    def __init__(self, engines: abc.Mapping[str, engine.Engine]) -> None:
+        """Ask for the states of ``engines``, by their addresses."""
+        self._engines: typing.Final = engines
+
+    async def refresh(
+        self, chosen: abc.Sequence[targets.Target]
+    ) -> abc.Collection[targets.Target]:
+        """Apply the present states after the time that answers take."""
+        await trio.sleep(_PROBE_S)
+        found = []
+        for target in chosen:
+            item = self._engines[target.entry.address]
+            if not item.is_gone:
+                target.take_report(_make_report(item))
+                found.append(target)
+        return found
+
+
 class Fleet:
     """The engines of one replay, and the registries of its entries."""
 
@@ -73,6 +99,8 @@
             self._start_engine(slowness, known_after_s=0.0)
         if self._load.gone_at >= 0:
             self._nursery.start_soon(self._lose_half)
+        if self._load.evacuated_at >= 0:
+            self._nursery.start_soon(self._evacuate)
         if self._load.crashes.killed_every_s:
             self._nursery.start_soon(self._kill_for_ever)
         leaving = self._load.leaving
@@ -90,6 +118,16 @@
         for item in here[: len(here) // 2]:
             self._nursery.start_soon(self._take_away, item)
 
+    async def _evacuate(self) -> None:
+        await trio.sleep(self._load.evacuated_at + _EVACUATION_KNOWN_S)
+        self._set_evacuated(("centre-0",))
+        await trio.sleep(self._load.evacuated_for_s)
+        self._set_evacuated(())
+
+    def _set_evacuated(self, data_centres: abc.Collection[str]) -> None:
+        for registry in self.registries:
+            registry.set_evacuated(data_centres, trio.current_time())
+
     async def _kill_for_ever(self) -> None:
         while True:
             await trio.sleep(self._load.crashes.killed_every_s)
--- a/bench/replay/loads.py
+++ b/bench/replay/loads.py
@@ -67,6 +67,15 @@
 )
 """Five to seven times as much of both on engines with less memory, which take
 four to five long generations each."""
+_MOSTLY_SHORT: typing.Final = (
+    _REPORT._replace(
+        per_s=12.4, answer_events=188, answer_spread=1.344, most_events=445
+    ),
+    _TAG._replace(
+        per_s=24.1, prompt_tokens=2550, answer_events=3, most_events=8
+    ),
+)
+"""Two short generations for each long one, which have most of the prompts."""
 _STAYING: typing.Final = shapes.Leaving(every_s=0)
 _AS_ANNOUNCED: typing.Final = shapes.Leaving(known_after_s=(0.7, 0.85))
 """New engines are known once their agents tell of them."""
@@ -81,6 +90,19 @@
     memory_tokens=34_359,
 )
 
+_MOSTLY_SHORT_LOAD: typing.Final = shapes.Load(
+    "mostly short",
+    "two short generations for each long one, before many entries",
+    _MOSTLY_SHORT,
+    engines=27,
+    entries=29,
+    leaving=_FOUR_AT_ONCE,
+    length_s=16.0,
+    slots=24,
+    memory_tokens=21_847,
+    report_lag_s=0.15,
+)
+
 _FATAL_LOAD: typing.Final = shapes.Load(
     "fatal requests",
     "two requests come again and again and end the engines that run them",
@@ -234,6 +256,38 @@
         length_s=16.0,
         report_lag_s=0.4,
     ),
+    _MOSTLY_SHORT_LOAD,
+    _MOSTLY_SHORT_LOAD._replace(
+        name="mostly short, burst of short",
+        answers="the same, with two and a half times the short ones for 10 s",
+        surges=(shapes.Surge(4, 10, 2.5, "tag"),),
+    ),
+    _MOSTLY_SHORT_LOAD._replace(
+        name="mostly short, evacuated in a burst",
+        answers="a third of the engines is evacuated while more comes",
+        evacuated_at=3.0,
+        surges=(shapes.Surge(4, 4, 1.7),),
+    ),
+    _MOSTLY_SHORT_LOAD._replace(
+        name="mostly short, swings",
+        answers="load that swings between long prompts and long answers",
+        surges=(
+            shapes.Surge(2, 4, 1.5, "report"),
+            shapes.Surge(6, 4, 3.0, "tag"),
+            shapes.Surge(10, 4, 1.5, "report"),
+        ),
+    ),
+    _MOSTLY_SHORT_LOAD._replace(
+        name="mostly short, 380 entries",
+        answers="the same before 380 entries, whose reports are older",
+        entries=380,
+        report_lag_s=0.5,
+    ),
+    _MOSTLY_SHORT_LOAD._replace(
+        name="mostly short, little memory",
+        answers="the same with half of the memory",
+        memory_tokens=10_900,
+    ),
     shapes.Load(
         "impatient",
         "a quarter of the callers leave after half of the objective",
--- a/bench/replay/playing.py
+++ b/bench/replay/playing.py
@@ -137,6 +137,7 @@
         random.Random(seed * 100 + number),
         entry_metrics.EntryMetrics(metrics.NoOpMeterProvider()),
         ends,
+        probes=fleet.FleetProbes(engines.engines),
     )
     nursery.start_soon(ends.run)
     nursery.start_soon(shared.release_unused_copies)
--- a/bench/replay/policies.py
+++ b/bench/replay/policies.py
@@ -52,8 +52,8 @@
 class _RoundRobin(_NoMoves):
     """One target after another."""
 
-    def __init__(self, *args: typing.Any) -> None:
-        super().__init__(*args)
+    def __init__(self, *args: typing.Any, **more: typing.Any) -> None:
+        super().__init__(*args, **{**more, "probes": None})
         self._turn: typing.Final = itertools.count(self.rng.randrange(7))
 
     def choose_target(
@@ -109,8 +109,43 @@
         )
 
 
-class _BestOfAll(forwarder.Forwarder):
-    """Our choice, as if no other entry sent anything."""
+class _ReportsAlone(forwarder.Forwarder):
+    """Our choice by the reports that entries pass on, asking no agent."""
+
+    def __init__(self, *args: typing.Any, **more: typing.Any) -> None:
+        super().__init__(*args, **{**more, "probes": None})
+
+
+class _NeverWaiting(forwarder.Forwarder):
+    """Our choice, where generations are sent although they will be late."""
+
+    async def find_start_target(
+        self, request: requests.CallerRequest
+    ) -> typing.Optional[targets.Target]:
+        """Send at once."""
+        return await self.find_target(request)
+
+
+class _AskedTwo(forwarder.Forwarder):
+    """Our choice, asking the agents of two engines."""
+
+    _probed_targets = 2
+
+
+class _AskedThree(forwarder.Forwarder):
+    """Our choice, asking the agents of three engines."""
+
+    _probed_targets = 3
+
+
+class _AskedSix(forwarder.Forwarder):
+    """Our choice, asking the agents of six engines."""
+
+    _probed_targets = 6
+
+
+class _BestOfAll(_ReportsAlone):
+    """Our choice by reports, as if no other entry sent anything."""
 
     def _estimate_other_arrivals_per_s(self, now: float) -> float:
         return 0.0
@@ -185,6 +220,11 @@
     "own prompts": _OwnPrompts,
     "shared destinations": _SharedDestinations,
     "best of all": _BestOfAll,
+    "reports alone": _ReportsAlone,
+    "never waiting": _NeverWaiting,
+    "asking two": _AskedTwo,
+    "asking three": _AskedThree,
+    "asking six": _AskedSix,
     "fewest outstanding": _FewestOutstanding,
     "round robin": _RoundRobin,
 }
--- a/bench/replay/shapes.py
+++ b/bench/replay/shapes.py
@@ -147,6 +147,10 @@
     """Engines that end without notice."""
     gone_at: float = -1.0
     """When half of the engines die at once; negative for never."""
+    evacuated_at: float = -1.0
+    """When a data centre is evacuated; negative for never."""
+    evacuated_for_s: float = 8.0
+    """Time until it is taken back."""
     impatient_share: float = 0.0
     """Share of callers that leave after half of the objective."""
     slots: int = 96
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/engine_announcement.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/engine_announcement.py
@@ -46,6 +46,10 @@
     """Its data centre."""
 
 
+def _ignore_identity(identity: str) -> None:
+    """Do nothing with an engine's identifier."""
+
+
 class EngineAnnouncer:
     """Announces an engine to some entries, which pass it on to the others."""
 
@@ -54,8 +58,13 @@
         location: EngineLocation,
         source: ports.EngineStatusSource,
         entries: abc.Sequence[str],
+        note_identity: abc.Callable[[str], None] = _ignore_identity,
     ) -> None:
-        """Announce to ``entries``, addresses that may be out of date."""
+        """Announce to ``entries``, addresses that may be out of date.
+
+        ``note_identity`` is given the engine's identifier.
+        """
+        self._note_identity: typing.Final = note_identity
         self._location: typing.Final = location
         self._source: typing.Final = source
         self._entries: typing.Final = tuple(entries)
@@ -81,6 +90,7 @@
         await self._has_started.wait()
         target = await self._find_identity()
         if target:
+            self._note_identity(target)
             await self._announce(target, self._started_ms)
 
     async def _find_identity(self) -> str:
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/engine_feed.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/engine_feed.py
@@ -26,6 +26,9 @@
 POLL_INTERVAL_S: typing.Final = 0.1
 """Pause between two status requests, in seconds. An engine goes two seconds
 after its notice, and moving its generations takes most of that."""
+_PRESENT_S: typing.Final = 0.005
+"""Age in seconds up to which a status counts as present. Requests that entries
+send at the same moment share one poll."""
 _MAX_SEND_INTERVAL_S: typing.Final = 1.0
 """Time after which an unchanged status is sent again, in seconds, so that
 entries can tell an unchanged engine from a stopped agent."""
@@ -54,36 +57,71 @@
         self._note_start: typing.Final = note_start
         self._status: typing.Optional[ports.EngineStatus] = None
         self._is_silent = False
+        self._identity = ""
         self._polled_at = 0.0
         self._run: typing.Final = random.getrandbits(_RUN_BITS)
         self._number = 0
+        self._failures = 0
+        self._polling: typing.Final = trio.Lock()
         self._changed = trio.Event()
         self._turns: typing.Final = move_turns.MoveTurns()
 
+    @property
+    def identity(self) -> str:
+        """Identifier of the engine's start; empty if it is not known."""
+        return self._identity
+
+    def note_identity(self, identity: str) -> None:
+        """Record which start of an engine answers.
+
+        It counts until the engine fails to answer or tells another time of
+        its start: then another one may have its address.
+        """
+        self._identity = identity
+
     async def watch(self) -> None:
         """Poll the engine until cancelled."""
-        failures = 0
         while True:
-            try:
-                status = await self._source.read_status()
-            except ports.PortError as error:
-                failures += 1
-                if failures == _FAILURES_UNTIL_SILENT:
-                    logs.log_event(
-                        events.ENGINE_UNAVAILABLE,
-                        step=error.step,
-                        peer=error.peer,
-                        reason=error.reason,
-                    )
-                    self._is_silent = True
-                    self._number += 1
-                    self._notify()
-            else:
-                failures = 0
-                self._update_status(status)
+            async with self._polling:
+                await self._poll()
             self._turns.grant_next()
             await trio.sleep(POLL_INTERVAL_S)
 
+    async def read_present_state(
+        self,
+    ) -> typing.Optional[abc.Mapping[str, typing.Any]]:
+        """Return the message with the engine's present status.
+
+        The engine is polled unless that was done a moment ago. None if it
+        has not answered yet.
+        """
+        async with self._polling:
+            if trio.current_time() - self._polled_at > _PRESENT_S:
+                await self._poll()
+        return (
+            None if self._status is None else self._make_message(self._status)
+        )
+
+    async def _poll(self) -> None:
+        try:
+            status = await self._source.read_status()
+        except ports.PortError as error:
+            self._failures += 1
+            self._identity = ""
+            if self._failures == _FAILURES_UNTIL_SILENT:
+                logs.log_event(
+                    events.ENGINE_UNAVAILABLE,
+                    step=error.step,
+                    peer=error.peer,
+                    reason=error.reason,
+                )
+                self._is_silent = True
+                self._number += 1
+                self._notify()
+        else:
+            self._failures = 0
+            self._update_status(status)
+
     def _update_status(self, status: ports.EngineStatus) -> None:
         was_leaving = self._status is not None and self._status.is_leaving
         if self._status is None and not status.is_leaving:
@@ -92,6 +130,8 @@
             logs.log_event(
                 events.TARGET_LEAVING, leaves_in_ms=status.leaves_in_ms
             )
+        if self._status is not None and status.born_ms != self._status.born_ms:
+            self._identity = ""
         is_changed = status != self._status or self._is_silent
         self._status = status
         self._is_silent = False
--- a/packages/gentianpoint-core/src/gentianpoint_core/codec.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/codec.py
@@ -56,6 +56,8 @@
     "leaving": messages.Leaving,
     "reject": messages.Reject,
     "engine_state": messages.EngineState,
+    "state_wanted": messages.StateWanted,
+    "state_found": messages.StateFound,
     "gossip": messages.Gossip,
     "engine_here": messages.EngineHere,
     "records_wanted": messages.RecordsWanted,
--- a/packages/gentianpoint-entry/features/forwarding/forwarding_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/forwarding_builders.py
@@ -12,6 +12,7 @@
 from gentianpoint_core import ports
 from gentianpoint_entry import crash_suspects
 from gentianpoint_entry.forwarding import caller_answers
+from gentianpoint_entry.forwarding import engine_probes
 from gentianpoint_entry.forwarding import entry_metrics
 from gentianpoint_entry.forwarding import forwarder
 from gentianpoint_entry.forwarding import refusals
@@ -271,6 +272,7 @@
     calls: ScriptedCalls,
     *,
     retry_slack: float = 20.0,
+    probes: typing.Optional[engine_probes.EngineProbes] = None,
 ) -> forwarder.Forwarder:
     """Return a forwarder for targets of these names, the first preferred."""
     registry = targets.TargetRegistry()
@@ -290,6 +292,7 @@
             calls.check_listening,
             lambda contents: None,
         ),
+        probes=probes,
     )
 
 
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/agent_connections.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/agent_connections.py
@@ -186,6 +186,17 @@
             target.turns = None
             turns.close()
 
+    def take_present_state(
+        self, target: targets.Target, message: abc.Mapping[str, typing.Any]
+    ) -> None:
+        """Apply the answer of an agent that was asked for its state.
+
+        It is not passed on, as it is of use for a moment only. Raises
+        OverflowError if a number is out of range.
+        """
+        report = engine_reports.make_report(message, trio.current_time())
+        self._apply(target, report)
+
     def _handle_state(
         self,
         target: targets.Target,
--- /dev/null
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/engine_probes.py
@@ -0,0 +1,189 @@
+"""Asks agents for the present state of their engines.
+
+Reports that entries pass on are some tenths of a second old, and all entries
+see the same ones. So several entries send their generations to the one engine
+that looked idle, and first events come seconds late while other engines have
+nothing to do. A request that is about to be sent therefore asks the agents of
+a few good engines, which takes a millisecond or two.
+"""
+
+import abc
+from collections import abc as collections_abc
+import itertools
+import typing
+
+import trio
+
+from gentianpoint_core import codec
+from gentianpoint_core import logs
+from gentianpoint_core import option_types
+from gentianpoint_core.generated import events
+from gentianpoint_entry.forwarding import targets
+
+__all__ = ("AgentProbes", "EngineProbes")
+
+_TIMEOUT_S: typing.Final = 0.025
+"""Seconds allowed for all answers. Within a region they take a few
+milliseconds, and datagrams are lost now and then."""
+_MISSES_UNTIL_SKIPPED: typing.Final = 2
+"""Answers in a row that an agent has to miss to be skipped for a while."""
+_SKIPPED_S: typing.Final = 2.0
+"""Seconds for which an agent that does not answer is not asked."""
+_MAX_DATAGRAM_BYTES: typing.Final = 2048
+"""Longest answer that is read."""
+_MAX_SKIPPED: typing.Final = 4096
+"""Agents that are remembered as not answering."""
+
+FindAgent = collections_abc.Callable[[targets.Target], typing.Optional[str]]
+"""Returns the address of the agent beside a target, None if it has none."""
+TakeState = collections_abc.Callable[
+    [targets.Target, collections_abc.Mapping[str, typing.Any]], None
+]
+"""Applies an ``engine_state`` message to a target."""
+
+
+class EngineProbes(abc.ABC):
+    """Brings the states of targets up to date."""
+
+    @abc.abstractmethod
+    async def refresh(
+        self, chosen: collections_abc.Sequence[targets.Target]
+    ) -> collections_abc.Collection[targets.Target]:
+        """Bring the reports of ``chosen`` up to date, as far as possible.
+
+        Returns those of them that are there, within some milliseconds. The
+        others may be lost, or were not asked.
+        """
+
+
+class _Misses(typing.NamedTuple):
+    """Answers that an agent has missed in a row."""
+
+    answers: int
+    last_at: float
+
+
+class _Probe:
+    """Requests to some agents, and the answers that are still missing."""
+
+    def __init__(self) -> None:
+        self.missing: typing.Final[dict[int, targets.Target]] = {}
+        self.found: typing.Final[list[targets.Target]] = []
+        self.answered: typing.Final = trio.Event()
+
+
+class AgentProbes(EngineProbes):
+    """Asks agents by datagrams."""
+
+    def __init__(
+        self, address: str, find_agent: FindAgent, take_state: TakeState
+    ) -> None:
+        """Send from ``address``, and give answers to ``take_state``."""
+        # The port is the one that was bound, once that was done.
+        self.address: tuple[str, int] = option_types.split_address(address)
+        self._find_agent: typing.Final = find_agent
+        self._take_state: typing.Final = take_state
+        self._numbers: typing.Final = itertools.count(1)
+        self._probes: typing.Final[dict[int, _Probe]] = {}
+        self._misses: typing.Final[dict[str, _Misses]] = {}
+        self._socket: typing.Optional[trio.socket.SocketType] = None
+
+    async def run(self) -> None:
+        """Receive answers until cancelled."""
+        with trio.socket.socket(type=trio.socket.SOCK_DGRAM) as socket:
+            await socket.bind(self.address)
+            self.address = socket.getsockname()
+            self._socket = socket
+            while True:
+                try:
+                    data, sender = await socket.recvfrom(_MAX_DATAGRAM_BYTES)
+                except OSError:
+                    # A host has refused an earlier datagram.
+                    continue
+                self._handle(data, sender[0])
+
+    def _handle(self, data: bytes, sender: str) -> None:
+        decoded = codec.decode_message(data, sender)
+        if decoded.is_error() or decoded.ok["type"] != "state_found":
+            return
+        number = decoded.ok["probe"]
+        probe = self._probes.pop(number, None)
+        if probe is None:
+            return
+        target = probe.missing.pop(number)
+        identity = decoded.ok.get("target", target.target_id)
+        try:
+            if identity == target.target_id:
+                self._take_state(target, decoded.ok["state"])
+                probe.found.append(target)
+            else:
+                # This start has ended, and the list still names it.
+                target.is_replaced = True
+        except OverflowError as error:
+            logs.log_event(
+                events.MESSAGE_REFUSED,
+                step="decode state",
+                peer=sender,
+                reason=str(error),
+            )
+        if not probe.missing:
+            probe.answered.set()
+
+    async def refresh(
+        self, chosen: collections_abc.Sequence[targets.Target]
+    ) -> collections_abc.Collection[targets.Target]:
+        """Ask the agents of ``chosen``; see the base class."""
+        if self._socket is None:
+            return ()
+        probe = _Probe()
+        agents: dict[int, str] = {}
+        try:
+            for target in chosen:
+                agent = self._find_agent(target)
+                if agent is None or self._is_skipped(agent):
+                    continue
+                number = next(self._numbers)
+                agents[number] = agent
+                probe.missing[number] = target
+                self._probes[number] = probe
+                await self._ask(self._socket, agent, number)
+            if probe.missing:
+                with trio.move_on_after(_TIMEOUT_S):
+                    await probe.answered.wait()
+            return probe.found
+        finally:
+            for number, agent in agents.items():
+                self._note_answer(agent, was_missed=number in probe.missing)
+                self._probes.pop(number, None)
+
+    async def _ask(
+        self, socket: trio.socket.SocketType, agent: str, number: int
+    ) -> None:
+        message = {"type": "state_wanted", "probe": number}
+        try:
+            await socket.sendto(
+                codec.encode_message(message),
+                option_types.split_address(agent),
+            )
+        except OSError as error:
+            # The engine is chosen by the state that is known.
+            logs.log_event(
+                events.CONNECTION_REFUSED,
+                step="ask for state",
+                peer=agent,
+                reason=str(error),
+            )
+
+    def _is_skipped(self, agent: str) -> bool:
+        misses = self._misses.get(agent)
+        if misses is None or misses.answers < _MISSES_UNTIL_SKIPPED:
+            return False
+        return trio.current_time() - misses.last_at < _SKIPPED_S
+
+    def _note_answer(self, agent: str, *, was_missed: bool) -> None:
+        misses = self._misses.pop(agent, _Misses(0, 0.0))
+        if not was_missed:
+            return
+        self._misses[agent] = _Misses(misses.answers + 1, trio.current_time())
+        if len(self._misses) > _MAX_SKIPPED:
+            del self._misses[next(iter(self._misses))]
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
@@ -13,6 +13,7 @@
 from gentianpoint_core.decisions import cold_limits
 from gentianpoint_core.generated import events
 from gentianpoint_entry.forwarding import arrivals
+from gentianpoint_entry.forwarding import engine_probes
 from gentianpoint_entry.forwarding import entry_metrics
 from gentianpoint_entry.forwarding import move_destinations
 from gentianpoint_entry.forwarding import requests
@@ -31,6 +32,8 @@
 """Share of the route's objective for which a request may wait for a target
 that is cold. The rest is for its answer; after a longer wait the caller is
 better served by coming back."""
+_PROBED_TARGETS: typing.Final = 4
+"""Engines whose present state is asked for before one of them is chosen."""
 _RELEASE_TIMEOUT_S: typing.Final = 0.3
 """Seconds allowed for releasing a copy, which expires by itself otherwise."""
 
@@ -47,6 +50,8 @@
 class Forwarder:
     """Chooses targets, sends requests to them and tracks their load."""
 
+    _probed_targets = _PROBED_TARGETS
+
     def __init__(
         self,
         registry: targets.TargetRegistry,
@@ -59,13 +64,15 @@
         ends: target_ends.TargetEnds,
         count_retry_sharers: typing.Optional[abc.Callable[[], int]] = None,
         cold: typing.Optional[cold_limits.ColdLimits] = None,
+        probes: typing.Optional[engine_probes.EngineProbes] = None,
     ) -> None:
         """Serve from ``data_centre`` as one of ``count_entries()`` entries.
 
         ``ends`` is told of connections that break off, and of answers.
         ``count_retry_sharers`` returns how many entries share the limit on
         retries, if that differs. ``cold`` limits the requests to cold
-        targets; by default this entry has the whole limit.
+        targets; by default this entry has the whole limit. Without ``probes``
+        engines are chosen by their reports alone.
         """
         self.registry: typing.Final = registry
         self.calls: typing.Final = calls
@@ -81,6 +88,7 @@
         self._cold: typing.Final = cold or cold_limits.ColdLimits(
             "", lambda: frozenset(("",))
         )
+        self._probes: typing.Final = probes
         self._arrival_rate: typing.Final = arrivals.ArrivalRate()
         send, receive = trio.open_memory_channel[_UnusedCopy](math.inf)
         self._unused_sender: typing.Final = send
@@ -107,9 +115,11 @@
         None if there is none, or none within the time that a wait may take.
         """
         began = trio.current_time()
+        if request.service.engine is not None:
+            self._arrival_rate.note(began)
         wait_s = request.route.objective_ms * _COLD_WAIT_SHARE / 1000
         while True:
-            target = self.choose_target(request, excluded)
+            target = await self._choose_by_present_state(request, excluded)
             if target is not None:
                 return target
             opens_at = self._find_opening(request, excluded)
@@ -122,6 +132,46 @@
             )
             await trio.sleep_until(opens_at)
 
+    async def _choose_by_present_state(
+        self,
+        request: requests.CallerRequest,
+        excluded: abc.Collection[str],
+    ) -> typing.Optional[targets.Target]:
+        """Choose a few targets by their reports, and one by its state."""
+        first = self.choose_target(request, excluded)
+        if (
+            first is None
+            or self._probes is None
+            or request.service.engine is None
+        ):
+            return first
+        chosen = [first]
+        while len(chosen) < self._probed_targets:
+            names = {target.target_id for target in chosen}
+            other = self.choose_target(request, {*excluded, *names})
+            if other is None:
+                break
+            chosen.append(other)
+        if len(chosen) == 1:
+            return first
+        found = await self._probes.refresh(chosen)
+        # An agent stands on its engine's host, so an engine whose agent does
+        # not answer is likely to be lost too.
+        names = {target.target_id for target in found or chosen}
+        permitted = [
+            target
+            for target in self._list_permitted(request, excluded)
+            if target.target_id in names
+        ]
+        return target_selection.choose_target(
+            permitted,
+            request,
+            self.data_centre,
+            self.count_entries(),
+            trio.current_time(),
+            self.rng,
+        )
+
     def find_opening_ms(self, request: requests.CallerRequest) -> float:
         """Return in how many milliseconds a target can take a request.
 
@@ -184,8 +234,6 @@
         """Return the best target for a request, or None."""
         candidates = self._list_permitted(request, excluded)
         now = trio.current_time()
-        if request.service.engine is not None:
-            self._arrival_rate.note(now)
         return target_selection.choose_target(
             candidates,
             request,
