Count the end of a target behind a front that goes on listening

Cause: a target whose address took a new connection was judged to go on, whatever the list of targets said afterwards.

One that was given notice meanwhile left as planned. No request waits for this longer verdict.

--- a/packages/gentianpoint-entry/features/forwarding/crash_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/crash_builders.py
@@ -121,6 +121,9 @@
         self.sends: typing.Final[list[Send]] = []
         self.ends: typing.Final[list[Send]] = []
         self.fatal: typing.Final[set[str]] = {FATAL}
+        # Whether connections are taken at the address of a target that is
+        # down.
+        self.has_fronts = False
         self._nursery: typing.Final = nursery
         self._places: typing.Final = places
         self._starts: typing.Final[dict[int, _TargetStart]] = {}
@@ -148,6 +151,8 @@
 
     def is_up(self, target: targets.Target) -> bool:
         """Tell whether a start listens at a target's address."""
+        if self.has_fronts:
+            return True
         try:
             self.find_start(target)
         except ports.PortError:
@@ -330,13 +335,15 @@
         self.gossip: typing.Final = gossip
         calls = ParkCalls(park)
         self.link: typing.Final = calls.link
+        registry = park.add_registry()
         self.ends: typing.Final = target_ends.TargetEnds(
             gossip.suspects,
             calls.check_listening,
             lambda contents: gossip.gossip.notify_urgent(),
+            registry.has_other_start,
         )
         self.forwarder: typing.Final = forwarder.Forwarder(
-            park.add_registry(),
+            registry,
             calls,
             retry_limits.RetryLimits(0.2, 10.0, _RETRY_SLACK),
             forwarding_builders.DATA_CENTRE,
--- a/packages/gentianpoint-entry/features/forwarding/steps/target_ends_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/target_ends_steps.py
@@ -19,12 +19,22 @@
     context.places = places
 
 
+@behave.given(
+    "{count:d} entries and {places:d} targets behind fronts that go on"
+    " listening"
+)
+def make_fleet_behind_fronts(context, count, places):
+    make_fleet(context, count, places)
+    context.has_fronts = True
+
+
 def run_fleet(context, act):
     async def run():
         async with trio.open_nursery() as nursery:
             fleet = crash_builders.CrashFleet(
                 nursery, context.count, context.places
             )
+            fleet.park.has_fronts = getattr(context, "has_fronts", False)
             context.fleet = fleet
             await trio.sleep(_SETTLED_S)
             await act(fleet)
--- a/packages/gentianpoint-entry/features/forwarding/target_ends.feature
+++ b/packages/gentianpoint-entry/features/forwarding/target_ends.feature
@@ -18,6 +18,19 @@
       | 3     | stream that may run once, with a backup | 6 |
       | 68    | resumable stream              | 6     |
 
+  Scenario Outline: targets behind a front that goes on listening
+    A sidecar or a forwarded port takes connections while its target is down.
+    Guards against a request that ends target after target, since each of them
+    seems to go on. The list names another start of each within seconds.
+    Given 3 entries and 12 targets behind fronts that go on listening
+    When a <kind> that ends each target is sent twice every 5 seconds, <waves> times
+    Then from 3 seconds after the third end on, at most 3 more reach a target
+
+    Examples:
+      | kind                     | waves |
+      | repeatable plain call    | 6     |
+      | stream that may run once | 6     |
+
   Scenario: an entry starts after targets have ended
     Guards against an entry that lets the request end further targets, since
     it was not there as the others learned of it.
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_ends.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_ends.py
@@ -2,8 +2,9 @@
 
 A connection that breaks off may have been cut on the way, closed by a target
 that goes on, or lost with its target. A target that has ended refuses new
-connections. If nothing answers at all, the list of targets tells: it drops a
-target that writes nothing more, or names another start at the same address.
+connections, unless a proxy in front of it takes them. So the list of targets
+has the last word: it drops a target that writes nothing more, or names
+another start at the same address.
 The end of a target that was leaving was planned and says nothing about the
 requests that it ran.
 """
@@ -53,6 +54,11 @@
         self.examined: typing.Final = trio.Event()
 
 
+def _has_no_other_start(target: targets.Target) -> bool:
+    """Tell that the list names no other start, as without a list."""
+    return False
+
+
 class TargetEnds:
     """Examines targets to which connections broke off."""
 
@@ -61,12 +67,17 @@
         suspects: crash_suspects.CrashSuspects,
         check_listening: CheckListening,
         notify: abc.Callable[[abc.Collection[str]], None],
+        has_other_start: abc.Callable[
+            [targets.Target], bool
+        ] = _has_no_other_start,
     ) -> None:
         """Record ends and answers in ``suspects``.
 
         After each change ``notify`` is called with the digests of the
-        requests that it concerns.
+        requests that it concerns. ``has_other_start`` tells whether the list
+        names another start at a target's address.
         """
+        self._has_other_start: typing.Final = has_other_start
         self.suspects: typing.Final = suspects
         self._check_listening: typing.Final = check_listening
         self._notify: typing.Final = notify
@@ -123,7 +134,7 @@
                 nursery.start_soon(self._examine, broken)
 
     async def _examine(self, broken: _BrokenTarget) -> None:
-        has_ended = await self._has_ended(broken.target)
+        has_ended = await self._has_ended(broken)
         del self._broken[broken.target.target_id]
         if has_ended:
             self._ended[broken.target.target_id] = None
@@ -132,7 +143,8 @@
             self._record(broken.target, broken.contents)
         broken.examined.set()
 
-    async def _has_ended(self, target: targets.Target) -> bool:
+    async def _has_ended(self, broken: _BrokenTarget) -> bool:
+        target = broken.target
         if await self._check_listening(target) is False:
             return True
         for delay_s in (_CLOSING_S, *_CHECK_DELAYS_S):
@@ -140,13 +152,30 @@
             is_listening = await self._check_listening(target)
             if is_listening is not None:
                 # A process that listens may be the next start already.
-                return target.is_replaced or not is_listening
+                if target.is_replaced or not is_listening:
+                    return True
+                # Requests don't wait for what the list tells later.
+                broken.examined.set()
+                return await self._is_succeeded(target)
         with trio.move_on_after(_LISTED_WITHIN_S):
             while not (target.is_gone or target.is_replaced):
                 await trio.sleep(_POLL_INTERVAL_S)
             return True
         return False
 
+    async def _is_succeeded(self, target: targets.Target) -> bool:
+        """Tell whether the list names another start in place of a target.
+
+        That of a target which was given notice meanwhile is planned.
+        """
+        with trio.move_on_after(_LISTED_WITHIN_S):
+            while not (target.is_replaced or self._has_other_start(target)):
+                if not (target.is_gone or target.accepts_work()):
+                    return False
+                await trio.sleep(_POLL_INTERVAL_S)
+            return True
+        return False
+
     def _record(
         self, target: targets.Target, contents: abc.Collection[str]
     ) -> None:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
@@ -291,6 +291,15 @@
         key = (target.entry.service, target.entry.address)
         return self._by_address.setdefault(key, [])
 
+    def has_other_start(self, target: Target) -> bool:
+        """Tell whether another start is listed at a target's address."""
+        return any(
+            item is not target
+            for item in self._by_address.get(
+                (target.entry.service, target.entry.address), ()
+            )
+        )
+
     def find(self, target_id: str) -> typing.Optional[Target]:
         """Return a target by its identifier."""
         return self._targets.get(target_id)
