--- a/bench/replay/policies.py
+++ b/bench/replay/policies.py
@@ -116,14 +116,22 @@
         super().__init__(*args, **{**more, "probes": None})
 
 
-class _NeverWaiting(forwarder.Forwarder):
-    """Our choice, where generations are sent although they will be late."""
+class _OwnPrompts(_ReportsAlone):
+    """Our choice, by the prompts of this entry's own requests alone."""
 
-    async def find_start_target(
-        self, request: requests.CallerRequest
+    def choose_target(
+        self,
+        request: requests.CallerRequest,
+        excluded: abc.Collection[str] = (),
     ) -> typing.Optional[targets.Target]:
-        """Send at once."""
-        return await self.find_target(request)
+        """Choose as if no report told of prompts that are unread."""
+        for target in self.registry.list_by_service(request.service.name):
+            target.prompt_tokens_since_report = 0
+            if target.report is not None:
+                target.report = target.report._replace(
+                    pending_prefill_tokens=0
+                )
+        return super().choose_target(request, excluded)
 
 
 class _AskedTwo(forwarder.Forwarder):
@@ -151,24 +159,6 @@
         return 0.0
 
 
-class _OwnPrompts(forwarder.Forwarder):
-    """Our choice, by the prompts of this entry's own requests alone."""
-
-    def choose_target(
-        self,
-        request: requests.CallerRequest,
-        excluded: abc.Collection[str] = (),
-    ) -> typing.Optional[targets.Target]:
-        """Choose as if no report told of prompts that are unread."""
-        for target in self.registry.list_by_service(request.service.name):
-            target.prompt_tokens_since_report = 0
-            if target.report is not None:
-                target.report = target.report._replace(
-                    pending_prefill_tokens=0
-                )
-        return super().choose_target(request, excluded)
-
-
 class _NeverRefused(forwarder.Forwarder):
     """Our choice, without knowing under which requests engines end."""
 
@@ -221,7 +211,6 @@
     "shared destinations": _SharedDestinations,
     "best of all": _BestOfAll,
     "reports alone": _ReportsAlone,
-    "never waiting": _NeverWaiting,
     "asking two": _AskedTwo,
     "asking three": _AskedThree,
     "asking six": _AskedSix,
