--- a/bench/capacity/page.py
+++ b/bench/capacity/page.py
@@ -5,6 +5,7 @@
 from bench import measures
 from bench.capacity import carrying
 from bench.capacity import control
+from bench.capacity import fleet_sweep
 from bench.capacity import mechanisms
 from bench.capacity import platform_load
 from bench.capacity import platform_path
@@ -169,6 +170,7 @@
         "itself is a stand-in here.\n\n" + platform_load.write_platform(model),
         "### News on the users' platform\n\n"
         + platform_path.write_platform_path(),
+        "### Fleets of several sizes\n\n" + fleet_sweep.write_sweep(),
         "## Recovery\n\n" + recovery.write_measured_recovery(model),
         "At the target, worked out from measured sizes of messages: each "
         "connection that is lost is replaced by one to the next agent in the "
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/state_answers.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/state_answers.py
@@ -11,7 +11,9 @@
 import trio
 
 from gentianpoint_core import codec
+from gentianpoint_core import logs
 from gentianpoint_core import option_types
+from gentianpoint_core.generated import events
 
 __all__ = ("StateAnswers",)
 
@@ -81,8 +83,12 @@
                 if self._get_identity():
                     answer["target"] = self._get_identity()
                 await socket.sendto(codec.encode_message(answer), sender)
-        except OSError:
-            # The sender's host refuses the answer; nobody waits for it.
-            return
+        except OSError as error:
+            logs.log_event(
+                events.CONNECTION_REFUSED,
+                step="answer with state",
+                peer=sender[0],
+                reason=str(error),
+            )
         finally:
             self._pending -= 1
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/engine_probes.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/engine_probes.py
@@ -97,8 +97,14 @@
             while True:
                 try:
                     data, sender = await socket.recvfrom(_MAX_DATAGRAM_BYTES)
-                except OSError:
+                except OSError as error:
                     # A host has refused an earlier datagram.
+                    logs.log_event(
+                        events.CONNECTION_REFUSED,
+                        step="receive state",
+                        peer="",
+                        reason=str(error),
+                    )
                     continue
                 self._handle(data, sender[0])
 
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
@@ -50,6 +50,7 @@
 class Forwarder:
     """Chooses targets, sends requests to them and tracks their load."""
 
+    # Overridden to compare other numbers.
     _probed_targets = _PROBED_TARGETS
 
     def __init__(
