Log the limits on requests that targets name

The incident's three hypotheses can't be told apart from the logs: no line says that an answer named a limit, nor which entry had met it when it sent on. The header is decoded, entries log each change of it (1822), and request_sent (1800) has the limit that the entry last met. No decision uses it yet.

A header that is no decimal number is told apart from none, since the one says nothing and the other that the limit is over.

--- /dev/null
+++ b/packages/gentianpoint-core/src/gentianpoint_core/named_limits.py
@@ -0,0 +1,45 @@
+"""Reads the limit on requests that a target names in its answers."""
+
+from collections import abc
+import re
+import typing
+
+__all__ = ("NamedLimit", "UNREADABLE", "UNNAMED", "read_named_limit")
+
+_DECIMAL_PATTERN: typing.Final = re.compile(rb"\d{1,9}(\.\d{0,9})?")
+
+
+class NamedLimit(typing.NamedTuple):
+    """What the head of one answer says of its target's limit."""
+
+    is_named: bool
+    """False when the answer names no limit."""
+    per_s: typing.Optional[float]
+    """Requests a second that the target takes from all entries together; None
+    when no limit is named, or none that can be read."""
+
+
+UNNAMED: typing.Final = NamedLimit(False, None)
+"""The answer names no limit, so the target has none."""
+UNREADABLE: typing.Final = NamedLimit(True, None)
+"""The answer names something that is no limit, which says nothing."""
+
+
+def read_named_limit(values: abc.Sequence[bytes]) -> NamedLimit:
+    """Return the limit in the values of an answer's header.
+
+    Of several values the lowest counts, as any of them may be meant.
+
+    >>> read_named_limit([b"2.5, 4"])
+    NamedLimit(is_named=True, per_s=2.5)
+    >>> read_named_limit([b"inf"]) == UNREADABLE
+    True
+    """
+    if not values:
+        return UNNAMED
+    readable = [
+        float(part)
+        for part in (item.strip() for item in b",".join(values).split(b","))
+        if _DECIMAL_PATTERN.fullmatch(part)
+    ]
+    return NamedLimit(True, min(readable)) if readable else UNREADABLE
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
@@ -9,6 +9,7 @@
 import trio
 
 from gentianpoint_core import logs
+from gentianpoint_core import named_limits
 from gentianpoint_core import ports
 from gentianpoint_core.decisions import cold_limits
 from gentianpoint_core.generated import events
@@ -341,6 +342,7 @@
             async with self.calls.send_request(
                 target, request, options
             ) as answer:
+                _log_limit(target, answer.limit)
                 yield answer
         finally:
             target.close_request(tokens)
@@ -473,6 +475,20 @@
         return False
 
 
+def _log_limit(target: targets.Target, named: named_limits.NamedLimit) -> None:
+    """Log that an answer names another limit than the one before."""
+    if named == target.named_limit:
+        return
+    target.named_limit = named
+    logs.log_event(
+        events.LIMIT_NAMED,
+        target=target.target_id,
+        is_named=named.is_named,
+        per_s=named.per_s,
+        open_requests=target.open_requests,
+    )
+
+
 def _describe_size(request: requests.CallerRequest) -> dict[str, int]:
     """Return the size of a generation for a log line."""
     if request.service.engine is None:
@@ -486,6 +502,8 @@
 def _describe_target(target: targets.Target) -> dict[str, typing.Any]:
     """Return what is known of a target, with its age, for a log line."""
     fields: dict[str, typing.Any] = {"open_requests": target.open_requests}
+    if target.named_limit.is_named:
+        fields["limit_per_s"] = target.named_limit.per_s
     if target.failures:
         fields["failures"] = target.failures
     if target.report is not None:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_calls.py
@@ -5,6 +5,7 @@
 import typing
 
 from gentianpoint_core import deadlines
+from gentianpoint_core import named_limits
 from gentianpoint_entry.forwarding import requests
 from gentianpoint_entry.forwarding import targets
 
@@ -33,6 +34,8 @@
     retry_after_ms: float
     """Milliseconds after which the target asks to be tried again, 0 if it does
     not say."""
+    limit: named_limits.NamedLimit = named_limits.UNNAMED
+    """Limit on requests from all entries together that the target names."""
 
     def is_refusal(self) -> bool:
         """Tell whether the request has certainly not run at the target."""
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
@@ -11,6 +11,7 @@
 import typing
 
 from gentianpoint_core import deadlines
+from gentianpoint_core import named_limits
 from gentianpoint_entry.forwarding import agent_turns
 
 __all__ = ("EngineReport", "Target", "TargetEntry", "TargetRegistry")
@@ -121,6 +122,8 @@
         # event yet, and of those that were sent after the report was made.
         self.own_pending_prefill_tokens = 0
         self.prompt_tokens_since_report = 0
+        # Limit on requests that its latest answer names.
+        self.named_limit = named_limits.UNNAMED
         self.failures = 0
         self.failed_at = -1e9
 
