--- a/bench/features/soak.feature
+++ b/bench/features/soak.feature
@@ -36,6 +36,8 @@
       | a second in which the soak stood still     | the soak itself keeps up             |
       | 100 repeats within a second                | repeats keep to their budget         |
       | a request that ends 4 more targets 3.1 s after the third | a request that ends targets is kept from others |
+      | a target with a limit of 2 that gets 18 in 4 s, 3.1 s after it named it | a target's limit on requests is kept |
+      | a target with a limit of 2 that gets 18 in 4 s, 3.2 s after an entry started | a target's limit on requests is kept |
 
   Scenario Outline: what is no broken promise
     Given what a soak without a fault has seen
@@ -56,6 +58,10 @@
       | a version that is missing 2.9 s after a fault     |
       | a version that is missing at an entry that started again |
       | a run 1.9 s after the target's notice             |
+      | a target with a limit of 2 that gets 17 in 4 s, 3.1 s after it named it |
+      | a target with a limit of 2 that gets 18 in 4 s, 1 s after it named it |
+      | a target with a limit of 2 that gets 18 in 4 s, 2.9 s after an entry started |
+      | a target with a limit of 2 that gets 18 in 4.2 s  |
       | a request that ends 3 more targets 3.1 s after the third |
       | a request that ends 4 more targets 2.9 s after the third |
       | a request that ends 4 more targets 3.1 s after the third, 2.9 s after its entry started |
--- a/bench/features/soak_builders.py
+++ b/bench/features/soak_builders.py
@@ -188,6 +188,33 @@
     )
 
 
+def _add_limit(
+    facts: seen.Facts,
+    count: int,
+    *,
+    within_s: float = 3.9,
+    after_s: float = 3.1,
+    started_s: float = 99.0,
+) -> None:
+    """Let a target name a limit of 2, and ``count`` requests reach it.
+
+    They begin ``after_s`` after it named the limit and ``started_s`` after
+    an entry started.
+    """
+    named_at = 30.0
+    facts.limits.append(seen.NamedLimit(_TARGET, 2.0, named_at, 60.0))
+    first_at = named_at + after_s
+    step_s = within_s / (count - 1)
+    facts.arrivals.extend(
+        seen.Arrival(_TARGET, first_at + number * step_s)
+        for number in range(count)
+    )
+    started_at = first_at - started_s
+    facts.disturbances.append(
+        seen.Disturbance(_ENTRY, "entry_kill", started_at, started_at)
+    )
+
+
 def _lose_service(facts: seen.Facts) -> None:
     facts.answers[-1] = facts.answers[-1]._replace(status=0, body=b"")
 
@@ -293,6 +320,24 @@
     "a run 1.9 s after the target's notice": (
         lambda facts: _add_late_run(facts, 1.9)
     ),
+    "a target with a limit of 2 that gets 18 in 4 s,"
+    " 3.1 s after it named it": (lambda facts: _add_limit(facts, 18)),
+    "a target with a limit of 2 that gets 17 in 4 s,"
+    " 3.1 s after it named it": (lambda facts: _add_limit(facts, 17)),
+    "a target with a limit of 2 that gets 18 in 4 s, 1 s after it named it": (
+        lambda facts: _add_limit(facts, 18, after_s=1.0)
+    ),
+    "a target with a limit of 2 that gets 18 in 4 s, 3.2 s after an entry"
+    " started": lambda facts: _add_limit(
+        facts, 18, after_s=10.0, started_s=3.2
+    ),
+    "a target with a limit of 2 that gets 18 in 4 s, 2.9 s after an entry"
+    " started": lambda facts: _add_limit(
+        facts, 18, after_s=10.0, started_s=-1.0
+    ),
+    "a target with a limit of 2 that gets 18 in 4.2 s": (
+        lambda facts: _add_limit(facts, 18, within_s=4.3)
+    ),
     "a request that ends 4 more targets 3.1 s after the third": (
         lambda facts: _add_fatal_runs(facts, 3.1, 4)
     ),
--- a/bench/features/steps/soak_steps.py
+++ b/bench/features/steps/soak_steps.py
@@ -94,3 +94,10 @@
 @behave.then("a request has ended {count:d} targets")
 def check_ended(context, count):
     assert len(context.facts.fatal_runs) >= count, context.facts.fatal_runs
+
+
+@behave.then("targets' limits were put to the test")
+def check_limits_tested(context):
+    found = checks.check_all(context.facts, context.bounds)
+    tested = {item.promise: item.tested for item in found}
+    assert tested["a target's limit on requests is kept"], tested
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -1,5 +1,6 @@
 """The promises that a soak checks, from what was seen."""
 
+import bisect
 import collections
 from collections import abc
 import itertools
@@ -22,6 +23,10 @@
 """Faults after which an entry may not know yet what the others do."""
 _FATAL_ENDS: typing.Final = 3
 """Targets that a request may end before it is kept from the others."""
+_UNSTEADY_LINKS: typing.Final = frozenset(
+    ("target_link_stalls", "target_link_silent", "target_link_cut")
+)
+"""Faults that hold back what was sent to a target."""
 _SIGNAL_S: typing.Final = 0.2
 """Time until a program knows of a signal."""
 _MOST_NAMED: typing.Final = 5
@@ -63,6 +68,12 @@
     fatal_runs: int = 3
     """Runs of a request that has ended targets, from ``calm_s`` after the
     third end on."""
+    limit_window_s: float = 4.0
+    """Time over which requests to a target with a limit are counted."""
+    limit_factor: float = 1.5
+    """Factor by which it may get more than its limit allows."""
+    limit_slack: int = 5
+    """Requests in such a time that are allowed besides."""
     lag_s: float = 1.0
     """Time for which the soak's own process may stand still."""
     do_agents_carry: bool = False
@@ -105,6 +116,7 @@
         _check_leaving(facts, bounds),
         _check_recovery(facts, bounds),
         _check_fatal(facts, bounds),
+        _check_limits(facts, bounds),
     ]
     return [item for item in verdicts if bounds.are_timed or not item.is_timed]
 
@@ -319,6 +331,51 @@
     )
 
 
+def _check_limits(facts: seen.Facts, bounds: Bounds) -> Verdict:
+    """Check that targets get no more than the limits that they name."""
+    tested = 0
+    failures = []
+    for limit in facts.limits:
+        from_s = limit.begins_at + bounds.calm_s
+        times = sorted(
+            item.at
+            for item in facts.arrivals
+            if item.target_id == limit.target_id
+            and from_s <= item.at <= limit.ends_at
+        )
+        allowed = (
+            bounds.limit_factor * limit.per_s * bounds.limit_window_s
+            + bounds.limit_slack
+        )
+        for last, at in enumerate(times):
+            began_at = at - bounds.limit_window_s
+            if _is_limit_excused(facts, began_at, at, bounds):
+                continue
+            tested += 1
+            count = last + 1 - bisect.bisect_right(times, began_at)
+            if count > allowed:
+                failures.append(
+                    f"{limit.target_id}: {count} requests until {at:.1f} s,"
+                    f" allowed {allowed:.0f}"
+                )
+    return _judge("a target's limit on requests is kept", tested, failures)
+
+
+def _is_limit_excused(
+    facts: seen.Facts, began_at: float, ended_at: float, bounds: Bounds
+) -> bool:
+    """Tell whether a fault hid a limit, or held requests back."""
+    kinds_of_fault = _OF_KNOWLEDGE | _UNSTEADY_LINKS
+    if bounds.do_agents_carry:
+        kinds_of_fault |= _OF_AGENT
+    return any(
+        item.kind in kinds_of_fault
+        and item.begins_at <= ended_at
+        and item.ends_at >= began_at - bounds.calm_s
+        for item in facts.disturbances
+    )
+
+
 def _was_away(
     facts: seen.Facts, entry: str, at: float, bounds: Bounds
 ) -> bool:
--- a/bench/soak/facts.py
+++ b/bench/soak/facts.py
@@ -8,6 +8,7 @@
 __all__ = (
     "TARGETS",
     "Answer",
+    "Arrival",
     "Change",
     "Disturbance",
     "Ending",
@@ -15,6 +16,7 @@
     "FatalCall",
     "FatalRun",
     "Leaving",
+    "NamedLimit",
     "Probe",
     "Run",
     "Stop",
@@ -39,6 +41,28 @@
     """Event after which it goes on, 0 from the beginning."""
 
 
+class Arrival(typing.NamedTuple):
+    """A request reached a target."""
+
+    target_id: str
+    """The start of the target."""
+    at: float
+    """When it came."""
+
+
+class NamedLimit(typing.NamedTuple):
+    """A target named a limit on requests for some time."""
+
+    target_id: str
+    """The start of the target."""
+    per_s: float
+    """Requests a second that it takes from all entries."""
+    begins_at: float
+    """When its answers began to name it."""
+    ends_at: float
+    """When they ceased to."""
+
+
 class Answer(typing.NamedTuple):
     """What a caller got for one request."""
 
@@ -164,6 +188,8 @@
     def __init__(self) -> None:
         """Start with nothing seen."""
         self.runs: typing.Final[list[Run]] = []
+        self.arrivals: typing.Final[list[Arrival]] = []
+        self.limits: typing.Final[list[NamedLimit]] = []
         self.answers: typing.Final[list[Answer]] = []
         self.changes: typing.Final[list[Change]] = []
         self.probes: typing.Final[list[Probe]] = []
--- a/bench/soak/own_fleet.py
+++ b/bench/soak/own_fleet.py
@@ -264,6 +264,22 @@
             )
         )
 
+    def name_start(self, target: OwnTarget) -> str:
+        """Return the identifier of a target's present start."""
+        return f"{target.name}-{self.handles[target.name].pid}"
+
+    def _note_arrivals(
+        self,
+        facts: seen.Facts,
+        target: OwnTarget,
+        ages_ms: typing.Sequence[float],
+    ) -> None:
+        now = trio.current_time()
+        name = self.name_start(target)
+        facts.arrivals.extend(
+            seen.Arrival(name, now - age_ms / 1000) for age_ms in ages_ms
+        )
+
     def note_runs(self, facts: seen.Facts) -> None:
         """Note what targets have run, by what they counted."""
         for target in self.targets:
@@ -271,6 +287,7 @@
             if self.local.find_exit_status(handle) is not None:
                 continue
             found = self.local.read_witness(handle)
+            self._note_arrivals(facts, target, found["arrival_ages_ms"])
             counts = found["prompts" if "prompts" in found else "tags"]
             for answer in facts.answers:
                 prompt = own_dialect.make_prompt(answer.request_id)
--- a/bench/soak/own_player.py
+++ b/bench/soak/own_player.py
@@ -12,6 +12,7 @@
 from bench.soak import own_fleet
 from bench.soak import players
 from bench.soak import schedule
+from gentianpoint_standins import arrivals
 from gentianpoint_standins import relay
 
 __all__ = ("OwnPlayer",)
@@ -97,9 +98,24 @@
         if self._latest[name] is step:
             await self._parts.set_faults(name, **no_faults)
 
+    def find_start(self, step: schedule.Step) -> str:
+        """Return the present start of the target that a step concerns."""
+        return self._parts.name_start(self._find_target(step))
+
+    async def set_limit(
+        self, step: schedule.Step, per_s: typing.Optional[float]
+    ) -> None:
+        """Let a target name a limit from now on, None for none."""
+        limit = arrivals.UNLIMITED if per_s is None else per_s
+        name = self._find_target(step).name
+        await self._parts.set_faults(name, limit_per_s=limit)
+
+    def _find_target(self, step: schedule.Step) -> own_fleet.OwnTarget:
+        return self._parts.targets[step.place % len(self._parts.targets)]
+
     async def trouble_target(self, step: schedule.Step) -> None:
         """Let a target, or the way to it, have a trouble."""
-        target = self._parts.targets[step.place % len(self._parts.targets)]
+        target = self._find_target(step)
         is_engine = target.service == kinds.ENGINES
         match step.kind:
             case "target_kill":
--- a/bench/soak/platform_player.py
+++ b/bench/soak/platform_player.py
@@ -8,6 +8,7 @@
 from bench.soak import facts as seen
 from bench.soak import fleet
 from bench.soak import platform_log
+from bench.soak import platform_targets
 from bench.soak import players
 from bench.soak import schedule
 
@@ -56,9 +57,22 @@
                 if target.place.service == service:
                     nursery.start_soon(target.die)
 
+    def find_start(self, step: schedule.Step) -> str:
+        """Return the present start of the target that a step concerns."""
+        return self._find_target(step).target_id
+
+    async def set_limit(
+        self, step: schedule.Step, per_s: typing.Optional[float]
+    ) -> None:
+        """Let a target name a limit from now on, None for none."""
+        self._find_target(step).limit_per_s = per_s
+
+    def _find_target(self, step: schedule.Step) -> platform_targets.Target:
+        return self._parts.targets[step.place % len(self._parts.targets)]
+
     async def trouble_target(self, step: schedule.Step) -> None:
         """Let a target, or the way to it, have a trouble."""
-        target = self._parts.targets[step.place % len(self._parts.targets)]
+        target = self._find_target(step)
         match step.kind:
             case "target_kill":
                 await target.die()
--- a/bench/soak/platform_targets.py
+++ b/bench/soak/platform_targets.py
@@ -32,6 +32,7 @@
 _EXPECTED: typing.Final = "x-gentianpoint-expect-instance"
 _NOT_EXECUTED: typing.Final = (b"x-gentianpoint-not-executed", b"1")
 _INSTANCE: typing.Final = b"x-gentianpoint-instance-id"
+_LIMIT: typing.Final = b"server-limit"
 
 
 class TargetPlace(typing.NamedTuple):
@@ -77,6 +78,8 @@
         self._fatal = trio.Event()
         self.failing_share = 0.0
         self.losing_share = 0.0
+        # Limit on requests that answers name, None without one.
+        self.limit_per_s: typing.Optional[float] = None
 
     @property
     def target_id(self) -> str:
@@ -129,6 +132,7 @@
         self._born_ms = int(time.time() * 1000)
         self._is_up = True
         self._is_leaving = False
+        self.limit_per_s = None
         self.relay.apply(relay.RelayFaults())
         self._listener.open()
 
@@ -212,6 +216,7 @@
         after = int(headers.get("last-event-id", 0) or 0)
         service = self.place.service
         now = trio.current_time()
+        self._facts.arrivals.append(seen.Arrival(self.target_id, now))
         self._facts.runs.append(
             seen.Run(request_id, service, self.target_id, now, after)
         )
@@ -222,10 +227,12 @@
             )
             self._fatal.set()
             await trio.sleep_forever()
-        marks = (
+        marks = [
             (_REQUEST_ID.encode(), request_id.encode()),
             (_SEAL, f"seal.{request_id}".encode()),
-        )
+        ]
+        if self.limit_per_s is not None:
+            marks.append((_LIMIT, str(self.limit_per_s).encode()))
         if self._source.random() < self.failing_share:
             error = {"error": "failed"}
             await http_serving.answer_json(answer, error, 500, *marks)
@@ -237,7 +244,7 @@
             await self._generate(request_id, after, answer)
         else:
             await trio.sleep(_PLAIN_S)
-            await answer.send_whole(200, marks, request_id.encode())
+            await answer.send_whole(200, tuple(marks), request_id.encode())
 
     async def _generate(
         self, request_id: str, after: int, answer: caller_answers.CallerAnswer
--- a/bench/soak/players.py
+++ b/bench/soak/players.py
@@ -20,6 +20,10 @@
 _ROW_SHARE: typing.Final = 5
 _MOST_ROW_PAUSE_S: typing.Final = 1.2
 """Longest pause between the stops of two entries; each takes longer to end."""
+_LIMITS_PER_S: typing.Final = (0.3, 1.0, 2.0, 3.0, 5.0)
+"""Limits that targets name, in requests a second."""
+_LIMITED_S: typing.Final = 14.0
+"""Least time for which a target names its limit."""
 _LINK_FAULTS: typing.Final = {
     "silent": relay.RelayFaults(silence="existing"),
     "cut": relay.RelayFaults(cut=True),
@@ -55,6 +59,7 @@
         self._shared: typing.Final = parts
         self._facts: typing.Final = facts
         self._latest: typing.Final[dict[object, schedule.Step]] = {}
+        self._limited: typing.Final[set[str]] = set()
         self._writing: typing.Final = trio.Lock()
 
     @abc.abstractmethod
@@ -69,6 +74,35 @@
     async def trouble_target(self, step: schedule.Step) -> None:
         """Let a target, or the way to it, have a trouble."""
 
+    @abc.abstractmethod
+    def find_start(self, step: schedule.Step) -> str:
+        """Return the present start of the target that a step concerns."""
+
+    @abc.abstractmethod
+    async def set_limit(
+        self, step: schedule.Step, per_s: typing.Optional[float]
+    ) -> None:
+        """Let a target name a limit from now on, None for none."""
+
+    async def carry_out_limit(self, step: schedule.Step) -> None:
+        """Let a target name a limit for a while; this excuses nothing."""
+        name = self.find_start(step)
+        if name in self._limited:
+            return
+        self._limited.add(name)
+        per_s = _LIMITS_PER_S[step.changes % len(_LIMITS_PER_S)]
+        begins_at = trio.current_time()
+        await self.set_limit(step, per_s)
+        await trio.sleep(step.for_s + _LIMITED_S)
+        if self.find_start(step) == name:
+            await self.set_limit(step, None)
+        self._limited.remove(name)
+        ends_at = trio.current_time()
+        self._facts.limits.append(
+            seen.NamedLimit(name, per_s, begins_at, ends_at)
+        )
+        self._facts.calm_from = max(self._facts.calm_from, ends_at)
+
     @abc.abstractmethod
     async def kill_service(self, step: schedule.Step) -> None:
         """Let all targets of a service end at once."""
--- a/bench/soak/playing.py
+++ b/bench/soak/playing.py
@@ -147,5 +147,7 @@
             await trio.sleep_until(began_at + step.at)
             if step.kind == schedule.FATAL_REQUEST:
                 nursery.start_soon(send_fatal, step)
+            elif step.kind == schedule.LIMITED_TARGET:
+                nursery.start_soon(player.carry_out_limit, step)
             else:
                 nursery.start_soon(player.carry_out, step)
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -3,7 +3,13 @@
 import random
 import typing
 
-__all__ = ("FATAL_REQUEST", "KINDS", "Step", "draw_schedule")
+__all__ = (
+    "FATAL_REQUEST",
+    "KINDS",
+    "LIMITED_TARGET",
+    "Step",
+    "draw_schedule",
+)
 
 KINDS: typing.Final = (
     "entry_kill",
@@ -35,6 +41,12 @@
 """What may come."""
 FATAL_REQUEST: typing.Final = "fatal_request"
 """A request comes again and again and ends each target that runs it."""
+LIMITED_TARGET: typing.Final = "limited_target"
+"""A target says in its answers how many requests a second it takes."""
+_LIMITED_SHARE: typing.Final = 0.8
+"""Share of series in which targets name limits."""
+_MOST_LIMITED: typing.Final = 3
+"""Targets that name a limit in one series."""
 _FATAL_SHARE: typing.Final = 0.8
 """Share of series that have such a request."""
 _SERIES_S: typing.Final = 5.0
@@ -89,7 +101,8 @@
             at = begins_at + _SERIES_S + source.uniform(0, _ROW_WITHIN_S)
             steps.append(_draw_step(source, at, "entries_stop"))
         begins_at += _SERIES_S + _LULL_S
-    return sorted(steps + _draw_fatal_steps(seed, length_s))
+    steps += _draw_fatal_steps(seed, length_s)
+    return sorted(steps + _draw_limited_steps(seed, length_s))
 
 
 def _draw_fatal_steps(seed: int, length_s: float) -> list[Step]:
@@ -109,6 +122,20 @@
     return steps
 
 
+def _draw_limited_steps(seed: int, length_s: float) -> list[Step]:
+    """Draw the targets that name limits, also from a source of their own."""
+    source = random.Random(f"{LIMITED_TARGET} {seed}")
+    steps = []
+    begins_at = 0.0
+    while begins_at < length_s:
+        if source.random() < _LIMITED_SHARE:
+            for _ in range(source.randint(1, _MOST_LIMITED)):
+                at = begins_at + source.uniform(0, _SERIES_S)
+                steps.append(_draw_step(source, at, LIMITED_TARGET))
+        begins_at += _SERIES_S + _LULL_S
+    return steps
+
+
 def _draw_step(source: random.Random, at: float, kind: str) -> Step:
     return Step(
         at=round(at, 3),
--- /dev/null
+++ b/packages/gentianpoint-entry/features/forwarding/limit_builders.py
@@ -0,0 +1,318 @@
+"""Entries that gossip, before targets that name limits on requests.
+
+The entries gossip as in :mod:`fleet_builders` and share the targets. Callers
+come at random entries, and come back once when they are told to.
+"""
+
+from collections import abc
+import contextlib
+import itertools
+import math
+import random
+import typing
+
+import fleet_builders
+import forwarding_builders
+from opentelemetry import metrics
+import trio
+
+from gentianpoint_core import named_limits
+from gentianpoint_entry.forwarding import entry_metrics
+from gentianpoint_entry.forwarding import forwarder
+from gentianpoint_entry.forwarding import refusals
+from gentianpoint_entry.forwarding import request_handling
+from gentianpoint_entry.forwarding import requests
+from gentianpoint_entry.forwarding import retry_limits
+from gentianpoint_entry.forwarding import routes
+from gentianpoint_entry.forwarding import target_ends
+from gentianpoint_entry.forwarding import targets
+
+__all__ = (
+    "LimitFleet",
+    "LimitedTarget",
+    "SentRequest",
+    "ServedCall",
+    "count_most",
+    "find_most_allowed",
+)
+
+WINDOW_S: typing.Final = 4.0
+"""Seconds over which requests to a target are counted."""
+MAX_OVERSHOOT: typing.Final = 1.5
+"""Factor by which a target may get more than its limit allows."""
+MAX_EXCESS: typing.Final = 5.0
+"""Requests that it may get besides."""
+_TRANSIT_S: typing.Final = 0.002
+_WORK_S: typing.Final = 0.025
+_DEADLINE_MS: typing.Final = 3000.0
+_OBJECTIVE_MS: typing.Final = 200.0
+_RETRY_SLACK: typing.Final = 58.0
+
+ReadHeader = abc.Callable[[float], abc.Sequence[bytes]]
+"""Returns the values of a target's header at a time of trio's clock."""
+
+
+def name_nothing(now: float) -> abc.Sequence[bytes]:
+    """Return no header, as targets without a limit do."""
+    return ()
+
+
+class SentRequest(typing.NamedTuple):
+    """A request that reached a target."""
+
+    at: float
+    """When, on trio's clock."""
+    entry: int
+    """Number of the entry that sent it."""
+    request_id: str
+    """Identifier of the attempt."""
+
+
+class ServedCall(typing.NamedTuple):
+    """What a caller got."""
+
+    at: float
+    """When it was sent, on trio's clock."""
+    entry: int
+    """Number of the entry that it came to."""
+    priority: int
+    """Its priority."""
+    customer: str
+    """Its customer."""
+    status: int
+    """Status of the last answer; 0 for none."""
+    tries: int
+    """How often the caller came."""
+    took_s: float
+    """Seconds to the end of the last answer."""
+    refusal: typing.Optional[refusals.Refusal]
+    """The refusal that ended it, if one did."""
+
+
+class LimitedTarget:
+    """One start of a target, and what reached it."""
+
+    def __init__(self, name: str, read_header: ReadHeader) -> None:
+        """Answer with the header that ``read_header`` returns."""
+        self.entry: typing.Final = forwarding_builders.make_entry(name)
+        self.read_header = read_header
+        self.sent: typing.Final[list[SentRequest]] = []
+        self.work_s = _WORK_S
+        # Length of the longest time for which an answer is under way.
+        self.transit_s = _TRANSIT_S
+
+    def read_limit(self) -> named_limits.NamedLimit:
+        """Return what its answers name now."""
+        values = self.read_header(trio.current_time())
+        return named_limits.read_named_limit(values)
+
+
+class _LimitedCalls(forwarding_builders.ScriptedCalls):
+    """One entry's calls to the targets."""
+
+    def __init__(
+        self, number: int, park: abc.Mapping[str, LimitedTarget]
+    ) -> None:
+        super().__init__()
+        self._number: typing.Final = number
+        self._park: typing.Final = park
+
+    @contextlib.asynccontextmanager
+    async def send_request(
+        self,
+        target: targets.Target,
+        request: requests.CallerRequest,
+        options: requests.SendOptions,
+    ) -> typing.Any:
+        place = self._park[target.target_id]
+        await trio.sleep(_TRANSIT_S)
+        place.sent.append(
+            SentRequest(trio.current_time(), self._number, request.request_id)
+        )
+        await trio.sleep(place.work_s)
+        limit = place.read_limit()
+        await trio.sleep(place.transit_s)
+        answer = forwarding_builders.ScriptedAnswer("answer", target)
+        answer.limit = limit
+        yield answer
+
+
+class _LimitEntry:
+    """An entry that serves requests."""
+
+    def __init__(
+        self,
+        gossip: fleet_builders.Entry,
+        park: abc.Mapping[str, LimitedTarget],
+    ) -> None:
+        self.gossip: typing.Final = gossip
+        self.registry: typing.Final = targets.TargetRegistry()
+        for place in park.values():
+            self.registry.put_entry(place.entry, trio.current_time())
+        calls = _LimitedCalls(gossip.number, park)
+        self.forwarder: typing.Final = forwarder.Forwarder(
+            self.registry,
+            calls,
+            retry_limits.RetryLimits(0.2, 10.0, _RETRY_SLACK),
+            forwarding_builders.DATA_CENTRE,
+            gossip.table.count,
+            random.Random(gossip.number),
+            entry_metrics.EntryMetrics(metrics.NoOpMeterProvider()),
+            target_ends.TargetEnds(
+                gossip.suspects, calls.check_listening, lambda contents: None
+            ),
+        )
+        self.refusals: typing.Final[dict[object, refusals.Refusal]] = {}
+        self.handler: typing.Final = request_handling.RequestHandler(
+            self.forwarder, self._send_refusal
+        )
+
+    async def _send_refusal(
+        self, answer: typing.Any, refusal: refusals.Refusal
+    ) -> None:
+        self.refusals[answer] = refusal
+        await answer.send_whole(refusal.status, (), b"")
+
+
+class LimitFleet:
+    """Entries, targets that name limits, and callers."""
+
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        entries: int,
+        headers: abc.Mapping[str, ReadHeader],
+        seed: int = 1,
+    ) -> None:
+        """Start entries before a target for each of ``headers``."""
+        self.gossip: typing.Final = fleet_builders.Fleet(entries)
+        self.gossip.start(nursery)
+        self.gossip.run_all()
+        self.park: typing.Final = {
+            name: LimitedTarget(name, read_header)
+            for name, read_header in headers.items()
+        }
+        self.calls: typing.Final[list[ServedCall]] = []
+        self.entries: typing.Final = [
+            _LimitEntry(entry, self.park)
+            for entry in self.gossip.entries.values()
+        ]
+        self._nursery: typing.Final = nursery
+        self._numbers: typing.Final = itertools.count(1)
+        self._rng: typing.Final = random.Random(seed)
+
+    def add_entry(self) -> int:
+        """Start another entry, and return its number."""
+        gossip = self.gossip.add(len(self.gossip.entries))
+        self._nursery.start_soon(gossip.run)
+        self.entries.append(_LimitEntry(gossip, self.park))
+        return len(self.entries) - 1
+
+    def restart_target(self, name: str, read_header: ReadHeader) -> str:
+        """Replace a target by a later start of it; return its identifier."""
+        old = self.park[name]
+        place = LimitedTarget(f"{name}-again", read_header)
+        self.park[place.entry.target_id] = place
+        for entry in self.entries:
+            entry.registry.drop(old.entry.target_id)
+            entry.registry.put_entry(place.entry, trio.current_time())
+        return place.entry.target_id
+
+    async def send_load(
+        self,
+        per_s: float,
+        seconds: float,
+        choose: abc.Callable[[], int],
+        priorities: abc.Sequence[int] = (0,),
+        customers: abc.Sequence[str] = ("customer",),
+    ) -> None:
+        """Let callers come for some seconds, and wait for their answers."""
+        async with trio.open_nursery() as nursery:
+            until = trio.current_time() + seconds
+            while True:
+                await trio.sleep(self._rng.expovariate(per_s))
+                if trio.current_time() >= until:
+                    break
+                nursery.start_soon(
+                    self.call,
+                    choose,
+                    self._rng.choice(priorities),
+                    self._rng.choice(customers),
+                )
+
+    def choose_entry(self) -> int:
+        """Draw the entry that a caller comes to."""
+        return self._rng.randrange(len(self.entries))
+
+    async def call(
+        self, choose: abc.Callable[[], int], priority: int, customer: str
+    ) -> None:
+        """Send a caller's request, and once more if it is told to."""
+        began = trio.current_time()
+        deadline = began + _DEADLINE_MS / 1000
+        number = choose()
+        for tries in (1, 2):
+            entry = self.entries[number]
+            answer = forwarding_builders.RecordedAnswer()
+            await entry.handler.serve(
+                self._make_request(deadline, priority, customer), answer
+            )
+            refusal = entry.refusals.pop(answer, None)
+            left_s = deadline - trio.current_time()
+            if refusal is None or tries == 2:
+                break
+            wait_s = refusal.retry_after_ms / 1000
+            if wait_s > left_s / 3 + 0.001:
+                break
+            await trio.sleep(wait_s)
+            number = choose()
+        self.calls.append(
+            ServedCall(
+                began,
+                number,
+                priority,
+                customer,
+                answer.status,
+                tries,
+                trio.current_time() - began,
+                refusal,
+            )
+        )
+
+    def _make_request(
+        self, deadline: float, priority: int, customer: str
+    ) -> requests.CallerRequest:
+        route = forwarding_builders.make_route(routes.RouteKind.ONCE)._replace(
+            objective_ms=_OBJECTIVE_MS, priority=priority
+        )
+        request = forwarding_builders.make_request(route, None)
+        left = request.deadline._replace(at=deadline)
+        return request._replace(
+            request_id=f"request-{next(self._numbers)}",
+            customer=routes.Customer(customer, None),
+            caller_deadline=left,
+            deadline=left,
+            content=str(next(self._numbers)),
+        )
+
+
+def find_most_allowed(limit_per_s: float) -> int:
+    """Return the most requests that a target may get in any window.
+
+    >>> find_most_allowed(1.9)
+    16
+    """
+    allowed = MAX_OVERSHOOT * WINDOW_S * limit_per_s + MAX_EXCESS
+    return math.floor(allowed)
+
+
+def count_most(times: abc.Sequence[float], from_s: float) -> int:
+    """Return the most of the sorted times in any window from a time on."""
+    counted = [at for at in times if at >= from_s]
+    most = 0
+    first = 0
+    for last, at in enumerate(counted):
+        while counted[first] <= at - WINDOW_S:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
--- a/packages/gentianpoint-standins/src/gentianpoint_standins/engine_faults.py
+++ b/packages/gentianpoint-standins/src/gentianpoint_standins/engine_faults.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from gentianpoint_standins import arrivals
 from gentianpoint_standins import engine_streams
 from gentianpoint_standins import faults
 from gentianpoint_standins import serving
@@ -48,6 +49,8 @@
     """True when each start is refused as if the engine were full."""
     pause_output: tuple[str, ...] = ()
     """Streams whose lines are held back; they run on."""
+    limit_per_s: float = arrivals.UNLIMITED
+    """Starts a second that answers to starts name as the most it takes."""
 
 
 def _names(
--- a/packages/gentianpoint-standins/src/gentianpoint_standins/engine_service.py
+++ b/packages/gentianpoint-standins/src/gentianpoint_standins/engine_service.py
@@ -10,6 +10,7 @@
 import quart_trio
 import trio
 
+from gentianpoint_standins import arrivals
 from gentianpoint_standins import engine_faults
 from gentianpoint_standins import engine_lengths
 from gentianpoint_standins import engine_orders
@@ -48,7 +49,8 @@
             dict[str, engine_streams.EngineStream]
         ] = {}
         self._ended: typing.Final[list[str]] = []
-        self._arrivals: typing.Final = itertools.count(1)
+        self._arrival_numbers: typing.Final = itertools.count(1)
+        self._arrivals: typing.Final = arrivals.Arrivals()
         self.faults: typing.Final = engine_faults.FaultBoard()
         self._work_came = trio.Event()
         self.orders: engine_orders.OrderBook
@@ -135,6 +137,12 @@
 
     async def start(self) -> quart.Response:
         """Start a stream and send its lines."""
+        self._arrivals.note()
+        answer = await self._start()
+        arrivals.name_limit(answer, self.faults.current.limit_per_s)
+        return answer
+
+    async def _start(self) -> quart.Response:
         start = msgspec.json.decode(
             await self._read_body(), type=engine_streams.StreamStart
         )
@@ -177,7 +185,7 @@
     ) -> engine_streams.EngineStream:
         length = self._lengths.draw(start["prompt"], trio.current_time())
         return engine_streams.EngineStream(
-            start, next(self._arrivals), length, self._boot
+            start, next(self._arrival_numbers), length, self._boot
         )
 
     def _lose_reply(self) -> quart.Response:
@@ -298,6 +306,7 @@
             {
                 **self._witness.read(),
                 **self._witness.counts.read(),
+                "arrival_ages_ms": self._arrivals.list_ages_ms(),
                 "boot": self._boot,
                 "now": self._scheduler.figures()._asdict(),
                 "orders": orders,
--- a/packages/gentianpoint-standins/src/gentianpoint_standins/plain.py
+++ b/packages/gentianpoint-standins/src/gentianpoint_standins/plain.py
@@ -20,6 +20,7 @@
 import trio
 import typer
 
+from gentianpoint_standins import arrivals
 from gentianpoint_standins import counts
 from gentianpoint_standins import faults
 from gentianpoint_standins import serving
@@ -57,6 +58,8 @@
     """True ends the process now."""
     die_in_call: bool = False
     """True ends the process in the next call, after it has run."""
+    limit_per_s: float = arrivals.UNLIMITED
+    """Requests a second that answers name as the most it takes."""
 
 
 def _list_headers(
@@ -74,6 +77,7 @@
         self._name: typing.Final = name
         self._faults = PlainFaults()
         self._counts: typing.Final = counts.Counts(("runs", "finished"))
+        self._arrivals: typing.Final = arrivals.Arrivals()
         self._tags: typing.Final[collections.Counter[str]] = (
             collections.Counter()
         )
@@ -102,6 +106,8 @@
 
     async def _run(self, answer: quart.Response) -> quart.Response:
         """Let the call take effect, then answer as the faults allow."""
+        self._arrivals.note()
+        arrivals.name_limit(answer, self._faults.limit_per_s)
         if self._faults.out:
             return serving.answer_refusal(503, "out")
         self._tags[quart.request.headers.get(_TAG, "")] += 1
@@ -188,7 +194,11 @@
         if refusal := await self._counts.wait_as_asked():
             return refusal
         return serving.answer_json(
-            {"tags": dict(self._tags), **self._counts.read()}
+            {
+                "tags": dict(self._tags),
+                "arrival_ages_ms": self._arrivals.list_ages_ms(),
+                **self._counts.read(),
+            }
         )
 
 
