Keep the limits on requests that targets name on the own interface

A target may name in its answers, by the header Max-Requests-Per-Second, how many starts a second it takes. Its agent, through which all work for it passes, starts calls by the same turns and rules as entries on the users' platform, and refuses at once what gets no turn before its deadline, with the time to return. Adopted and resumed streams are no starts.

The table of limits and the change log move to the core, which the agent uses too.

--- a/packages/gentianpoint-agent/features/admission.feature
+++ b/packages/gentianpoint-agent/features/admission.feature
@@ -132,3 +132,30 @@
     Then the predicted wait of a call behind 20 others is less than 10 s
     When 1 long answer runs alone for 60 s
     Then the predicted wait of a call behind 20 others is more than 30 s
+
+  Scenario Outline: a target names a limit on starts
+    Guards against calls that all start as soon as slots are free at a target
+    that takes a few a second, and against calls that wait for a turn that comes
+    after their deadline.
+    Given a queue for 32 slots
+    And the target has named a limit of <limit> a second
+    When customer one with a limit of 6 s sends 30 calls
+    And 8 s pass, and calls end as soon as they have started
+    Then between <least> and <most> calls have started
+    And the others were refused with a retry delay
+
+    Examples:
+      | limit | least | most |
+      | 2     | 12    | 13   |
+      | 0.4   | 2     | 3    |
+      | 0     | 1     | 1    |
+      | 1000  | 30    | 30   |
+
+  Scenario: a target lifts its limit
+    Guards against calls that go on waiting for turns.
+    Given a queue for 32 slots
+    And the target has named a limit of 0.5 a second
+    When customer one with a limit of 60 s sends 10 calls
+    And 1 s pass, and the target names no limit any more
+    And 1 s pass, and calls end as soon as they have started
+    Then between 10 and 10 calls have started
--- a/packages/gentianpoint-agent/features/steps/admission_steps.py
+++ b/packages/gentianpoint-agent/features/steps/admission_steps.py
@@ -6,6 +6,7 @@
 
 from gentianpoint_agent import drain_rates
 from gentianpoint_core import deadlines
+from gentianpoint_core import named_limits
 
 
 def use_stage(context, stage):
@@ -274,3 +275,40 @@
 @behave.then("the pace is unknown")
 def check_no_pace(context):
     assert context.calls.stage.call(context.calls.control.read_pace_ms) == 0
+
+
+@behave.given("the target has named a limit of {per_s:g} a second")
+def name_limit(context, per_s):
+    named = named_limits.NamedLimit(True, per_s)
+    context.calls.stage.call(context.calls.control.note_limit, named, 0.0)
+
+
+@behave.when("{seconds:d} s pass, and the target names no limit any more")
+def lift_limit(context, seconds):
+    context.calls.pass_time(seconds)
+    context.calls.stage.call(
+        context.calls.control.note_limit,
+        named_limits.UNNAMED,
+        1e12,
+    )
+
+
+@behave.when("{seconds:d} s pass, and calls end as soon as they have started")
+def end_all(context, seconds):
+    for _ in range(seconds * 20):
+        while context.calls.running:
+            context.calls.end_first()
+        context.calls.pass_time(0.05)
+
+
+@behave.then("between {least:d} and {most:d} calls have started")
+def check_started_count(context, least, most):
+    assert least <= len(context.calls.started) <= most, len(
+        context.calls.started
+    )
+
+
+@behave.then("the others were refused with a retry delay")
+def check_others_refused(context):
+    refused = context.calls.count_refused("one")
+    assert refused == 30 - len(context.calls.started), refused
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/admission.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/admission.py
@@ -9,6 +9,7 @@
 
 from collections import abc
 import contextlib
+import math
 import typing
 
 import trio
@@ -19,8 +20,10 @@
 from gentianpoint_agent import drain_rates
 from gentianpoint_agent import fair_queue
 from gentianpoint_agent import pace_limits
+from gentianpoint_agent import start_limits
 from gentianpoint_core import deadlines
 from gentianpoint_core import errors
+from gentianpoint_core import named_limits
 from gentianpoint_core import ports
 
 __all__ = ("AdmissionControl",)
@@ -33,6 +36,9 @@
 """Maximum number of short calls that may overtake one waiting call."""
 _PROGRESS_INTERVAL_MS: typing.Final = 20.0
 """Minimum time between decisions prompted by tokens, milliseconds."""
+_LIMIT_CHECK_S: typing.Final = 0.25
+"""Seconds after which a call that waits for its turn looks whether the
+target's limit has changed."""
 _PACE_VALID_MS: typing.Final = 5000.0
 """Time after which a measured pace is out of date, milliseconds."""
 
@@ -58,6 +64,8 @@
         self._running_by_customer: typing.Final[dict[str, int]] = {}
         self._last_decision_ms = 0.0
         self.load: typing.Optional[ports.EngineLoad] = None
+        # Limit on starts that the target names.
+        self.start_limit: typing.Final = start_limits.StartLimit()
 
     def count_running(self) -> int:
         """Return the number of running calls."""
@@ -77,9 +85,11 @@
 
     def predict_wait_ms(self) -> float:
         """Return the predicted wait of a call that arrives now, in ms."""
-        if not self._queue.count():
-            return 0.0
-        return self._drain.predict_wait_ms(self._queue.count())
+        count = self._queue.count()
+        turn_ms = self.start_limit.predict_wait_ms(count)
+        if not count:
+            return turn_ms
+        return max(turn_ms, self._drain.predict_wait_ms(count))
 
     def read_pace_ms(self) -> float:
         """Return the recent median time between tokens; 0 if unknown.
@@ -102,6 +112,13 @@
         self._policy.note_load(load, self._running.keys())
         self._admit_waiting()
 
+    def note_limit(
+        self, named: named_limits.NamedLimit, asked_at: float
+    ) -> None:
+        """Apply what an answer to a call sent at ``asked_at`` names."""
+        self.start_limit.note_answer(named, asked_at)
+        self._admit_waiting()
+
     @contextlib.asynccontextmanager
     async def admit(
         self, profile: admission_policy.CallProfile
@@ -118,9 +135,7 @@
             self._admit_waiting()
             if not ticket.decided.is_set():
                 self._refuse_early(ticket)
-            if not ticket.decided.is_set():
-                with trio.CancelScope(deadline=ticket.wait_deadline.at):
-                    await ticket.decided.wait()
+            await self._wait_until_decided(ticket)
             if ticket.slot is None:
                 raise ticket.refusal or self._make_refusal(
                     "the call waited too long", 0.0
@@ -129,6 +144,22 @@
         finally:
             self._leave(ticket)
 
+    async def _wait_until_decided(self, ticket: fair_queue.Ticket) -> None:
+        """Wait until a call starts, is refused, or has waited too long."""
+        until = ticket.wait_deadline
+        while not ticket.decided.is_set() and not until.is_past():
+            # Nothing but the time tells that the target takes a call again.
+            now = trio.current_time()
+            start_at = self.start_limit.find_start_at()
+            if start_at <= now:
+                start_at = math.inf
+            elif start_at > now + _LIMIT_CHECK_S:
+                start_at = now + _LIMIT_CHECK_S
+            with trio.CancelScope(deadline=min(until.at, start_at)):
+                await ticket.decided.wait()
+            if not ticket.decided.is_set():
+                self._admit_waiting()
+
     @contextlib.contextmanager
     def admit_running(
         self, profile: admission_policy.CallProfile
@@ -140,7 +171,7 @@
         """
         ticket = self._make_ticket(profile)
         self._queue.add(ticket)
-        self._start(ticket, deadlines.read_clock_ms())
+        self._start(ticket, deadlines.read_clock_ms(), is_running=True)
         assert ticket.slot is not None
         try:
             yield ticket.slot
@@ -173,9 +204,12 @@
             victim = self._queue.find_victim(ticket)
             half_ms = self._predict_wait_ms(self._queue.count() // 2)
             self._refuse(victim, "the queue is full", half_ms)
-        if ticket.decided.is_set() or not self._drain.is_known():
+        if ticket.decided.is_set():
             return
-        wait_ms = self._predict_wait_ms(self._queue.count_ahead(ticket))
+        ahead = self._queue.count_ahead(ticket)
+        wait_ms = self.start_limit.predict_wait_ms(ahead)
+        if self._drain.is_known():
+            wait_ms = max(wait_ms, self._predict_wait_ms(ahead))
         excess_ms = wait_ms - ticket.wait_deadline.remaining_ms()
         if ticket.wait_deadline.is_limited() and excess_ms > 0:
             self._refuse(ticket, "the wait would be too long", excess_ms)
@@ -233,7 +267,11 @@
         """Start every waiting call that may start now."""
         now_ms = deadlines.read_clock_ms()
         self._last_decision_ms = now_ms
-        while self._queue.count() and self._is_below_limit():
+        while (
+            self._queue.count()
+            and self._is_below_limit()
+            and self.start_limit.may_start()
+        ):
             head = self._queue.find_next(now_ms, self._is_within_limit)
             if head is None:
                 return
@@ -276,8 +314,16 @@
         self._start(short, now_ms)
         return True
 
-    def _start(self, ticket: fair_queue.Ticket, now_ms: float) -> None:
+    def _start(
+        self,
+        ticket: fair_queue.Ticket,
+        now_ms: float,
+        *,
+        is_running: bool = False,
+    ) -> None:
         self._queue.start(ticket, now_ms)
+        if not is_running:
+            self.start_limit.note_start()
         slot = admission_policy.Slot(
             ticket.profile, ticket.estimate, self, now_ms
         )
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/agent.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/agent.py
@@ -282,7 +282,10 @@
             service,
         )
         engine = http_engine.HttpEngine(
-            settings.target_url, client, settings.silence_ms
+            settings.target_url,
+            client,
+            settings.silence_ms,
+            control.note_limit,
         )
         watch = target_watch.TcpTargetWatch(
             settings.target, settings.target_url
@@ -292,7 +295,10 @@
             runner = plain_runner.PlainRunner(
                 control,
                 http_plain_service.HttpPlainService(
-                    settings.target_url, client, _PLAIN_SILENCE_MS
+                    settings.target_url,
+                    client,
+                    _PLAIN_SILENCE_MS,
+                    control.note_limit,
                 ),
                 watch,
             )
--- a/packages/gentianpoint-core/src/gentianpoint_core/http_engine.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/http_engine.py
@@ -6,7 +6,9 @@
 
 import httpx
 import msgspec
+import trio
 
+from gentianpoint_core import named_limits
 from gentianpoint_core import ports
 
 __all__ = ("HttpEngine",)
@@ -84,13 +86,20 @@
     """The engine at a base URL."""
 
     def __init__(
-        self, url: str, client: httpx.AsyncClient, silence_ms: int
+        self,
+        url: str,
+        client: httpx.AsyncClient,
+        silence_ms: int,
+        handle_limit: named_limits.HandleLimit = named_limits.ignore_limit,
     ) -> None:
         """Use ``client`` for the engine at ``url``.
 
         A stream fails if no data arrives for ``silence_ms`` milliseconds,
         since nothing else shows that a connection has stopped delivering.
+        ``handle_limit`` is told of the limit that each answer to a start
+        names.
         """
+        self._handle_limit: typing.Final = handle_limit
         self._url: typing.Final = url
         self._client: typing.Final = client
         self._stream_timeout: typing.Final = httpx.Timeout(
@@ -99,8 +108,12 @@
 
     @contextlib.asynccontextmanager
     async def _open_stream(
-        self, step: str, request: httpx.Request
+        self,
+        step: str,
+        request: httpx.Request,
+        handle_limit: named_limits.HandleLimit,
     ) -> abc.AsyncIterator[abc.AsyncIterator[ports.StreamEvent]]:
+        asked_at = trio.current_time()
         try:
             response = await self._client.send(request, stream=True)
         except (httpx.ConnectError, httpx.ConnectTimeout) as error:
@@ -111,6 +124,9 @@
             raise ports.PortError(
                 step, self._url, repr(error), took_effect=True
             ) from error
+        named = named_limits.read_header_limit(response.headers.raw)
+        if named.is_named or response.status_code == 200:
+            handle_limit(named, asked_at)
         try:
             if response.status_code != 200:
                 raise ports.PortError(
@@ -137,6 +153,7 @@
                 json=body,
                 timeout=self._stream_timeout,
             ),
+            self._handle_limit,
         )
 
     def resume_stream(
@@ -151,6 +168,9 @@
                 params={"after": after},
                 timeout=self._stream_timeout,
             ),
+            # A stream that is resumed started earlier, and its answer may
+            # name no limit for that.
+            named_limits.ignore_limit,
         )
 
     async def _send_request(
--- a/packages/gentianpoint-core/src/gentianpoint_core/http_plain_service.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/http_plain_service.py
@@ -5,7 +5,9 @@
 import typing
 
 import httpx
+import trio
 
+from gentianpoint_core import named_limits
 from gentianpoint_core import ports
 
 __all__ = ("HttpPlainService",)
@@ -18,13 +20,19 @@
     """The plain HTTP service at a base URL."""
 
     def __init__(
-        self, url: str, client: httpx.AsyncClient, silence_ms: int
+        self,
+        url: str,
+        client: httpx.AsyncClient,
+        silence_ms: int,
+        handle_limit: named_limits.HandleLimit = named_limits.ignore_limit,
     ) -> None:
         """Use ``client`` for the service at ``url``.
 
         A call fails with an unknown outcome if no data arrives for
-        ``silence_ms`` milliseconds.
+        ``silence_ms`` milliseconds. ``handle_limit`` is told of the limit
+        that each answer names.
         """
+        self._handle_limit: typing.Final = handle_limit
         self._url: typing.Final = url
         self._client: typing.Final = client
         self._timeout: typing.Final = httpx.Timeout(
@@ -42,6 +50,7 @@
         """Send a call; see :meth:`ports.PlainService.send_call`."""
         step = "send call"
         request = self._build_request(method, path, headers, body)
+        asked_at = trio.current_time()
         try:
             response = await self._client.send(request, stream=True)
         except (httpx.ConnectError, httpx.ConnectTimeout) as error:
@@ -52,6 +61,9 @@
             raise ports.PortError(
                 step, self._url, repr(error), took_effect=True
             ) from error
+        named = named_limits.read_header_limit(response.headers.raw)
+        if named.is_named or response.is_success:
+            self._handle_limit(named, asked_at)
         try:
             yield ports.PlainAnswer(
                 response.status_code,
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/limit_table.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/limit_table.py
@@ -11,11 +11,11 @@
 import math
 import typing
 
+from gentianpoint_core import change_log
 from gentianpoint_core import logs
 from gentianpoint_core import named_limits
 from gentianpoint_core.decisions import request_turns
 from gentianpoint_core.generated import events
-from gentianpoint_entry import change_log
 
 __all__ = ("LimitNews", "LimitTable")
 
--- a/packages/gentianpoint-core/src/gentianpoint_core/named_limits.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/named_limits.py
@@ -4,8 +4,19 @@
 import re
 import typing
 
-__all__ = ("NamedLimit", "UNREADABLE", "UNNAMED", "read_named_limit")
+__all__ = (
+    "HEADER",
+    "UNNAMED",
+    "UNREADABLE",
+    "HandleLimit",
+    "NamedLimit",
+    "ignore_limit",
+    "read_header_limit",
+    "read_named_limit",
+)
 
+HEADER: typing.Final = b"max-requests-per-second"
+"""Header in which targets of the project's own interface name a limit."""
 _DECIMAL_PATTERN: typing.Final = re.compile(rb"\d{1,9}(\.\d{0,9})?")
 
 
@@ -43,3 +54,21 @@
         if _DECIMAL_PATTERN.fullmatch(part)
     ]
     return NamedLimit(True, min(readable)) if readable else UNREADABLE
+
+
+HandleLimit = abc.Callable[[NamedLimit, float], None]
+"""Called with what an answer names, and the time on trio's clock at which its
+request was sent."""
+
+
+def ignore_limit(named: NamedLimit, asked_at: float) -> None:
+    """Do nothing with a limit."""
+
+
+def read_header_limit(
+    headers: abc.Iterable[tuple[bytes, bytes]],
+) -> NamedLimit:
+    """Return the limit in an answer of the own interface."""
+    return read_named_limit(
+        [value for name, value in headers if name.lower() == HEADER]
+    )
--- a/packages/gentianpoint-entry/features/forwarding/cold_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/cold_builders.py
@@ -8,13 +8,13 @@
 from opentelemetry import metrics
 import trio
 
+from gentianpoint_core import limit_table
 from gentianpoint_core import ports
 from gentianpoint_core.decisions import request_turns
 from gentianpoint_entry import crash_suspects
 from gentianpoint_entry.forwarding import caller_answers
 from gentianpoint_entry.forwarding import entry_metrics
 from gentianpoint_entry.forwarding import forwarder
-from gentianpoint_entry.forwarding import limit_table
 from gentianpoint_entry.forwarding import refusals
 from gentianpoint_entry.forwarding import request_handling
 from gentianpoint_entry.forwarding import request_permits
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/crash_suspects.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/crash_suspects.py
@@ -14,9 +14,9 @@
 from collections import abc
 import typing
 
+from gentianpoint_core import change_log
 from gentianpoint_core import logs
 from gentianpoint_core.generated import events
-from gentianpoint_entry import change_log
 
 __all__ = ("CrashSuspects", "SuspectNews")
 
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from gentianpoint_core import limit_table
 from gentianpoint_core import logs
 from gentianpoint_core import ports
 from gentianpoint_core.decisions import request_turns
@@ -17,7 +18,6 @@
 from gentianpoint_entry.forwarding import arrivals
 from gentianpoint_entry.forwarding import engine_probes
 from gentianpoint_entry.forwarding import entry_metrics
-from gentianpoint_entry.forwarding import limit_table
 from gentianpoint_entry.forwarding import move_destinations
 from gentianpoint_entry.forwarding import request_permits
 from gentianpoint_entry.forwarding import requests
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/gossip_state.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/gossip_state.py
@@ -13,12 +13,12 @@
 
 import trio
 
+from gentianpoint_core import change_log
 from gentianpoint_core import deadlines
+from gentianpoint_core import limit_table
 from gentianpoint_core.decisions import request_turns
-from gentianpoint_entry import change_log
 from gentianpoint_entry import crash_suspects
 from gentianpoint_entry.forwarding import engine_reports
-from gentianpoint_entry.forwarding import limit_table
 from gentianpoint_entry.forwarding import link_delay
 from gentianpoint_entry.forwarding import members
 from gentianpoint_entry.forwarding import targets
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/members.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/members.py
@@ -9,9 +9,9 @@
 from collections import abc
 import typing
 
+from gentianpoint_core import change_log
 from gentianpoint_core import deadlines
 from gentianpoint_core.decisions import ranking
-from gentianpoint_entry import change_log
 
 __all__ = (
     "MAX_FULL_MESH_PEERS",
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/request_permits.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/request_permits.py
@@ -9,9 +9,9 @@
 import math
 import typing
 
+from gentianpoint_core import limit_table
 from gentianpoint_core import named_limits
 from gentianpoint_core.decisions import request_turns
-from gentianpoint_entry.forwarding import limit_table
 from gentianpoint_entry.forwarding import routes
 from gentianpoint_entry.forwarding import targets
 
