Find the time of a turn that many others go before

Looking up when the turn after the one that uses up this entry's part of a window comes ended the request's task by an IndexError, and with it the entry: the part was taken to be used up by requests already sent, never by those that wait ahead. It now waits for one of those ahead.

--- a/packages/gentianpoint-core/src/gentianpoint_core/decisions/request_turns.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/decisions/request_turns.py
@@ -6,14 +6,14 @@
 second. So time is divided into turns, each as long as one request takes at the
 limit's rate, and the turns go to the members one after the other, in an order
 that all of them compute. A member that has nothing to send in its turn may use
-it a little later. Then it is lost, since turns saved by many members could all
-be used at once.
+it until the next turn begins, or a little later. Then it is lost, since turns
+saved by many members could all be used at once.
 
 Each member gets a turn in the end, however low the limit is. In any window the
-target gets what its limit allows, and a quarter more at the most, as long as
-the members agree on who they are and when the turns began. Each member that
-does not adds at most one request: besides, it keeps to its part of what the
-limit allows in the window, rounded up.
+target gets what its limit allows, and at most a quarter more or one request
+more, as long as the members agree on who they are and when the turns began.
+Each member that does not adds at most one request: besides, it keeps to its
+part of what the limit allows in the window, rounded up.
 """
 
 import collections
@@ -26,7 +26,8 @@
 __all__ = ("RequestTurns", "TurnClock", "WINDOW_SHARE")
 
 WINDOW_SHARE: typing.Final = 0.25
-"""Share of its window for which an unused turn of a limit can be used."""
+"""Share of its window for which an unused turn of a limit can be used, if the
+next turn begins earlier."""
 _ROUNDING_S: typing.Final = 1e-6
 """Seconds by which sums of times may be wrong."""
 _MAX_KEPT_RANKS: typing.Final = 4096
@@ -181,16 +182,20 @@
         self, key: str, clock: TurnClock, now: float, ahead: int
     ) -> float:
         """Return when this member's part of a window has room again."""
-        used = self._used.get(key)
-        if used is None:
-            return now
         window_s = clock.window_s + _ROUNDING_S
-        used.drop_before(now - window_s)
+        times: collections.deque[float] = collections.deque()
+        if key in self._used:
+            times = self._used[key].times
+            self._used[key].drop_before(now - window_s)
         allowed = clock.per_s * clock.window_s / len(self._members)
-        over = len(used.times) + ahead - max(1, math.ceil(allowed))
+        over = len(times) + ahead - max(1, math.ceil(allowed))
         if over < 0:
             return now
-        return used.times[min(over, len(used.times) - 1)] + window_s
+        if over < len(times):
+            return times[over] + window_s
+        # It has to wait for one of those that are ahead of it.
+        others = over - len(times)
+        return self._find_room_at(key, clock, now, others) + window_s
 
     def _find_rank(self, key: str) -> typing.Optional[int]:
         members = self._list_members()
--- a/packages/gentianpoint-entry/features/forwarding/limit_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/limit_builders.py
@@ -34,6 +34,7 @@
     "LimitedTarget",
     "SentRequest",
     "ServedCall",
+    "ToldTime",
     "count_most",
     "find_most_allowed",
 )
@@ -87,10 +88,23 @@
     """How often the caller came."""
     took_s: float
     """Seconds to the end of the last answer."""
+    last_took_s: float
+    """Seconds that the last try took."""
     refusal: typing.Optional[refusals.Refusal]
     """The refusal that ended it, if one did."""
 
 
+class ToldTime(typing.NamedTuple):
+    """A caller was told to come back."""
+
+    entry: int
+    """Number of the entry that told it."""
+    refusal_at: float
+    """When it was told."""
+    opens_at: float
+    """When a target takes it, on trio's clock."""
+
+
 class LimitedTarget:
     """One start of a target, and what reached it."""
 
@@ -100,8 +114,8 @@
         self.read_header = read_header
         self.sent: typing.Final[list[SentRequest]] = []
         self.work_s = _WORK_S
-        # Length of the longest time for which an answer is under way.
         self.transit_s = _TRANSIT_S
+        self.fails = False
 
     def read_limit(self) -> named_limits.NamedLimit:
         """Return what its answers name now."""
@@ -134,7 +148,8 @@
         await trio.sleep(place.work_s)
         limit = place.read_limit()
         await trio.sleep(place.transit_s)
-        answer = forwarding_builders.ScriptedAnswer("answer", target)
+        words = "failure" if place.fails else "answer"
+        answer = forwarding_builders.ScriptedAnswer(words, target)
         answer.limit = limit
         yield answer
 
@@ -201,11 +216,13 @@
             for name, read_header in headers.items()
         }
         self.calls: typing.Final[list[ServedCall]] = []
+        self.told: typing.Final[list[ToldTime]] = []
         self.entries: typing.Final = [
             _LimitEntry(entry, self.park)
             for entry in self.gossip.entries.values()
         ]
         self._nursery: typing.Final = nursery
+        self.may_repeat = False
         self._numbers: typing.Final = itertools.count(1)
         self._rng: typing.Final = random.Random(seed)
 
@@ -262,11 +279,16 @@
         for tries in (1, 2):
             entry = self.entries[number]
             answer = forwarding_builders.RecordedAnswer()
+            asked_at = trio.current_time()
             await entry.handler.serve(
                 self._make_request(deadline, priority, customer), answer
             )
             refusal = entry.refusals.pop(answer, None)
-            left_s = deadline - trio.current_time()
+            now = trio.current_time()
+            left_s = deadline - now
+            if refusal is not None:
+                opens_at = now + refusal.retry_after_ms / 1000
+                self.told.append(ToldTime(number, now, opens_at))
             if refusal is None or tries == 2:
                 break
             wait_s = refusal.retry_after_ms / 1000
@@ -283,6 +305,7 @@
                 answer.status,
                 tries,
                 trio.current_time() - began,
+                trio.current_time() - asked_at,
                 refusal,
             )
         )
@@ -290,9 +313,11 @@
     def _make_request(
         self, deadline: float, priority: int, customer: str
     ) -> requests.CallerRequest:
-        route = forwarding_builders.make_route(routes.RouteKind.ONCE)._replace(
-            objective_ms=_OBJECTIVE_MS, priority=priority
-        )
+        kind = routes.RouteKind.ONCE
+        if self.may_repeat:
+            kind = routes.RouteKind.IDEMPOTENT
+        route = forwarding_builders.make_route(kind, max_attempts=2)
+        route = route._replace(objective_ms=_OBJECTIVE_MS, priority=priority)
         request = forwarding_builders.make_request(route, None)
         left = request.deadline._replace(at=deadline)
         return request._replace(
