Forget limits of targets that are no longer cold, and look up fewer

Each cold target left a row that was told over every new connection until it was unlisted; at 2,700 targets that is hundreds of kilobytes. Rows that are over, or that no send has used for a minute, are dropped. Where no target has a limit, a choice looks up nothing.

--- a/packages/gentianpoint-core/src/gentianpoint_core/limit_table.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/limit_table.py
@@ -37,8 +37,10 @@
 news are known with about this error."""
 _MAX_KEPT: typing.Final = 4096
 """Limits that are remembered."""
-_UNLISTED_KEPT_S: typing.Final = 60.0
-"""Seconds for which a limit is remembered of a target that is not listed."""
+_UNUSED_KEPT_S: typing.Final = 60.0
+"""Seconds for which a limit is remembered that is over or not used."""
+_MAX_WINDOW_S: typing.Final = 60.0
+"""Longest window that other entries may tell."""
 _MAX_KEY_LENGTH: typing.Final = 256
 """Longest key that other entries may tell."""
 _MAX_TURN: typing.Final = 2**52
@@ -76,6 +78,10 @@
         self._news: typing.Final = change_log.ChangeLog[LimitNews]()
         self._told_at: typing.Final[dict[str, float]] = {}
 
+    def __len__(self) -> int:
+        """Return how many limits are remembered, those that are over too."""
+        return len(self._news)
+
     @property
     def changes(self) -> int:
         """Number of changes made so far."""
@@ -212,11 +218,11 @@
             self._put(known._replace(said_at=said_at), said_at)
         return is_refreshed
 
-    def prune(self, listed: abc.Container[str], now: float) -> None:
-        """Forget limits of targets that are not ``listed`` any more."""
+    def prune(self, kept: abc.Container[str], now: float) -> None:
+        """Forget old limits that are over or not among those ``kept``."""
         for key, news in self._news.list_all():
-            is_old = now - news.said_at > _UNLISTED_KEPT_S
-            if key not in listed and is_old:
+            is_old = now - news.said_at > _UNUSED_KEPT_S
+            if is_old and (news.is_over or key not in kept):
                 self._drop(key)
 
     def _drop(self, key: str) -> None:
@@ -234,7 +240,7 @@
     return (
         len(news.key) <= _MAX_KEY_LENGTH
         and _MIN_PER_S <= clock.per_s <= _MAX_PER_S
-        and 0 < clock.window_s <= _UNLISTED_KEPT_S
+        and 0 < clock.window_s <= _MAX_WINDOW_S
         and 0 <= clock.turn <= _MAX_TURN
         and math.isfinite(clock.turn_at)
         and math.isfinite(news.said_at)
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/request_permits.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/request_permits.py
@@ -117,20 +117,25 @@
     ) -> None:
         """Forget limits of targets that have gone."""
         keys = {make_key(target) for target in listed}
-        keys |= {key + _COLD_SUFFIX for key in keys}
+        # Limits of cold targets are in use only while these are cold.
         self._table.prune(keys, now)
-        self._turns.forget(keys)
+        self._turns.forget(keys | {key + _COLD_SUFFIX for key in keys})
 
     def _list_limits(
         self, target: targets.Target, service: routes.Service, now: float
     ) -> abc.Sequence[_Limit]:
+        is_cold = service.cold_per_s and now < target.find_cold_until(
+            service.cold_ms
+        )
+        if not is_cold and not len(self._table):
+            return ()
         limits = []
         key = make_key(target)
         named = self._table.find(key)
         if named is not None:
             limits.append(_Limit(key, named, math.inf))
-        cold_until = target.find_cold_until(service.cold_ms)
-        if service.cold_per_s and now < cold_until:
+        if is_cold:
+            cold_until = target.find_cold_until(service.cold_ms)
             cold_key = key + _COLD_SUFFIX
             clock = self._table.declare(
                 cold_key, service.cold_per_s, _COLD_WINDOW_S, now
