--- a/bench/soak/own_fleet.py
+++ b/bench/soak/own_fleet.py
@@ -10,6 +10,7 @@
 import sys
 import typing
 
+import httpx
 import trio
 
 from bench.soak import callers
@@ -30,6 +31,8 @@
 _DATA_CENTRES: typing.Final = 3
 _STEP_MS: typing.Final = 20
 _EXIT_LOOK_S: typing.Final = 0.02
+_EXIT_S: typing.Final = 0.5
+"""Time in which a process that has closed its connections has ended."""
 _RESTART_S: typing.Final = 2.0
 _SHUTDOWN_WITHIN_MS: typing.Final = 5500
 """Less than the time after which a program that was told to end is killed."""
@@ -256,13 +259,18 @@
 
         A target that is down gets none; it starts again without faults.
         """
-        if self.local.find_exit_status(self.handles[name]) is not None:
+        handle = self.handles[name]
+        if self.local.find_exit_status(handle) is not None:
             return
-        await trio.to_thread.run_sync(
-            functools.partial(
-                self.local.set_faults, self.handles[name], **faults
+        try:
+            await trio.to_thread.run_sync(
+                functools.partial(self.local.set_faults, handle, **faults)
             )
-        )
+        except httpx.TransportError:
+            # It may end just then, under a request that ends it.
+            await trio.sleep(_EXIT_S)
+            if self.local.find_exit_status(handle) is None:
+                raise
 
     def name_start(self, target: OwnTarget) -> str:
         """Return the identifier of a target's present start."""
