Share the connections to a target among all entries

Each entry kept what it had opened, so with more entries than the limit one idle connection each is too many, and the target resets what comes on new ones. Where entries are few the share is not reached.

Ranking among members, which turns and shares both need, is one table.

--- a/packages/gentianpoint-core/src/gentianpoint_core/connection_pools.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/connection_pools.py
@@ -10,6 +10,7 @@
 
 from collections import abc
 import contextlib
+import math
 import select
 import socket
 import typing
@@ -211,11 +212,13 @@
         connect_ms: float,
         *,
         tolerates_pauses: bool = False,
+        find_most_idle: abc.Callable[[], float] = lambda: math.inf,
     ) -> None:
         """Create a pool for ``address`` (IP:PORT).
 
         Each connection must be established within ``connect_ms``
-        milliseconds.
+        milliseconds. At most ``find_most_idle()`` are kept after their
+        request.
 
         The kernel drops a connection whose other end acknowledges nothing
         for some seconds. With ``tolerates_pauses`` it waits longer, for peers
@@ -227,6 +230,7 @@
         )
         self._connect_ms: typing.Final = connect_ms
         self._tolerates_pauses: typing.Final = tolerates_pauses
+        self._find_most_idle: typing.Final = find_most_idle
         self._idle: typing.Final[list[_Connection]] = []
         self.open_count = 0
 
@@ -267,7 +271,7 @@
             if expires_at is None:
                 _close_now(stream)
             else:
-                self._idle.append(_Connection(stream, expires_at))
+                self._keep(stream, expires_at)
 
     async def check_listening(self) -> typing.Optional[bool]:
         """Tell whether a process listens; None if nothing answers.
@@ -282,10 +286,18 @@
             return False
         except (OSError, trio.TooSlowError):
             return None
-        expires_at = deadlines.make_deadline(_IDLE_TIMEOUT_MS)
-        self._idle.append(_Connection(stream, expires_at))
+        self._keep(stream, deadlines.make_deadline(_IDLE_TIMEOUT_MS))
         return True
 
+    def _keep(
+        self, stream: trio.SocketStream, expires_at: deadlines.Deadline
+    ) -> None:
+        """Keep a connection for the next request, if one more may be kept."""
+        if len(self._idle) < self._find_most_idle():
+            self._idle.append(_Connection(stream, expires_at))
+        else:
+            _close_now(stream)
+
     def close(self) -> None:
         """Close the idle connections."""
         while self._idle:
--- a/packages/gentianpoint-core/src/gentianpoint_core/decisions/ranking.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/decisions/ranking.py
@@ -11,9 +11,11 @@
 import hashlib
 import typing
 
-__all__ = ("compute_weight", "rank_members")
+__all__ = ("RankTable", "compute_weight", "rank_members")
 
 _DIGEST_BYTES: typing.Final = 8
+_MAX_KEPT_RANKS: typing.Final = 4096
+"""Ranks that are kept."""
 
 
 def compute_weight(key: str, member: str) -> int:
@@ -31,3 +33,33 @@
     ['10.0.0.1:80']
     """
     return sorted(members, key=lambda member: compute_weight(key, member))
+
+
+class RankTable:
+    """The ranks of one member, computed once for each key."""
+
+    def __init__(
+        self, own: str, list_members: abc.Callable[[], frozenset[str]]
+    ) -> None:
+        """Rank ``own`` among the members that ``list_members`` names."""
+        self._own: typing.Final = own
+        self._list_members: typing.Final = list_members
+        self._members: frozenset[str] = frozenset()
+        self._ranks: typing.Final[dict[str, int]] = {}
+
+    def find_rank(self, key: str) -> typing.Optional[int]:
+        """Return the own rank for a key, None if it is not a member."""
+        members = self._list_members()
+        if members != self._members or len(self._ranks) > _MAX_KEPT_RANKS:
+            self._members = members
+            self._ranks.clear()
+        if self._own not in members:
+            return None
+        if key not in self._ranks:
+            order = rank_members(key, members)
+            self._ranks[key] = order.index(self._own)
+        return self._ranks[key]
+
+    def count(self) -> int:
+        """Return how many members there were when a rank was last found."""
+        return len(self._members)
--- a/packages/gentianpoint-core/src/gentianpoint_core/decisions/request_turns.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/decisions/request_turns.py
@@ -30,8 +30,6 @@
 next turn begins earlier."""
 _ROUNDING_S: typing.Final = 1e-6
 """Seconds by which sums of times may be wrong."""
-_MAX_KEPT_RANKS: typing.Final = 4096
-"""Ranks for targets that are kept."""
 
 
 class TurnClock(typing.NamedTuple):
@@ -102,10 +100,7 @@
         While that is empty, as long as the others are not known, there are no
         turns.
         """
-        self._own: typing.Final = own
-        self._list_members: typing.Final = list_members
-        self._members: frozenset[str] = frozenset()
-        self._ranks: typing.Final[dict[str, int]] = {}
+        self._ranks: typing.Final = ranking.RankTable(own, list_members)
         self._used: typing.Final[dict[str, _UsedTurns]] = {}
 
     def find_permitted_at(
@@ -116,10 +111,10 @@
         That is ``now`` if it may be sent at once, and infinity if this member
         has no turns. ``ahead`` other requests are sent before it.
         """
-        rank = self._find_rank(key)
+        rank = self._ranks.find_rank(key)
         if rank is None:
             return math.inf
-        count = len(self._members)
+        count = self._ranks.count()
         unused = self._list_unused(key, clock, now, rank)
         if ahead < len(unused):
             turn_at = now
@@ -138,7 +133,7 @@
         """Use the oldest turn that is left; return it, None if none is."""
         if self.find_permitted_at(key, clock, now) > now:
             return None
-        rank = self._find_rank(key)
+        rank = self._ranks.find_rank(key)
         assert rank is not None
         turn = self._list_unused(key, clock, now, rank)[0]
         used = self._used.setdefault(key, _UsedTurns())
@@ -172,9 +167,9 @@
         for turn in [item for item in numbers if not first <= item <= last]:
             numbers.remove(turn)
         own = range(
-            _find_next_own(first, rank, len(self._members)),
+            _find_next_own(first, rank, self._ranks.count()),
             last + 1,
-            len(self._members),
+            self._ranks.count(),
         )
         return [turn for turn in own if turn not in numbers]
 
@@ -187,7 +182,7 @@
         if key in self._used:
             times = self._used[key].times
             self._used[key].drop_before(now - window_s)
-        allowed = clock.per_s * clock.window_s / len(self._members)
+        allowed = clock.per_s * clock.window_s / self._ranks.count()
         over = len(times) + ahead - max(1, math.ceil(allowed))
         if over < 0:
             return now
@@ -197,18 +192,6 @@
         others = over - len(times)
         return self._find_room_at(key, clock, now, others) + window_s
 
-    def _find_rank(self, key: str) -> typing.Optional[int]:
-        members = self._list_members()
-        if members != self._members or len(self._ranks) > _MAX_KEPT_RANKS:
-            self._members = members
-            self._ranks.clear()
-        if self._own not in members:
-            return None
-        if key not in self._ranks:
-            order = ranking.rank_members(key, members)
-            self._ranks[key] = order.index(self._own)
-        return self._ranks[key]
-
 
 def _find_next_own(turn: int, rank: int, count: int) -> int:
     """Return the first turn from ``turn`` on of the member with a rank.
