--- a/bench/limit_ways.py
+++ b/bench/limit_ways.py
@@ -125,14 +125,20 @@
             request_turns.TurnClock(per_s, _WINDOW_S, 0, -skew_s)
             for skew_s in self._draw_skews()
         ]
+        self._wakes_at: typing.Final = [0.0] * count
 
     def _draw_skews(self) -> collections_abc.Sequence[float]:
         return [0.0] * self.count
 
     def take(self, entry: int, now: float) -> bool:
         """Send with a turn that is left."""
+        if now < self._wakes_at[entry]:
+            return False
         turns, clock = self._turns[entry], self._clocks[entry]
-        return turns.take("target", clock, now) is not None
+        if turns.take("target", clock, now) is not None:
+            return True
+        self._wakes_at[entry] = turns.find_permitted_at("target", clock, now)
+        return False
 
 
 class SkewedTurns(Turns):
