Tell refused callers a time after the requests that wait

The time to come back counted those who had been told one, not the requests that wait at the entry, which get the next turns. Found by reading.

--- a/packages/gentianpoint-core/features/steps/waiting_order_steps.py
+++ b/packages/gentianpoint-core/features/steps/waiting_order_steps.py
@@ -45,4 +45,13 @@
     order = waiting_order.WaitingOrder()
     for at in (7.0, 5.0, 6.0):
         order.promise(1, at)
-    assert order.count_promised(priority, now) == count
+    assert order.count_expected(priority, now) == count
+
+
+@behave.then("callers of priorities {priorities} would come after {counts}")
+def check_expected(context, priorities, counts):
+    found = [
+        context.order.count_expected(int(priority), 0.0)
+        for priority in priorities.split()
+    ]
+    assert found == [int(count) for count in counts.split()], found
--- a/packages/gentianpoint-core/features/waiting_order.feature
+++ b/packages/gentianpoint-core/features/waiting_order.feature
@@ -21,3 +21,8 @@
     And at 6.5 s a caller of priority 1 comes after 1 others
     And at 4 s a caller of priority 0 comes after 0 others
     And at 8 s a caller of priority 1 comes after 0 others
+
+  Scenario: callers that are refused while others wait
+    Guards against a time to come back at which those that wait are served.
+    When requests of a b c with priorities 0 1 2 wait
+    Then callers of priorities 0 1 2 would come after 1 2 3
--- a/packages/gentianpoint-core/src/gentianpoint_core/decisions/waiting_order.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/decisions/waiting_order.py
@@ -80,8 +80,9 @@
         if len(self._promises) < _MAX_PROMISES:
             heapq.heappush(self._promises, (at, priority))
 
-    def count_promised(self, priority: int, now: float) -> int:
-        """Return how many callers at least as urgent are still to return."""
+    def count_expected(self, priority: int, now: float) -> int:
+        """Return how many requests at least as urgent wait or will return."""
         while self._promises and self._promises[0][0] <= now:
             heapq.heappop(self._promises)
-        return sum(item <= priority for _, item in self._promises)
+        waiting = bisect.bisect_left(self._places, Place(priority + 1, 0, 0))
+        return waiting + sum(item <= priority for _, item in self._promises)
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_choice.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_choice.py
@@ -187,13 +187,14 @@
     def promise_opening_ms(self, request: requests.CallerRequest) -> float:
         """Return in how many milliseconds a refused request can be served.
 
-        0 if it can at once, or if that is not known. The caller counts as
-        waiting until then, so that no other is told the same time.
+        0 if it can at once, or if that is not known. The requests that wait
+        go first, and the caller counts as one of them until then, so that no
+        other is told the same time.
         """
         order = self._find_order(request)
         priority = _get_priority(request)
         now = trio.current_time()
-        ahead = order.count_promised(priority, now)
+        ahead = order.count_expected(priority, now)
         opens_at = self._find_opening(request, (), ahead)
         if math.isinf(opens_at) or opens_at <= now:
             return 0.0
