--- a/packages/gentianpoint-core/features/request_turns.feature
+++ b/packages/gentianpoint-core/features/request_turns.feature
@@ -87,3 +87,25 @@
     Given 29 entries, of which all know each other
     And 27 targets that take 25 requests a second while they are cold
     Then each entry may send to all of them within 1.2 seconds
+
+  Scenario Outline: a request that many others go before
+    Guards against an entry that ends as it looks far ahead, and against a time
+    that is earlier than the limit allows.
+    Given <count> entries, of which all know each other
+    And a target that takes <limit> requests a second, counted over 4 s
+    Then after <ahead> others a request of the first entry waits <low> to <high> s
+
+    Examples:
+      | count | limit | ahead | low   | high  |
+      | 1     | 2     | 0     | 0     | 0     |
+      | 1     | 2     | 9     | 4.5   | 4.5   |
+      | 5     | 0.4   | 2     | 25    | 37.5  |
+      | 1     | 0.25  | 5000  | 20000 | 20001 |
+      | 380   | 25    | 5000  | 75985 | 76016 |
+
+  Scenario: a turn that is given back late
+    Guards against an entry that ends as a connection fails after a long wait.
+    Given 1 entries, of which all know each other
+    And a target that takes 2 requests a second, counted over 1 s
+    When the first entry takes a turn, and gives it back 0.2 s later or 3 s later
+    Then it may send at once
--- a/packages/gentianpoint-core/features/steps/request_turns_steps.py
+++ b/packages/gentianpoint-core/features/steps/request_turns_steps.py
@@ -206,3 +206,34 @@
                 target, context.clock, 0.0
             )
             assert permitted_at <= seconds, (entry.name, target)
+
+
+@behave.then(
+    "after {ahead:d} others a request of the first entry waits {low:g} to"
+    " {high:g} s"
+)
+def check_wait(context, ahead, low, high):
+    turns = context.entries[0].turns
+    found = turns.find_permitted_at(_TARGET, context.clock, 0.0, ahead)
+    assert low <= found <= high + 0.1, found
+
+
+@behave.when(
+    "the first entry takes a turn, and gives it back {soon_s:g} s later or"
+    " {late_s:g} s later"
+)
+def give_back(context, soon_s, late_s):
+    turns = context.entries[0].turns
+    for began, wait_s in ((0.0, soon_s), (10.0, late_s)):
+        turn = turns.take(_TARGET, context.clock, began)
+        turns.find_permitted_at(_TARGET, context.clock, began + wait_s)
+        turns.give_back(_TARGET, turn)
+    context.now = 10.0 + late_s
+
+
+@behave.then("it may send at once")
+def check_at_once(context):
+    found = context.entries[0].turns.find_permitted_at(
+        _TARGET, context.clock, context.now
+    )
+    assert found == context.now, found
--- a/packages/gentianpoint-core/src/gentianpoint_core/decisions/request_turns.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/decisions/request_turns.py
@@ -146,7 +146,9 @@
         used = self._used.get(key)
         if used is not None and turn in used.numbers:
             used.numbers.remove(turn)
-            used.times.pop()
+            # After a window its time is forgotten.
+            if used.times:
+                used.times.pop()
 
     def forget(self, keys: abc.Container[str]) -> None:
         """Forget the turns used at all targets but ``keys``."""
@@ -182,15 +184,13 @@
         if key in self._used:
             times = self._used[key].times
             self._used[key].drop_before(now - window_s)
-        allowed = clock.per_s * clock.window_s / self._ranks.count()
-        over = len(times) + ahead - max(1, math.ceil(allowed))
-        if over < 0:
-            return now
-        if over < len(times):
-            return times[over] + window_s
-        # It has to wait for one of those that are ahead of it.
-        others = over - len(times)
-        return self._find_room_at(key, clock, now, others) + window_s
+        part = clock.per_s * clock.window_s / self._ranks.count()
+        allowed = max(1, math.ceil(part))
+        # So many whole windows pass before it.
+        windows, rest = divmod(ahead, allowed)
+        over = len(times) + rest - allowed
+        room_at = now if over < 0 else times[over] + window_s
+        return room_at + windows * window_s
 
 
 def _find_next_own(turn: int, rank: int, count: int) -> int:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/gossip_state.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/gossip_state.py
@@ -93,7 +93,9 @@
         ] = {}
         self._urgent = trio.Event()
         self._urgent_count = 0
-        self.limits: typing.Final = limits or limit_table.LimitTable()
+        self.limits: typing.Final = (
+            limit_table.LimitTable() if limits is None else limits
+        )
         self.limits.notify_urgent = self.notify_urgent
 
     def add_topic(self, follower: topic_follower.TopicFollower) -> None:
