Read both streams of the own interface with one reader

Evacuations and ends of targets each had the read with its timeout and the note of an outage, the latter to the letter. LogStream does both; the time-outs, waits and lines logged are those of before. evacuation_stream, suspect_stream, evacuations and ended_targets features: 19 passed, 0 failed.

--- a/packages/gentianpoint-entry/src/gentianpoint_entry/evacuation_stream.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/evacuation_stream.py
@@ -18,14 +18,13 @@
 from gentianpoint_core import ports
 from gentianpoint_core.decisions import evacuations
 from gentianpoint_core.generated import events
+from gentianpoint_entry import log_streams
 
 __all__ = ("STREAM", "EvacuationStream")
 
 STREAM: typing.Final = "evacuations"
 """Stream of the log that has the evacuations."""
 _FIRST_OFFSET: typing.Final = 1
-_BATCH_RECORDS: typing.Final = 500
-"""Most records that one read returns."""
 _LONG_POLL_MS: typing.Final = 2000
 """Time for which the log may hold a read that finds no record, milliseconds.
 A record that does not wake the read comes with the next one."""
@@ -57,11 +56,12 @@
         """Follow ``log``; repeat the state if none came for ``renewal_ms``."""
         self.evacuations: typing.Final = evacuations.Evacuations()
         self.offset = 0
-        self._log: typing.Final = log
+        self._stream: typing.Final = log_streams.LogStream(
+            log, STREAM, "read evacuations", _READ_TIMEOUT_S
+        )
         self._renewal_s: typing.Final = renewal_ms / 1000
         self._recorded_at = -math.inf
         self._is_ready = False
-        self._is_available = True
         self._changed = trio.Event()
         self._watchers: typing.Final[
             list[typing.Callable[[frozenset[str]], None]]
@@ -98,7 +98,7 @@
         )
 
     async def _append(self, row: _Row) -> int:
-        return await self._log.append_record(STREAM, msgspec.json.encode(row))
+        return await self._stream.append(msgspec.json.encode(row))
 
     async def run(self) -> None:
         """Follow the stream, and repeat the state, until cancelled."""
@@ -111,11 +111,11 @@
             try:
                 found = await self._read(self.offset + 1)
             except ports.PortError as error:
-                self._note_log(error)
+                self._stream.note_outcome(error)
                 self._is_ready = True
                 await trio.sleep(_RETRY_PAUSE_S)
                 continue
-            self._note_log(None)
+            self._stream.note_outcome(None)
             for record in found.records:
                 self._apply(record)
                 self.offset = record.offset
@@ -124,16 +124,9 @@
                 self._is_ready = True
 
     async def _read(self, start: int) -> ports.LogSlice:
-        may_wait = self._is_ready and self._is_available
-        with trio.move_on_after(_READ_TIMEOUT_S):
-            return await self._log.read_records(
-                STREAM,
-                max(start, _FIRST_OFFSET),
-                _BATCH_RECORDS,
-                _LONG_POLL_MS if may_wait else 0,
-            )
-        raise ports.PortError(
-            "read evacuations", "log", "no answer in time", took_effect=False
+        may_wait = self._is_ready and self._stream.is_available
+        return await self._stream.read(
+            max(start, _FIRST_OFFSET), _LONG_POLL_MS if may_wait else 0
         )
 
     def _apply(self, record: ports.LogRecord) -> None:
@@ -189,18 +182,7 @@
                     }
                 )
             except ports.PortError as error:
-                self._note_log(error)
+                self._stream.note_outcome(error)
                 await trio.sleep(_RETRY_PAUSE_S)
             else:
                 self._recorded_at = trio.current_time()
-
-    def _note_log(self, error: typing.Optional[ports.PortError]) -> None:
-        """Log once that the stream can't be used, until it can be again."""
-        if error is not None and self._is_available:
-            logs.log_event(
-                events.LOG_UNAVAILABLE,
-                step=error.step,
-                peer=error.peer,
-                reason=error.reason,
-            )
-        self._is_available = error is None
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/suspect_stream.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/suspect_stream.py
@@ -19,14 +19,13 @@
 from gentianpoint_core import ports
 from gentianpoint_core.generated import events
 from gentianpoint_entry import crash_suspects
+from gentianpoint_entry import log_streams
 
 __all__ = ("STREAM", "SuspectStream")
 
 STREAM: typing.Final = "target-ends"
 """Stream of the log that has the ends of targets."""
 _FIRST_OFFSET: typing.Final = 1
-_BATCH_RECORDS: typing.Final = 500
-"""Most records that one read returns."""
 _LONG_POLL_MS: typing.Final = 5000
 """Time for which the log may hold a read that finds no record, milliseconds.
 Targets seldom end, so that most reads find none."""
@@ -86,14 +85,15 @@
     ) -> None:
         """Keep ``suspects`` up to date with the stream in ``log``."""
         self.suspects: typing.Final = suspects
-        self._log: typing.Final = log
+        self._stream: typing.Final = log_streams.LogStream(
+            log, STREAM, "read ends of targets", _READ_TIMEOUT_S
+        )
         # What this entry has seen itself and not appended yet.
         self._ends: typing.Final = _PendingNews()
         self._clearances: typing.Final = _PendingNews()
         # Ends that a record of the stream clears, by content and target.
         # Used as an ordered set, oldest first.
         self._cleared: typing.Final[dict[tuple[str, str], None]] = {}
-        self._is_available = True
 
     def note_end(self, target: str, content: str) -> None:
         """Record that a target ended while it ran a request."""
@@ -151,9 +151,9 @@
         data = cbor2.dumps([list(_pack(item)) for item in news])
         while True:
             try:
-                await self._log.append_record(STREAM, data)
+                await self._stream.append(data)
             except ports.PortError as error:
-                self._note_log(error)
+                self._stream.note_outcome(error)
                 await trio.sleep(_RETRY_PAUSE_S)
             else:
                 return
@@ -162,12 +162,12 @@
         offset = _FIRST_OFFSET
         while True:
             try:
-                found = await self._read(offset)
+                found = await self._stream.read(offset, _LONG_POLL_MS)
             except ports.PortError as error:
-                self._note_log(error)
+                self._stream.note_outcome(error)
                 await trio.sleep(_RETRY_PAUSE_S)
                 continue
-            self._note_log(None)
+            self._stream.note_outcome(None)
             for record in found.records:
                 self._apply(record)
             if found.records:
@@ -175,18 +175,6 @@
             else:
                 offset = max(offset, found.first)
 
-    async def _read(self, offset: int) -> ports.LogSlice:
-        with trio.move_on_after(_READ_TIMEOUT_S):
-            return await self._log.read_records(
-                STREAM, offset, _BATCH_RECORDS, _LONG_POLL_MS
-            )
-        raise ports.PortError(
-            "read ends of targets",
-            "log",
-            "no answer in time",
-            took_effect=False,
-        )
-
     def _apply(self, record: ports.LogRecord) -> None:
         try:
             rows = msgspec.convert(cbor2.loads(record.data), list[_Row])
@@ -216,17 +204,6 @@
         if len(self._cleared) > _MAX_KEPT_CLEARANCES:
             del self._cleared[next(iter(self._cleared))]
 
-    def _note_log(self, error: typing.Optional[ports.PortError]) -> None:
-        """Log once that the stream can't be used, until it can be again."""
-        if error is not None and self._is_available:
-            logs.log_event(
-                events.LOG_UNAVAILABLE,
-                step=error.step,
-                peer=error.peer,
-                reason=error.reason,
-            )
-        self._is_available = error is None
-
 
 def _pack(news: crash_suspects.SuspectNews) -> _Row:
     age_s = max(0.0, trio.current_time() - news.ended_at)
