List the members once, and derive what was kept twice

Limits and idle connections ask for the set of members with each lookup, which built it from the table each time, at 380 entries as many steps for every target that a request may go to; it is kept until a member comes or goes. The customer of a waiting request stands in its place alone, the end of a target's cold time is found once, and a limit that is refreshed is stored once. 132 scenarios of limits, turns, gossip and retries pass; the saving was not measured.

--- a/packages/gentianpoint-core/src/gentianpoint_core/decisions/ranking.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/decisions/ranking.py
@@ -50,7 +50,8 @@
     def find_rank(self, key: str) -> typing.Optional[int]:
         """Return the own rank for a key, None if it is not a member."""
         members = self._list_members()
-        if members != self._members or len(self._ranks) > _MAX_KEPT_RANKS:
+        is_same = members is self._members or members == self._members
+        if not is_same or len(self._ranks) > _MAX_KEPT_RANKS:
             self._members = members
             self._ranks.clear()
         if self._own not in members:
--- a/packages/gentianpoint-core/src/gentianpoint_core/decisions/waiting_order.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/decisions/waiting_order.py
@@ -30,6 +30,8 @@
     """Requests of the same customer and priority that waited before it."""
     number: int
     """Counts the requests in the order in which they came."""
+    customer: str = ""
+    """Customer, which does not matter to the order."""
 
 
 class WaitingOrder:
@@ -47,7 +49,6 @@
         """Start with none."""
         self._places: typing.Final[list[Place]] = []
         self._waiting: typing.Final[dict[tuple[int, str], int]] = {}
-        self._customers: typing.Final[dict[Place, str]] = {}
         self._numbers: typing.Final = itertools.count()
         # When callers were told to come back, and their priority.
         self._promises: typing.Final[list[tuple[float, int]]] = []
@@ -56,17 +57,19 @@
         """Add a request, and return its place."""
         group = (priority, customer)
         place = Place(
-            priority, self._waiting.get(group, 0), next(self._numbers)
+            priority,
+            self._waiting.get(group, 0),
+            next(self._numbers),
+            customer,
         )
         self._waiting[group] = place.round + 1
-        self._customers[place] = customer
         bisect.insort(self._places, place)
         return place
 
     def leave(self, place: Place) -> None:
         """Remove a request that waits no longer."""
         self._places.remove(place)
-        group = (place.priority, self._customers.pop(place))
+        group = (place.priority, place.customer)
         self._waiting[group] -= 1
         if not self._waiting[group]:
             del self._waiting[group]
--- a/packages/gentianpoint-core/src/gentianpoint_core/limit_table.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/limit_table.py
@@ -156,10 +156,12 @@
         self._tell(LimitNews(key, clock, now, is_over=False), now)
 
     def _refresh(self, known: LimitNews, now: float) -> None:
-        self._news.replace(known.key, known._replace(said_at=now))
-        if now - self._told_at.get(known.key, -math.inf) > _REFRESH_INTERVAL_S:
+        refreshed = known._replace(said_at=now)
+        if now - self._told_at[known.key] > _REFRESH_INTERVAL_S:
             self._told_at[known.key] = now
-            self._news.put(known.key, known._replace(said_at=now))
+            self._news.put(known.key, refreshed)
+        else:
+            self._news.replace(known.key, refreshed)
 
     def _tell(self, news: LimitNews, now: float) -> None:
         """Keep news of a target, and let all others know them at once."""
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/members.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/members.py
@@ -89,6 +89,9 @@
         self.address: typing.Final = address
         self.data_centre: typing.Final = data_centre
         self._known: typing.Final = change_log.ChangeLog[_KnownMember]()
+        # Kept until a member comes or goes, as it is asked for with each
+        # request.
+        self._addresses: typing.Optional[frozenset[str]] = None
         self._beat_at = deadlines.NEVER
         # Incremented whenever the set of live members changes.
         self.version = 0
@@ -115,6 +118,7 @@
         for address, known in self._known.list_all():
             if now - known.heard_at > kept_s and address != self.address:
                 self._known.drop(address)
+                self._addresses = None
         self._update_live(now)
 
     def merge(self, member: Member, now: float) -> bool:
@@ -178,7 +182,11 @@
 
     def list_known(self) -> frozenset[str]:
         """Return the addresses of all members that :meth:`count` counts."""
-        return frozenset(address for address, _ in self._known.list_all())
+        if self._addresses is None:
+            self._addresses = frozenset(
+                address for address, _ in self._known.list_all()
+            )
+        return self._addresses
 
     def list_live(self) -> abc.Collection[str]:
         """Return the addresses of the live members, this one among them."""
@@ -226,6 +234,8 @@
             known = self._known.find(member.address)
             since = known.leaving_since if known else None
             since = now if since is None else since
+        if self._known.find(member.address) is None:
+            self._addresses = None
         self._known.put(member.address, _KnownMember(member, now, since))
 
     def _update_live(self, now: float) -> None:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/request_permits.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/request_permits.py
@@ -124,9 +124,8 @@
     def _list_limits(
         self, target: targets.Target, service: routes.Service, now: float
     ) -> abc.Sequence[_Limit]:
-        is_cold = service.cold_per_s and now < target.find_cold_until(
-            service.cold_ms
-        )
+        cold_until = target.find_cold_until(service.cold_ms)
+        is_cold = service.cold_per_s and now < cold_until
         if not is_cold and not len(self._table):
             return ()
         limits = []
@@ -135,7 +134,6 @@
         if named is not None:
             limits.append(_Limit(key, named, math.inf))
         if is_cold:
-            cold_until = target.find_cold_until(service.cold_ms)
             cold_key = key + _COLD_SUFFIX
             clock = self._table.declare(
                 cold_key, service.cold_per_s, _COLD_WINDOW_S, now
