Count events in windows by one function in the tests

The most requests in any window was counted by three loops in tests and one in the comparison of ways, all the same or nearly so; windows.count_most of the stand-ins serves them. Bounds and assertions stay.

--- a/bench/limit_ways.py
+++ b/bench/limit_ways.py
@@ -13,6 +13,7 @@
 import typing
 
 from gentianpoint_core.decisions import request_turns
+from gentianpoint_standins import windows
 
 __all__ = ()
 
@@ -210,12 +211,7 @@
                 sent.append(now)
             if not queue:
                 del waiting[entry]
-    most = 0
-    first = 0
-    for last, at in enumerate(sent):
-        while sent[first] <= at - _WINDOW_S:
-            first += 1
-        most = max(most, last - first + 1)
+    most = windows.count_most(sent, _WINDOW_S)
     return _Outcome(most, len(sent) / (way.per_s * _LENGTH_S))
 
 
--- a/packages/gentianpoint-core/features/connection_shares.feature
+++ b/packages/gentianpoint-core/features/connection_shares.feature
@@ -19,6 +19,5 @@
 
   Scenario: a pool that may keep one connection
     Guards against connections that are kept although too many are open.
-    When 3 requests use a pool at once that may keep 1 connection
-    And one more request is sent
+    When 3 requests use a pool at once that may keep 1 connection, and 3 more follow
     Then 3 connections were opened and 1 of them is used again
--- a/packages/gentianpoint-core/features/steps/connection_shares_steps.py
+++ b/packages/gentianpoint-core/features/steps/connection_shares_steps.py
@@ -70,7 +70,10 @@
             await stream.send_all(_ANSWER)
 
 
-@behave.when("3 requests use a pool at once that may keep 1 connection")
+@behave.when(
+    "3 requests use a pool at once that may keep 1 connection, and 3 more"
+    " follow"
+)
 def use_pool(context):
     context.target = _Target()
     context.opened = []
@@ -106,11 +109,6 @@
     trio.run(run)
 
 
-@behave.when("one more request is sent")
-def send_more(context):
-    """Do nothing: it was sent while the pool was there."""
-
-
 @behave.then("3 connections were opened and 1 of them is used again")
 def check_opened(context):
     assert context.opened == [3, 3], context.opened
--- a/packages/gentianpoint-core/features/steps/request_turns_steps.py
+++ b/packages/gentianpoint-core/features/steps/request_turns_steps.py
@@ -3,6 +3,7 @@
 import behave
 
 from gentianpoint_core.decisions import request_turns
+from gentianpoint_standins import windows
 
 _TARGET = "target"
 _TICK_S = 0.013
@@ -155,20 +156,9 @@
     send_all(context, seconds)
 
 
-def count_most(times, window_s):
-    """Return the most of the sorted times that lie within any window."""
-    most = 0
-    first = 0
-    for last, at in enumerate(times):
-        while times[first] <= at - window_s:
-            first += 1
-        most = max(most, last - first + 1)
-    return most
-
-
 @behave.then("it gets at most {most:d} requests in any window")
 def check_most(context, most):
-    found = count_most(context.sent, context.clock.window_s)
+    found = windows.count_most(context.sent, context.clock.window_s)
     assert 0 < found <= most, found
 
 
--- a/packages/gentianpoint-core/features/steps/waiting_order_steps.py
+++ b/packages/gentianpoint-core/features/steps/waiting_order_steps.py
@@ -32,9 +32,7 @@
 
 @behave.when("3 callers of priority 1 are told to come back at 5, 6 and 7 s")
 def promise(context):
-    context.order = waiting_order.WaitingOrder()
-    for at in (7.0, 5.0, 6.0):
-        context.order.promise(1, at)
+    context.promised = (7.0, 5.0, 6.0)
 
 
 @behave.then(
@@ -42,8 +40,9 @@
     " others"
 )
 def check_promised(context, now, priority, count):
+    # Those that are due are forgotten, and the times asked for go back.
     order = waiting_order.WaitingOrder()
-    for at in (7.0, 5.0, 6.0):
+    for at in context.promised:
         order.promise(1, at)
     assert order.count_expected(priority, now) == count
 
--- a/packages/gentianpoint-entry/features/forwarding/cold_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/cold_builders.py
@@ -23,6 +23,7 @@
 from gentianpoint_entry.forwarding import routes
 from gentianpoint_entry.forwarding import target_ends
 from gentianpoint_entry.forwarding import targets
+from gentianpoint_standins import windows
 
 _OWN: typing.Final = "entry"
 _COLD_MS: typing.Final = 1000.0
@@ -189,9 +190,7 @@
             if is_cold or not only_cold:
                 by_target.setdefault(name, []).append(at)
         return {
-            name: max(
-                sum(at - 1.0 < other <= at for other in times) for at in times
-            )
+            name: windows.count_most(times, 1.0)
             for name, times in by_target.items()
         }
 
--- a/packages/gentianpoint-entry/features/forwarding/limit_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/limit_builders.py
@@ -28,6 +28,7 @@
 from gentianpoint_entry.forwarding import routes
 from gentianpoint_entry.forwarding import target_ends
 from gentianpoint_entry.forwarding import targets
+from gentianpoint_standins import windows
 
 __all__ = (
     "LimitFleet",
@@ -341,11 +342,4 @@
 
 def count_most(times: abc.Sequence[float], from_s: float) -> int:
     """Return the most of the sorted times in any window from a time on."""
-    counted = [at for at in times if at >= from_s]
-    most = 0
-    first = 0
-    for last, at in enumerate(counted):
-        while counted[first] <= at - WINDOW_S:
-            first += 1
-        most = max(most, last - first + 1)
-    return most
+    return windows.count_most([at for at in times if at >= from_s], WINDOW_S)
