Log the software versions of targets, and what callers take up

Both are decoded now. target_listed (1805) and request_sent (1800) have the software of the target, request_sent also the attempt that is taken up, and generation_moved (1804) both versions. No decision uses them yet.

--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
@@ -114,6 +114,7 @@
             content=request.content,
             backup=options.backup_address,
             after_event=options.last_event_id,
+            resumed_attempt=request.resumed_id,
             **_describe_size(request),
             **_describe_target(target),
         )
@@ -270,7 +271,10 @@
 
 def _describe_target(target: targets.Target) -> dict[str, typing.Any]:
     """Return what is known of a target, with its age, for a log line."""
-    fields: dict[str, typing.Any] = {"open_requests": target.open_requests}
+    fields: dict[str, typing.Any] = {
+        "open_requests": target.open_requests,
+        "software": target.entry.software,
+    }
     if target.named_limit.is_named:
         fields["limit_per_s"] = target.named_limit.per_s
     if target.failures:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/requests.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/requests.py
@@ -44,6 +44,9 @@
     """Last event of this stream that the caller has; empty for none."""
     content: str
     """Digest of what is requested, the same for each attempt."""
+    resumed_id: str = ""
+    """Identifier of the attempt that brought the first event of the stream
+    that this one takes up; empty if it takes up none."""
 
 
 def digest_content(
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
@@ -521,6 +521,8 @@
             events.GENERATION_MOVED,
             source=source.target_id,
             target=destination.target_id,
+            source_software=source.entry.software,
+            target_software=destination.entry.software,
             way=way,
             after_event=self._format_last_event_id(),
             source_leaves_in_ms=_find_time_left_ms(source),
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_listing.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_listing.py
@@ -139,6 +139,7 @@
                 target=entry.target_id,
                 address=entry.address,
                 service=entry.service,
+                software=entry.software,
                 offset=record.offset,
             )
         if entry.is_leaving and not was_leaving:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
@@ -44,6 +44,8 @@
     started_ms: int
     """Unix time of its start in milliseconds, 0 if not said. The same
     identifier with another time is a new start, without the old state."""
+    software: str = ""
+    """Version of its software, not of its weights; empty if not known."""
 
 
 class EngineReport(typing.NamedTuple):
