Reproduce streams that hold events of two software versions

- The soak has releases, engines of several versions at once, callers that lose their connection and take streams up, and the promises 'a stream has events of one software version' and 'streams that are taken up go on', on both interfaces.

--- a/bench/features/soak.feature
+++ b/bench/features/soak.feature
@@ -19,6 +19,8 @@
       | a stream that has event 2 twice            | a stream is whole and in order       |
       | a stream that ends as complete after event 2 of 3 | a stream is whole and in order |
       | a stream with an event of another          | a stream is whole and in order       |
+      | a stream of two software versions          | a stream has events of one software version |
+      | 12 streams of which none goes on           | streams that are taken up go on      |
       | a version that is older than one before    | a version never goes back            |
       | a key that a version before had taken away | a version never goes back            |
       | an entry that ends by itself               | no program ends by itself            |
@@ -47,6 +49,8 @@
     Examples:
       | case                                              |
       | a status that runs twice                          |
+      | a stream of one version beside another            |
+      | 11 streams of which none goes on                  |
       | a stream that breaks off as its target ends       |
       | a stream that breaks off as its entry is killed   |
       | a report cut 7 s after SIGTERM, sent before it    |
--- a/bench/features/soak_builders.py
+++ b/bench/features/soak_builders.py
@@ -79,6 +79,39 @@
     facts.answers.append(make_answer("tag-5", body, is_whole=is_whole))
 
 
+def _add_versions(
+    facts: seen.Facts, *softwares: str, went_on: bool = True, count: int = 1
+) -> None:
+    """Let streams break off and be taken up, while versions serve.
+
+    Event 1 of each is of the first version, event 2 of the second one.
+    """
+    for number in range(3):
+        for software in set(softwares):
+            facts.servings.append(
+                seen.Serving(f"i-{number}-{software}", software, 0.0, 99.0)
+            )
+    facts.answers.append(
+        make_answer("tag-1-1", make_stream("tag-1-1", (1,), 1))
+    )
+    for number in range(count):
+        first = make_answer(
+            f"tag-2-{number}",
+            f"id: 1\ndata: tag-2-{number}/1/2/{softwares[0]}\n\n".encode(),
+            is_whole=False,
+        )
+        second = make_answer(
+            f"tag-2-{number}x",
+            f"id: 2\ndata: tag-2-{number}/2/2/{softwares[-1]}\n\n".encode(),
+        )
+        if not went_on:
+            second = second._replace(status=503, body=b"")
+        facts.answers += [
+            first._replace(end="given_up"),
+            second._replace(stream_id=f"tag-2-{number}", after_event=1),
+        ]
+
+
 def _add_missing(facts: seen.Facts, after_s: float, pid: int = 8) -> None:
     """Let version 2 be missing some time after it was acknowledged."""
     facts.changes.append(seen.Change(2, 30.0))
@@ -250,6 +283,18 @@
     "a status with the answer of another": lambda facts: facts.answers.append(
         make_answer("status-3", b"status-4")
     ),
+    "a stream of two software versions": (
+        lambda facts: _add_versions(facts, "v1", "v2")
+    ),
+    "a stream of one version beside another": (
+        lambda facts: _add_versions(facts, "v1", "v1")
+    ),
+    "12 streams of which none goes on": (
+        lambda facts: _add_versions(facts, "v1", went_on=False, count=12)
+    ),
+    "11 streams of which none goes on": (
+        lambda facts: _add_versions(facts, "v1", went_on=False, count=11)
+    ),
     "a stream that lacks event 2": lambda facts: _add_stream(facts, (1, 3)),
     "a stream that has event 2 twice": (
         lambda facts: _add_stream(facts, (1, 2, 2, 3))
--- a/bench/features/steps/soak_steps.py
+++ b/bench/features/steps/soak_steps.py
@@ -101,3 +101,10 @@
     found = checks.check_all(context.facts, context.bounds)
     tested = {item.promise: item.tested for item in found}
     assert tested["a target's limit on requests is kept"], tested
+
+
+@behave.then("several software versions have served")
+def check_versions_tested(context):
+    found = checks.check_all(context.facts, context.bounds)
+    tested = {item.promise: item.tested for item in found}
+    assert tested["a stream has events of one software version"], tested
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -19,6 +19,7 @@
     "Balancer",
     "EntryPlace",
     "call_for_ever",
+    "find_broken_stream",
     "find_probe_pause",
     "probe_for_ever",
     "send_fatal",
@@ -35,6 +36,12 @@
 """Standard deviation of the logarithm of estimated over real length."""
 _CONNECT_MS: typing.Final = 1000.0
 _OK: typing.Final = 200
+_LOST_SHARE: typing.Final = 0.2
+"""Share of streams that may run again whose callers lose their connection."""
+_LOST_AFTER_S: typing.Final = (0.1, 1.0)
+"""Shortest and longest time after which they do."""
+_TAKEN_UP: typing.Final = 2
+"""Times that a caller takes up one stream."""
 _FATAL_ATTEMPTS: typing.Final = 2
 """Attempts of a caller at a fatal request, one after the other."""
 _FATAL_ROUNDS: typing.Final = 4
@@ -150,22 +157,41 @@
                 return place
         return self._source.choice(balancer.list_ready())
 
+    def _choose_wait_s(self, kind: kinds.RequestKind) -> float:
+        """Return how long a caller reads; some lose their connection."""
+        may_return = kind.is_stream and kind.may_run_again
+        if not (self._dialect.takes_streams_up and may_return):
+            return kind.deadline_ms / 1000
+        if self._source.random() >= _LOST_SHARE:
+            return kind.deadline_ms / 1000
+        return self._source.uniform(*_LOST_AFTER_S)
+
     async def call(
-        self, place: EntryPlace, kind: kinds.RequestKind
+        self,
+        place: EntryPlace,
+        kind: kinds.RequestKind,
+        broken: typing.Optional[dialects.BrokenStream] = None,
     ) -> seen.Answer:
-        """Send a request and return what came of it."""
+        """Send a request, which may take a stream up, and return its answer.
+
+        A caller opens a new connection to take a stream up.
+        """
         most = self._source.choice(kind.most_events)
         request_id = f"{kind.name}-{most}-{uuid.uuid4().hex}"
         error = self._source.lognormvariate(0, _ESTIMATE_SPREAD)
         estimate = round(kinds.count_events(request_id) * error)
-        request = self._dialect.make_call(kind, request_id, estimate)
+        request = self._dialect.make_call(kind, request_id, estimate, broken)
         pid = place.program.pid
         self._last = (place, pid)
         connections = self._connections.setdefault(
             pid, connection_pools.ConnectionPool(place.front, _CONNECT_MS)
         )
+        if broken is not None:
+            connections.close()
         sent_at = trio.current_time()
-        answer = await _exchange(connections, request, kind.deadline_ms / 1000)
+        answer = await _exchange(
+            connections, request, self._choose_wait_s(kind)
+        )
         ended_at = trio.current_time()
         answer = self._dialect.read_outcome(request_id, answer)
         return seen.Answer(
@@ -179,9 +205,31 @@
             pid,
             ended_at,
             answer.end,
+            broken.stream_id if broken else "",
+            broken.last_event if broken else 0,
         )
 
 
+def find_broken_stream(
+    answer: seen.Answer,
+) -> typing.Optional[dialects.BrokenStream]:
+    """Return the stream that an answer leaves unfinished, if it has events.
+
+    One that is taken up and refused is as unfinished as before.
+    """
+    kind = kinds.find_kind(answer.request_id)
+    if answer.is_whole and answer.status == _OK:
+        return None
+    if kind is None or not kind.is_stream or not kind.may_run_again:
+        return None
+    events = answer.body.count(b"\n\n") if answer.status == _OK else 0
+    last_event = answer.after_event + events
+    if not last_event:
+        return None
+    stream_id = answer.stream_id or answer.request_id
+    return dialects.BrokenStream(stream_id, last_event)
+
+
 async def call_for_ever(
     balancer: Balancer,
     dialect: dialects.Dialect,
@@ -198,7 +246,16 @@
     while True:
         kind = source.choice(kinds.KINDS)
         place = caller.choose_place(balancer)
-        facts.answers.append(await caller.call(place, kind))
+        answer = await caller.call(place, kind)
+        facts.answers.append(answer)
+        for _ in range(_TAKEN_UP if dialect.takes_streams_up else 0):
+            broken = find_broken_stream(answer)
+            if broken is None:
+                break
+            await trio.sleep(source.random() * _PAUSE_S)
+            place = source.choice(balancer.list_ready())
+            answer = await caller.call(place, kind, broken)
+            facts.answers.append(answer)
         await trio.sleep(source.random() * _PAUSE_S)
 
 
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -74,6 +74,12 @@
     """Factor by which it may get more than its limit allows."""
     limit_slack: int = 5
     """Requests in such a time that are allowed besides."""
+    serving: int = 2
+    """Engines of a stream's version that serve, for it to go on."""
+    taken_up: int = 12
+    """Streams that are taken up, from which on their share counts."""
+    went_on_share: float = 0.5
+    """Share of them that go on, against that of new ones that begin."""
     lag_s: float = 1.0
     """Time for which the soak's own process may stand still."""
     do_agents_carry: bool = False
@@ -117,6 +123,8 @@
         _check_recovery(facts, bounds),
         _check_fatal(facts, bounds),
         _check_limits(facts, bounds),
+        _check_software(facts),
+        _check_taken_up(facts, bounds),
     ]
     return [item for item in verdicts if bounds.are_timed or not item.is_timed]
 
@@ -193,26 +201,110 @@
 
 def _find_stream_fault(answer: seen.Answer) -> str:
     """Return what is wrong with a stream, or nothing."""
-    blocks = answer.body.decode().split("\n\n")
-    complete, rest = blocks[:-1], blocks[-1]
-    last = 0
+    complete, rest = _split_events(answer)
+    last = answer.after_event
     count = 0
     for block in complete:
         head, _, data = block.partition("\n")
-        name, place, most = data.removeprefix("data: ").split("/")
+        name, place, most = data.removeprefix("data: ").split("/")[:3]
         count = int(most)
-        if name != answer.request_id:
+        if name != (answer.stream_id or answer.request_id):
             return f"an event of {name}"
         if int(head.removeprefix("id: ")) != last + 1 or place != str(
             last + 1
         ):
             return f"{head} after event {last}"
         last += 1
-    if answer.is_whole and (rest or last != count):
+    # Where it ends with no event of its own, an earlier attempt had the last.
+    is_short = last != count and (complete or not answer.stream_id)
+    if answer.is_whole and (rest or is_short):
         return f"ends as complete after event {last} of {count}"
     return ""
 
 
+def _split_events(answer: seen.Answer) -> tuple[list[str], str]:
+    """Return the whole events of a stream, and what follows them."""
+    blocks = answer.body.decode().split("\n\n")
+    return blocks[:-1], blocks[-1]
+
+
+def _check_software(facts: seen.Facts) -> Verdict:
+    """Check that each stream was written by one software version."""
+    versions = collections.defaultdict(set)
+    for answer in facts.answers:
+        if answer.status != 200 or not _is_stream(answer):
+            continue
+        for block in _split_events(answer)[0]:
+            software = block.split("/")[3:]
+            stream_id = answer.stream_id or answer.request_id
+            versions[stream_id].update(software)
+    mixed = (
+        f"{name}: {sorted(found)}"
+        for name, found in versions.items()
+        if len(found) > 1
+    )
+    several = {item.software for item in facts.servings}
+    tested = len(versions) if len(several) > 1 else 0
+    return _judge("a stream has events of one software version", tested, mixed)
+
+
+def _check_taken_up(facts: seen.Facts, bounds: Bounds) -> Verdict:
+    """Check that streams go on where two targets of their version serve."""
+    versions: dict[str, str] = {}
+    for answer in facts.answers:
+        if answer.status == 200 and _is_stream(answer):
+            for block in _split_events(answer)[0]:
+                software = "/".join(block.split("/")[3:])
+                versions.setdefault(
+                    answer.stream_id or answer.request_id, software
+                )
+    due = [
+        answer
+        for answer in facts.answers
+        if answer.stream_id
+        and answer.end in ("answered", "cut")
+        and _count_serving(facts, versions.get(answer.stream_id, ""), answer)
+        >= bounds.serving
+        and not _is_disturbed(
+            facts, answer.entry, answer.sent_at - bounds.calm_s, answer.sent_at
+        )
+    ]
+    went_on = sum(_has_begun(answer) for answer in due)
+    fresh = [
+        answer
+        for answer in facts.answers
+        if _is_stream(answer)
+        and not answer.stream_id
+        and answer.end in ("answered", "cut")
+    ]
+    begun = sum(_has_begun(answer) for answer in fresh) / max(1, len(fresh))
+    failures = []
+    if len(due) >= bounds.taken_up and (
+        went_on / len(due) < bounds.went_on_share * begun
+    ):
+        failures.append(
+            f"{went_on} of {len(due)} went on, {begun:.2f} of new ones begin"
+        )
+    return _judge("streams that are taken up go on", len(due), failures)
+
+
+def _has_begun(answer: seen.Answer) -> bool:
+    """Tell whether an answer brought events, or the end of its stream."""
+    return answer.status == 200 and (b"\n\n" in answer.body or answer.is_whole)
+
+
+def _count_serving(
+    facts: seen.Facts, software: str, answer: seen.Answer
+) -> int:
+    """Return how many engines of a version took work all the time."""
+    return sum(
+        item.software == software
+        and item.begins_at <= answer.sent_at
+        and item.ends_at >= answer.ended_at
+        for item in facts.servings
+    )
+
+
 def _check_never_back(facts: seen.Facts) -> Verdict:
     tested = 0
     failures = []
--- a/bench/soak/dialects.py
+++ b/bench/soak/dialects.py
@@ -7,7 +7,14 @@
 from bench.soak import kinds
 from gentianpoint_core import connection_pools
 
-__all__ = ("MAIN_KEY", "Dialect", "Outcome", "PlatformDialect", "ask")
+__all__ = (
+    "MAIN_KEY",
+    "BrokenStream",
+    "Dialect",
+    "Outcome",
+    "PlatformDialect",
+    "ask",
+)
 
 MAIN_KEY: typing.Final = "key-of-all-versions"
 _PROMPT: typing.Final = b"prompt"
@@ -31,17 +38,35 @@
     """True when the answer ended as a complete one does."""
 
 
+class BrokenStream(typing.NamedTuple):
+    """A stream that broke off, and that its caller takes up."""
+
+    stream_id: str
+    """Identifier of the attempt that brought its first event."""
+    last_event: int
+    """Last event that the caller has."""
+
+
 class Dialect(abc.ABC):
     """One interface of entries."""
 
     ready_path: str
     """Path under which a balancer asks."""
+    takes_streams_up = False
+    """True where callers take up streams that broke off."""
 
     @abc.abstractmethod
     def make_call(
-        self, kind: kinds.RequestKind, request_id: str, estimate: int
+        self,
+        kind: kinds.RequestKind,
+        request_id: str,
+        estimate: int,
+        broken: typing.Optional[BrokenStream] = None,
     ) -> connection_pools.ExchangeRequest:
-        """Return a request; ``estimate`` is its caller's, in events."""
+        """Return a request; ``estimate`` is its caller's, in events.
+
+        It takes the stream ``broken`` up, if one is given.
+        """
 
     @abc.abstractmethod
     def read_outcome(self, request_id: str, outcome: Outcome) -> Outcome:
@@ -78,17 +103,25 @@
     """The interface on the users' platform."""
 
     ready_path = "/api/readiness"
+    takes_streams_up = True
 
     def make_call(
-        self, kind: kinds.RequestKind, request_id: str, estimate: int
+        self,
+        kind: kinds.RequestKind,
+        request_id: str,
+        estimate: int,
+        broken: typing.Optional[BrokenStream] = None,
     ) -> connection_pools.ExchangeRequest:
-        """Return a request; ``estimate`` is its caller's, in events."""
+        """Return a request; see the base class."""
         most = kinds.find_most_events(request_id)
         headers = {
             **_make_headers(request_id, kind.deadline_ms, MAIN_KEY),
             "X-Gentianpoint-Token-Count": f"100,{most}",
             "X-Gentianpoint-Length-Hint": str(estimate),
         }
+        if broken is not None:
+            headers["Resumes"] = broken.stream_id
+            headers["Last-Event-Id"] = str(broken.last_event)
         content = kinds.find_fatal_content(request_id)
         body = content.encode() or _PROMPT
         return ask(b"POST", f"/{kind.name}/x", headers, body)
--- a/bench/soak/facts.py
+++ b/bench/soak/facts.py
@@ -19,6 +19,7 @@
     "NamedLimit",
     "Probe",
     "Run",
+    "Serving",
     "Stop",
 )
 
@@ -41,6 +42,19 @@
     """Event after which it goes on, 0 from the beginning."""
 
 
+class Serving(typing.NamedTuple):
+    """A start of an engine took work for some time."""
+
+    target_id: str
+    """The start of the engine."""
+    software: str
+    """Version of its software."""
+    begins_at: float
+    """When it began to take work."""
+    ends_at: float
+    """When it was told to leave, or ended."""
+
+
 class Arrival(typing.NamedTuple):
     """A request reached a target."""
 
@@ -86,6 +100,11 @@
     """When the answer, or the connection, ended."""
     end: typing.Literal["answered", "cut", "given_up", "not_sent"] = "answered"
     """How it ended: whole, by the entry before that, or by the caller."""
+    stream_id: str = ""
+    """Identifier of the attempt whose stream this one takes up; empty if it
+    begins one."""
+    after_event: int = 0
+    """Last event of that stream that the caller has already."""
 
 
 class Change(typing.NamedTuple):
@@ -190,6 +209,7 @@
         self.runs: typing.Final[list[Run]] = []
         self.arrivals: typing.Final[list[Arrival]] = []
         self.limits: typing.Final[list[NamedLimit]] = []
+        self.servings: typing.Final[list[Serving]] = []
         self.answers: typing.Final[list[Answer]] = []
         self.changes: typing.Final[list[Change]] = []
         self.probes: typing.Final[list[Probe]] = []
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -212,7 +212,9 @@
             task_status.started()
 
     def note_runs(self, facts: seen.Facts) -> None:
-        """Note nothing: targets write down each run as it begins."""
+        """Note until when targets served; they note each run themselves."""
+        for target in self.targets:
+            target.note_end()
 
 
 async def open_relay(
--- a/bench/soak/own_dialect.py
+++ b/bench/soak/own_dialect.py
@@ -41,7 +41,11 @@
         self._owners: typing.Final[dict[str, str]] = {}
 
     def make_call(
-        self, kind: kinds.RequestKind, request_id: str, estimate: int
+        self,
+        kind: kinds.RequestKind,
+        request_id: str,
+        estimate: int,
+        broken: typing.Optional[dialects.BrokenStream] = None,
     ) -> connection_pools.ExchangeRequest:
         """Return a request; nobody here asks for estimates."""
         headers = {
@@ -103,9 +107,11 @@
             for choice in fields["choices"]:
                 if not choice["text"]:
                     continue
-                stamp, _, place = choice["text"].rpartition(".")
+                text, _, software = choice["text"].partition("/")
+                stamp, _, place = text.rpartition(".")
                 owner = self._owners.setdefault(stamp, request_id)
-                events.append(f"{head}data: {owner}/{place}/{count}\n\n")
+                data = f"{owner}/{place}/{count}/{software}"
+                events.append(f"{head}data: {data}\n\n")
         return outcome._replace(
             body="".join(events).encode(), end=end, is_whole=is_done
         )
--- a/bench/soak/own_player.py
+++ b/bench/soak/own_player.py
@@ -37,6 +37,8 @@
         """Disturb ``parts`` and note it in ``facts``."""
         super().__init__(parts, facts)
         self._parts: typing.Final = parts
+        # Software of each engine that was replaced.
+        self._softwares: typing.Final[dict[str, str]] = {}
 
     async def write(self, version: int) -> float:
         """Write a version; return when it was acknowledged."""
@@ -98,6 +100,30 @@
         if self._latest[name] is step:
             await self._parts.set_faults(name, **no_faults)
 
+    async def release(self, step: schedule.Step) -> None:
+        """Let engines go on with other software, as if started anew.
+
+        Each breaks off its connections and goes on with its streams under
+        their identifiers.
+        """
+        software = self.name_next_software()
+        engines = [
+            target
+            for target in self._parts.targets
+            if target.service == kinds.ENGINES
+        ]
+        now = trio.current_time()
+        for number in range(1 + step.changes % len(engines)):
+            target = engines[(step.place + number) % len(engines)]
+            await self._parts.set_faults(
+                target.name, software=software, drop=("*",)
+            )
+            for name in (self._softwares.get(target.name, ""), software):
+                self._facts.servings.append(
+                    seen.Serving(target.name, name, now, now)
+                )
+            self._softwares[target.name] = software
+
     def find_start(self, step: schedule.Step) -> str:
         """Return the present start of the target that a step concerns."""
         return self._parts.name_start(self._find_target(step))
--- a/bench/soak/platform_player.py
+++ b/bench/soak/platform_player.py
@@ -7,6 +7,7 @@
 from bench.soak import configurations
 from bench.soak import facts as seen
 from bench.soak import fleet
+from bench.soak import kinds
 from bench.soak import platform_log
 from bench.soak import platform_targets
 from bench.soak import players
@@ -67,6 +68,31 @@
         """Let a target name a limit from now on, None for none."""
         self._find_target(step).limit_per_s = per_s
 
+    async def release(self, step: schedule.Step) -> None:
+        """Replace some engines, one after the other."""
+        software = self.name_next_software()
+        engines = [
+            target
+            for target in self._parts.targets
+            if target.place.service == kinds.ENGINES
+        ]
+        # One engine at least keeps its version.
+        count = 1 + step.changes % max(1, len(engines) - 1)
+        for number in range(count):
+            target = engines[(step.place + number) % len(engines)]
+            target.next_software = software
+            begins_at = trio.current_time()
+            await target.leave()
+            # Engines here keep no copies, so what outlasts a notice is cut.
+            self._facts.disturbances.append(
+                seen.Disturbance(
+                    seen.TARGETS,
+                    "target_leave",
+                    begins_at,
+                    trio.current_time(),
+                )
+            )
+
     def _find_target(self, step: schedule.Step) -> platform_targets.Target:
         return self._parts.targets[step.place % len(self._parts.targets)]
 
--- a/bench/soak/platform_targets.py
+++ b/bench/soak/platform_targets.py
@@ -33,6 +33,8 @@
 _NOT_EXECUTED: typing.Final = (b"x-gentianpoint-not-executed", b"1")
 _INSTANCE: typing.Final = b"x-gentianpoint-instance-id"
 _LIMIT: typing.Final = b"server-limit"
+_RESUMES: typing.Final = "resumes"
+_FIRST_SOFTWARE: typing.Final = "v1"
 
 
 class TargetPlace(typing.NamedTuple):
@@ -80,6 +82,10 @@
         self.losing_share = 0.0
         # Limit on requests that answers name, None without one.
         self.limit_per_s: typing.Optional[float] = None
+        self._software = _FIRST_SOFTWARE
+        # Software of the next start.
+        self.next_software = _FIRST_SOFTWARE
+        self._took_work_at = 0.0
 
     @property
     def target_id(self) -> str:
@@ -133,6 +139,8 @@
         self._is_up = True
         self._is_leaving = False
         self.limit_per_s = None
+        self._software = self.next_software
+        self._took_work_at = trio.current_time()
         self.relay.apply(relay.RelayFaults())
         self._listener.open()
 
@@ -142,7 +150,7 @@
             "service": self.place.service,
             "address": self.place.listed,
             "zone": self.place.data_centre,
-            "version": "v1",
+            "version": self._software,
             "slots": 32,
             "state": "draining" if self._is_leaving else "in_service",
             "cold_left_ms": 0,
@@ -170,6 +178,7 @@
             return
         name = self.target_id
         self._is_leaving = True
+        self._note_served()
         acked_at = await self._write_entry()
         self._facts.leavings.append(seen.Leaving(name, acked_at))
         await trio.sleep_until(acked_at + _DRAIN_S + _STAYS_ON_S)
@@ -180,7 +189,25 @@
         await trio.sleep(_START_S)
         self._start()
 
+    def _note_served(self) -> None:
+        """Note that this start takes no work from now on."""
+        self._facts.servings.append(
+            seen.Serving(
+                self.target_id,
+                self._software,
+                self._took_work_at,
+                trio.current_time(),
+            )
+        )
+
+    def note_end(self) -> None:
+        """Note the work that this start took until now."""
+        if self._is_up and not self._is_leaving:
+            self._note_served()
+
     def _end(self) -> None:
+        if not self._is_leaving:
+            self._note_served()
         self._is_up = False
         self.relay.apply(relay.RelayFaults(cut=True, refuse=True))
 
@@ -241,24 +268,26 @@
         elif service == kinds.ENGINES:
             event_stream = (b"content-type", b"text/event-stream")
             await answer.start(200, (*marks, event_stream))
-            await self._generate(request_id, after, answer)
+            # A stream that is taken up has the content of its first attempt.
+            stream_id = headers.get(_RESUMES) or request_id
+            await self._generate(stream_id, after, answer)
         else:
             await trio.sleep(_PLAIN_S)
             await answer.send_whole(200, tuple(marks), request_id.encode())
 
     async def _generate(
-        self, request_id: str, after: int, answer: caller_answers.CallerAnswer
+        self, stream_id: str, after: int, answer: caller_answers.CallerAnswer
     ) -> None:
         start = self._starts
-        most = kinds.count_events(request_id)
+        most = kinds.count_events(stream_id)
         self._active += 1
         try:
             for number in range(after + 1, most + 1):
                 await trio.sleep(_EVENT_S)
                 if start != self._starts or not self._is_up:
                     return
-                data = f"id: {number}\ndata: {request_id}/{number}/{most}\n\n"
-                await answer.send(data.encode())
+                data = f"{stream_id}/{number}/{most}/{self._software}"
+                await answer.send(f"id: {number}\ndata: {data}\n\n".encode())
             await answer.finish()
         finally:
             self._active -= 1
--- a/bench/soak/players.py
+++ b/bench/soak/players.py
@@ -61,6 +61,7 @@
         self._latest: typing.Final[dict[object, schedule.Step]] = {}
         self._limited: typing.Final[set[str]] = set()
         self._writing: typing.Final = trio.Lock()
+        self._releases = 0
 
     @abc.abstractmethod
     async def write(self, version: int) -> float:
@@ -84,6 +85,15 @@
     ) -> None:
         """Let a target name a limit from now on, None for none."""
 
+    @abc.abstractmethod
+    async def release(self, step: schedule.Step) -> None:
+        """Replace some engines by others of the next software version."""
+
+    def name_next_software(self) -> str:
+        """Return the software version of the next release."""
+        self._releases += 1
+        return f"v1.{self._releases}"
+
     async def carry_out_limit(self, step: schedule.Step) -> None:
         """Let a target name a limit for a while; this excuses nothing."""
         name = self.find_start(step)
--- a/bench/soak/playing.py
+++ b/bench/soak/playing.py
@@ -147,6 +147,8 @@
             await trio.sleep_until(began_at + step.at)
             if step.kind == schedule.FATAL_REQUEST:
                 nursery.start_soon(send_fatal, step)
+            elif step.kind == schedule.RELEASE:
+                nursery.start_soon(player.release, step)
             elif step.kind == schedule.LIMITED_TARGET:
                 nursery.start_soon(player.carry_out_limit, step)
             else:
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -7,6 +7,7 @@
     "FATAL_REQUEST",
     "KINDS",
     "LIMITED_TARGET",
+    "RELEASE",
     "Step",
     "draw_schedule",
 )
@@ -43,6 +44,10 @@
 """A request comes again and again and ends each target that runs it."""
 LIMITED_TARGET: typing.Final = "limited_target"
 """A target says in its answers how many requests a second it takes."""
+RELEASE: typing.Final = "release"
+"""Some engines are replaced by others of the next software version."""
+_RELEASE_SHARE: typing.Final = 0.8
+"""Share of series with a release."""
 _LIMITED_SHARE: typing.Final = 0.8
 """Share of series in which targets name limits."""
 _MOST_LIMITED: typing.Final = 3
@@ -102,6 +107,7 @@
             steps.append(_draw_step(source, at, "entries_stop"))
         begins_at += _SERIES_S + _LULL_S
     steps += _draw_fatal_steps(seed, length_s)
+    steps += _draw_releases(seed, length_s)
     return sorted(steps + _draw_limited_steps(seed, length_s))
 
 
@@ -136,6 +142,19 @@
     return steps
 
 
+def _draw_releases(seed: int, length_s: float) -> list[Step]:
+    """Draw the releases, also from a source of their own."""
+    source = random.Random(f"{RELEASE} {seed}")
+    steps = []
+    begins_at = 0.0
+    while begins_at < length_s:
+        if source.random() < _RELEASE_SHARE:
+            at = begins_at + source.uniform(0, _SERIES_S)
+            steps.append(_draw_step(source, at, RELEASE))
+        begins_at += _SERIES_S + _LULL_S
+    return steps
+
+
 def _draw_step(source: random.Random, at: float, kind: str) -> Step:
     return Step(
         at=round(at, 3),
--- a/features/adoption.feature
+++ b/features/adoption.feature
@@ -154,3 +154,29 @@
     And starts it 2 times through the last entries
     Then each start gives the report of 20 tokens or says outcome_unknown
     And the engines started it once at most
+
+  Scenario Outline: the engine goes on with other software
+  Under a stream the engine is replaced by one of another version that knows
+  its identifier, and <what>. Guards against an answer whose halves were
+  written by two versions.
+
+    Given a deployment of 1 entry and 1 target
+    And the engine has the software v1
+    When a caller reads a stream of 600 tokens
+    And after 10 tokens the engine has the software <second>, and <what>
+    Then the stream ends with the error incomplete
+
+    Examples:
+      | second  | what                                  |
+      | v2      | its connections break off             |
+      | no name | its connections break off             |
+      | v2      | the agent is killed and started again |
+
+  Scenario: the engine goes on with the same software
+  Guards against streams that are given up at each restart of an agent.
+
+    Given a deployment of 1 entry and 1 target
+    And the engine has the software v1
+    When a caller reads a stream of 600 tokens
+    And after 10 tokens the engine has the software v1, and the agent is killed and started again
+    Then the stream is whole with 600 tokens
--- a/features/steps/adoption_steps.py
+++ b/features/steps/adoption_steps.py
@@ -41,6 +41,43 @@
     context.deployment.kill(context.fixture.targets[0].agent)
 
 
+def set_software(context, software, **faults):
+    context.deployment.set_faults(
+        context.fixture.targets[0].target,
+        software="" if software == "no name" else software,
+        **faults,
+    )
+
+
+@behave.given("the engine has the software {software}")
+def set_first_software(context, software):
+    set_software(context, software)
+    # The agent signs identifiers with what the engine's last report says.
+    context.fixture.targets[0].agent.log.wait_for_event(
+        "engine_software_named", matches=lambda line: line["software"]
+    )
+
+
+@behave.when(
+    "after {count:d} tokens the engine has the software {software}, and its"
+    " connections break off"
+)
+def replace_software(context, count, software):
+    context.reader.wait_for_tokens(count)
+    set_software(context, software, drop=["*"])
+
+
+@behave.when(
+    "after {count:d} tokens the engine has the software {software}, and the"
+    " agent is killed and started again"
+)
+def replace_software_and_agent(context, count, software):
+    context.reader.wait_for_tokens(count)
+    set_software(context, software)
+    context.deployment.kill(context.fixture.targets[0].agent)
+    restart_agent(context)
+
+
 @behave.when("after {count:d} tokens the agent is killed and started again")
 def kill_and_restart(context, count):
     kill_agent(context, count)
--- a/packages/gentianpoint-core/src/gentianpoint_core/http_engine.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/http_engine.py
@@ -48,6 +48,7 @@
     role: str
     loading: bool
     reclaim_in_ms: typing.Optional[int] = None
+    software: str = ""
 
 
 _line_decoder: typing.Final = msgspec.json.Decoder(_Line)
--- a/packages/gentianpoint-core/src/gentianpoint_core/ports.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/ports.py
@@ -284,6 +284,9 @@
     """True while the engine carries out an order."""
     reclaim_in_ms: typing.Optional[int]
     """Milliseconds until the platform reclaims the engine; None for never."""
+    software: str = ""
+    """Version of the engine's software, not of its weights; empty if it names
+    none."""
 
 
 class CacheEvent(typing.NamedTuple):
--- a/packages/gentianpoint-entry/features/forwarding/forwarding_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/forwarding_builders.py
@@ -97,6 +97,7 @@
         is_leaving=False,
         cold_left_ms=0.0,
         started_ms=1,
+        software="v1",
     )
     return entry._replace(**changes)
 
--- a/packages/gentianpoint-entry/features/forwarding/steps/stream_calls_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/stream_calls_steps.py
@@ -43,6 +43,12 @@
     context.calls.scripts[name] = [words]
 
 
+@behave.given("target {name} has the software {software}")
+def set_software(context, name, software):
+    known = "" if software == "that is not known" else software
+    context.softwares = {**getattr(context, "softwares", {}), name: known}
+
+
 @behave.given("target {name} answers then: {words}")
 def extend_script(context, name, words):
     context.calls.scripts[name].append(words)
@@ -105,6 +111,9 @@
             context.calls,
             retry_slack=getattr(context, "retry_slack", 20.0),
         )
+        for name, software in getattr(context, "softwares", {}).items():
+            target = shared.registry.find(name)
+            target.entry = target.entry._replace(software=software)
         request = forwarding_builders.make_request(
             context.route, context.engine
         )
--- /dev/null
+++ b/packages/gentianpoint-entry/features/forwarding/steps/stream_versions_steps.py
@@ -0,0 +1,124 @@
+"""Steps for streams that are taken up where several versions serve."""
+
+import behave
+from structlog import testing
+import topic_builders
+import trio
+import version_builders
+
+_SETTLED_S = 4.0
+_SHARE_OF_KILLED = 3
+
+
+@behave.given("{count:d} entries before {first:d} targets of v1")
+def make_one_version(context, count, first):
+    context.count = count
+    context.softwares = ["v1"] * first
+    context.changes = []
+
+
+@behave.given(
+    "{count:d} entries before {first:d} targets of v1 and {second:d} of v2"
+)
+def make_two_versions(context, count, first, second):
+    make_one_version(context, count, first)
+    context.softwares += ["v2"] * second
+
+
+@behave.when("{rate:d} streams a second begin for {seconds:d} seconds")
+def set_load(context, rate, seconds):
+    context.load = (rate, seconds)
+
+
+@behave.when("after {after:g} s a third of the entries is killed")
+def kill_entries(context, after):
+    def kill(fleet, names):
+        fleet.kill_entries(len(fleet.entries) // _SHARE_OF_KILLED)
+
+    context.changes.append((after, kill))
+
+
+@behave.when("after {after:g} s {count:d} targets of v2 start")
+def start_targets(context, after, count):
+    def start(fleet, names):
+        for _ in range(count):
+            fleet.start_target("v2")
+
+    context.changes.append((after, start))
+
+
+@behave.when("after {after:g} s half of the answers are cut")
+def cut_answers(context, after):
+    context.changes.append(
+        (after, lambda fleet, names: fleet.cut_answers(0.5))
+    )
+
+
+@behave.when("after {after:g} s the targets of v1 end")
+def end_targets(context, after):
+    def end(fleet, names):
+        for name in names:
+            fleet.end_target(name)
+
+    context.changes.append((after, end))
+
+
+def play(context):
+    """Play what the steps say, once, and return the fleet."""
+    if "fleet" in context:
+        return context.fleet
+
+    async def run():
+        async with trio.open_nursery() as nursery:
+            fleet = version_builders.VersionFleet(nursery, context.count)
+            names = [fleet.start_target(name) for name in context.softwares]
+            await trio.sleep(_SETTLED_S)
+            nursery.start_soon(change_all, fleet, names, context.changes)
+            await fleet.send_load(*context.load)
+            nursery.cancel_scope.cancel()
+        return fleet
+
+    with testing.capture_logs():
+        context.fleet = topic_builders.run_on_mock_clock(run)
+    return context.fleet
+
+
+async def change_all(fleet, names, changes):
+    began = trio.current_time()
+    for after, change in sorted(changes, key=lambda item: item[0]):
+        await trio.sleep_until(began + after)
+        change(fleet, names)
+
+
+@behave.then("no stream has events of two versions")
+def check_versions(context):
+    mixed = [
+        stream
+        for stream in play(context).streams
+        if len(set(stream.softwares)) > 1
+    ]
+    assert not mixed, (len(mixed), mixed[:3])
+
+
+@behave.then(
+    "callers that come back are served {share:g} times as often as new ones"
+)
+def check_share(context, share):
+    streams = play(context).streams
+    begun = sum(bool(stream.softwares) for stream in streams) / len(streams)
+    taken_up = sum(stream.taken_up for stream in streams)
+    went_on = sum(stream.went_on for stream in streams)
+    assert taken_up >= 12, taken_up
+    assert went_on / taken_up >= share * begun, (went_on, taken_up, begun)
+
+
+@behave.then(
+    "callers that come back are refused as not run, with no time to return"
+)
+def check_refused(context):
+    back = [stream for stream in play(context).streams if stream.taken_up]
+    assert len(back) >= 12, len(back)
+    for stream in back:
+        assert not stream.went_on, stream
+        assert stream.refusal.status == 503, stream
+        assert not stream.refusal.retry_after_ms, stream
--- /dev/null
+++ b/packages/gentianpoint-entry/features/forwarding/version_builders.py
@@ -0,0 +1,305 @@
+"""Entries that gossip, before targets of several software versions.
+
+The entries gossip as in :mod:`fleet_builders` and share the targets. Callers
+whose stream breaks off come back at another entry and take it up there.
+"""
+
+from collections import abc
+import contextlib
+import itertools
+import random
+import re
+import typing
+
+import fleet_builders
+import forwarding_builders
+from opentelemetry import metrics
+import trio
+
+from gentianpoint_core import ports
+from gentianpoint_entry.forwarding import entry_metrics
+from gentianpoint_entry.forwarding import forwarder
+from gentianpoint_entry.forwarding import refusals
+from gentianpoint_entry.forwarding import request_handling
+from gentianpoint_entry.forwarding import requests
+from gentianpoint_entry.forwarding import retry_limits
+from gentianpoint_entry.forwarding import routes
+from gentianpoint_entry.forwarding import target_calls
+from gentianpoint_entry.forwarding import target_ends
+from gentianpoint_entry.forwarding import targets
+
+__all__ = ("CalledStream", "VersionFleet")
+
+EVENTS: typing.Final = 40
+"""Events of each stream."""
+_MAX_TRIES: typing.Final = 3
+_COME_BACK_S: typing.Final = 0.05
+"""Seconds from a break until its caller comes back."""
+_RETRY_SLACK: typing.Final = 1e6
+_EVENT_PATTERN: typing.Final = re.compile(rb"id: (\d+)\ndata: (\S+)\n\n")
+
+
+class CalledStream(typing.NamedTuple):
+    """What a caller got for one stream, over all its tries."""
+
+    at: float
+    """When it came first, on trio's clock."""
+    softwares: tuple[str, ...]
+    """Software version that wrote each event."""
+    taken_up: int
+    """How often it was taken up after a break."""
+    went_on: int
+    """How often it then brought further events."""
+    wait_s: float
+    """Longest time from a return to the next event, or to a refusal."""
+    is_whole: bool
+    """True when the caller has all events."""
+    refusal: typing.Optional[refusals.Refusal]
+    """The refusal that ended it, if one did."""
+
+
+class _VersionAnswer(target_calls.TargetAnswer):
+    """A stream whose events name the software that writes them."""
+
+    def __init__(self, start: "_Start", after: int) -> None:
+        self.status = 200
+        self.headers = ()
+        self.has_not_run = False
+        self.is_wrong_target = False
+        self.has_target_seal = True
+        self.retry_after_ms = 0.0
+        self._start: typing.Final = start
+        self._after: typing.Final = after
+
+    async def receive_body(self) -> abc.AsyncIterator[bytes]:
+        start = self._start
+        for number in range(self._after + 1, EVENTS + 1):
+            await trio.sleep(forwarding_builders.EVENT_S)
+            if start.has_ended:
+                raise ports.PortError(
+                    "receive body",
+                    start.entry.address,
+                    "connection closed",
+                    took_effect=True,
+                    disconnected=True,
+                )
+            yield f"id: {number}\ndata: {start.software}\n\n".encode()
+
+
+class _Start:
+    """One start of a target."""
+
+    def __init__(self, name: str, software: str) -> None:
+        self.software: typing.Final = software
+        self.entry: typing.Final = forwarding_builders.make_entry(
+            name, software=software, slots=1000
+        )
+        self.has_ended = False
+
+
+class _VersionCalls(forwarding_builders.ScriptedCalls):
+    """One entry's calls to the targets."""
+
+    def __init__(self, park: abc.Mapping[str, _Start]) -> None:
+        super().__init__()
+        self._park: typing.Final = park
+
+    @contextlib.asynccontextmanager
+    async def send_request(
+        self,
+        target: targets.Target,
+        request: requests.CallerRequest,
+        options: requests.SendOptions,
+    ) -> typing.Any:
+        start = self._park[target.target_id]
+        await trio.sleep(0.002)
+        if start.has_ended:
+            raise ports.PortError(
+                "connect", target.entry.address, "refused", took_effect=False
+            )
+        after = int(options.last_event_id or request.last_event_id or 0)
+        yield _VersionAnswer(start, after)
+
+
+class _VersionEntry:
+    """An entry that serves streams."""
+
+    def __init__(
+        self,
+        gossip: fleet_builders.Entry,
+        park: abc.Mapping[str, _Start],
+    ) -> None:
+        self.gossip: typing.Final = gossip
+        self.registry: typing.Final = targets.TargetRegistry()
+        calls = _VersionCalls(park)
+        self.forwarder: typing.Final = forwarder.Forwarder(
+            self.registry,
+            calls,
+            retry_limits.RetryLimits(0.2, 10.0, _RETRY_SLACK),
+            forwarding_builders.DATA_CENTRE,
+            gossip.table.count,
+            random.Random(gossip.number),
+            entry_metrics.EntryMetrics(metrics.NoOpMeterProvider()),
+            target_ends.TargetEnds(
+                gossip.suspects, calls.check_listening, lambda contents: None
+            ),
+        )
+        self.refusals: typing.Final[dict[object, refusals.Refusal]] = {}
+        self.scopes: typing.Final[set[trio.CancelScope]] = set()
+        self.handler: typing.Final = request_handling.RequestHandler(
+            self.forwarder, self._send_refusal
+        )
+
+    async def _send_refusal(
+        self, answer: typing.Any, refusal: refusals.Refusal
+    ) -> None:
+        self.refusals[answer] = refusal
+        await answer.send_whole(refusal.status, (), b"")
+
+
+class VersionFleet:
+    """Entries, targets of several versions, and callers."""
+
+    def __init__(
+        self, nursery: trio.Nursery, entries: int, seed: int = 1
+    ) -> None:
+        """Start ``entries`` entries before no target."""
+        self.gossip: typing.Final = fleet_builders.Fleet(entries)
+        self.gossip.start(nursery)
+        self.gossip.run_all()
+        self.streams: typing.Final[list[CalledStream]] = []
+        self._park: typing.Final[dict[str, _Start]] = {}
+        self.entries: typing.Final = [
+            _VersionEntry(entry, self._park)
+            for entry in self.gossip.entries.values()
+        ]
+        self._nursery: typing.Final = nursery
+        self._numbers: typing.Final = itertools.count(1)
+        self._rng: typing.Final = random.Random(seed)
+
+    def start_target(self, software: str) -> str:
+        """Start a target, which all entries list at once."""
+        name = f"t-{next(self._numbers)}"
+        start = _Start(name, software)
+        self._park[name] = start
+        for entry in self.entries:
+            self._list(entry, start)
+        return name
+
+    def _list(self, entry: _VersionEntry, start: _Start) -> None:
+        entry.registry.put_entry(start.entry, trio.current_time())
+
+    def end_target(self, name: str) -> None:
+        """End a target: its streams break off, and the list drops it."""
+        self._park.pop(name).has_ended = True
+        for entry in self.entries:
+            entry.registry.drop(name)
+
+    def kill_entries(self, count: int) -> None:
+        """Kill some entries at once; their answers break off."""
+        for _ in range(count):
+            entry = self.entries.pop(self._rng.randrange(len(self.entries)))
+            self.gossip.stop(entry.gossip)
+            for scope in list(entry.scopes):
+                scope.cancel()
+
+    def cut_answers(self, share: float) -> None:
+        """Break off a share of all answers; their entries go on."""
+        for entry in self.entries:
+            for scope in list(entry.scopes):
+                if self._rng.random() < share:
+                    scope.cancel()
+
+    async def send_load(self, per_s: float, seconds: float) -> None:
+        """Let callers come for some seconds, and wait for their streams."""
+        async with trio.open_nursery() as nursery:
+            until = trio.current_time() + seconds
+            while trio.current_time() < until:
+                nursery.start_soon(self.call)
+                await trio.sleep(self._rng.expovariate(per_s))
+
+    async def call(self) -> None:
+        """Ask for a stream, and take it up after each break."""
+        began = trio.current_time()
+        content = f"request-{next(self._numbers)}"
+        began_by = ""
+        softwares: list[str] = []
+        taken_up = went_on = 0
+        longest_s = 0.0
+        refusal = None
+        for number in range(_MAX_TRIES):
+            entry = self._rng.choice(self.entries)
+            known = len(softwares)
+            taken_up += known > 0
+            asked_at = trio.current_time()
+            answer = _TimedAnswer()
+            with trio.CancelScope() as scope:
+                entry.scopes.add(scope)
+                await entry.handler.serve(
+                    _make_request(content, number, known, began_by), answer
+                )
+            entry.scopes.discard(scope)
+            refusal = entry.refusals.pop(answer, None)
+            for place, software in _EVENT_PATTERN.findall(answer.data):
+                assert int(place) == len(softwares) + 1, (place, content)
+                softwares.append(software.decode())
+            if softwares and not known:
+                began_by = _name_try(content, number)
+            if known:
+                went_on += len(softwares) > known or answer.status == 200
+                first_at = answer.first_at or trio.current_time()
+                longest_s = max(longest_s, first_at - asked_at)
+            if answer.is_finished and refusal is None:
+                break
+            if refusal is not None and not refusal.retry_after_ms:
+                break
+            if refusal is not None:
+                await trio.sleep(refusal.retry_after_ms / 1000)
+            await trio.sleep(_COME_BACK_S)
+        self.streams.append(
+            CalledStream(
+                began,
+                tuple(softwares),
+                taken_up,
+                went_on,
+                longest_s,
+                len(softwares) == EVENTS,
+                refusal,
+            )
+        )
+
+
+class _TimedAnswer(forwarding_builders.RecordedAnswer):
+    """Records what a caller receives, and when its first event came."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.first_at: typing.Optional[float] = None
+
+    async def send(self, data: bytes) -> None:
+        self.first_at = self.first_at or trio.current_time()
+        await super().send(data)
+
+
+def _name_try(content: str, number: int) -> str:
+    return f"{content}-{number}"
+
+
+def _make_request(
+    content: str, number: int, known: int, began_by: str
+) -> requests.CallerRequest:
+    """Return a caller's try, which has ``known`` events already."""
+    route = forwarding_builders.make_route(
+        routes.RouteKind.STREAM, may_resume=True, max_attempts=2
+    )
+    engine = forwarding_builders.ENGINE._replace(
+        can_move=False, can_back_up=False
+    )
+    request = forwarding_builders.make_request(route, engine)
+    return request._replace(
+        request_id=_name_try(content, number),
+        content=content,
+        customer=routes.Customer("customer", None),
+        last_event_id=str(known) if known else "",
+        resumed_id=began_by,
+    )
--- a/packages/gentianpoint-standins/src/gentianpoint_standins/engine_faults.py
+++ b/packages/gentianpoint-standins/src/gentianpoint_standins/engine_faults.py
@@ -49,6 +49,10 @@
     """True when each start is refused as if the engine were full."""
     pause_output: tuple[str, ...] = ()
     """Streams whose lines are held back; they run on."""
+    software: str = ""
+    """Version of the software, which answers to starts and resumes name;
+    empty for none. Streams go on when it changes, as other software might
+    write them."""
     limit_per_s: float = arrivals.UNLIMITED
     """Starts a second that answers to starts name as the most it takes."""
 
--- a/packages/gentianpoint-standins/src/gentianpoint_standins/engine_service.py
+++ b/packages/gentianpoint-standins/src/gentianpoint_standins/engine_service.py
@@ -23,6 +23,8 @@
 __all__ = ("EngineService",)
 
 _STREAM_TYPE: typing.Final = "application/x-ndjson"
+_SOFTWARE: typing.Final = "Software-Version"
+"""Header of answers that begin or resume a stream."""
 
 
 class EngineService:
@@ -184,9 +186,11 @@
         self, start: engine_streams.StreamStart
     ) -> engine_streams.EngineStream:
         length = self._lengths.draw(start["prompt"], trio.current_time())
-        return engine_streams.EngineStream(
+        stream = engine_streams.EngineStream(
             start, next(self._arrival_numbers), length, self._boot
         )
+        stream.software = self.faults.current.software
+        return stream
 
     def _lose_reply(self) -> quart.Response:
         if self.faults.current.lose_by == "drop":
@@ -196,10 +200,13 @@
     def _answer_lines(
         self, stream: engine_streams.EngineStream, after: int
     ) -> quart.Response:
-        return quart.Response(
+        answer = quart.Response(
             self.faults.iterate_lines(stream, after),
             content_type=_STREAM_TYPE,
         )
+        if self.faults.current.software:
+            answer.headers[_SOFTWARE] = self.faults.current.software
+        return answer
 
     async def resume(self, identifier: str) -> quart.Response:
         """Send the lines of a stream after a token."""
@@ -261,6 +268,7 @@
                 **self.orders.loaded._asdict(),
                 "loading": self.orders.is_loading(),
                 "reclaim_in_ms": self.faults.measure_reclaim_ms(),
+                "software": self.faults.current.software,
             }
         )
 
@@ -343,5 +351,6 @@
         """Change the faults."""
         self.faults.change(await serving.read_body())
         for stream in self._streams.values():
+            stream.software = self.faults.current.software
             stream.wake_readers()
         return serving.answer_json(self.faults.current._asdict())
--- a/packages/gentianpoint-standins/src/gentianpoint_standins/engine_streams.py
+++ b/packages/gentianpoint-standins/src/gentianpoint_standins/engine_streams.py
@@ -96,6 +96,8 @@
         self.preempted_before = False
         self.end = ""
         self.died = False
+        # Version of the software that generates.
+        self.software = ""
         self.lines: typing.Final[list[bytes]] = []
         self._changed = trio.Event()
         self._token_ends: typing.Final[list[int]] = []
@@ -118,6 +120,8 @@
         number = self.generated
         word = _WORDS[(self._word + number * number) % len(_WORDS)]
         text = f"{self._stamp}{number}" if self._stamp else f" {word}"
+        if self._stamp and self.software:
+            text = f"{text}/{self.software}"
         self.lines.append(_encode({"n": number, "text": text}) + b"\n")
         self._token_ends.append(len(self.lines))
         self.wake_readers()
