Let a stream go on only at the software that began it

Callers got streams whose events come from two software versions of a service: in one answer, by a backup, a move or a second try, and over their tries, when they came back to an entry that did not know where the stream began.

Cause: no entry read the version that the list names, and what the entry that began a stream knew of it was of no use to the one that its caller came to.

One decision, stream_origins.may_go_on, tells whether a target may go on with a stream. A request carries where its stream began, from the first event on. The choice of targets, of backups and of destinations leave all others out, and Forwarder.send, through which everything goes, refuses them. A version that is not known is no version.

For callers that come back, an entry tells four others where each stream began, chosen by consistent hashing, while several versions serve or did lately, and of those under way when a second version comes. The entry that a caller comes to asks six. While one version serves nothing is told, and nothing is asked as long as the entry's list is current; a topic of the log tells an entry that starts whether there were several versions before. What is not known, or has no target left, is refused at once as not run, with no time to come back. Streams with events go before new ones of the same priority where requests wait.

--- a/bench/features/soak_builders.py
+++ b/bench/features/soak_builders.py
@@ -106,10 +106,12 @@
         )
         if not went_on:
             second = second._replace(status=503, body=b"")
-        facts.answers += [
-            first._replace(end="given_up"),
-            second._replace(stream_id=f"tag-2-{number}", after_event=1),
-        ]
+        facts.answers.extend(
+            (
+                first._replace(end="given_up"),
+                second._replace(stream_id=f"tag-2-{number}", after_event=1),
+            )
+        )
 
 
 def _add_missing(facts: seen.Facts, after_s: float, pid: int = 8) -> None:
--- a/bench/replay/fleet.py
+++ b/bench/replay/fleet.py
@@ -199,6 +199,7 @@
             is_leaving=False,
             cold_left_ms=0.0,
             started_ms=1,
+            software="v1",
         )
         seen = []
         for registry in self.registries:
--- a/packages/gentianpoint-entry/features/forwarding/crash_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/crash_builders.py
@@ -74,6 +74,7 @@
             is_leaving=False,
             cold_left_ms=0.0,
             started_ms=1 + number,
+            software="v1",
         )
         self.ended: typing.Final = trio.Event()
 
--- a/packages/gentianpoint-entry/features/forwarding/probe_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/probe_builders.py
@@ -111,4 +111,4 @@
                     data = codec.encode_message(
                         {"type": "state_found", "probe": 10**6, "state": STATE}
                     )
-                await socket.sendto(data, self._probes.address)
+                await socket.sendto(data, self._probes.datagrams.address)
--- a/packages/gentianpoint-entry/features/forwarding/steps/stream_versions_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/stream_versions_steps.py
@@ -1,6 +1,7 @@
 """Steps for streams that are taken up where several versions serve."""
 
 import behave
+import forwarding_builders
 from structlog import testing
 import topic_builders
 import trio
@@ -63,6 +64,53 @@
     context.changes.append((after, end))
 
 
+@behave.given("the log has been out for {seconds:g} s")
+def set_list_age(context, seconds):
+    def outdate(fleet, names):
+        for entry in fleet.entries:
+            entry.list_age_s = seconds
+
+    context.changes.append((0.0, outdate))
+
+
+@behave.given("one datagram in ten is lost")
+def lose_datagrams(context):
+    def lose(fleet, names):
+        fleet.lost_share = 0.1
+
+    context.changes.append((0.0, lose))
+
+
+@behave.when("after {after:g} s one entry is cut off")
+def cut_off(context, after):
+    context.changes.append((after, lambda fleet, names: fleet.cut_off(0)))
+
+
+@behave.when(
+    "after {after:g} s all entries start again, and the log names no service"
+    " as mixed"
+)
+def restart_all(context, after):
+    context.changes.append((after, lambda fleet, names: fleet.restart_all(())))
+
+
+@behave.when(
+    "after {after:g} s all entries start again, and the log names the service"
+    " as mixed"
+)
+def restart_all_mixed(context, after):
+    def restart(fleet, names):
+        fleet.restart_all((forwarding_builders.SERVICE,))
+
+    context.changes.append((after, restart))
+
+
+@behave.then("entries have sent each other no datagrams")
+def check_no_datagrams(context):
+    assert play(context).count_messages() == (0, 0)
+    assert sum(stream.taken_up for stream in context.fleet.streams) >= 12
+
+
 def play(context):
     """Play what the steps say, once, and return the fleet."""
     if "fleet" in context:
--- a/packages/gentianpoint-entry/features/forwarding/version_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/version_builders.py
@@ -16,14 +16,19 @@
 from opentelemetry import metrics
 import trio
 
+from gentianpoint_core import codec
+from gentianpoint_core import option_types
 from gentianpoint_core import ports
 from gentianpoint_entry.forwarding import entry_metrics
 from gentianpoint_entry.forwarding import forwarder
+from gentianpoint_entry.forwarding import peer_datagrams
 from gentianpoint_entry.forwarding import refusals
 from gentianpoint_entry.forwarding import request_handling
 from gentianpoint_entry.forwarding import requests
 from gentianpoint_entry.forwarding import retry_limits
 from gentianpoint_entry.forwarding import routes
+from gentianpoint_entry.forwarding import software_history
+from gentianpoint_entry.forwarding import stream_records
 from gentianpoint_entry.forwarding import target_calls
 from gentianpoint_entry.forwarding import target_ends
 from gentianpoint_entry.forwarding import targets
@@ -32,6 +37,9 @@
 
 EVENTS: typing.Final = 40
 """Events of each stream."""
+_TRANSIT_S: typing.Final = 0.002
+_MOST_GOSSIPING: typing.Final = 100
+"""Entries up to which they gossip; for more that takes too long."""
 _MAX_TRIES: typing.Final = 3
 _COME_BACK_S: typing.Final = 0.05
 """Seconds from a break until its caller comes back."""
@@ -121,28 +129,66 @@
         yield _VersionAnswer(start, after)
 
 
+class _Mail(peer_datagrams.PeerDatagrams):
+    """One entry's datagrams to the others."""
+
+    def __init__(self, fleet: "VersionFleet", address: str) -> None:
+        super().__init__()
+        self._fleet: typing.Final = fleet
+        self._address: typing.Final = option_types.split_address(address)
+        self.sent = 0
+        self.sent_bytes = 0
+
+    async def send(
+        self,
+        address: tuple[str, int],
+        message: abc.Mapping[str, typing.Any],
+    ) -> None:
+        data = codec.encode_message(message)
+        self.sent += 1
+        self.sent_bytes += len(data)
+        self._fleet.deliver(address, data, self._address)
+
+
 class _VersionEntry:
     """An entry that serves streams."""
 
     def __init__(
         self,
+        fleet: "VersionFleet",
         gossip: fleet_builders.Entry,
         park: abc.Mapping[str, _Start],
     ) -> None:
         self.gossip: typing.Final = gossip
         self.registry: typing.Final = targets.TargetRegistry()
+        self.mail: typing.Final = _Mail(fleet, gossip.address)
+        self.is_cut_off = False
+        self.list_age_s = 0.0
+        self.cut_off_at = 0.0
+        self.scope: typing.Final = trio.CancelScope()
+        self.history: typing.Final = software_history.SoftwareHistory()
+        self.origins: typing.Final = stream_records.StreamRecords(
+            gossip.address,
+            lambda: fleet.list_members(gossip),
+            self.registry,
+            self.history,
+            self.mail,
+            option_types.split_address,
+        )
+        self.origins.get_list_confirmed_at = self._confirm_list
         calls = _VersionCalls(park)
         self.forwarder: typing.Final = forwarder.Forwarder(
             self.registry,
             calls,
             retry_limits.RetryLimits(0.2, 10.0, _RETRY_SLACK),
             forwarding_builders.DATA_CENTRE,
-            gossip.table.count,
+            lambda: fleet.count,
             random.Random(gossip.number),
             entry_metrics.EntryMetrics(metrics.NoOpMeterProvider()),
             target_ends.TargetEnds(
                 gossip.suspects, calls.check_listening, lambda contents: None
             ),
+            origins=self.origins,
         )
         self.refusals: typing.Final[dict[object, refusals.Refusal]] = {}
         self.scopes: typing.Final[set[trio.CancelScope]] = set()
@@ -150,6 +196,17 @@
             self.forwarder, self._send_refusal
         )
 
+    async def run(self) -> None:
+        """Watch which versions serve, until killed."""
+        with self.scope:
+            await self.origins.run()
+
+    def _confirm_list(self) -> float:
+        """Return when the list of targets was last confirmed."""
+        if self.is_cut_off:
+            return self.cut_off_at
+        return trio.current_time() - self.list_age_s
+
     async def _send_refusal(
         self, answer: typing.Any, refusal: refusals.Refusal
     ) -> None:
@@ -163,19 +220,96 @@
     def __init__(
         self, nursery: trio.Nursery, entries: int, seed: int = 1
     ) -> None:
-        """Start ``entries`` entries before no target."""
+        """Start ``entries`` entries before no target.
+
+        In a large fleet they know each other from the start, and go on to
+        count those that are killed.
+        """
+        self.count: typing.Final = entries
         self.gossip: typing.Final = fleet_builders.Fleet(entries)
         self.gossip.start(nursery)
-        self.gossip.run_all()
+        if entries <= _MOST_GOSSIPING:
+            self.gossip.run_all()
+        self._addresses: typing.Final = frozenset(self.gossip.entries)
         self.streams: typing.Final[list[CalledStream]] = []
         self._park: typing.Final[dict[str, _Start]] = {}
-        self.entries: typing.Final = [
-            _VersionEntry(entry, self._park)
-            for entry in self.gossip.entries.values()
-        ]
+        self.entries: typing.Final[list[_VersionEntry]] = []
+        self._all: typing.Final[list[_VersionEntry]] = []
+        self._by_address: typing.Final[
+            dict[tuple[str, int], _VersionEntry]
+        ] = {}
+        self.lost_share = 0.0
         self._nursery: typing.Final = nursery
         self._numbers: typing.Final = itertools.count(1)
         self._rng: typing.Final = random.Random(seed)
+        for gossip in self.gossip.entries.values():
+            self._start_entry(gossip, ())
+
+    def _start_entry(
+        self, gossip: fleet_builders.Entry, mixed: abc.Collection[str]
+    ) -> None:
+        entry = _VersionEntry(self, gossip, self._park)
+        self.entries.append(entry)
+        self._all.append(entry)
+        self._by_address[option_types.split_address(gossip.address)] = entry
+        for start in self._park.values():
+            self._list(entry, start)
+        now = trio.current_time()
+        entry.history.note_start(now)
+        entry.history.note_earlier(mixed, now)
+        self._nursery.start_soon(entry.run)
+
+    def list_members(self, entry: fleet_builders.Entry) -> abc.Collection[str]:
+        """Return the entries that one of them counts as live."""
+        if self.count > _MOST_GOSSIPING:
+            return self._addresses
+        return entry.table.list_live()
+
+    def deliver(
+        self, address: tuple[str, int], data: bytes, sender: tuple[str, int]
+    ) -> None:
+        """Deliver a datagram, unless it is lost or its entry is gone."""
+        entry = self._by_address[address]
+        is_lost = self._rng.random() < self.lost_share
+        is_lost |= entry.is_cut_off or self._by_address[sender].is_cut_off
+        if entry in self.entries and not is_lost:
+            self._nursery.start_soon(self._receive, entry, data, sender)
+
+    @staticmethod
+    async def _receive(
+        entry: _VersionEntry, data: bytes, sender: tuple[str, int]
+    ) -> None:
+        await trio.sleep(_TRANSIT_S)
+        message = codec.decode_message(data, sender[0])
+        assert message.is_ok(), message
+        await entry.mail.handle(message.ok, sender)
+
+    def count_messages(self) -> tuple[int, int]:
+        """Return the datagrams that all entries have sent, and their bytes."""
+        return (
+            sum(entry.mail.sent for entry in self._all),
+            sum(entry.mail.sent_bytes for entry in self._all),
+        )
+
+    def cut_off(self, number: int) -> None:
+        """Cut an entry off from the others and from the list."""
+        entry = self.entries[number]
+        entry.is_cut_off = True
+        entry.cut_off_at = trio.current_time()
+        self.gossip.cut_off.add(entry.gossip.address)
+
+    def restart_all(self, mixed: abc.Collection[str]) -> None:
+        """Kill all entries, and start them again.
+
+        The log names the ``mixed`` services as having had several versions.
+        """
+        entries = list(self.entries)
+        self.entries.clear()
+        for entry in entries:
+            entry.scope.cancel()
+            for scope in list(entry.scopes):
+                scope.cancel()
+            self._start_entry(entry.gossip, mixed)
 
     def start_target(self, software: str) -> str:
         """Start a target, which all entries list at once."""
@@ -186,7 +320,10 @@
             self._list(entry, start)
         return name
 
-    def _list(self, entry: _VersionEntry, start: _Start) -> None:
+    @staticmethod
+    def _list(entry: _VersionEntry, start: _Start) -> None:
+        if entry.is_cut_off:
+            return
         entry.registry.put_entry(start.entry, trio.current_time())
 
     def end_target(self, name: str) -> None:
@@ -302,4 +439,5 @@
         customer=routes.Customer("customer", None),
         last_event_id=str(known) if known else "",
         resumed_id=began_by,
+        route_services=(request.service,),
     )
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/agent_connections.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/agent_connections.py
@@ -218,6 +218,9 @@
         """Apply a report to a target, unless it is of another start."""
         known_ms = target.entry.started_ms
         if report.started_ms and known_ms and report.started_ms != known_ms:
+            target.reported_start_ms = max(
+                target.reported_start_ms, report.started_ms
+            )
             return
         if not engine_reports.is_newer(report, target.report):
             return
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/attempts.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/attempts.py
@@ -25,9 +25,13 @@
         self.may_have_run = False
         self.runs = 0
         self._shared: typing.Final = shared
-        self._request: typing.Final = request
+        self._request = request
         self._retry_after_ms = 0.0
 
+    def set_request(self, request: requests.CallerRequest) -> None:
+        """Go on with the same request, of which more is known."""
+        self._request = request
+
     def note_run(self, *, is_same_run: bool = False) -> None:
         """Record that a target has, or may have, run the request.
 
@@ -71,6 +75,11 @@
         """Tell whether the request may be sent to another target."""
         return not self.may_have_run or self.may_run_again()
 
+    def refuse_taking_up(self, reason: str) -> refusals.Refusal:
+        """Refuse a request that takes up a stream which can't go on."""
+        refusal = refusals.refuse_not_run(reason, 0)
+        return refusal._replace(max_retry_after_ms=0.0)
+
     async def is_suspect(self) -> bool:
         """Tell whether the request must not be sent to any target.
 
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/engine_probes.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/engine_probes.py
@@ -14,10 +14,10 @@
 
 import trio
 
-from gentianpoint_core import codec
 from gentianpoint_core import logs
 from gentianpoint_core import option_types
 from gentianpoint_core.generated import events
+from gentianpoint_entry.forwarding import peer_datagrams
 from gentianpoint_entry.forwarding import targets
 
 __all__ = ("AgentProbes", "EngineProbes")
@@ -29,8 +29,6 @@
 """Answers in a row that an agent has to miss to be skipped for a while."""
 _SKIPPED_S: typing.Final = 2.0
 """Seconds for which an agent that does not answer is not asked."""
-_MAX_DATAGRAM_BYTES: typing.Final = 2048
-"""Longest answer that is read."""
 _MAX_SKIPPED: typing.Final = 4096
 """Agents that are remembered as not answering."""
 
@@ -79,48 +77,32 @@
         self, address: str, find_agent: FindAgent, take_state: TakeState
     ) -> None:
         """Send from ``address``, and give answers to ``take_state``."""
-        # The port is the one that was bound, once that was done.
-        self.address: tuple[str, int] = option_types.split_address(address)
+        self.datagrams: typing.Final = peer_datagrams.UdpDatagrams(address)
+        self.datagrams.add_handler("state_found", self._handle)
         self._find_agent: typing.Final = find_agent
         self._take_state: typing.Final = take_state
         self._numbers: typing.Final = itertools.count(1)
         self._probes: typing.Final[dict[int, _Probe]] = {}
         self._misses: typing.Final[dict[str, _Misses]] = {}
-        self._socket: typing.Optional[trio.socket.SocketType] = None
 
     async def run(self) -> None:
         """Receive answers until cancelled."""
-        with trio.socket.socket(type=trio.socket.SOCK_DGRAM) as socket:
-            await socket.bind(self.address)
-            self.address = socket.getsockname()
-            self._socket = socket
-            while True:
-                try:
-                    data, sender = await socket.recvfrom(_MAX_DATAGRAM_BYTES)
-                except OSError as error:
-                    # A host has refused an earlier datagram.
-                    logs.log_event(
-                        events.CONNECTION_REFUSED,
-                        step="receive state",
-                        peer="",
-                        reason=str(error),
-                    )
-                    continue
-                self._handle(data, sender[0])
+        await self.datagrams.run()
 
-    def _handle(self, data: bytes, sender: str) -> None:
-        decoded = codec.decode_message(data, sender)
-        if decoded.is_error() or decoded.ok["type"] != "state_found":
-            return
-        number = decoded.ok["probe"]
+    async def _handle(
+        self,
+        message: collections_abc.Mapping[str, typing.Any],
+        sender: tuple[str, int],
+    ) -> None:
+        number = message["probe"]
         probe = self._probes.pop(number, None)
         if probe is None:
             return
         target = probe.missing.pop(number)
-        identity = decoded.ok.get("target", target.target_id)
+        identity = message.get("target", target.target_id)
         try:
             if identity == target.target_id:
-                self._take_state(target, decoded.ok["state"])
+                self._take_state(target, message["state"])
                 probe.found.append(target)
             else:
                 # This start has ended, and the list still names it.
@@ -129,7 +111,7 @@
             logs.log_event(
                 events.MESSAGE_REFUSED,
                 step="decode state",
-                peer=sender,
+                peer=sender[0],
                 reason=str(error),
             )
         if not probe.missing:
@@ -139,7 +121,7 @@
         self, chosen: collections_abc.Sequence[targets.Target]
     ) -> collections_abc.Collection[targets.Target]:
         """Ask the agents of ``chosen``; see the base class."""
-        if self._socket is None:
+        if not self.datagrams.is_open:
             return ()
         probe = _Probe()
         agents: dict[int, str] = {}
@@ -152,7 +134,10 @@
                 agents[number] = agent
                 probe.missing[number] = target
                 self._probes[number] = probe
-                await self._ask(self._socket, agent, number)
+                await self.datagrams.send(
+                    option_types.split_address(agent),
+                    {"type": "state_wanted", "probe": number},
+                )
             if probe.missing:
                 with trio.move_on_after(_TIMEOUT_S):
                     await probe.answered.wait()
@@ -162,24 +147,6 @@
                 self._note_answer(agent, was_missed=number in probe.missing)
                 self._probes.pop(number, None)
 
-    async def _ask(
-        self, socket: trio.socket.SocketType, agent: str, number: int
-    ) -> None:
-        message = {"type": "state_wanted", "probe": number}
-        try:
-            await socket.sendto(
-                codec.encode_message(message),
-                option_types.split_address(agent),
-            )
-        except OSError as error:
-            # The engine is chosen by the state that is known.
-            logs.log_event(
-                events.CONNECTION_REFUSED,
-                step="ask for state",
-                peer=agent,
-                reason=str(error),
-            )
-
     def _is_skipped(self, agent: str) -> bool:
         misses = self._misses.get(agent)
         if misses is None or misses.answers < _MISSES_UNTIL_SKIPPED:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
@@ -10,12 +10,14 @@
 
 from gentianpoint_core import logs
 from gentianpoint_core import ports
+from gentianpoint_core.decisions import stream_origins
 from gentianpoint_core.generated import events
 from gentianpoint_entry.forwarding import engine_probes
 from gentianpoint_entry.forwarding import entry_metrics
 from gentianpoint_entry.forwarding import request_permits
 from gentianpoint_entry.forwarding import requests
 from gentianpoint_entry.forwarding import retry_limits
+from gentianpoint_entry.forwarding import stream_records
 from gentianpoint_entry.forwarding import target_calls
 from gentianpoint_entry.forwarding import target_choice
 from gentianpoint_entry.forwarding import target_ends
@@ -55,6 +57,7 @@
         count_retry_sharers: typing.Optional[abc.Callable[[], int]] = None,
         permits: typing.Optional[request_permits.RequestPermits] = None,
         probes: typing.Optional[engine_probes.EngineProbes] = None,
+        origins: typing.Optional[stream_records.StreamRecords] = None,
     ) -> None:
         """Serve from ``data_centre`` as one of ``count_entries()`` entries.
 
@@ -63,7 +66,7 @@
         retries, if that differs. ``permits`` limits the requests to
         targets that are cold or have named limits; by default this entry has
         the whole of each limit. Without ``probes`` engines are chosen by their
-        reports alone.
+        reports alone. Without ``origins`` no caller can take a stream up.
         """
         super().__init__(
             registry, data_centre, count_entries, rng, permits, probes
@@ -75,6 +78,7 @@
         )
         self.metrics: typing.Final = metrics
         self._ends: typing.Final = ends
+        self._origins: typing.Final = origins
         send, receive = trio.open_memory_channel[_UnusedCopy](math.inf)
         self._unused_sender: typing.Final = send
         self._unused_receiver: typing.Final = receive
@@ -98,6 +102,11 @@
         options: requests.SendOptions,
     ) -> abc.AsyncIterator[target_calls.TargetAnswer]:
         """Send a request, and count it at its target until it ends."""
+        if not stream_origins.may_go_on(request.origin, target.origin):
+            self.give_back(target, request)
+            raise target_choice.make_send_error(
+                target, "its software is not that which began the stream"
+            )
         permit = await self.claim_permit(target, request)
         tokens = target_selection.count_tokens(request)
         now = trio.current_time()
@@ -220,6 +229,24 @@
             may_have_run=False,
         )
 
+    async def find_origin(
+        self, request: requests.CallerRequest
+    ) -> typing.Optional[stream_origins.StreamOrigin]:
+        """Return where the stream began that a request takes up, if known."""
+        if self._origins is None:
+            return None
+        return await self._origins.find(request)
+
+    async def note_stream_began(self, request: requests.CallerRequest) -> None:
+        """Record that a stream has its first event, at ``request.origin``."""
+        if self._origins is not None:
+            await self._origins.note_began(request)
+
+    def note_stream_ended(self, request: requests.CallerRequest) -> None:
+        """Record that a caller has received a stream to its end."""
+        if self._origins is not None:
+            self._origins.note_ended(request)
+
     def note_success(self, target: targets.Target) -> None:
         """Clear the failures of a target that serves."""
         target.failures = 0
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/requests.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/requests.py
@@ -4,6 +4,7 @@
 import typing
 
 from gentianpoint_core import deadlines
+from gentianpoint_core.decisions import stream_origins
 from gentianpoint_entry import request_digests
 from gentianpoint_entry.forwarding import routes
 
@@ -47,6 +48,14 @@
     resumed_id: str = ""
     """Identifier of the attempt that brought the first event of the stream
     that this one takes up; empty if it takes up none."""
+    origin: typing.Optional[stream_origins.StreamOrigin] = None
+    """Where its stream began; None for a stream that has no event yet."""
+    route_services: abc.Sequence[routes.Service] = ()
+    """All services of its route, of which a stream keeps to one."""
+
+    def takes_stream_up(self) -> bool:
+        """Tell whether the caller has events of this stream already."""
+        return bool(self.resumed_id or self.last_event_id)
 
 
 def digest_content(
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
@@ -16,6 +16,7 @@
 from gentianpoint_core import deadlines
 from gentianpoint_core import logs
 from gentianpoint_core import ports
+from gentianpoint_core.decisions import stream_origins
 from gentianpoint_core.generated import events
 from gentianpoint_entry.forwarding import attempts
 from gentianpoint_entry.forwarding import caller_answers
@@ -85,7 +86,7 @@
         sent whole or not at all.
         """
         self._shared: typing.Final = shared
-        self._request: typing.Final = request
+        self._request = request
         self._answer: typing.Final = answer
         self._start_deadline: typing.Final = start_deadline
         self._buffered: typing.Final = bytearray()
@@ -105,6 +106,10 @@
 
     async def serve(self) -> typing.Optional[refusals.Refusal]:
         """Answer the caller; return a refusal if there is no answer."""
+        if self._request.takes_stream_up():
+            refusal = await self._find_origin()
+            if refusal is not None:
+                return refusal
         plan = await self._plan_first()
         for _ in range(_MAX_RUNS):
             if plan is None:
@@ -132,6 +137,33 @@
             self._answer, "the stream broke off before its first event"
         )
 
+    # Where the stream began.
+
+    async def _find_origin(self) -> typing.Optional[refusals.Refusal]:
+        """Find out where the stream began that the caller takes up.
+
+        Returns a refusal if that is not known, or if no target may go on with
+        it. Nothing has run then, and to come back would be of no use.
+        """
+        origin = await self._shared.find_origin(self._request)
+        if origin is None:
+            return self.attempts.refuse_taking_up(
+                "it is not known which software began the stream"
+            )
+        for service in self._request.route_services:
+            if service.name == origin.service:
+                self._request = self._request._replace(service=service)
+        self._set_origin(origin)
+        if not self._shared.has_target(self._request):
+            return self.attempts.refuse_taking_up(
+                "no target has the software that began the stream"
+            )
+        return None
+
+    def _set_origin(self, origin: stream_origins.StreamOrigin) -> None:
+        self._request = self._request._replace(origin=origin)
+        self.attempts.set_request(self._request)
+
     # Planning of runs.
 
     async def _plan_first(self) -> typing.Optional[stream_runs.RunPlan]:
@@ -275,6 +307,7 @@
         if next_run is None:
             self._shared.note_success(run.target)
             self._shared.note_answered(self._request)
+            self._shared.note_stream_ended(self._request)
         self._release_copies(run, next_run)
         return next_run
 
@@ -344,6 +377,9 @@
         if not self._order.accept(event):
             return
         self._timing.note_event(trio.current_time())
+        if self._request.origin is None:
+            self._set_origin(run.target.origin)
+            await self._shared.note_stream_began(self._request)
         if not self._answer.is_started:
             if self._start_deadline.is_past():
                 self._buffered.extend(event.data)
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_choice.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_choice.py
@@ -18,6 +18,7 @@
 from gentianpoint_core import logs
 from gentianpoint_core import ports
 from gentianpoint_core.decisions import request_turns
+from gentianpoint_core.decisions import stream_origins
 from gentianpoint_core.decisions import waiting_order
 from gentianpoint_core.generated import events
 from gentianpoint_entry.forwarding import arrivals
@@ -92,7 +93,7 @@
             self._arrival_rate.note(began)
         wait_s = request.route.objective_ms * _PERMIT_WAIT_SHARE / 1000
         order = self._find_order(request)
-        place = order.join(_get_priority(request), _get_customer(request))
+        place = order.join(_rank_urgency(request), _get_customer(request))
         try:
             while True:
                 ahead = order.count_ahead(place)
@@ -116,6 +117,14 @@
         finally:
             order.leave(place)
 
+    def has_target(self, request: requests.CallerRequest) -> bool:
+        """Tell whether any target that takes work may run a request."""
+        return any(
+            target.accepts_work()
+            and stream_origins.may_go_on(request.origin, target.origin)
+            for target in self.registry.list_by_service(request.service.name)
+        )
+
     def _find_order(
         self, request: requests.CallerRequest
     ) -> waiting_order.WaitingOrder:
@@ -192,7 +201,7 @@
         other is told the same time.
         """
         order = self._find_order(request)
-        priority = _get_priority(request)
+        priority = _rank_urgency(request)
         now = trio.current_time()
         ahead = order.count_expected(priority, now)
         opens_at = self._find_opening(request, (), ahead)
@@ -215,7 +224,9 @@
         candidates = [
             target
             for target in self.registry.list_by_service(request.service.name)
-            if target.target_id not in excluded and target.accepts_work()
+            if target.target_id not in excluded
+            and target.accepts_work()
+            and stream_origins.may_go_on(request.origin, target.origin)
         ]
 
         def find_permitted_at(place: int, count: int) -> float:
@@ -251,6 +262,7 @@
             target
             for target in self.registry.list_by_service(request.service.name)
             if target.target_id not in excluded
+            and stream_origins.may_go_on(request.origin, target.origin)
             and self._permits.find_permitted_at(target, request.service, now)
             <= now
         ]
@@ -295,7 +307,14 @@
             source,
             target_selection.MAX_USED_SHARE_FOR_MOVES,
             move_destinations.list_reserved_for_others(
-                source, self.registry.list_by_service(request.service.name)
+                source,
+                [
+                    target
+                    for target in self.registry.list_by_service(
+                        request.service.name
+                    )
+                    if stream_origins.may_go_on(source.origin, target.origin)
+                ],
             ),
         )
         if target is not None:
@@ -326,7 +345,10 @@
         avoided: abc.Collection[str] = (),
     ) -> typing.Optional[targets.Target]:
         now = trio.current_time()
-        permitted = self._list_permitted(request)
+        # The memory is of the runner's software, also before the first event.
+        permitted = self._list_permitted(
+            request._replace(origin=request.origin or runner.origin)
+        )
         unlimited = [
             target
             for target in permitted
@@ -393,6 +415,15 @@
     return request.route.priority
 
 
+def _rank_urgency(request: requests.CallerRequest) -> int:
+    """Return the rank among waiting requests; lower goes first.
+
+    Of the same priority, streams that have events already go before others:
+    what was generated for them would be lost.
+    """
+    return 2 * _get_priority(request) + (request.origin is None)
+
+
 def _get_customer(request: requests.CallerRequest) -> str:
     return "" if request.customer is None else request.customer.name
 
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
@@ -12,6 +12,7 @@
 
 from gentianpoint_core import deadlines
 from gentianpoint_core import named_limits
+from gentianpoint_core.decisions import stream_origins
 from gentianpoint_entry.forwarding import agent_turns
 
 __all__ = ("EngineReport", "Target", "TargetEntry", "TargetRegistry")
@@ -96,6 +97,8 @@
     def __init__(self, entry: TargetEntry, now: float) -> None:
         """Start from the target's own entry; ``now`` is trio's time."""
         self.entry = entry
+        # Latest start of the engine that its agent has reported.
+        self.reported_start_ms = 0
         # True once it has been removed from the registry.
         self.is_gone = False
         # True once another target was found to have its address.
@@ -134,6 +137,25 @@
         """Identifier of this start."""
         return self.entry.target_id
 
+    @property
+    def software(self) -> str:
+        """Version of its software, empty if it is not known.
+
+        Once an agent has reported a later start, the list's version may be
+        that of the start before.
+        """
+        if self.reported_start_ms > self.entry.started_ms:
+            return ""
+        return self.entry.software
+
+    @property
+    def origin(self) -> stream_origins.StreamOrigin:
+        """The start that streams have as their origin that begin here."""
+        started_ms = max(self.entry.started_ms, self.reported_start_ms)
+        return stream_origins.StreamOrigin(
+            self.entry.service, f"{self.target_id}/{started_ms}", self.software
+        )
+
     def accepts_work(self) -> bool:
         """Tell whether new work may be sent here."""
         if self.is_gone or self.is_replaced or self.is_evacuated:
@@ -254,7 +276,9 @@
         """
         known = self._targets.get(entry.target_id)
         if known is not None and _is_same_start(known.entry, entry):
-            known.entry = entry
+            # Another writer may have left the version out.
+            software = entry.software or known.entry.software
+            known.entry = entry._replace(software=software)
             known.cold_until = max(
                 known.cold_until, now + entry.cold_left_ms / 1000
             )
@@ -313,6 +337,10 @@
         """Return the targets of a service."""
         return self._by_service.get(service, ())
 
+    def list_services(self) -> abc.Sequence[str]:
+        """Return the services that have had targets."""
+        return list(self._by_service)
+
     def list_all(self) -> abc.Sequence[Target]:
         """Return all targets."""
         return list(self._targets.values())
@@ -336,6 +364,9 @@
 def _is_same_start(known: TargetEntry, entry: TargetEntry) -> bool:
     if known.service != entry.service or known.address != entry.address:
         return False
+    # A start keeps its software.
+    if known.software and entry.software and known.software != entry.software:
+        return False
     # An announcement, or an entry written by an older version of the target,
     # may lack the time of the start. Identifier and address must do then.
     if not known.started_ms or not entry.started_ms:
--- /dev/null
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/version_markers.py
@@ -0,0 +1,102 @@
+"""Keeps in the log which services have targets of several versions.
+
+Entries remember which versions served lately. What they know is lost if all
+of them start again at once, so a service is written into a topic of the log
+when a second version comes, and removed once one version has served for as
+long as any stream lasts. An entry reads the topic once, when it starts.
+"""
+
+from collections import abc
+import typing
+
+import trio
+
+from gentianpoint_core import logs
+from gentianpoint_core import ports
+from gentianpoint_core.decisions import ranking
+from gentianpoint_core.generated import events
+from gentianpoint_entry.forwarding import software_history
+from gentianpoint_entry.forwarding import stream_records
+
+__all__ = ("VersionMarkers",)
+
+_CALL_TIMEOUT_MS: typing.Final = 2000.0
+"""Time limit of a call of the log, in milliseconds."""
+_CHECK_S: typing.Final = 1.0
+"""Seconds between checks, and before a call that failed is repeated."""
+_WRITERS: typing.Final = 2
+"""Entries that write a change; one of them may be lost."""
+_MARK: typing.Final = b"1"
+
+
+class VersionMarkers:
+    """The services with several versions, as a topic of the log has them."""
+
+    def __init__(
+        self,
+        topic: ports.WritableTopic,
+        history: software_history.SoftwareHistory,
+        records: stream_records.StreamRecords,
+        address: str,
+        list_members: abc.Callable[[], abc.Collection[str]],
+    ) -> None:
+        """Keep ``topic`` as ``records`` sees the services.
+
+        ``address`` is this entry's among ``list_members()``.
+        """
+        self._topic: typing.Final = topic
+        self._history: typing.Final = history
+        self._records: typing.Final = records
+        self._address: typing.Final = address
+        self._list_members: typing.Final = list_members
+        self._marked: typing.Final[set[str]] = set()
+        self._is_available = True
+
+    async def run(self) -> None:
+        """Read the topic, then write changes until cancelled."""
+        while not await self._try(self._read):
+            await trio.sleep(_CHECK_S)
+        while True:
+            await trio.sleep(_CHECK_S)
+            await self._try(self._write_changes)
+
+    async def _try(self, call: abc.Callable[[], abc.Awaitable[None]]) -> bool:
+        """Make a call; False if it failed."""
+        try:
+            await call()
+        except ports.PortError as error:
+            if self._is_available:
+                logs.log_event(
+                    events.LOG_UNAVAILABLE,
+                    step=error.step,
+                    peer=error.peer,
+                    reason=error.reason,
+                )
+            self._is_available = False
+            return False
+        self._is_available = True
+        return True
+
+    async def _read(self) -> None:
+        found = await self._topic.read_newest(_CALL_TIMEOUT_MS)
+        self._marked.update(
+            record.key for record in found.records if record.value is not None
+        )
+        self._history.note_earlier(self._marked, trio.current_time())
+
+    async def _write_changes(self) -> None:
+        for service, is_mixed in self._records.list_mixed().items():
+            if is_mixed == (service in self._marked):
+                continue
+            if self._is_writer(service):
+                value = _MARK if is_mixed else None
+                await self._topic.put(service, value, _CALL_TIMEOUT_MS)
+            # Others write it otherwise.
+            if is_mixed:
+                self._marked.add(service)
+            else:
+                self._marked.discard(service)
+
+    def _is_writer(self, service: str) -> bool:
+        members = ranking.rank_members(service, self._list_members())
+        return self._address in members[:_WRITERS]
