Keep a generation to the software that began it on the own interface

A caller got tokens of two software versions when an engine had been replaced under a stream that its agent, or a later run of it, went on reading.

Cause: the agent resumed a stream by its identifier alone.

Engines may name the version of their software in the header Software-Version of answers that start or resume a stream. The agent keeps what began it and ends the answer as incomplete when another one answers, by the same decision as on the users' platform. Identifiers carry a digest of the version, signed like their other parts, so that a later run of the agent knows it without a message or a table. Identifiers of engines that name none are as before.

--- a/packages/gentianpoint-agent/src/gentianpoint_agent/agent_state.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/agent_state.py
@@ -75,8 +75,6 @@
             settings.data_centre
         )
         self._report_valid_until = deadlines.Deadline(0.0)
-        # Version of the engine's software, by its last report.
-        self._software = ""
         self._nursery: typing.Final = nursery
         self._runner: typing.Final = runner
 
@@ -104,8 +102,8 @@
     def record_report(self, load: ports.EngineLoad) -> None:
         """Store a load report of the engine."""
         self._report_valid_until = deadlines.make_deadline(_REPORT_VALID_MS)
-        if load.software != self._software:
-            self._software = load.software
+        if load.software != self.table.software:
+            self.table.software = load.software
             logs.log_event(
                 events.ENGINE_SOFTWARE_NAMED, software=load.software
             )
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/engine_runner.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/engine_runner.py
@@ -12,9 +12,11 @@
 from gentianpoint_agent import target_watch
 from gentianpoint_core import deadlines
 from gentianpoint_core import errors
+from gentianpoint_core import generation_ids
 from gentianpoint_core import logs
 from gentianpoint_core import ports
 from gentianpoint_core import telemetry
+from gentianpoint_core.decisions import stream_origins
 from gentianpoint_core.generated import events
 
 __all__ = ("EngineRunner",)
@@ -254,8 +256,14 @@
         slot: admission_policy.Slot,
         timer: _TokenTimer,
     ) -> typing.Optional[generations.GenerationEnd]:
+        is_checked = False
         async for event in stream:
+            if not is_checked:
+                self._check_software(generation, event.software)
+                is_checked = True
             generation.confirmed = True
+            if event.software:
+                continue
             if event.end:
                 slot.note_end(event.end, event.prompt_tokens)
                 return generations.GenerationEnd(
@@ -275,6 +283,18 @@
                 return None
         return None
 
+    @staticmethod
+    def _check_software(
+        generation: generations.Generation, software: str
+    ) -> None:
+        """Require the software that began the stream."""
+        here = generations.make_origin(
+            generation_ids.digest_software(software)
+        )
+        if not stream_origins.may_go_on(generation.origin, here):
+            raise _StreamLostError("the engine has other software now")
+        generation.origin = generation.origin or here
+
     def _record_preemption(
         self, generation: generations.Generation, slot: admission_policy.Slot
     ) -> None:
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/generation_table.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/generation_table.py
@@ -48,6 +48,8 @@
         ``key`` signs identifiers and is the same in all runs of the agent.
         """
         self.incarnation: typing.Final = secrets.token_hex(_INCARNATION_BYTES)
+        # Version of the target's software, by its last report.
+        self.software = ""
         self._target: typing.Final = target
         self._key: typing.Final = key
         self._retain_ms: typing.Final = retain_ms
@@ -77,6 +79,7 @@
                 self._last_number,
                 customer,
                 self._key,
+                self.software,
             )
         )
 
@@ -217,6 +220,7 @@
             identifier, customer, is_plain, False
         )
         generation.adopted = True
+        generation.origin = generations.make_origin(parsed.ok.software_digest)
         generation.confirmed = is_listed
         generation.started = True
         return self._add(generation)
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/generations.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/generations.py
@@ -12,6 +12,7 @@
 import trio
 
 from gentianpoint_core import deadlines
+from gentianpoint_core.decisions import stream_origins
 
 __all__ = (
     "COMPLETE_REASONS",
@@ -25,6 +26,7 @@
     "Generation",
     "GenerationEnd",
     "encode_plain_head",
+    "make_origin",
 )
 
 STOP: typing.Final = "stop"
@@ -41,6 +43,8 @@
 """The target certainly did not run the call."""
 UNKNOWN_CUSTOMER: typing.Final = "\0"
 """Customer of an adopted generation that nobody has requested yet."""
+_UNNAMED: typing.Final = "unnamed"
+"""Stands for a target that names no software."""
 COMPLETE_REASONS: typing.Final = frozenset((STOP, LENGTH))
 """End reasons of a complete answer."""
 
@@ -69,6 +73,17 @@
     return cbor2.dumps([status, [list(header) for header in headers]])
 
 
+def make_origin(software_digest: str) -> stream_origins.StreamOrigin:
+    """Return the origin of what a target with some software begins.
+
+    A target that names no software counts as the same as long as it names
+    none: it does not know the streams of an earlier start.
+    """
+    return stream_origins.StreamOrigin(
+        "", software_digest or _UNNAMED, software_digest
+    )
+
+
 class Generation:
     """The items and the state of one generation or plain call."""
 
@@ -84,6 +99,8 @@
         """True when it was started from a prepared identifier."""
         self.adopted = False
         """True when an earlier run of the agent started it."""
+        self.origin: typing.Optional[stream_origins.StreamOrigin] = None
+        """What began it, None until the target has answered."""
         self.confirmed = True
         """False while the target has not shown that it has an adopted one."""
         self.shared = False
--- a/packages/gentianpoint-core/src/gentianpoint_core/http_engine.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/http_engine.py
@@ -15,6 +15,8 @@
 
 _TIMEOUT_S: typing.Final = 5.0
 """Timeout of a request in seconds, not counting a requested wait."""
+_SOFTWARE_HEADER: typing.Final = "software-version"
+"""Header of answers with the version of the engine's software."""
 _REFUSAL_STATUSES: typing.Final = (404, 409, 429)
 """HTTP statuses with which an engine refuses without any effect."""
 
@@ -69,6 +71,9 @@
 async def _iterate_events(
     response: httpx.Response, step: str, peer: str
 ) -> abc.AsyncIterator[ports.StreamEvent]:
+    software = response.headers.get(_SOFTWARE_HEADER, "")
+    if software:
+        yield ports.StreamEvent(0, "", False, "", 0, 0, software)
     partial = b""
     try:
         async for chunk in response.aiter_raw():
--- a/packages/gentianpoint-core/src/gentianpoint_core/ports.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/ports.py
@@ -249,6 +249,9 @@
     """Number of prompt tokens; set in the last event."""
     completion_tokens: int
     """Number of generated tokens; set in the last event."""
+    software: str = ""
+    """Version of the engine's software; set in the first event of an answer,
+    which has nothing else, if the engine names one."""
 
 
 class EngineLoad(typing.NamedTuple):
