--- a/bench/soak/own_player.py
+++ b/bench/soak/own_player.py
@@ -123,6 +123,10 @@
                     seen.Serving(target.name, name, now, now)
                 )
             self._softwares[target.name] = software
+        # What an engine with other software can't go on with is cut.
+        self._facts.disturbances.append(
+            seen.Disturbance(seen.TARGETS, "release", now, trio.current_time())
+        )
 
     def find_start(self, step: schedule.Step) -> str:
         """Return the present start of the target that a step concerns."""
--- a/bench/soak/platform_targets.py
+++ b/bench/soak/platform_targets.py
@@ -190,7 +190,9 @@
         self._start()
 
     def _note_served(self) -> None:
-        """Note that this start takes no work from now on."""
+        """Note that this engine takes no work from now on."""
+        if self.place.service != kinds.ENGINES:
+            return
         self._facts.servings.append(
             seen.Serving(
                 self.target_id,
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/origin_table.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/origin_table.py
@@ -4,6 +4,7 @@
 others. Records are forgotten when their callers no longer wait.
 """
 
+from collections import abc
 import hashlib
 import typing
 
@@ -85,6 +86,14 @@
         self._records[record.key] = record
         self._owned.setdefault(_get_owner(record.key), {})[record.key] = None
 
+    def list_by_service(self, service: str) -> abc.Sequence[OriginRecord]:
+        """Return the records of streams that a service began."""
+        return [
+            record
+            for record in self._records.values()
+            if record.origin.service == service
+        ]
+
     def drop(self, key: str) -> None:
         """Forget a stream."""
         if self._records.pop(key, None) is None:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_records.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_records.py
@@ -126,7 +126,7 @@
         )
         self._table: typing.Final = origin_table.OriginTable()
         # Streams that this entry began and that may be taken up elsewhere.
-        self._begun: typing.Final = dict[str, origin_table.OriginRecord]()
+        self._begun: typing.Final = origin_table.OriginTable()
         self._windows: typing.Final[dict[str, float]] = {}
         self._was_sole: typing.Final[dict[str, bool]] = {}
         self._questions: typing.Final[dict[int, _Question]] = {}
@@ -154,14 +154,15 @@
             now + min(kept_s, _MAX_KEPT_S),
         )
         self._table.put(record)
-        self._begun[record.key] = record
-        if not self._find_sole(request.route, request.service.name, now):
+        self._begun.put(record)
+        # Of those that began since the last check, others are told with it.
+        if not self._find_sole(request, now):
             await self._tell([record])
 
     def note_ended(self, request: requests.CallerRequest) -> None:
         """Forget a stream that its caller has received to the end."""
         key = _make_key(request, request.resumed_id or request.request_id)
-        self._begun.pop(key, None)
+        self._begun.drop(key)
         self._table.drop(key)
 
     async def run(self) -> None:
@@ -175,21 +176,13 @@
             now = trio.current_time()
             self._update_ring()
             self._table.prune(now)
-            for key, record in list(self._begun.items()):
-                if record.expires_at <= now:
-                    del self._begun[key]
+            self._begun.prune(now)
             for service in self._registry.list_services():
                 self._note_listed(service, now)
             for service, window_s in list(self._windows.items()):
                 is_sole = bool(self._history.find_sole(service, window_s, now))
                 if self._was_sole.get(service, True) and not is_sole:
-                    await self._tell(
-                        [
-                            record
-                            for record in self._begun.values()
-                            if record.origin.service == service
-                        ]
-                    )
+                    await self._tell(self._begun.list_by_service(service))
                 self._was_sole[service] = is_sole
             self._history.prune(_MAX_KEPT_S, now)
             await trio.sleep(_CHECK_S)
@@ -269,7 +262,8 @@
             if origin is not None:
                 return self._log_found(request, origin, "record", now)
         service = request.service.name
-        sole = self._find_sole(request.route, service, now)
+        self._note_listed(service, now)
+        sole = self._find_sole(request, now)
         if sole and self._is_current(now):
             origin = stream_origins.StreamOrigin(service, "", sole)
             return self._log_found(request, origin, "one version", now)
@@ -300,13 +294,17 @@
         )
         return origin
 
-    def _find_sole(self, route: routes.Route, service: str, now: float) -> str:
-        """Return the one version that began all streams of a route."""
-        window_s = _find_window_s(route)
+    def _find_sole(self, request: requests.CallerRequest, now: float) -> str:
+        """Return the one version that began all streams of a route.
+
+        The versions are those of the last check, a moment ago.
+        """
+        service = request.service.name
+        window_s = _find_window_s(request.route)
         self._windows[service] = max(window_s, self._windows.get(service, 0.0))
-        if len(route.shares) > 1:
+        if len(request.route.shares) > 1 or window_s > _MAX_KEPT_S:
             return ""
-        return self._look(service, window_s, now)
+        return self._history.find_sole(service, window_s, now)
 
     def _look(self, service: str, window_s: float, now: float) -> str:
         """Note which versions serve now, and return the one that does."""
