Name services with several versions in the log, whoever serves them

Found by reading: the two entries that write which services are mixed looked only at services whose streams they had served themselves, so after a stop of all entries a stream could have gone on at another version. They look at all services of the list now. version_markers.feature tests the topic with entries that all start again; its guard is caught.

The refusal of what need not come back stands with the other refusals.

--- a/packages/gentianpoint-entry/features/forwarding/steps/stream_versions_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/stream_versions_steps.py
@@ -105,6 +105,27 @@
     context.changes.append((after, restart))
 
 
+@behave.given("entries keep in the log which services are mixed")
+def keep_markers(context):
+    context.topic = topic_builders.KeptTopic()
+
+
+@behave.when("after {after:g} s all entries start again")
+def restart_with_log(context, after):
+    context.changes.append((after, lambda fleet, names: fleet.restart_all(())))
+
+
+@behave.when("nothing comes for {seconds:g} s more")
+def rest(context, seconds):
+    context.rest_s = seconds
+
+
+@behave.then("the log names {count:d} services as mixed")
+def check_marked(context, count):
+    play(context)
+    assert len(context.topic.values) == count, context.topic.values
+
+
 @behave.then("entries have sent each other no datagrams")
 def check_no_datagrams(context):
     assert play(context).count_messages() == (0, 0)
@@ -118,11 +139,14 @@
 
     async def run():
         async with trio.open_nursery() as nursery:
-            fleet = version_builders.VersionFleet(nursery, context.count)
+            fleet = version_builders.VersionFleet(
+                nursery, context.count, getattr(context, "topic", None)
+            )
             names = [fleet.start_target(name) for name in context.softwares]
             await trio.sleep(_SETTLED_S)
             nursery.start_soon(change_all, fleet, names, context.changes)
             await fleet.send_load(*context.load)
+            await trio.sleep(getattr(context, "rest_s", 0.0))
             nursery.cancel_scope.cancel()
         return fleet
 
--- a/packages/gentianpoint-entry/features/forwarding/steps/suspect_records_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/suspect_records_steps.py
@@ -8,7 +8,6 @@
 import topic_builders
 import trio
 
-from gentianpoint_core import ports
 from gentianpoint_entry import crash_suspects
 from gentianpoint_entry.forwarding import suspect_records
 
@@ -16,44 +15,9 @@
 DAY_S = 86_400.0
 
 
-class KeptTopic(ports.WritableTopic):
-    """A topic in memory, which may be unavailable."""
-
-    def __init__(self):
-        """Start empty."""
-        self.values = {}
-        self.out_until = 0.0
-
-    async def read_newest(self, within_ms):
-        """Return the newest record of every key."""
-        await self._answer()
-        records = [
-            ports.KeyedRecord(key, value, 0)
-            for key, value in self.values.items()
-        ]
-        return ports.KeyedSlice(records, len(records))
-
-    async def read_changes(self, start, wait_ms, within_ms):
-        """Fail: nobody follows the topic."""
-        raise AssertionError
-
-    async def put(self, key, value, within_ms):
-        """Write or remove a record."""
-        await self._answer()
-        if value is None:
-            self.values.pop(key, None)
-        else:
-            self.values[key] = value
-
-    async def _answer(self):
-        await trio.sleep(0.01)
-        if trio.current_time() < self.out_until:
-            raise ports.PortError("call", "log", "out", took_effect=False)
-
-
 def find_topic(context):
     if "topic" not in context:
-        context.topic = KeptTopic()
+        context.topic = topic_builders.KeptTopic()
         context.actions = []
         context.passed_s = 0.0
     return context.topic
--- a/packages/gentianpoint-entry/features/forwarding/topic_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/topic_builders.py
@@ -73,6 +73,45 @@
         raise ports.RecordsExpiredError("only the latest is kept")
 
 
+class KeptTopic(ports.WritableTopic):
+    """A topic in memory, which may be unavailable."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.values: dict[str, bytes] = {}
+        self.out_until = 0.0
+
+    async def read_newest(self, within_ms: float) -> ports.KeyedSlice:
+        """Return the newest record of every key."""
+        await self._answer()
+        records = [
+            ports.KeyedRecord(key, value, 0)
+            for key, value in self.values.items()
+        ]
+        return ports.KeyedSlice(records, len(records))
+
+    async def read_changes(
+        self, start: int, wait_ms: int, within_ms: float
+    ) -> ports.KeyedSlice:
+        """Fail: nobody follows the topic."""
+        raise AssertionError
+
+    async def put(
+        self, key: str, value: typing.Optional[bytes], within_ms: float
+    ) -> None:
+        """Write or remove a record."""
+        await self._answer()
+        if value is None:
+            self.values.pop(key, None)
+        else:
+            self.values[key] = value
+
+    async def _answer(self) -> None:
+        await trio.sleep(0.01)
+        if trio.current_time() < self.out_until:
+            raise ports.PortError("call", "log", "out", took_effect=False)
+
+
 class RecordingConsumer(topic_follower.RecordConsumer):
     """Records what it is given."""
 
--- a/packages/gentianpoint-entry/features/forwarding/version_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/version_builders.py
@@ -14,6 +14,7 @@
 import fleet_builders
 import forwarding_builders
 from opentelemetry import metrics
+import topic_builders
 import trio
 
 from gentianpoint_core import codec
@@ -32,6 +33,7 @@
 from gentianpoint_entry.forwarding import target_calls
 from gentianpoint_entry.forwarding import target_ends
 from gentianpoint_entry.forwarding import targets
+from gentianpoint_entry.forwarding import version_markers
 
 __all__ = ("CalledStream", "VersionFleet")
 
@@ -165,6 +167,7 @@
         self.is_cut_off = False
         self.list_age_s = 0.0
         self.cut_off_at = 0.0
+        self._fleet: typing.Final = fleet
         self.scope: typing.Final = trio.CancelScope()
         self.history: typing.Final = software_history.SoftwareHistory()
         self.origins: typing.Final = stream_records.StreamRecords(
@@ -199,7 +202,17 @@
     async def run(self) -> None:
         """Watch which versions serve, until killed."""
         with self.scope:
-            await self.origins.run()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.origins.run)
+                if self._fleet.topic is not None:
+                    markers = version_markers.VersionMarkers(
+                        self._fleet.topic,
+                        self.history,
+                        self.origins,
+                        self.gossip.address,
+                        lambda: self._fleet.list_members(self.gossip),
+                    )
+                    nursery.start_soon(markers.run)
 
     def _confirm_list(self) -> float:
         """Return when the list of targets was last confirmed."""
@@ -218,13 +231,19 @@
     """Entries, targets of several versions, and callers."""
 
     def __init__(
-        self, nursery: trio.Nursery, entries: int, seed: int = 1
+        self,
+        nursery: trio.Nursery,
+        entries: int,
+        topic: typing.Optional[topic_builders.KeptTopic] = None,
+        seed: int = 1,
     ) -> None:
         """Start ``entries`` entries before no target.
 
         In a large fleet they know each other from the start, and go on to
-        count those that are killed.
+        count those that are killed. They keep in ``topic`` which services
+        have several versions; without it they know that from the start.
         """
+        self.topic: typing.Final = topic
         self.count: typing.Final = entries
         self.gossip: typing.Final = fleet_builders.Fleet(entries)
         self.gossip.start(nursery)
@@ -256,7 +275,8 @@
             self._list(entry, start)
         now = trio.current_time()
         entry.history.note_start(now)
-        entry.history.note_earlier(mixed, now)
+        if self.topic is None:
+            entry.history.note_earlier(mixed, now)
         self._nursery.start_soon(entry.run)
 
     def list_members(self, entry: fleet_builders.Entry) -> abc.Collection[str]:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/attempts.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/attempts.py
@@ -75,11 +75,6 @@
         """Tell whether the request may be sent to another target."""
         return not self.may_have_run or self.may_run_again()
 
-    def refuse_taking_up(self, reason: str) -> refusals.Refusal:
-        """Refuse a request that takes up a stream which can't go on."""
-        refusal = refusals.refuse_not_run(reason, 0)
-        return refusal._replace(max_retry_after_ms=0.0)
-
     async def is_suspect(self) -> bool:
         """Tell whether the request must not be sent to any target.
 
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/refusals.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/refusals.py
@@ -17,6 +17,7 @@
     "Refusal",
     "UNAUTHORIZED",
     "choose_retry_after_ms",
+    "refuse_for_good",
     "refuse_not_run",
     "refuse_outcome_unknown",
     "refuse_timeout",
@@ -76,6 +77,11 @@
     return Refusal(NOT_RUN, reason, retry_after_ms)
 
 
+def refuse_for_good(reason: str) -> Refusal:
+    """Refuse a request that has not run, and need not come back."""
+    return Refusal(NOT_RUN, reason, 0, max_retry_after_ms=0.0)
+
+
 def refuse_outcome_unknown(reason: str) -> Refusal:
     """Give up a request that may have run."""
     return Refusal(BAD_GATEWAY, reason, 0)
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
@@ -147,7 +147,7 @@
         """
         origin = await self._shared.find_origin(self._request)
         if origin is None:
-            return self.attempts.refuse_taking_up(
+            return refusals.refuse_for_good(
                 "it is not known which software began the stream"
             )
         for service in self._request.route_services:
@@ -155,7 +155,7 @@
                 self._request = self._request._replace(service=service)
         self._set_origin(origin)
         if not self._shared.has_target(self._request):
-            return self.attempts.refuse_taking_up(
+            return refusals.refuse_for_good(
                 "no target has the software that began the stream"
             )
         return None
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_records.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_records.py
@@ -188,11 +188,16 @@
             await trio.sleep(_CHECK_S)
 
     def list_mixed(self) -> abc.Mapping[str, bool]:
-        """Return the services with streams, and which had several versions."""
+        """Return the services, and which of them had several versions.
+
+        Another entry may serve streams of a service that this one does not.
+        """
         now = trio.current_time()
         return {
-            service: not self._look(service, window_s, now)
-            for service, window_s in self._windows.items()
+            service: not self._look(
+                service, self._windows.get(service, _DEFAULT_WINDOW_S), now
+            )
+            for service in self._registry.list_services()
             if self._registry.list_by_service(service)
         }
 
