Bear numbers out of range in questions about streams

Found by reading: a datagram that asks for a time of 10**400 ms would have ended the entry by an OverflowError (the new scenario failed so). Times are cut to twice what is kept before they are used.

--- a/packages/gentianpoint-entry/features/forwarding/steps/stream_versions_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/stream_versions_steps.py
@@ -126,6 +126,15 @@
     assert len(context.topic.values) == count, context.topic.values
 
 
+@behave.when(
+    "after {after:g} s all entries get datagrams with values out of range"
+)
+def send_bad_datagrams(context, after):
+    context.changes.append(
+        (after, lambda fleet, names: fleet.send_bad_datagrams())
+    )
+
+
 @behave.then("entries have sent each other no datagrams")
 def check_no_datagrams(context):
     assert play(context).count_messages() == (0, 0)
--- a/packages/gentianpoint-entry/features/forwarding/stream_versions_many_entries.feature
+++ b/packages/gentianpoint-entry/features/forwarding/stream_versions_many_entries.feature
@@ -99,3 +99,10 @@
     When 20 streams a second begin for 12 seconds
     And after 6 s half of the answers are cut
     Then entries have sent each other no datagrams
+
+  Scenario: datagrams with numbers and texts out of range
+    Guards against an entry that ends by what anyone can send it.
+    Given 3 entries before 3 targets of v1 and 3 of v2
+    When 20 streams a second begin for 3 seconds
+    And after 1 s all entries get datagrams with values out of range
+    Then no stream has events of two versions
--- a/packages/gentianpoint-entry/features/forwarding/version_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/version_builders.py
@@ -304,6 +304,37 @@
         assert message.is_ok(), message
         await entry.mail.handle(message.ok, sender)
 
+    def send_bad_datagrams(self) -> None:
+        """Send every entry messages of the right form with odd values."""
+        sender = next(iter(self._by_address))
+        origin = {"service": "s", "start": "x" * 999, "software": ""}
+        for value in (0, -1, 10**400):
+            row = {**origin, "key": "k", "left_ms": value}
+            wanted = {
+                "type": "origin_wanted",
+                "question": value,
+                "member": "nobody",
+                "key": "",
+                "service": "s",
+                "window_ms": value,
+            }
+            found = {
+                "type": "origin_found",
+                "question": value,
+                "member": "nobody",
+                "origin": {**origin, "more": value},
+                "sole_software": "",
+                "current": True,
+            }
+            told = {
+                "type": "origins_told",
+                "rows": [row, {**row, "start": ""}],
+            }
+            for address in self._by_address:
+                for message in (wanted, found, told):
+                    data = codec.encode_message(message)
+                    self.deliver(address, data, sender)
+
     def count_messages(self) -> tuple[int, int]:
         """Return the datagrams that all entries have sent, and their bytes."""
         return (
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_records.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_records.py
@@ -48,6 +48,8 @@
 """Seconds for which a record outlasts its caller's deadline."""
 _MAX_KEPT_S: typing.Final = 600.0
 """Seconds, at most, for which records and past versions are kept."""
+_MAX_WINDOW_MS: typing.Final = 2 * int(_MAX_KEPT_S) * 1000
+"""Longest time that another entry may ask for, in milliseconds."""
 _MAX_TEXT: typing.Final = 300
 """Longest text in a record that another entry tells."""
 _ROWS_AT_ONCE: typing.Final = 6
@@ -362,12 +364,15 @@
     ) -> None:
         now = trio.current_time()
         origin = self._table.find(message["key"], now)
-        window_s = max(0, message["window_ms"]) / 1000
+        # A window beyond what is kept shows nothing, however long it is.
+        window_ms = min(max(0, message["window_ms"]), _MAX_WINDOW_MS)
         answer: dict[str, typing.Any] = {
             "type": "origin_found",
             "question": message["question"],
             "member": self._address,
-            "sole_software": self._look(message["service"], window_s, now),
+            "sole_software": self._look(
+                message["service"], window_ms / 1000, now
+            ),
             "current": self._is_current(now),
         }
         if origin is not None:
@@ -383,7 +388,11 @@
         question.missing.discard(message["member"])
         row = message.get("origin")
         found = FoundOrigin(
-            None if row is None else stream_origins.StreamOrigin(**row),
+            None
+            if row is None
+            else stream_origins.StreamOrigin(
+                row["service"], row["start"], row["software"]
+            ),
             message["sole_software"],
             message["current"],
         )
