--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -21,6 +21,15 @@
 ROOT: typing.Final = pathlib.Path(__file__).resolve().parent.parent
 AT_ONCE: typing.Final = 8
 SUITE_TIMEOUT_S: typing.Final = 300
+_SIMULATIONS: typing.Final = (
+    "bench/features",
+    "many_entries",
+    "all_targets",
+    "shared_readings",
+    "gossip_state",
+    "late_records",
+)
+"""Parts of the paths of features that play many processes."""
 
 
 class SuiteResult(typing.NamedTuple):
@@ -47,7 +56,17 @@
         for path in ([root] if root.is_file() else root.rglob("*.feature"))
         if ".venv" not in path.parts
     ]
-    return sorted(files, key=lambda path: -path.stat().st_size)
+    return sorted(files, key=_rank_suite)
+
+
+def _rank_suite(path: pathlib.Path) -> tuple[bool, int]:
+    """Return the rank of a feature file; lower goes first.
+
+    Simulations take long however few scenarios they have, others the longer
+    the more they have.
+    """
+    is_simulation = any(word in str(path) for word in _SIMULATIONS)
+    return not is_simulation, -path.stat().st_size
 
 
 def _collect(report: pathlib.Path) -> tuple[int, list[str]]:
