Build no origin of a target for requests without one

The choice of targets built the origin of each target for each request, twice, also for plain calls and for streams without events, whose origin is None. The targets that may run a request were listed by the same condition in two places; they are listed by one function now, and a target is asked whether it may go on.

--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
@@ -102,7 +102,7 @@
         options: requests.SendOptions,
     ) -> abc.AsyncIterator[target_calls.TargetAnswer]:
         """Send a request, and count it at its target until it ends."""
-        if not stream_origins.may_go_on(request.origin, target.origin):
+        if not target.may_go_on(request.origin):
             self.give_back(target, request)
             raise target_choice.make_send_error(
                 target, "its software is not that which began the stream"
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_choice.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_choice.py
@@ -18,7 +18,6 @@
 from gentianpoint_core import logs
 from gentianpoint_core import ports
 from gentianpoint_core.decisions import request_turns
-from gentianpoint_core.decisions import stream_origins
 from gentianpoint_core.decisions import waiting_order
 from gentianpoint_core.generated import events
 from gentianpoint_entry.forwarding import arrivals
@@ -119,11 +118,21 @@
 
     def has_target(self, request: requests.CallerRequest) -> bool:
         """Tell whether any target that takes work may run a request."""
-        return any(
-            target.accepts_work()
-            and stream_origins.may_go_on(request.origin, target.origin)
+        return bool(self._list_working(request))
+
+    def _list_working(
+        self,
+        request: requests.CallerRequest,
+        excluded: abc.Collection[str] = (),
+    ) -> abc.Sequence[targets.Target]:
+        """Return the targets that take work and may run a request."""
+        return [
+            target
             for target in self.registry.list_by_service(request.service.name)
-        )
+            if target.target_id not in excluded
+            and target.accepts_work()
+            and target.may_go_on(request.origin)
+        ]
 
     def _find_order(
         self, request: requests.CallerRequest
@@ -221,13 +230,7 @@
         ``ahead`` other requests get their permits before it.
         """
         now = trio.current_time()
-        candidates = [
-            target
-            for target in self.registry.list_by_service(request.service.name)
-            if target.target_id not in excluded
-            and target.accepts_work()
-            and stream_origins.may_go_on(request.origin, target.origin)
-        ]
+        candidates = self._list_working(request, excluded)
 
         def find_permitted_at(place: int, count: int) -> float:
             return self._permits.find_permitted_at(
@@ -262,7 +265,7 @@
             target
             for target in self.registry.list_by_service(request.service.name)
             if target.target_id not in excluded
-            and stream_origins.may_go_on(request.origin, target.origin)
+            and target.may_go_on(request.origin)
             and self._permits.find_permitted_at(target, request.service, now)
             <= now
         ]
@@ -313,7 +316,7 @@
                     for target in self.registry.list_by_service(
                         request.service.name
                     )
-                    if stream_origins.may_go_on(source.origin, target.origin)
+                    if target.may_go_on(source.origin)
                 ],
             ),
         )
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
@@ -156,6 +156,16 @@
             self.entry.service, f"{self.target_id}/{started_ms}", self.software
         )
 
+    def may_go_on(
+        self, origin: typing.Optional[stream_origins.StreamOrigin]
+    ) -> bool:
+        """Tell whether it may go on with a stream that began at ``origin``.
+
+        That is asked of each target for each request, and most requests have
+        no such stream.
+        """
+        return origin is None or stream_origins.may_go_on(origin, self.origin)
+
     def accepts_work(self) -> bool:
         """Tell whether new work may be sent here."""
         if self.is_gone or self.is_replaced or self.is_evacuated:
