Log outages of the log by one piece of code in three readers

The streams of the log, the refused requests and the markers of versions each logged the first failure of an outage by the same lines. The configuration's tail and the topic follower stay apart: the one logs the end of an outage too, the other more fields.

--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/suspect_records.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/suspect_records.py
@@ -19,6 +19,7 @@
 from gentianpoint_core import ports
 from gentianpoint_core.generated import events
 from gentianpoint_entry import crash_suspects
+from gentianpoint_entry import log_availability
 
 __all__ = ("SuspectRecords",)
 
@@ -41,7 +42,7 @@
         """Keep ``topic`` as ``suspects`` is, and add to that what it has."""
         self._topic: typing.Final = topic
         self._suspects: typing.Final = suspects
-        self._is_available = True
+        self._log: typing.Final = log_availability.LogAvailability()
         send, receive = trio.open_memory_channel[str](math.inf)
         self._sender: typing.Final = send
         self._receiver: typing.Final = receive
@@ -68,17 +69,10 @@
             try:
                 result = await call()
             except ports.PortError as error:
-                if self._is_available:
-                    logs.log_event(
-                        events.LOG_UNAVAILABLE,
-                        step=error.step,
-                        peer=error.peer,
-                        reason=error.reason,
-                    )
-                self._is_available = False
+                self._log.note_outcome(error)
                 await trio.sleep(_RETRY_PAUSE_S)
             else:
-                self._is_available = True
+                self._log.note_outcome(None)
                 return result
 
     async def _read(self) -> abc.Sequence[ports.KeyedRecord]:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/version_markers.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/version_markers.py
@@ -11,10 +11,9 @@
 
 import trio
 
-from gentianpoint_core import logs
 from gentianpoint_core import ports
 from gentianpoint_core.decisions import ranking
-from gentianpoint_core.generated import events
+from gentianpoint_entry import log_availability
 from gentianpoint_entry.forwarding import software_history
 from gentianpoint_entry.forwarding import stream_records
 
@@ -50,7 +49,7 @@
         self._address: typing.Final = address
         self._list_members: typing.Final = list_members
         self._marked: typing.Final[set[str]] = set()
-        self._is_available = True
+        self._log: typing.Final = log_availability.LogAvailability()
 
     async def run(self) -> None:
         """Read the topic, then write changes until cancelled."""
@@ -65,16 +64,9 @@
         try:
             await call()
         except ports.PortError as error:
-            if self._is_available:
-                logs.log_event(
-                    events.LOG_UNAVAILABLE,
-                    step=error.step,
-                    peer=error.peer,
-                    reason=error.reason,
-                )
-            self._is_available = False
+            self._log.note_outcome(error)
             return False
-        self._is_available = True
+        self._log.note_outcome(None)
         return True
 
     async def _read(self) -> None:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/log_streams.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/log_streams.py
@@ -4,9 +4,8 @@
 
 import trio
 
-from gentianpoint_core import logs
 from gentianpoint_core import ports
-from gentianpoint_core.generated import events
+from gentianpoint_entry import log_availability
 
 __all__ = ("LogStream",)
 
@@ -14,7 +13,7 @@
 """Most records that one read returns."""
 
 
-class LogStream:
+class LogStream(log_availability.LogAvailability):
     """One stream of the log, as a reader follows it."""
 
     def __init__(
@@ -25,11 +24,11 @@
         Each read takes ``timeout_s`` seconds at most, long polling included.
         A read that is open when an outage begins may never be answered.
         """
+        super().__init__()
         self._log: typing.Final = log
         self._name: typing.Final = name
         self._step: typing.Final = step
         self._timeout_s: typing.Final = timeout_s
-        self.is_available = True
 
     async def append(self, data: bytes) -> int:
         """Append a record and return its offset.
@@ -51,14 +50,3 @@
         raise ports.PortError(
             self._step, "log", "no answer in time", took_effect=False
         )
-
-    def note_outcome(self, error: typing.Optional[ports.PortError]) -> None:
-        """Log once that the stream can't be used, until it can be again."""
-        if error is not None and self.is_available:
-            logs.log_event(
-                events.LOG_UNAVAILABLE,
-                step=error.step,
-                peer=error.peer,
-                reason=error.reason,
-            )
-        self.is_available = error is None
