--- a/packages/gentianpoint-core/src/gentianpoint_core/decisions/member_ring.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/decisions/member_ring.py
@@ -8,14 +8,14 @@
 
 import bisect
 from collections import abc
-import hashlib
 import typing
 
+from gentianpoint_core.decisions import ranking
+
 __all__ = ("MemberRing",)
 
 _POINTS: typing.Final = 8
 """Points of each member; with more of them the shares are more even."""
-_DIGEST_BYTES: typing.Final = 8
 
 
 class MemberRing:
@@ -28,14 +28,14 @@
     def __init__(self, members: abc.Iterable[str]) -> None:
         """Put ``members`` on the ring."""
         self._points: typing.Final = sorted(
-            (_hash_text(f"{number}|{member}"), member)
+            (ranking.compute_weight(str(number), member), member)
             for member in members
             for number in range(_POINTS)
         )
 
     def list_members(self, key: str, count: int) -> abc.Sequence[str]:
         """Return the first ``count`` members for a key, or all."""
-        begin = bisect.bisect(self._points, (_hash_text(key), ""))
+        begin = bisect.bisect(self._points, (ranking.hash_text(key), ""))
         found: dict[str, None] = {}
         for number in range(len(self._points)):
             _, member = self._points[(begin + number) % len(self._points)]
@@ -43,8 +43,3 @@
             if len(found) == count:
                 break
         return list(found)
-
-
-def _hash_text(text: str) -> int:
-    digest = hashlib.blake2b(text.encode(), digest_size=_DIGEST_BYTES)
-    return int.from_bytes(digest.digest(), "big")
--- a/packages/gentianpoint-core/src/gentianpoint_core/decisions/ranking.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/decisions/ranking.py
@@ -11,7 +11,7 @@
 import hashlib
 import typing
 
-__all__ = ("RankTable", "compute_weight", "rank_members")
+__all__ = ("RankTable", "compute_weight", "hash_text", "rank_members")
 
 _DIGEST_BYTES: typing.Final = 8
 _MAX_KEPT_RANKS: typing.Final = 4096
@@ -20,9 +20,12 @@
 
 def compute_weight(key: str, member: str) -> int:
     """Return the weight of a member for a key; the lowest ranks first."""
-    digest = hashlib.blake2b(
-        f"{key}|{member}".encode(), digest_size=_DIGEST_BYTES
-    )
+    return hash_text(f"{key}|{member}")
+
+
+def hash_text(text: str) -> int:
+    """Return a hash that is the same in all processes."""
+    digest = hashlib.blake2b(text.encode(), digest_size=_DIGEST_BYTES)
     return int.from_bytes(digest.digest(), "big")
 
 
