Bound the history of versions where it is kept

The stream records checked in two places that a time is not beyond what the history keeps, and told the history how long that is. The history does both now. A route whose streams may last longer counts as having several versions in the watch of services too; at its first check the streams under way are told once more than before.

That one version serves led to the same origin by two branches, one of them for an entry that knows no other; they are one condition.

--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/software_history.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/software_history.py
@@ -11,6 +11,8 @@
 __all__ = ("SoftwareHistory",)
 
 _UNKNOWN: typing.Final = ""
+_KEPT_S: typing.Final = 600.0
+"""Seconds for which a version is remembered that serves no longer."""
 
 
 class SoftwareHistory:
@@ -50,9 +52,9 @@
         """Return the one version of the last ``window_s`` seconds.
 
         Empty if there were several, if one is not known, or if this entry
-        has not watched for so long.
+        has not watched, or does not remember, for so long.
         """
-        if now - self._complete_since < window_s:
+        if window_s > _KEPT_S or now - self._complete_since < window_s:
             return _UNKNOWN
         recent = [
             software
@@ -61,11 +63,11 @@
         ]
         return recent[0] if len(recent) == 1 else _UNKNOWN
 
-    def prune(self, kept_s: float, now: float) -> None:
-        """Forget versions that were last seen more than ``kept_s`` ago."""
+    def prune(self, now: float) -> None:
+        """Forget versions that have not served for long."""
         for service, seen_at in list(self._seen_at.items()):
             for software, at in list(seen_at.items()):
-                if now - at > kept_s:
+                if now - at > _KEPT_S:
                     del seen_at[software]
             if not seen_at:
                 del self._seen_at[service]
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_records.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_records.py
@@ -47,9 +47,10 @@
 _KEPT_SLACK_S: typing.Final = 5.0
 """Seconds for which a record outlasts its caller's deadline."""
 _MAX_KEPT_S: typing.Final = 600.0
-"""Seconds, at most, for which records and past versions are kept."""
-_MAX_WINDOW_MS: typing.Final = 2 * int(_MAX_KEPT_S) * 1000
-"""Longest time that another entry may ask for, in milliseconds."""
+"""Seconds, at most, for which a record is kept."""
+_MAX_WINDOW_MS: typing.Final = 10**9
+"""Longest time that another entry may ask for, in milliseconds; no history
+goes back as far."""
 _MAX_TEXT: typing.Final = 300
 """Longest text in a record that another entry tells."""
 _ROWS_AT_ONCE: typing.Final = 6
@@ -186,7 +187,7 @@
                 if self._was_sole.get(service, True) and not is_sole:
                     await self._tell(self._begun.list_by_service(service))
                 self._was_sole[service] = is_sole
-            self._history.prune(_MAX_KEPT_S, now)
+            self._history.prune(now)
             await trio.sleep(_CHECK_S)
 
     def list_mixed(self) -> abc.Mapping[str, bool]:
@@ -271,11 +272,8 @@
         service = request.service.name
         self._note_listed(service, now)
         sole = self._find_sole(request, now)
-        if sole and self._is_current(now):
-            origin = stream_origins.StreamOrigin(service, "", sole)
-            return self._log_found(request, origin, "one version", now)
         others = self._list_others(key, _ASKED)
-        if sole and not others and not self._has_known_others:
+        if sole and (self._is_current(now) or not self._has_known_others):
             origin = stream_origins.StreamOrigin(service, "", sole)
             return self._log_found(request, origin, "one version", now)
         found = await self._ask(request, key, others)
@@ -309,15 +307,13 @@
         service = request.service.name
         window_s = _find_window_s(request.route)
         self._windows[service] = max(window_s, self._windows.get(service, 0.0))
-        if len(request.route.shares) > 1 or window_s > _MAX_KEPT_S:
+        if len(request.route.shares) > 1:
             return ""
         return self._history.find_sole(service, window_s, now)
 
     def _look(self, service: str, window_s: float, now: float) -> str:
         """Note which versions serve now, and return the one that does."""
         self._note_listed(service, now)
-        if window_s > _MAX_KEPT_S:
-            return ""
         return self._history.find_sole(service, window_s, now)
 
     def _note_listed(self, service: str, now: float) -> None:
@@ -364,7 +360,6 @@
     ) -> None:
         now = trio.current_time()
         origin = self._table.find(message["key"], now)
-        # A window beyond what is kept shows nothing, however long it is.
         window_ms = min(max(0, message["window_ms"]), _MAX_WINDOW_MS)
         answer: dict[str, typing.Any] = {
             "type": "origin_found",
