--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -228,16 +228,23 @@
     return blocks[:-1], blocks[-1]
 
 
-def _check_software(facts: seen.Facts) -> Verdict:
-    """Check that each stream was written by one software version."""
-    versions = collections.defaultdict(set)
+def _collect_software(
+    facts: seen.Facts,
+) -> abc.Mapping[str, abc.Collection[str]]:
+    """Return the versions that wrote each stream, the first one first."""
+    versions: dict[str, dict[str, None]] = collections.defaultdict(dict)
     for answer in facts.answers:
-        if answer.status != 200 or not _is_stream(answer):
-            continue
-        for block in _split_events(answer)[0]:
-            software = block.split("/")[3:]
+        if answer.status == 200 and _is_stream(answer):
             stream_id = answer.stream_id or answer.request_id
-            versions[stream_id].update(software)
+            for block in _split_events(answer)[0]:
+                softwares = block.split("/")[3:]
+                versions[stream_id].update(dict.fromkeys(softwares))
+    return versions
+
+
+def _check_software(facts: seen.Facts) -> Verdict:
+    """Check that each stream was written by one software version."""
+    versions = _collect_software(facts)
     mixed = (
         f"{name}: {sorted(found)}"
         for name, found in versions.items()
@@ -250,20 +257,13 @@
 
 def _check_taken_up(facts: seen.Facts, bounds: Bounds) -> Verdict:
     """Check that streams go on where two targets of their version serve."""
-    versions: dict[str, str] = {}
-    for answer in facts.answers:
-        if answer.status == 200 and _is_stream(answer):
-            for block in _split_events(answer)[0]:
-                software = "/".join(block.split("/")[3:])
-                versions.setdefault(
-                    answer.stream_id or answer.request_id, software
-                )
+    versions = _collect_software(facts)
     due = [
         answer
         for answer in facts.answers
         if answer.stream_id
         and answer.end in ("answered", "cut")
-        and _count_serving(facts, versions.get(answer.stream_id, ""), answer)
+        and _count_serving(facts, versions.get(answer.stream_id, ()), answer)
         >= bounds.serving
         and not _is_disturbed(
             facts, answer.entry, answer.sent_at - bounds.calm_s, answer.sent_at
@@ -294,11 +294,15 @@
 
 
 def _count_serving(
-    facts: seen.Facts, software: str, answer: seen.Answer
+    facts: seen.Facts, softwares: abc.Collection[str], answer: seen.Answer
 ) -> int:
-    """Return how many engines of a version took work all the time."""
+    """Return how many engines of a stream's version took work all the time.
+
+    ``softwares`` has the versions of its events, the first one first.
+    """
+    first = next(iter(softwares), "")
     return sum(
-        item.software == software
+        item.software == first
         and item.begins_at <= answer.sent_at
         and item.ends_at >= answer.ended_at
         for item in facts.servings
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -106,51 +106,30 @@
             at = begins_at + _SERIES_S + source.uniform(0, _ROW_WITHIN_S)
             steps.append(_draw_step(source, at, "entries_stop"))
         begins_at += _SERIES_S + _LULL_S
-    steps += _draw_fatal_steps(seed, length_s)
-    steps += _draw_releases(seed, length_s)
-    return sorted(steps + _draw_limited_steps(seed, length_s))
+    steps += _draw_apart(FATAL_REQUEST, _FATAL_SHARE, seed, length_s)
+    steps += _draw_apart(RELEASE, _RELEASE_SHARE, seed, length_s)
+    steps += _draw_apart(
+        LIMITED_TARGET, _LIMITED_SHARE, seed, length_s, _MOST_LIMITED
+    )
+    return sorted(steps)
 
 
-def _draw_fatal_steps(seed: int, length_s: float) -> list[Step]:
-    """Draw the requests that end targets.
+def _draw_apart(
+    kind: str, share: float, seed: int, length_s: float, most: int = 1
+) -> list[Step]:
+    """Draw steps of one kind for a share of the series, ``most`` in each.
 
     They have a source of their own, so that a seed draws the same faults
     with them and without.
     """
-    source = random.Random(f"{FATAL_REQUEST} {seed}")
-    steps = []
-    begins_at = 0.0
-    while begins_at < length_s:
-        if source.random() < _FATAL_SHARE:
-            at = begins_at + source.uniform(0, _SERIES_S)
-            steps.append(_draw_step(source, at, FATAL_REQUEST))
-        begins_at += _SERIES_S + _LULL_S
-    return steps
-
-
-def _draw_limited_steps(seed: int, length_s: float) -> list[Step]:
-    """Draw the targets that name limits, also from a source of their own."""
-    source = random.Random(f"{LIMITED_TARGET} {seed}")
+    source = random.Random(f"{kind} {seed}")
     steps = []
     begins_at = 0.0
     while begins_at < length_s:
-        if source.random() < _LIMITED_SHARE:
-            for _ in range(source.randint(1, _MOST_LIMITED)):
+        if source.random() < share:
+            for _ in range(source.randint(1, most) if most > 1 else 1):
                 at = begins_at + source.uniform(0, _SERIES_S)
-                steps.append(_draw_step(source, at, LIMITED_TARGET))
-        begins_at += _SERIES_S + _LULL_S
-    return steps
-
-
-def _draw_releases(seed: int, length_s: float) -> list[Step]:
-    """Draw the releases, also from a source of their own."""
-    source = random.Random(f"{RELEASE} {seed}")
-    steps = []
-    begins_at = 0.0
-    while begins_at < length_s:
-        if source.random() < _RELEASE_SHARE:
-            at = begins_at + source.uniform(0, _SERIES_S)
-            steps.append(_draw_step(source, at, RELEASE))
+                steps.append(_draw_step(source, at, kind))
         begins_at += _SERIES_S + _LULL_S
     return steps
 
