Put the entries of five test fleets together by one function

Five builders each made a forwarder of the same parts, three of them also the handler that keeps refusals, and two the head of a good answer.

--- a/packages/gentianpoint-entry/features/forwarding/cold_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/cold_builders.py
@@ -1,11 +1,9 @@
 """An entry before targets of which some are cold."""
 
 from collections import abc
-import random
 import typing
 
 import forwarding_builders
-from opentelemetry import metrics
 import trio
 
 from gentianpoint_core import limit_table
@@ -13,13 +11,11 @@
 from gentianpoint_core.decisions import request_turns
 from gentianpoint_entry import crash_suspects
 from gentianpoint_entry.forwarding import caller_answers
-from gentianpoint_entry.forwarding import entry_metrics
 from gentianpoint_entry.forwarding import forwarder
 from gentianpoint_entry.forwarding import refusals
 from gentianpoint_entry.forwarding import request_handling
 from gentianpoint_entry.forwarding import request_permits
 from gentianpoint_entry.forwarding import requests
-from gentianpoint_entry.forwarding import retry_limits
 from gentianpoint_entry.forwarding import routes
 from gentianpoint_entry.forwarding import target_ends
 from gentianpoint_entry.forwarding import targets
@@ -111,19 +107,16 @@
             self._registry.put_entry(entry, trio.current_time())
         for change in self._changes:
             change()
-        self._shared = forwarder.Forwarder(
+        ends = target_ends.TargetEnds(
+            crash_suspects.CrashSuspects(),
+            self.calls.check_listening,
+            lambda contents: None,
+        )
+        self._shared = forwarding_builders.connect_forwarder(
             self._registry,
             self.calls,
-            retry_limits.RetryLimits(0.2, 10.0, 100.0),
-            forwarding_builders.DATA_CENTRE,
-            lambda: 1,
-            random.Random(1),
-            entry_metrics.EntryMetrics(metrics.NoOpMeterProvider()),
-            target_ends.TargetEnds(
-                crash_suspects.CrashSuspects(),
-                self.calls.check_listening,
-                lambda contents: None,
-            ),
+            ends,
+            retry_slack=100.0,
             permits=request_permits.RequestPermits(
                 request_turns.RequestTurns(_OWN, lambda: self.members),
                 limit_table.LimitTable(),
--- a/packages/gentianpoint-entry/features/forwarding/crash_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/crash_builders.py
@@ -8,22 +8,16 @@
 from collections import abc
 import contextlib
 import itertools
-import random
 import typing
 
 import fleet_builders
 import forwarding_builders
-from opentelemetry import metrics
 import trio
 
 from gentianpoint_core import deadlines
 from gentianpoint_core import ports
-from gentianpoint_entry.forwarding import entry_metrics
-from gentianpoint_entry.forwarding import forwarder
 from gentianpoint_entry.forwarding import refusals
-from gentianpoint_entry.forwarding import request_handling
 from gentianpoint_entry.forwarding import requests
-from gentianpoint_entry.forwarding import retry_limits
 from gentianpoint_entry.forwarding import routes
 from gentianpoint_entry.forwarding import target_calls
 from gentianpoint_entry.forwarding import target_ends
@@ -199,7 +193,7 @@
             registry.put_entry(start.entry, trio.current_time())
 
 
-class _ParkAnswer(target_calls.TargetAnswer):
+class _ParkAnswer(forwarding_builders.GoodAnswer):
     """The answer of a target, as long as it does not end."""
 
     def __init__(
@@ -209,12 +203,7 @@
         request: requests.CallerRequest,
         after: int,
     ) -> None:
-        self.status = 200
-        self.headers = ()
-        self.has_not_run = False
-        self.is_wrong_target = False
-        self.has_target_seal = True
-        self.retry_after_ms = 0.0
+        super().__init__()
         self._start: typing.Final = start
         self._link: typing.Final = link
         self._request: typing.Final = request
@@ -329,7 +318,7 @@
     return request._replace(request_id=f"request-{number}", content=content)
 
 
-class _CrashEntry:
+class _CrashEntry(forwarding_builders.ServingEntry):
     """An entry that serves requests."""
 
     def __init__(self, park: TargetPark, gossip: fleet_builders.Entry) -> None:
@@ -343,29 +332,16 @@
             lambda contents: gossip.gossip.notify_urgent(),
             registry.has_other_start,
         )
-        self.forwarder: typing.Final = forwarder.Forwarder(
-            registry,
-            calls,
-            retry_limits.RetryLimits(0.2, 10.0, _RETRY_SLACK),
-            forwarding_builders.DATA_CENTRE,
-            lambda: 1,
-            random.Random(gossip.number),
-            entry_metrics.EntryMetrics(metrics.NoOpMeterProvider()),
-            self.ends,
-        )
-        self.refusals: typing.Final[dict[object, refusals.Refusal]] = {}
-        self.handler: typing.Final = request_handling.RequestHandler(
-            self.forwarder, self._send_refusal
+        super().__init__(
+            forwarding_builders.connect_forwarder(
+                registry,
+                calls,
+                self.ends,
+                retry_slack=_RETRY_SLACK,
+                seed=gossip.number,
+            )
         )
 
-    async def _send_refusal(
-        self,
-        answer: typing.Any,
-        refusal: refusals.Refusal,
-    ) -> None:
-        self.refusals[answer] = refusal
-        await answer.send_whole(refusal.status, (), b"")
-
 
 class CrashFleet:
     """Entries that gossip, the targets they share, and callers."""
--- a/packages/gentianpoint-entry/features/forwarding/forwarding_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/forwarding_builders.py
@@ -16,6 +16,7 @@
 from gentianpoint_entry.forwarding import entry_metrics
 from gentianpoint_entry.forwarding import forwarder
 from gentianpoint_entry.forwarding import refusals
+from gentianpoint_entry.forwarding import request_handling
 from gentianpoint_entry.forwarding import requests
 from gentianpoint_entry.forwarding import retry_limits
 from gentianpoint_entry.forwarding import routes
@@ -107,6 +108,19 @@
     return f"id: {number}\ndata: piece {number}\n\n".encode()
 
 
+class GoodAnswer(target_calls.TargetAnswer):
+    """The head of an answer of a target that serves."""
+
+    def __init__(self) -> None:
+        """Answer with success and the target's seal."""
+        self.status = 200
+        self.headers = ()
+        self.has_not_run = False
+        self.is_wrong_target = False
+        self.has_target_seal = True
+        self.retry_after_ms = 0.0
+
+
 class ScriptedAnswer(target_calls.TargetAnswer):
     """An answer that follows a short script."""
 
@@ -280,23 +294,63 @@
     for place, name in enumerate(names):
         target = registry.put_entry(make_entry(name), trio.current_time())
         target.open_requests = place * 4
+    ends = target_ends.TargetEnds(
+        crash_suspects.CrashSuspects(),
+        calls.check_listening,
+        lambda contents: None,
+    )
+    return connect_forwarder(
+        registry, calls, ends, retry_slack=retry_slack, probes=probes
+    )
+
+
+def connect_forwarder(
+    registry: targets.TargetRegistry,
+    calls: target_calls.TargetCalls,
+    ends: target_ends.TargetEnds,
+    *,
+    retry_slack: float,
+    count_entries: abc.Callable[[], int] = lambda: 1,
+    seed: int = 1,
+    **parts: typing.Any,
+) -> forwarder.Forwarder:
+    """Return a forwarder for the targets in ``registry``.
+
+    ``parts`` are further parts of it, by the names that it gives them.
+    """
     return forwarder.Forwarder(
         registry,
         calls,
         retry_limits.RetryLimits(0.2, 10.0, retry_slack),
         DATA_CENTRE,
-        lambda: 1,
-        random.Random(1),
+        count_entries,
+        random.Random(seed),
         entry_metrics.EntryMetrics(metrics.NoOpMeterProvider()),
-        target_ends.TargetEnds(
-            crash_suspects.CrashSuspects(),
-            calls.check_listening,
-            lambda contents: None,
-        ),
-        probes=probes,
+        ends,
+        **parts,
     )
 
 
+class ServingEntry:
+    """An entry that serves requests, and keeps the refusals that it gave."""
+
+    def __init__(self, shared: forwarder.Forwarder) -> None:
+        """Serve with ``shared``."""
+        self.forwarder: typing.Final = shared
+        self.refusals: typing.Final[
+            dict[caller_answers.CallerAnswer, refusals.Refusal]
+        ] = {}
+        self.handler: typing.Final = request_handling.RequestHandler(
+            shared, self._send_refusal
+        )
+
+    async def _send_refusal(
+        self, answer: caller_answers.CallerAnswer, refusal: refusals.Refusal
+    ) -> None:
+        self.refusals[answer] = refusal
+        await answer.send_whole(refusal.status, (), b"")
+
+
 async def send_refusal(
     answer: caller_answers.CallerAnswer, refusal: refusals.Refusal
 ) -> None:
--- a/packages/gentianpoint-entry/features/forwarding/limit_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/limit_builders.py
@@ -13,18 +13,13 @@
 
 import fleet_builders
 import forwarding_builders
-from opentelemetry import metrics
 import trio
 
 from gentianpoint_core import named_limits
 from gentianpoint_core.decisions import request_turns
-from gentianpoint_entry.forwarding import entry_metrics
-from gentianpoint_entry.forwarding import forwarder
 from gentianpoint_entry.forwarding import refusals
-from gentianpoint_entry.forwarding import request_handling
 from gentianpoint_entry.forwarding import request_permits
 from gentianpoint_entry.forwarding import requests
-from gentianpoint_entry.forwarding import retry_limits
 from gentianpoint_entry.forwarding import routes
 from gentianpoint_entry.forwarding import target_ends
 from gentianpoint_entry.forwarding import targets
@@ -155,7 +150,7 @@
         yield answer
 
 
-class _LimitEntry:
+class _LimitEntry(forwarding_builders.ServingEntry):
     """An entry that serves requests."""
 
     def __init__(
@@ -168,35 +163,26 @@
         for place in park.values():
             self.registry.put_entry(place.entry, trio.current_time())
         calls = _LimitedCalls(gossip.number, park)
-        self.forwarder: typing.Final = forwarder.Forwarder(
-            self.registry,
-            calls,
-            retry_limits.RetryLimits(0.2, 10.0, _RETRY_SLACK),
-            forwarding_builders.DATA_CENTRE,
-            gossip.table.count,
-            random.Random(gossip.number),
-            entry_metrics.EntryMetrics(metrics.NoOpMeterProvider()),
-            target_ends.TargetEnds(
-                gossip.suspects, calls.check_listening, lambda contents: None
-            ),
-            permits=request_permits.RequestPermits(
-                request_turns.RequestTurns(
-                    gossip.address, gossip.table.list_known
-                ),
-                gossip.gossip.limits,
-            ),
+        ends = target_ends.TargetEnds(
+            gossip.suspects, calls.check_listening, lambda contents: None
         )
-        self.refusals: typing.Final[dict[object, refusals.Refusal]] = {}
-        self.handler: typing.Final = request_handling.RequestHandler(
-            self.forwarder, self._send_refusal
+        super().__init__(
+            forwarding_builders.connect_forwarder(
+                self.registry,
+                calls,
+                ends,
+                retry_slack=_RETRY_SLACK,
+                count_entries=gossip.table.count,
+                seed=gossip.number,
+                permits=request_permits.RequestPermits(
+                    request_turns.RequestTurns(
+                        gossip.address, gossip.table.list_known
+                    ),
+                    gossip.gossip.limits,
+                ),
+            )
         )
 
-    async def _send_refusal(
-        self, answer: typing.Any, refusal: refusals.Refusal
-    ) -> None:
-        self.refusals[answer] = refusal
-        await answer.send_whole(refusal.status, (), b"")
-
 
 class LimitFleet:
     """Entries, targets that name limits, and callers."""
--- a/packages/gentianpoint-entry/features/forwarding/version_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/version_builders.py
@@ -13,24 +13,18 @@
 
 import fleet_builders
 import forwarding_builders
-from opentelemetry import metrics
 import topic_builders
 import trio
 
 from gentianpoint_core import codec
 from gentianpoint_core import option_types
 from gentianpoint_core import ports
-from gentianpoint_entry.forwarding import entry_metrics
-from gentianpoint_entry.forwarding import forwarder
 from gentianpoint_entry.forwarding import peer_datagrams
 from gentianpoint_entry.forwarding import refusals
-from gentianpoint_entry.forwarding import request_handling
 from gentianpoint_entry.forwarding import requests
-from gentianpoint_entry.forwarding import retry_limits
 from gentianpoint_entry.forwarding import routes
 from gentianpoint_entry.forwarding import software_history
 from gentianpoint_entry.forwarding import stream_records
-from gentianpoint_entry.forwarding import target_calls
 from gentianpoint_entry.forwarding import target_ends
 from gentianpoint_entry.forwarding import targets
 from gentianpoint_entry.forwarding import version_markers
@@ -68,16 +62,11 @@
     """The refusal that ended it, if one did."""
 
 
-class _VersionAnswer(target_calls.TargetAnswer):
+class _VersionAnswer(forwarding_builders.GoodAnswer):
     """A stream whose events name the software that writes them."""
 
     def __init__(self, start: "_Start", after: int) -> None:
-        self.status = 200
-        self.headers = ()
-        self.has_not_run = False
-        self.is_wrong_target = False
-        self.has_target_seal = True
-        self.retry_after_ms = 0.0
+        super().__init__()
         self._start: typing.Final = start
         self._after: typing.Final = after
 
@@ -152,7 +141,7 @@
         self._fleet.deliver(address, data, self._address)
 
 
-class _VersionEntry:
+class _VersionEntry(forwarding_builders.ServingEntry):
     """An entry that serves streams."""
 
     def __init__(
@@ -180,24 +169,21 @@
         )
         self.origins.get_list_confirmed_at = self._confirm_list
         calls = _VersionCalls(park)
-        self.forwarder: typing.Final = forwarder.Forwarder(
-            self.registry,
-            calls,
-            retry_limits.RetryLimits(0.2, 10.0, _RETRY_SLACK),
-            forwarding_builders.DATA_CENTRE,
-            lambda: fleet.count,
-            random.Random(gossip.number),
-            entry_metrics.EntryMetrics(metrics.NoOpMeterProvider()),
-            target_ends.TargetEnds(
-                gossip.suspects, calls.check_listening, lambda contents: None
-            ),
-            origins=self.origins,
+        ends = target_ends.TargetEnds(
+            gossip.suspects, calls.check_listening, lambda contents: None
         )
-        self.refusals: typing.Final[dict[object, refusals.Refusal]] = {}
-        self.scopes: typing.Final[set[trio.CancelScope]] = set()
-        self.handler: typing.Final = request_handling.RequestHandler(
-            self.forwarder, self._send_refusal
+        super().__init__(
+            forwarding_builders.connect_forwarder(
+                self.registry,
+                calls,
+                ends,
+                retry_slack=_RETRY_SLACK,
+                count_entries=lambda: fleet.count,
+                seed=gossip.number,
+                origins=self.origins,
+            )
         )
+        self.scopes: typing.Final[set[trio.CancelScope]] = set()
 
     async def run(self) -> None:
         """Watch which versions serve, until killed."""
@@ -220,12 +206,6 @@
             return self.cut_off_at
         return trio.current_time() - self.list_age_s
 
-    async def _send_refusal(
-        self, answer: typing.Any, refusal: refusals.Refusal
-    ) -> None:
-        self.refusals[answer] = refusal
-        await answer.send_whole(refusal.status, (), b"")
-
 
 class VersionFleet:
     """Entries, targets of several versions, and callers."""
