--- a/packages/gentianpoint-standins/src/gentianpoint_standins/windows.py
+++ b/packages/gentianpoint-standins/src/gentianpoint_standins/windows.py
@@ -1,4 +1,4 @@
-"""Counts events in sliding windows, for checks of what was seen."""
+"""Counts events in sliding windows."""
 
 from collections import abc
 
