Log how answers are framed, and what a stream leaves after its last event

Callers got streams that had been broken off as complete answers. No line told how an answer was framed, nor whether bytes were left after the last whole event, so the hypotheses of the incident could not be told apart.

No decision reads either yet. The features of streams, events, plain calls and pools pass as before.

--- a/packages/gentianpoint-core/src/gentianpoint_core/connection_pools.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/connection_pools.py
@@ -24,6 +24,8 @@
 
 __all__ = ("ConnectionPool", "Exchange", "ExchangeRequest")
 
+_BODILESS: typing.Final = frozenset((204, 304))
+"""Statuses of responses without a body."""
 _READ_BYTES: typing.Final = 65536
 """Largest read from a socket, in bytes."""
 _MAX_SKIPPED_RESPONSES: typing.Final = 3
@@ -81,6 +83,9 @@
         """Prepare the exchange on ``stream`` without sending anything."""
         self.status = 0
         self.headers: abc.Sequence[tuple[bytes, bytes]] = ()
+        # False if the body ends with the connection, as without a length and
+        # chunks.
+        self.is_delimited = True
         self._stream: typing.Final = stream
         self._peer: typing.Final = peer
         self._request: typing.Final = request
@@ -169,8 +174,18 @@
             if isinstance(event, h11.Response):
                 self.status = event.status_code
                 self.headers = tuple(event.headers)
+                self.is_delimited = self._has_framing()
                 return
 
+    def _has_framing(self) -> bool:
+        """Tell whether the head says where its body ends (RFC 9112, 6.3)."""
+        if self._request.method == b"HEAD" or self.status in _BODILESS:
+            return True
+        return bool(
+            self.find_header(b"content-length")
+            or self.find_header(b"transfer-encoding")
+        )
+
     async def _receive_event(self, step: str) -> typing.Any:
         while True:
             try:
--- a/packages/gentianpoint-entry/features/forwarding/steps/stream_events_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/stream_events_steps.py
@@ -22,7 +22,7 @@
 
 
 async def read_pieces(pieces):
-    events = stream_events.split_events(send_pieces(pieces))
+    events = stream_events.EventReader().read_events(send_pieces(pieces))
     return [event async for event in events]
 
 
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/plain_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/plain_calls.py
@@ -49,6 +49,7 @@
         self._answer: typing.Final = answer
         self.attempts = attempts.Attempts(shared, request)
         self._has_reserved_retry = False
+        self._is_delimited = True
 
     async def serve(self) -> typing.Optional[refusals.Refusal]:
         """Answer the caller; return a refusal if there is no answer."""
@@ -76,6 +77,10 @@
             self._answer, "the target's answer was lost, and it may have run"
         )
 
+    def describe_timing(self) -> dict[str, typing.Any]:
+        """Return how the last answer was framed."""
+        return {"is_delimited": self._is_delimited}
+
     def _take_retry(self) -> bool:
         """Take a retry, unless one is reserved for this attempt."""
         if self._has_reserved_retry:
@@ -92,6 +97,7 @@
             async with self._shared.send(
                 target, self._request, requests.SendOptions()
             ) as target_answer:
+                self._is_delimited = target_answer.is_delimited
                 if target_answer.is_refusal():
                     self.attempts.note_refusal(target, target_answer)
                     return False
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
@@ -96,6 +96,7 @@
         self.attempts = attempts.Attempts(shared, request)
         self._move: typing.Optional[generation_moves.GenerationMove] = None
         self._move_retry_at = 0.0
+        self._run: typing.Optional[stream_runs.StreamRun] = None
         self._had_no_room_after_stop = False
         self._handover_lead_ms: typing.Final = (
             _HANDOVER_LEAD_MS + shared.rng.random() * _HANDOVER_JITTER_MS
@@ -129,8 +130,9 @@
         return self._give_up()
 
     def describe_timing(self) -> dict[str, typing.Any]:
-        """Return the number of events and their timing."""
-        return self._timing.describe()
+        """Return the events, their timing, and how the last run ended."""
+        ended = {} if self._run is None else self._run.describe_end()
+        return {**self._timing.describe(), **ended}
 
     def _give_up(self) -> typing.Optional[refusals.Refusal]:
         return self.attempts.give_up(
@@ -260,6 +262,7 @@
             await run.close()
             return None
         self.attempts.note_run(is_same_run=is_same_run)
+        self._run = run
         return run
 
     async def _forward_runs(
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_events.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_events.py
@@ -9,7 +9,7 @@
 import re
 import typing
 
-__all__ = ("EventOrder", "EventOrderError", "StreamEvent", "split_events")
+__all__ = ("EventOrder", "EventOrderError", "EventReader", "StreamEvent")
 
 _EVENT_END: typing.Final = re.compile(rb"\n\n|\r\n\r\n")
 _MAX_EVENT_BYTES: typing.Final = 1 << 20
@@ -33,24 +33,36 @@
     """An event does not follow the one before, or does not end."""
 
 
-async def split_events(
-    chunks: abc.AsyncIterator[bytes],
-) -> abc.AsyncIterator[StreamEvent]:
-    """Yield whole events; bytes left over at the end count as one.
-
-    If ``chunks`` raises, the error is passed on and the unfinished event is
-    dropped.
-    """
-    buffered = b""
-    async for chunk in chunks:
-        buffered += chunk
-        while end := _EVENT_END.search(buffered):
-            data, buffered = buffered[: end.end()], buffered[end.end() :]
-            yield StreamEvent(data, _read_number(data))
-        if len(buffered) > _MAX_EVENT_BYTES:
-            raise EventOrderError("an event exceeds the size limit")
-    if buffered:
-        yield StreamEvent(buffered, _read_number(buffered))
+class EventReader:
+    """Splits the bytes of one stream into events."""
+
+    def __init__(self) -> None:
+        """Start before the first byte."""
+        self._buffered = b""
+
+    @property
+    def partial_bytes(self) -> int:
+        """Number of bytes after the last whole event."""
+        return len(self._buffered)
+
+    async def read_events(
+        self, chunks: abc.AsyncIterator[bytes]
+    ) -> abc.AsyncIterator[StreamEvent]:
+        """Yield whole events; bytes left over at the end count as one.
+
+        If ``chunks`` raises, the error is passed on and the unfinished event
+        is dropped.
+        """
+        async for chunk in chunks:
+            self._buffered += chunk
+            while end := _EVENT_END.search(self._buffered):
+                data = self._buffered[: end.end()]
+                self._buffered = self._buffered[end.end() :]
+                yield StreamEvent(data, _read_number(data))
+            if len(self._buffered) > _MAX_EVENT_BYTES:
+                raise EventOrderError("an event exceeds the size limit")
+        if self._buffered:
+            yield StreamEvent(self._buffered, _read_number(self._buffered))
 
 
 def _read_number(data: bytes) -> typing.Optional[int]:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_runs.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_runs.py
@@ -44,6 +44,7 @@
         self.backup = plan.backup
         self.began_at = trio.current_time()
         self.has_events = False
+        self._reader: typing.Final = stream_events.EventReader()
         self._last_data_at = self.began_at
         self._shared: typing.Final = shared
         self._request: typing.Final = request
@@ -98,7 +99,7 @@
     ) -> abc.AsyncIterator[stream_events.StreamEvent]:
         """Yield events; raises :class:`ports.PortError` at a break."""
         chunks = self._receive_chunks()
-        async for event in stream_events.split_events(chunks):
+        async for event in self._reader.read_events(chunks):
             self.has_events = True
             self._remove_pending_prompt()
             yield event
@@ -118,6 +119,13 @@
             if silent_ms > find_limit_ms(self):
                 return
 
+    def describe_end(self) -> dict[str, typing.Any]:
+        """Return how the answer was framed and ended, for a log line."""
+        return {
+            "is_delimited": self.answer.is_delimited,
+            "partial_event_bytes": self._reader.partial_bytes,
+        }
+
     def make_silence_error(self) -> ports.PortError:
         """Return the error for a run that was silent for too long."""
         return ports.PortError(
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_calls.py
@@ -34,6 +34,9 @@
     retry_after_ms: float
     """Milliseconds after which the target asks to be tried again, 0 if it does
     not say."""
+    is_delimited: bool = True
+    """True when a length or chunks tell where the body ends, False when it
+    ends with its connection."""
     limit: named_limits.NamedLimit = named_limits.UNNAMED
     """Limit on requests from all entries together that the target names."""
 
