Report a cut answer to an append as a failed call

An agent or entry of the own interface ended its task by a ValueError where the log's answer to an append was cut to half a document, or was none: the offset was read without regard to errors. Such an answer is now a PortError that says that the record may have been appended, as for a connection that breaks. Covered by answer_bodies.feature, "the log's answer to an append is cut", which comes with the decision on ends of answers and fails without this.

--- a/packages/gentianpoint-core/src/gentianpoint_core/http_log.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/http_log.py
@@ -49,7 +49,13 @@
                 f"status {response.status_code}",
                 took_effect=response.status_code not in (413, 429),
             )
-        return int(response.json()["offset"])
+        try:
+            return int(response.json()["offset"])
+        except (ValueError, KeyError, TypeError) as error:
+            # The answer was broken off, or is not the log's.
+            raise ports.PortError(
+                step, self._url, repr(error), took_effect=True
+            ) from error
 
     async def read_records(
         self, stream: str, start: int, limit: int, wait_ms: int
