Give callers of HTTP/1.0 a length with plain answers

A caller of HTTP/1.0 knows no chunks and takes the end of the connection for the end of an answer. On the own interface a plain service that broke off after two of three chunks made it read two chunks, status 200 and a clean end. Such callers now get the answer once it is whole, with its length, or 502. interface.feature, "a caller of HTTP/1.0 reads a plain answer": both rows fail without the change, one with b'chunk 1\nchunk 2\n' as a complete body, and pass with it.

--- a/features/interface.feature
+++ b/features/interface.feature
@@ -80,3 +80,15 @@
     Given a plain service
     When a caller reads a plain answer of 3 chunks
     Then the caller got the 3 chunks and a regular end
+
+  Scenario Outline: a caller of HTTP/1.0 reads a plain answer
+    Such a caller knows no chunks, and takes the end of the connection for the
+    end of the answer. Guards against half an answer that looks whole.
+    Given a plain service that <does>
+    When a caller of HTTP/1.0 reads a plain answer of 3 chunks
+    Then the caller got <outcome>
+
+    Examples:
+      | does                                | outcome                   |
+      | answers                             | the 3 chunks and a length |
+      | breaks its answers off after 2 chunks | status 502              |
--- a/features/steps/interface_steps.py
+++ b/features/steps/interface_steps.py
@@ -1,7 +1,9 @@
 """Steps for the tools that callers use."""
 
 import base64
+import http.client
 import json
+import types
 
 import behave
 import httpx
@@ -215,6 +217,43 @@
     send_plain(context, "GET", f"/stream?chunks={count}")
 
 
+@behave.given("a plain service that {does}")
+def start_faulty_plain(context, does):
+    start_plain(context)
+    if does != "answers":
+        after = int(does.split()[-2])
+        context.deployment.set_faults(
+            context.fixture.targets[0].target, break_stream_after=after
+        )
+
+
+@behave.when("a caller of HTTP/1.0 reads a plain answer of {count:d} chunks")
+def read_as_old_caller(context, count):
+    entry = context.fixture.entries[0]
+    host, port = entry.url.removeprefix("http://").split(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=30)
+    connection._http_vsn, connection._http_vsn_str = 10, "HTTP/1.0"
+    connection.request(
+        "GET",
+        f"/services/{builders.PLAIN}/stream?chunks={count}",
+        headers=builders.make_headers(),
+    )
+    answer = connection.getresponse()
+    context.body = answer.read()
+    context.answer = types.SimpleNamespace(
+        status_code=answer.status, text=context.body
+    )
+    context.length = answer.getheader("Content-Length")
+    connection.close()
+
+
+@behave.then("the caller got the {count:d} chunks and a length")
+def check_length(context, count):
+    text = "".join(f"chunk {number}\n" for number in range(1, count + 1))
+    assert context.body.decode() == text, context.body
+    assert context.length == str(len(text)), context.length
+
+
 @behave.then("the caller got the {count:d} chunks and a regular end")
 def check_chunks(context, count):
     text = "".join(f"chunk {number}\n" for number in range(1, count + 1))
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/plain_routes.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/plain_routes.py
@@ -32,6 +32,7 @@
     ("GET", "HEAD", "PUT", "DELETE", "OPTIONS")
 )
 _PREFIX: typing.Final = "/services/"
+_HTTP_1_0: typing.Final = "1.0"
 # Hop-by-hop headers, which must not be forwarded (RFC 9110), and headers that
 # the entry itself consumes.
 _UNFORWARDED_HEADERS: typing.Final = frozenset(
@@ -109,20 +110,26 @@
 async def _make_response(call: calls.Call) -> quart.Response:
     try:
         part = await call.receive()
+        body: bytes | abc.AsyncGenerator[bytes, None]
+        body = _stream_chunks(call, part.chunks[1:])
+        if quart.request.http_version == _HTTP_1_0:
+            # A caller that reads no chunks takes the end of the connection
+            # for the end of the body, so it gets a length.
+            body = b"".join([chunk async for chunk in body])
     except BaseException as error:
         await call.close()
         if isinstance(error, errors.CallError):
             return error_answers.make_error_response(error, call.generation)
         raise
     status, headers = cbor2.loads(part.chunks[0])
-    response = quart.Response(
-        _stream_chunks(call, part.chunks[1:]), status=status
-    )
+    response = quart.Response(body, status=status)
     response.timeout = None
     response.headers.clear()
     for name, value in headers:
         if _is_forwarded(name) or name.lower() == "content-length":
             response.headers.add(name, value)
+    if isinstance(body, bytes):
+        response.headers["Content-Length"] = str(len(body))
     response.headers["Gentianpoint-Generation"] = call.generation
     return response
 
