Tell by one decision whether an answer is complete

Callers got streams that had been broken off as complete answers, with half an event at their end. Such answers have neither a length nor chunks: HTTP ends them with their connection, and the entry took that end for the end of the content, and what was left after the last whole event for an event.

decisions/answer_ends.py judges the end of an answer from its framing, what its content says, and whether its sender still takes connections, at once and 50 ms later. answer_bodies.py reads bodies and raises where one is not complete; streams, plain answers, error answers passed on, copies, the log, agents' reports and plain services of the own interface enter it. A break is handled as one in chunks is: retries, backups, suspects, probes.

The property test of stream_events.feature asked for every byte to be passed on, also the half event at the end, which is the fault itself; it now asks for exactly the bytes up to the last whole event, and that the rest is told as an event that does not end.

--- a/packages/gentianpoint-agent/features/watch_builders.py
+++ b/packages/gentianpoint-agent/features/watch_builders.py
@@ -1,5 +1,7 @@
 """Targets as their agent watches them."""
 
+import typing
+
 from gentianpoint_agent import target_watch
 
 __all__ = ("SteadyTarget",)
@@ -10,6 +12,6 @@
 
     has_ended = False
 
-    async def is_refusing(self) -> bool:
-        """Tell whether it has ended."""
-        return self.has_ended
+    async def check_listening(self) -> typing.Optional[bool]:
+        """Tell whether it goes on."""
+        return not self.has_ended
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/agent.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/agent.py
@@ -298,6 +298,7 @@
                     settings.target_url,
                     client,
                     _PLAIN_SILENCE_MS,
+                    watch.check_listening,
                     control.note_limit,
                 ),
                 watch,
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/plain_runner.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/plain_runner.py
@@ -9,6 +9,7 @@
 from gentianpoint_agent import call_runner
 from gentianpoint_agent import generations
 from gentianpoint_agent import target_watch
+from gentianpoint_core import answer_bodies
 from gentianpoint_core import errors
 from gentianpoint_core import ports
 
@@ -16,8 +17,6 @@
 
 _RETRY_AFTER_MS: typing.Final = 1000
 """Retry delay sent with a call that did not run, in milliseconds."""
-_CLOSING_S: typing.Final = 0.05
-"""Seconds in which a process that ends has closed all its sockets."""
 
 
 class PlainRunner(call_runner.CallRunner):
@@ -68,7 +67,7 @@
             target_end = await self._watch.find_end()
             if not target_end:
                 # A process that ends closes its sockets one after the other.
-                await trio.sleep(_CLOSING_S)
+                await trio.sleep(answer_bodies.CLOSING_S)
                 target_end = await self._watch.find_end()
             return generations.GenerationEnd(
                 reason, error.reason, target_end=target_end
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/target_watch.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/target_watch.py
@@ -26,10 +26,10 @@
         self._same_end_until = 0.0
 
     @abc.abstractmethod
-    async def is_refusing(self) -> bool:
-        """Tell whether nothing listens at the target's address.
+    async def check_listening(self) -> typing.Optional[bool]:
+        """Tell whether a process listens at the target's address.
 
-        False also if that is not certain, as when nothing answers.
+        Returns None if that is not certain, as when nothing answers.
         """
 
     async def find_end(self) -> str:
@@ -37,7 +37,7 @@
 
         It is the same for all runs that broke off with one end.
         """
-        if not await self.is_refusing():
+        if await self.check_listening() is not False:
             return ""
         now = trio.current_time()
         if now >= self._same_end_until:
@@ -60,15 +60,16 @@
             parts.scheme, 0
         )
 
-    async def is_refusing(self) -> bool:
-        """Tell whether a connection is refused; see the base class."""
+    async def check_listening(self) -> typing.Optional[bool]:
+        """Open a connection and close it; see the base class."""
         with trio.move_on_after(_CONNECT_TIMEOUT_S):
             try:
                 stream = await trio.open_tcp_stream(self._host, self._port)
             except OSError as error:
-                return _is_refusal(error)
+                return False if _is_refusal(error) else None
             await trio.aclose_forcefully(stream)
-        return False
+            return True
+        return None
 
 
 def _is_refusal(error: OSError) -> bool:
--- /dev/null
+++ b/packages/gentianpoint-core/features/answer_bodies.feature
@@ -0,0 +1,43 @@
+Feature: Every reader of an answer tells whether it is complete
+  A body without a length and chunks ends with its connection, and so does one
+  whose sender crashes.
+
+  Scenario Outline: a body without a length and chunks
+    Guards against a reader that takes half an answer for a whole one, and
+    against one that takes a whole one for half.
+    Given a sender that answers "unframed answer 1 and close" and then <then>
+    When <reader> reads the body
+    Then the body is <outcome>
+
+    Examples:
+      | reader                                    | then    | outcome    |
+      | the connection pool                       | listens | whole      |
+      | the connection pool                       | ends    | broken off |
+      | the adapter of plain services             | listens | whole      |
+      | the adapter of plain services             | ends    | broken off |
+
+  Scenario Outline: a body that is delimited
+    Its length tells, so nobody is asked whether its sender goes on.
+    Given a sender that answers "<answer>" and then ends
+    When <reader> reads the body
+    Then the body is <outcome>
+
+    Examples:
+      | reader                        | answer                     | outcome    |
+      | the connection pool           | answer 1                   | whole      |
+      | the connection pool           | half of answer 1 and close | broken off |
+      | the adapter of plain services | answer 1                   | whole      |
+      | the adapter of plain services | half of answer 1 and close | broken off |
+
+  Scenario: an answer to another request ends with its connection
+    Guards against waiting for an answer that can't follow any more.
+    Given a sender that answers "unframed answer 7 and close" and then listens
+    When the connection pool reads the body
+    Then the body is broken off
+
+  Scenario: the log's answer to an append is cut
+    Guards against an error that ends the process, as half a document is no
+    document. The record may have been appended.
+    Given a sender that answers "unframed answer 1 and close" and then ends
+    When the adapter of the log appends a record
+    Then the body is broken off
--- /dev/null
+++ b/packages/gentianpoint-core/features/steps/answer_bodies_steps.py
@@ -0,0 +1,116 @@
+"""Steps for bodies of answers, as their readers see them."""
+
+import behave
+import httpx
+import scripted_target
+import trio
+
+from gentianpoint_core import connection_pools
+from gentianpoint_core import http_log
+from gentianpoint_core import http_plain_service
+from gentianpoint_core import ports
+
+SILENCE_MS = 5000
+CONNECT_MS = 2000
+
+
+@behave.given('a sender that answers "{script}" and then {then}')
+def make_sender(context, script, then):
+    context.script = script
+    context.ends = then == "ends"
+
+
+async def read_by_pool(address):
+    pool = connection_pools.ConnectionPool(address, CONNECT_MS)
+    request = connection_pools.ExchangeRequest(
+        b"GET", b"/", ((b"Host", b"a"),), b""
+    )
+
+    def is_answer(exchange):
+        return exchange.find_header(b"x-request") == b"1"
+
+    try:
+        async with pool.exchange(request, is_answer) as exchange:
+            return await exchange.receive_whole_body()
+    finally:
+        pool.close()
+
+
+async def read_by_plain_service(address):
+    pool = connection_pools.ConnectionPool(address, CONNECT_MS)
+    async with httpx.AsyncClient(trust_env=False) as client:
+        service = http_plain_service.HttpPlainService(
+            f"http://{address}", client, SILENCE_MS, pool.check_listening
+        )
+        try:
+            async with service.send_call("GET", "/", [], b"") as answer:
+                return b"".join([chunk async for chunk in answer.chunks])
+        finally:
+            pool.close()
+
+
+async def append_to_log(address):
+    async with httpx.AsyncClient(trust_env=False) as client:
+        log = http_log.HttpLog(f"http://{address}", client)
+        return await log.append_record("stream", b"record")
+
+
+def run_reader(context, read):
+    context.body = context.error = None
+    target = scripted_target.ScriptedTarget()
+    # The connections that ask whether it listens get no answer.
+    target.scripts = [[context.script], ["nothing"], ["nothing"]]
+
+    async def run():
+        listener = (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0]
+        port = listener.socket.getsockname()[1]
+
+        async def serve(stream):
+            if context.ends:
+                listener.socket.close()
+            await target.serve(stream)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serve_until_closed, serve, listener)
+            try:
+                context.body = await read(f"127.0.0.1:{port}")
+            except ports.PortError as error:
+                context.error = error
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
+async def serve_until_closed(serve, listener):
+    async with trio.open_nursery() as nursery:
+        while True:
+            try:
+                stream = await listener.accept()
+            except trio.ClosedResourceError:
+                return
+            nursery.start_soon(serve, stream)
+
+
+@behave.when("the connection pool reads the body")
+def read_pool(context):
+    run_reader(context, read_by_pool)
+
+
+@behave.when("the adapter of plain services reads the body")
+def read_plain(context):
+    run_reader(context, read_by_plain_service)
+
+
+@behave.when("the adapter of the log appends a record")
+def append(context):
+    run_reader(context, append_to_log)
+
+
+@behave.then("the body is {outcome}")
+def check_body(context, outcome):
+    if outcome == "whole":
+        assert context.error is None, context.error
+        assert context.body == b"body of 1", context.body
+        return
+    assert context.error is not None, context.body
+    assert context.error.took_effect
--- a/packages/gentianpoint-core/src/gentianpoint_core/connection_pools.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/connection_pools.py
@@ -18,14 +18,13 @@
 import h11
 import trio
 
+from gentianpoint_core import answer_bodies
 from gentianpoint_core import deadlines
 from gentianpoint_core import option_types
 from gentianpoint_core import ports
 
 __all__ = ("ConnectionPool", "Exchange", "ExchangeRequest")
 
-_BODILESS: typing.Final = frozenset((204, 304))
-"""Statuses of responses without a body."""
 _READ_BYTES: typing.Final = 65536
 """Largest read from a socket, in bytes."""
 _MAX_SKIPPED_RESPONSES: typing.Final = 3
@@ -78,9 +77,16 @@
     """One request and its response on a connection."""
 
     def __init__(
-        self, stream: trio.SocketStream, peer: str, request: ExchangeRequest
+        self,
+        stream: trio.SocketStream,
+        peer: str,
+        request: ExchangeRequest,
+        ask_sender: answer_bodies.AskSender,
     ) -> None:
-        """Prepare the exchange on ``stream`` without sending anything."""
+        """Prepare the exchange on ``stream`` without sending anything.
+
+        ``ask_sender`` tells whether ``peer`` listens.
+        """
         self.status = 0
         self.headers: abc.Sequence[tuple[bytes, bytes]] = ()
         # False if the body ends with the connection, as without a length and
@@ -89,6 +95,7 @@
         self._stream: typing.Final = stream
         self._peer: typing.Final = peer
         self._request: typing.Final = request
+        self._ask_sender: typing.Final = ask_sender
         self._state = h11.Connection(h11.CLIENT)
         self._is_complete = False
         self._is_disconnected = False
@@ -108,6 +115,9 @@
             await self._receive_next_head()
             if is_answer(self):
                 return
+            if not self.is_delimited:
+                # No response can follow one that ends with its connection.
+                break
             async for _ in self.receive_body():
                 pass
             remaining_data, _ = self._state.trailing_data
@@ -120,8 +130,22 @@
             "receive head", "responses belong to other requests"
         )
 
+    async def receive_whole_body(self) -> bytes:
+        """Return the body once it is complete; raises if it breaks off."""
+        chunks = answer_bodies.receive_complete(
+            self.receive_body(),
+            is_delimited=self.is_delimited,
+            ask_sender=self._ask_sender,
+            peer=self._peer,
+        )
+        return b"".join([chunk async for chunk in chunks])
+
     async def receive_body(self) -> abc.AsyncIterator[bytes]:
-        """Yield the body as it arrives; raises if it is incomplete."""
+        """Yield the body as it arrives.
+
+        Raises if a length or chunks are not met. The end of a body without
+        either is for :mod:`answer_bodies` to judge.
+        """
         while True:
             event = await self._receive_event("receive body")
             if isinstance(event, h11.EndOfMessage):
@@ -174,18 +198,13 @@
             if isinstance(event, h11.Response):
                 self.status = event.status_code
                 self.headers = tuple(event.headers)
-                self.is_delimited = self._has_framing()
+                self.is_delimited = answer_bodies.has_framing(
+                    self._request.method,
+                    self.status,
+                    [name for name, _ in self.headers],
+                )
                 return
 
-    def _has_framing(self) -> bool:
-        """Tell whether the head says where its body ends (RFC 9112, 6.3)."""
-        if self._request.method == b"HEAD" or self.status in _BODILESS:
-            return True
-        return bool(
-            self.find_header(b"content-length")
-            or self.find_header(b"transfer-encoding")
-        )
-
     async def _receive_event(self, step: str) -> typing.Any:
         while True:
             try:
@@ -267,7 +286,9 @@
         self.open_count += 1
         expires_at = None
         try:
-            exchange = Exchange(stream, self.address, request)
+            exchange = Exchange(
+                stream, self.address, request, self.check_listening
+            )
             try:
                 await exchange.send()
             except (trio.BrokenResourceError, OSError) as error:
--- a/packages/gentianpoint-core/src/gentianpoint_core/http_plain_service.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/http_plain_service.py
@@ -7,6 +7,7 @@
 import httpx
 import trio
 
+from gentianpoint_core import answer_bodies
 from gentianpoint_core import named_limits
 from gentianpoint_core import ports
 
@@ -24,14 +25,16 @@
         url: str,
         client: httpx.AsyncClient,
         silence_ms: int,
+        ask_sender: answer_bodies.AskSender,
         handle_limit: named_limits.HandleLimit = named_limits.ignore_limit,
     ) -> None:
         """Use ``client`` for the service at ``url``.
 
         A call fails with an unknown outcome if no data arrives for
-        ``silence_ms`` milliseconds. ``handle_limit`` is told of the limit
-        that each answer names.
+        ``silence_ms`` milliseconds. ``ask_sender`` tells whether the service
+        listens. ``handle_limit`` is told of the limit that each answer names.
         """
+        self._ask_sender: typing.Final = ask_sender
         self._handle_limit: typing.Final = handle_limit
         self._url: typing.Final = url
         self._client: typing.Final = client
@@ -68,7 +71,7 @@
             yield ports.PlainAnswer(
                 response.status_code,
                 tuple(response.headers.multi_items()),
-                self._iterate_chunks(response),
+                self._receive_chunks(request.method, response),
             )
         finally:
             await response.aclose()
@@ -102,6 +105,20 @@
                 "build call", self._url, repr(error), took_effect=False
             ) from error
 
+    def _receive_chunks(
+        self, method: str, response: httpx.Response
+    ) -> abc.AsyncIterator[bytes]:
+        return answer_bodies.receive_complete(
+            self._iterate_chunks(response),
+            is_delimited=answer_bodies.has_framing(
+                method.encode(),
+                response.status_code,
+                [name.lower() for name, _ in response.headers.raw],
+            ),
+            ask_sender=self._ask_sender,
+            peer=self._url,
+        )
+
     async def _iterate_chunks(
         self, response: httpx.Response
     ) -> abc.AsyncIterator[bytes]:
--- a/packages/gentianpoint-entry/features/forwarding/caller_connections.feature
+++ b/packages/gentianpoint-entry/features/forwarding/caller_connections.feature
@@ -31,13 +31,19 @@
       | body over the limit | 413    |
       | malformed chunk     | 400    |
 
-  Scenario: an answer that can't be finished
+  Scenario Outline: an answer that can't be finished
     Guards against an incomplete answer that ends like a complete one. The
-    target's connection broke, and no other target could continue.
+    target's connection broke, and no other target could continue. Callers of
+    HTTP/1.0 know no chunks: an answer ends with its connection.
     Given a handler that stops in the middle of its answer
-    When a caller sends a plain request
+    When a caller sends a <form>
     Then the caller's connection is reset
 
+    Examples:
+      | form                |
+      | plain request       |
+      | request of HTTP/1.0 |
+
   Scenario: a handler fails before its answer
     Guards against a request that ends without a final answer.
     Given a handler that raises an unexpected error
--- a/packages/gentianpoint-entry/features/forwarding/end_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/end_builders.py
@@ -35,6 +35,9 @@
     """True for an answer in chunks, which says by itself whether it ended."""
     ends_target: bool = False
     """True if the target ends with it, and refuses connections."""
+    is_broken: bool = False
+    """True for an answer that raises if it is delimited, as a broken one in
+    chunks does."""
 
     def is_inside_event(self) -> bool:
         """Tell whether the answer ends inside an event."""
@@ -49,16 +52,30 @@
 
 class _CutAnswer(forwarding_builders.GoodAnswer):
     def __init__(
-        self, body: bytes, status: int, *, is_delimited: bool
+        self,
+        body: bytes,
+        status: int,
+        *,
+        is_delimited: bool,
+        is_broken: bool = False,
     ) -> None:
         super().__init__()
         self.status = status
         self.is_delimited = is_delimited
         self._body: typing.Final = body
+        self._is_broken: typing.Final = is_broken
 
     async def receive_body(self) -> abc.AsyncIterator[bytes]:
         await trio.sleep(forwarding_builders.EVENT_S)
         yield self._body
+        if self.is_delimited and self._is_broken:
+            raise ports.PortError(
+                "receive body",
+                "target",
+                "incomplete chunked read",
+                took_effect=True,
+                disconnected=True,
+            )
 
 
 class CutCalls(forwarding_builders.ScriptedCalls):
@@ -87,8 +104,12 @@
             )
         self.sends.append((name, options))
         if name == "a":
-            body = _BYTES[: cut.at]
-            yield _CutAnswer(body, self._status, is_delimited=cut.is_delimited)
+            yield _CutAnswer(
+                _BYTES[: cut.at],
+                self._status,
+                is_delimited=cut.is_delimited,
+                is_broken=cut.is_broken,
+            )
             return
         rest = b"".join(EVENTS[int(options.last_event_id or 0) :])
         yield _CutAnswer(rest, 200, is_delimited=True)
--- a/packages/gentianpoint-entry/features/forwarding/steps/caller_connections_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/caller_connections_steps.py
@@ -22,6 +22,7 @@
         f"GET /a/b HTTP/1.1\r\n{_HEADERS}\r\n"
     ),
     "plain request": f"GET /a/b HTTP/1.1\r\n{_CLOSE}\r\n",
+    "request of HTTP/1.0": f"GET /a/b HTTP/1.0\r\n{_HEADERS}\r\n",
     "request with an odd path": f"GET /a%2Fb/? HTTP/1.1\r\n{_CLOSE}\r\n",
     "request with a query": f"GET /a?x=1&&y=% HTTP/1.1\r\n{_CLOSE}\r\n",
     "request with a length": (
--- a/packages/gentianpoint-entry/features/forwarding/stream_events.feature
+++ b/packages/gentianpoint-entry/features/forwarding/stream_events.feature
@@ -50,6 +50,6 @@
 
   Scenario: bytes that are not events
     Guards against a request that ends with an error because a broken target
-    sends arbitrary bytes. They are forwarded as they are, or the stream breaks
-    off.
+    sends arbitrary bytes. They are forwarded up to the last whole event, or
+    the stream breaks off.
     Then whatever bytes arrive, all are forwarded in order or the stream breaks off
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
@@ -2,14 +2,17 @@
 
 from collections import abc
 import contextlib
+import functools
 import math
 import random
 import typing
 
 import trio
 
+from gentianpoint_core import answer_bodies
 from gentianpoint_core import logs
 from gentianpoint_core import ports
+from gentianpoint_core.decisions import answer_ends
 from gentianpoint_core.decisions import stream_origins
 from gentianpoint_core.generated import events
 from gentianpoint_entry.forwarding import engine_probes
@@ -140,6 +143,27 @@
         finally:
             target.close_request(tokens)
 
+    def receive_body(
+        self,
+        target: targets.Target,
+        answer: target_calls.TargetAnswer,
+        find_content_end: abc.Callable[
+            [], answer_ends.ContentEnd
+        ] = answer_ends.find_no_content_end,
+    ) -> abc.AsyncIterator[bytes]:
+        """Yield the body of a target's answer, however it is framed.
+
+        Raises ``ports.PortError`` unless it is complete.
+        ``find_content_end`` tells what the content says of its end.
+        """
+        return answer_bodies.receive_complete(
+            answer.receive_body(),
+            is_delimited=answer.is_delimited,
+            ask_sender=functools.partial(self.calls.check_listening, target),
+            peer=target.entry.address,
+            find_content_end=find_content_end,
+        )
+
     def _note_limit(
         self,
         target: targets.Target,
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/plain_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/plain_calls.py
@@ -129,7 +129,7 @@
         attempt_scope: trio.CancelScope,
     ) -> bool:
         buffered = bytearray()
-        body = target_answer.receive_body()
+        body = self._shared.receive_body(target, target_answer)
         async for chunk in body:
             buffered += chunk
             if len(buffered) > _MAX_BUFFERED_BYTES:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
@@ -408,9 +408,8 @@
             if self._answer.is_started:
                 return None
             target_answer: target_calls.TargetAnswer = run.answer
-            body = b"".join(
-                [chunk async for chunk in target_answer.receive_body()]
-            )
+            chunks = self._shared.receive_body(run.target, target_answer)
+            body = b"".join([chunk async for chunk in chunks])
             await self._answer.send_whole(
                 target_answer.status, target_answer.headers, body
             )
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_events.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_events.py
@@ -9,9 +9,12 @@
 import re
 import typing
 
+from gentianpoint_core.decisions import answer_ends
+
 __all__ = ("EventOrder", "EventOrderError", "EventReader", "StreamEvent")
 
-_EVENT_END: typing.Final = re.compile(rb"\n\n|\r\n\r\n")
+_EVENT_END: typing.Final = re.compile(rb"\n\r?\n|\r\r")
+"""Two line ends, of which each may be LF, CRLF or CR."""
 _MAX_EVENT_BYTES: typing.Final = 1 << 20
 """Longest event, in bytes, that is buffered until its end; real events are far
 shorter."""
@@ -42,16 +45,22 @@
 
     @property
     def partial_bytes(self) -> int:
-        """Number of bytes after the last whole event."""
-        return len(self._buffered)
+        """Number of bytes of an event that has not ended."""
+        # Blank lines between events belong to none.
+        return len(self._buffered) if self._buffered.strip(b"\r\n") else 0
+
+    def find_content_end(self) -> answer_ends.ContentEnd:
+        """Tell whether a stream that ends here ends inside an event."""
+        if self.partial_bytes:
+            return answer_ends.ContentEnd.MISSED
+        return answer_ends.ContentEnd.UNSAID
 
     async def read_events(
         self, chunks: abc.AsyncIterator[bytes]
     ) -> abc.AsyncIterator[StreamEvent]:
-        """Yield whole events; bytes left over at the end count as one.
+        """Yield whole events; an event that does not end is dropped.
 
-        If ``chunks`` raises, the error is passed on and the unfinished event
-        is dropped.
+        Blank lines after the last event are passed on as they are.
         """
         async for chunk in chunks:
             self._buffered += chunk
@@ -61,12 +70,12 @@
                 yield StreamEvent(data, _read_number(data))
             if len(self._buffered) > _MAX_EVENT_BYTES:
                 raise EventOrderError("an event exceeds the size limit")
-        if self._buffered:
+        if self._buffered and not self.partial_bytes:
             yield StreamEvent(self._buffered, _read_number(self._buffered))
 
 
 def _read_number(data: bytes) -> typing.Optional[int]:
-    for line in data.split(b"\n"):
+    for line in data.splitlines():
         if line.startswith(b"id:"):
             return _parse_number(line[3:].strip())
     return None
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_runs.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_runs.py
@@ -105,7 +105,10 @@
             yield event
 
     async def _receive_chunks(self) -> abc.AsyncIterator[bytes]:
-        async for chunk in self.answer.receive_body():
+        chunks = self._shared.receive_body(
+            self.target, self.answer, self._reader.find_content_end
+        )
+        async for chunk in chunks:
             self._last_data_at = trio.current_time()
             yield chunk
 
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_calls.py
@@ -57,7 +57,12 @@
 
     @abc.abstractmethod
     def receive_body(self) -> collections_abc.AsyncIterator[bytes]:
-        """Yield the body; raises ``ports.PortError`` if it breaks off."""
+        """Yield the body as it arrives.
+
+        Raises ``ports.PortError`` if a length or chunks are not met. Where
+        the answer is not delimited, the end says only that the connection
+        has ended: ``Forwarder.receive_body`` tells whether it is complete.
+        """
 
 
 class CopyResult(typing.NamedTuple):
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_ends.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_ends.py
@@ -15,6 +15,7 @@
 
 import trio
 
+from gentianpoint_core import answer_bodies
 from gentianpoint_core import logs
 from gentianpoint_core.generated import events
 from gentianpoint_entry import crash_suspects
@@ -28,9 +29,6 @@
 """Tells whether a process listens at a target's address; None if nothing
 answers."""
 
-_CLOSING_S: typing.Final = 0.05
-"""Seconds in which a process that ends has closed all its connections. Until
-then it may seem to listen."""
 _CHECK_DELAYS_S: typing.Final = (0.25, 1.0)
 """Seconds before each further check, if nothing answers."""
 _LISTED_WITHIN_S: typing.Final = 10.0
@@ -147,7 +145,7 @@
         target = broken.target
         if await self._check_listening(target) is False:
             return True
-        for delay_s in (_CLOSING_S, *_CHECK_DELAYS_S):
+        for delay_s in (answer_bodies.CLOSING_S, *_CHECK_DELAYS_S):
             await trio.sleep(delay_s)
             is_listening = await self._check_listening(target)
             if is_listening is not None:
--- a/packages/gentianpoint-standins/features/standin_builders.py
+++ b/packages/gentianpoint-standins/features/standin_builders.py
@@ -23,6 +23,11 @@
     return typing.cast(processes.LocalDeployment, context.deployment)
 
 
+async def say_listening() -> typing.Optional[bool]:
+    """Tell that a target listens."""
+    return True
+
+
 def parse_options(text: str) -> dict[str, typing.Any]:
     """Return options from ``blocks=4 fencing=False``."""
     values = {"True": True, "False": False}
--- a/packages/gentianpoint-standins/features/steps/platform_steps.py
+++ b/packages/gentianpoint-standins/features/steps/platform_steps.py
@@ -215,7 +215,10 @@
 def send_calls(context, tag, count):
     async def send(client):
         service = http_plain_service.HttpPlainService(
-            context.plain.url, client, standin_builders.SILENCE_MS
+            context.plain.url,
+            client,
+            standin_builders.SILENCE_MS,
+            standin_builders.say_listening,
         )
         call = service.send_call(
             "PATCH", "/echo/x?y=1", [("X-Request-Tag", tag)], b"body"
