Play answers without framing and cut streams in the soak

No stand-in could leave the framing of an answer out, so no soak could show that the end of a connection was taken for the end of a stream. On the own interface engines drop their streams and plain services lose answers; its stand-ins frame all answers.

The log of the soak creates topics on first use, as the platform's does: each question for keyed.versions had failed with a KeyError.

--- a/bench/soak/own_player.py
+++ b/bench/soak/own_player.py
@@ -160,6 +160,12 @@
             case "target_loses_answers":
                 fault = "lose_start_replies" if is_engine else "lose_replies"
                 await self._set_for(target.name, step, {fault: 2}, {fault: 0})
+            case schedule.CUTTING_TARGET if is_engine:
+                await self._parts.set_faults(target.name, drop=("*",))
+            case schedule.CUTTING_TARGET:
+                await self._set_for(
+                    target.name, step, {"lose_replies": 2}, {"lose_replies": 0}
+                )
             case _:
                 is_near = step.place // len(self._parts.targets) % 2
                 link = target.relay if is_near else target.agent_relay
--- a/bench/soak/platform_log.py
+++ b/bench/soak/platform_log.py
@@ -1,6 +1,7 @@
-"""The platform's log as entries read it: two keyed topics, with troubles."""
+"""The platform's log as entries read it: keyed topics, with troubles."""
 
 import base64
+import collections
 from collections import abc
 import json
 import random
@@ -14,11 +15,10 @@
 from gentianpoint_entry.forwarding import caller_answers
 from gentianpoint_entry.forwarding import caller_connections
 
-__all__ = ("CONFIGURATION", "SUSPECTS", "TARGETS", "PlatformLog")
+__all__ = ("CONFIGURATION", "TARGETS", "PlatformLog")
 
 CONFIGURATION: typing.Final = "keyed.op"
 TARGETS: typing.Final = "keyed.servers"
-SUSPECTS: typing.Final = "keyed.suspects"
 _SLOW_S: typing.Final = 0.35
 _LENGTH_BYTES: typing.Final = 4
 _LOST_SHARE: typing.Final = 0.35
@@ -62,11 +62,10 @@
     def __init__(self, source: random.Random) -> None:
         """Start well; ``source`` draws the answers that are lost."""
         self._source: typing.Final = source
-        self._topics: typing.Final = {
-            CONFIGURATION: _Topic(),
-            TARGETS: _Topic(),
-            SUSPECTS: _Topic(),
-        }
+        # A topic is created on its first use.
+        self._topics: typing.Final = collections.defaultdict[str, _Topic](
+            _Topic
+        )
         self._trouble = ""
         self._changed = trio.Event()
 
--- a/bench/soak/platform_player.py
+++ b/bench/soak/platform_player.py
@@ -112,5 +112,9 @@
                 target.losing_share = _FAULTY_SHARE
                 await trio.sleep(step.for_s)
                 target.losing_share = 0.0
+            case schedule.CUTTING_TARGET:
+                target.cutting_share = _FAULTY_SHARE
+                await trio.sleep(step.for_s)
+                target.cutting_share = 0.0
             case _:
                 await self.trouble_link(step, target.relay)
--- a/bench/soak/platform_targets.py
+++ b/bench/soak/platform_targets.py
@@ -1,5 +1,6 @@
 """Targets as entries meet them: engines that stream, and plain services."""
 
+from collections import abc
 import random
 import time
 import typing
@@ -27,6 +28,7 @@
 _FATAL_S: typing.Final = 0.05
 """Time from the start of a fatal request's run to the target's end."""
 _PLAIN_S: typing.Final = 0.02
+_UNDELIMITED_SHARE: typing.Final = 0.3
 _SEAL: typing.Final = b"x-gentianpoint-server-seal"
 _REQUEST_ID: typing.Final = "x-gentianpoint-request-id"
 _EXPECTED: typing.Final = "x-gentianpoint-expect-instance"
@@ -80,6 +82,10 @@
         self._fatal = trio.Event()
         self.failing_share = 0.0
         self.losing_share = 0.0
+        # Shares of answers without length and chunks, and of streams that are
+        # broken off inside an event.
+        self.undelimited_share = _UNDELIMITED_SHARE
+        self.cutting_share = 0.0
         # Limit on requests that answers name, None without one.
         self.limit_per_s: typing.Optional[float] = None
         self._software = _FIRST_SOFTWARE
@@ -268,20 +274,43 @@
         elif self._source.random() < self.losing_share:
             await http_serving.drop_reply(answer)
         elif service == kinds.ENGINES:
-            event_stream = (b"content-type", b"text/event-stream")
-            await answer.start(200, (*marks, event_stream))
+            marks.append((b"content-type", b"text/event-stream"))
+            if self._source.random() < self.undelimited_share:
+                marks.append(http_serving.UNDELIMITED)
+            await answer.start(200, marks)
             # A stream that is taken up has the content of its first attempt.
             stream_id = headers.get(_RESUMES) or request_id
-            await self._generate(stream_id, after, answer)
+            cut = self._source.random() < self.cutting_share
+            await self._generate(stream_id, after, answer, is_cut=cut)
         else:
             await trio.sleep(_PLAIN_S)
-            await answer.send_whole(200, tuple(marks), request_id.encode())
+            await self._answer_plain(answer, marks, request_id.encode())
+
+    async def _answer_plain(
+        self,
+        answer: caller_answers.CallerAnswer,
+        marks: abc.Sequence[tuple[bytes, bytes]],
+        body: bytes,
+    ) -> None:
+        if self._source.random() >= self.undelimited_share:
+            await answer.send_whole(200, tuple(marks), body)
+            return
+        await answer.start(200, (*marks, http_serving.UNDELIMITED))
+        await answer.send(body)
+        await answer.finish()
 
     async def _generate(
-        self, stream_id: str, after: int, answer: caller_answers.CallerAnswer
+        self,
+        stream_id: str,
+        after: int,
+        answer: caller_answers.CallerAnswer,
+        *,
+        is_cut: bool,
     ) -> None:
+        """Send the events; a stream that is cut ends inside one of them."""
         start = self._starts
         most = kinds.count_events(stream_id)
+        cut_at = self._source.randint(after + 1, most) if is_cut else 0
         self._active += 1
         try:
             for number in range(after + 1, most + 1):
@@ -289,7 +318,11 @@
                 if start != self._starts or not self._is_up:
                     return
                 data = f"{stream_id}/{number}/{most}/{self._software}"
-                await answer.send(f"id: {number}\ndata: {data}\n\n".encode())
+                event = f"id: {number}\ndata: {data}\n\n".encode()
+                if number == cut_at:
+                    await answer.send(event[: len(event) // 2])
+                    return
+                await answer.send(event)
             await answer.finish()
         finally:
             self._active -= 1
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -4,6 +4,7 @@
 import typing
 
 __all__ = (
+    "CUTTING_TARGET",
     "FATAL_REQUEST",
     "KINDS",
     "LIMITED_TARGET",
@@ -44,12 +45,18 @@
 """A request comes again and again and ends each target that runs it."""
 LIMITED_TARGET: typing.Final = "limited_target"
 """A target says in its answers how many requests a second it takes."""
+CUTTING_TARGET: typing.Final = "target_cuts"
+"""A target breaks streams off inside an event, and goes on."""
 RELEASE: typing.Final = "release"
 """Some engines are replaced by others of the next software version."""
 _RELEASE_SHARE: typing.Final = 0.8
 """Share of series with a release."""
 _LIMITED_SHARE: typing.Final = 0.8
 """Share of series in which targets name limits."""
+_CUTTING_SHARE: typing.Final = 0.8
+"""Share of series in which targets break streams off."""
+_MOST_CUTTING: typing.Final = 3
+"""Targets that do so in one series."""
 _MOST_LIMITED: typing.Final = 3
 """Targets that name a limit in one series."""
 _FATAL_SHARE: typing.Final = 0.8
@@ -111,6 +118,9 @@
     steps += _draw_apart(
         LIMITED_TARGET, _LIMITED_SHARE, seed, length_s, _MOST_LIMITED
     )
+    steps += _draw_apart(
+        CUTTING_TARGET, _CUTTING_SHARE, seed, length_s, _MOST_CUTTING
+    )
     return sorted(steps)
 
 
