Log which parts the prompts of requests have

Engines ended one after the other under requests that were new to every entry each time.

No decision reads them yet.

--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
@@ -124,6 +124,7 @@
             address=target.entry.address,
             service=request.service.name,
             content=request.content,
+            prompt_parts=list(request.prompt_parts),
             backup=options.backup_address,
             after_event=options.last_event_id,
             resumed_attempt=request.resumed_id,
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/requests.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/requests.py
@@ -8,7 +8,17 @@
 from gentianpoint_entry import request_digests
 from gentianpoint_entry.forwarding import routes
 
-__all__ = ("CallerRequest", "MemoryCopy", "SendOptions", "digest_content")
+__all__ = (
+    "CallerRequest",
+    "MemoryCopy",
+    "SendOptions",
+    "digest_content",
+    "digest_prompt_parts",
+)
+
+_MAX_PARTS: typing.Final = 32
+"""Parts of one prompt that are looked at, the first ones; prompts have three
+or four."""
 
 
 class CallerRequest(typing.NamedTuple):
@@ -45,6 +55,9 @@
     """Last event of this stream that the caller has; empty for none."""
     content: str
     """Digest of what is requested, the same for each attempt."""
+    prompt_parts: abc.Sequence[str] = ()
+    """Digests of the parts of its prompt that other prompts may share, in
+    their order."""
     resumed_id: str = ""
     """Identifier of the attempt that brought the first event of the stream
     that this one takes up; empty if it takes up none."""
@@ -74,6 +87,21 @@
     return request_digests.digest_parts(parts).hex()
 
 
+def digest_prompt_parts(
+    service: str, names: abc.Sequence[str]
+) -> abc.Sequence[str]:
+    """Return digests of the parts of a prompt that others may share.
+
+    ``names`` are in the order of the prompt, and the last one is its own. The
+    same part is another one to the model of another service.
+
+    >>> len(digest_prompt_parts("s", ["a", "b", "own"]))
+    2
+    """
+    shared = dict.fromkeys(names[:-1][:_MAX_PARTS])
+    return [request_digests.digest_prompt_part(service, n) for n in shared]
+
+
 class MemoryCopy(typing.NamedTuple):
     """A copy of a generation's memory, from which a request can continue."""
 
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/request_digests.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/request_digests.py
@@ -7,8 +7,19 @@
 
 from gentianpoint_core.generated import messages
 
-__all__ = ("digest_content", "digest_parts", "digest_request")
-
+__all__ = (
+    "PART_PREFIX",
+    "digest_content",
+    "digest_parts",
+    "digest_prompt_part",
+    "digest_request",
+)
+
+PART_PREFIX: typing.Final = "part~"
+"""Start of the digests of parts of prompts, which tells them from those of
+whole requests."""
+_PART_BYTES: typing.Final = 10
+"""Length of the digests of parts, in bytes."""
 _DIGEST_BYTES: typing.Final = 20
 """Length of the truncated SHA-256 digests, in bytes."""
 
@@ -20,6 +31,11 @@
     return hashlib.sha256(cbor2.dumps(list(parts))).digest()[:_DIGEST_BYTES]
 
 
+def digest_prompt_part(service: str, name: str) -> str:
+    """Return the digest by which a part of a service's prompts is known."""
+    return PART_PREFIX + digest_parts((service, name))[:_PART_BYTES].hex()
+
+
 def digest_request(service: str, request: messages.Request) -> bytes:
     """Return the digest of a request to a service.
 
