--- a/packages/gentianpoint-entry/features/forwarding/crash_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/crash_builders.py
@@ -53,6 +53,8 @@
     """When, on trio's clock."""
     target_id: str
     """Start of the target."""
+    parts: abc.Sequence[str] = ()
+    """Parts of its prompt that others share."""
 
 
 class _TargetStart:
@@ -116,11 +118,13 @@
         self.sends: typing.Final[list[Send]] = []
         self.ends: typing.Final[list[Send]] = []
         self.fatal: typing.Final[set[str]] = {FATAL}
+        # Parts of prompts that end each target that begins to write on them.
+        self.fatal_parts: typing.Final[set[str]] = set()
         # Whether connections are taken at the address of a target that is
         # down.
         self.has_fronts = False
         self._nursery: typing.Final = nursery
-        self._places: typing.Final = places
+        self.places: typing.Final = places
         self._starts: typing.Final[dict[int, _TargetStart]] = {}
         self._numbers: typing.Final = itertools.count(1)
         for place in range(places):
@@ -163,7 +167,7 @@
 
     def end_all(self) -> None:
         """End all targets at once."""
-        for place in range(self._places):
+        for place in range(self.places):
             self.end(place)
 
     async def run_fatal(self, start: _TargetStart, content: str) -> None:
@@ -177,6 +181,12 @@
             if current is start:
                 self.end(place)
 
+    def is_fatal(self, request: requests.CallerRequest) -> bool:
+        """Tell whether a request ends each target that begins to run it."""
+        return request.content in self.fatal or not (
+            self.fatal_parts.isdisjoint(request.prompt_parts)
+        )
+
     def start_fatal(self, start: _TargetStart, content: str) -> None:
         """Let a run of ``content`` end a target."""
         self._nursery.start_soon(self.run_fatal, start, content)
@@ -240,12 +250,17 @@
             )
         start = self._park.find_start(target)
         self._park.sends.append(
-            Send(request.content, trio.current_time(), start.entry.target_id)
+            Send(
+                request.content,
+                trio.current_time(),
+                start.entry.target_id,
+                request.prompt_parts,
+            )
         )
-        if request.content in self._park.fatal:
+        if self._park.is_fatal(request):
             self._park.start_fatal(start, request.content)
         if request.route.kind is not routes.RouteKind.STREAM:
-            is_fatal = request.content in self._park.fatal
+            is_fatal = self._park.is_fatal(request)
             run_s = 10 * _CRASH_S if is_fatal else _PLAIN_S
             await start.work(run_s, self.link)
         after = int(options.last_event_id or 0)
@@ -291,12 +306,17 @@
     """The entry's own answer, if it gave one."""
     took_s: float
     """Seconds to the end of the answer."""
+    parts: abc.Sequence[str] = ()
+    """Parts of its prompt that others share."""
 
 
 def make_crash_request(
-    kind: str, content: str, number: int
+    kind: str, content: str, number: int, parts: abc.Sequence[str] = ()
 ) -> requests.CallerRequest:
-    """Return a request of a kind; to be called while trio runs."""
+    """Return a request of a kind; to be called while trio runs.
+
+    ``parts`` are those of its prompt that others share.
+    """
     is_stream = "stream" in kind
     may_repeat = "once" not in kind
     route_kind = routes.RouteKind.ONCE
@@ -315,7 +335,9 @@
             can_move=False, can_back_up="backup" in kind
         )
     request = forwarding_builders.make_request(route, engine)
-    return request._replace(request_id=f"request-{number}", content=content)
+    return request._replace(
+        request_id=f"request-{number}", content=content, prompt_parts=parts
+    )
 
 
 class _CrashEntry(forwarding_builders.ServingEntry):
@@ -373,13 +395,20 @@
         self.entries.append(entry)
         return len(self.entries) - 1
 
-    async def call(self, kind: str, content: str, entry: int) -> ServedRequest:
+    async def call(
+        self,
+        kind: str,
+        content: str,
+        entry: int,
+        parts: abc.Sequence[str] = (),
+    ) -> ServedRequest:
         """Send a request to an entry, and record and return the answer."""
         chosen = self.entries[entry % len(self.entries)]
         answer = forwarding_builders.RecordedAnswer()
         began = trio.current_time()
         await chosen.handler.serve(
-            make_crash_request(kind, content, next(self._numbers)), answer
+            make_crash_request(kind, content, next(self._numbers), parts),
+            answer,
         )
         result = ServedRequest(
             content,
@@ -388,6 +417,7 @@
             answer.is_finished,
             chosen.refusals.pop(answer, None),
             trio.current_time() - began,
+            parts,
         )
         self.served.append(result)
         return result
