Refuse prompts with the part that explains why targets ended

Cause: entries knew requests only as a whole, and no two of these are alike; the header that names the parts was read by nobody.

Ends of targets are now kept for the parts of the prompts that they ran as well, in the same table, gossip and records, under digests of their own. An answer, or two seconds of events, clears a part at all entries; a stream that brought events for so long does not count against its parts; and of the others decisions/blamed_parts.py blames those that explain most ends, three at least, so that what was there by chance is not. Each send looks once more after its last wait, so tries that were planned do not go.

--- a/packages/gentianpoint-entry/src/gentianpoint_entry/crash_suspects.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/crash_suspects.py
@@ -1,5 +1,8 @@
 """Remembers under which requests targets ended, and refuses those requests.
 
+The same is kept of the parts of prompts that several requests share, under
+digests of their own.
+
 A request may end each target that begins to run it, with all that runs
 beside it, and its caller sends it again, at any entry. One end proves little:
 the target may have been killed, and other requests ran there too. But a
@@ -16,7 +19,9 @@
 
 from gentianpoint_core import change_log
 from gentianpoint_core import logs
+from gentianpoint_core.decisions import blamed_parts
 from gentianpoint_core.generated import events
+from gentianpoint_entry import request_digests
 
 __all__ = ("CrashSuspects", "SuspectNews")
 
@@ -32,12 +37,15 @@
 """Seconds for which an end counts."""
 _MAX_KEPT_ENDS: typing.Final = 1024
 """Ends that are remembered. A target that ends leaves one for each request
-that it ran, so they take some hundred kilobytes at most."""
+that it ran, and for each part of their prompts that was not answered lately,
+so they take some hundred kilobytes at most."""
 _ANSWERED_KEPT_S: typing.Final = 60.0
 """Seconds for which an answer clears a request of ends that come later. A
 request that is sent often may run at all targets that are killed at once."""
-_MAX_KEPT_ANSWERS: typing.Final = 4096
-"""Answered requests that are remembered."""
+_MAX_KEPT_ANSWERS: typing.Final = 8192
+"""Answered requests, and parts of them, that are remembered."""
+_BLAME_KEPT_S: typing.Final = 60.0
+"""Seconds after which blame is found anew, as ends lapse."""
 _MAX_NAME_LENGTH: typing.Final = 128
 """Longest name of a request or target that other entries may tell."""
 
@@ -75,6 +83,10 @@
         self._targets_by_content: typing.Final[dict[str, set[str]]] = {}
         # Used as an ordered map, the request answered last at the end.
         self._answered_at: typing.Final[dict[str, float]] = {}
+        self._blamed: abc.Sequence[blamed_parts.BlamedParts] = ()
+        # Changes of the ends, and the time, for which that was found.
+        self._blamed_for = (0, 0.0)
+        self._ever_blamed: typing.Final[set[str]] = set()
 
     @property
     def changes(self) -> int:
@@ -90,12 +102,19 @@
     ) -> bool:
         """Record that a target ended while it ran requests.
 
+        ``contents`` are digests of requests and of parts of their prompts.
         Returns False if that is nothing new.
         """
+        # Of the parts of most prompts it is known that they are harmless.
+        counted = [
+            content
+            for content in contents
+            if not (_is_part(content) and self._was_answered(content, now))
+        ]
         return any(
             [
                 self.merge(SuspectNews(content, target, now, False), now)
-                for content in contents
+                for content in counted
             ]
         )
 
@@ -129,7 +148,9 @@
         if known is not None and known.is_cleared >= news.is_cleared:
             return False
         self._ends.put(key, news)
-        was_refused = self.find_refused_until(news.content, now) is not None
+        was_refused = _is_part(news.content) or (
+            self.find_refused_until(news.content, now) is not None
+        )
         self._targets_by_content.setdefault(news.content, set()).add(
             news.target
         )
@@ -158,27 +179,75 @@
         ended_at = self._list_counted(content, now)
         if len(ended_at) < _MAX_ENDS:
             return None
-        doublings = min(len(ended_at) - _MAX_ENDS, _MAX_DOUBLINGS)
-        refused_until = max(ended_at) + _REFUSED_S * 2**doublings
+        refused_until = _find_refused_until(ended_at)
         return refused_until if now < refused_until else None
 
+    def find_parts_refused_until(
+        self, parts: abc.Collection[str], now: float
+    ) -> typing.Optional[float]:
+        """Return until when a prompt with ``parts`` is refused, or None."""
+        if not parts:
+            return None
+        refused_until = [
+            until
+            for blamed in self._find_blamed(now)
+            if blamed.parts.issubset(parts)
+            and now < (until := self._find_lapse(blamed, now))
+        ]
+        return max(refused_until, default=None)
+
+    def _find_lapse(
+        self, blamed: blamed_parts.BlamedParts, now: float
+    ) -> float:
+        """Return when parts that are blamed may run again."""
+        part = next(iter(blamed.parts))
+        return _find_refused_until(self._list_counted(part, now))
+
+    def _find_blamed(
+        self, now: float
+    ) -> abc.Sequence[blamed_parts.BlamedParts]:
+        changes, found_at = self._blamed_for
+        if changes == self.changes and now - found_at < _BLAME_KEPT_S:
+            return self._blamed
+        self._blamed_for = (self.changes, now)
+        self._blamed = blamed_parts.blame_parts(
+            {
+                content: self._list_counted(content, now).keys()
+                for content, targets in self._targets_by_content.items()
+                if len(targets) >= _MAX_ENDS and _is_part(content)
+            },
+            _MAX_ENDS,
+        )
+        for blamed in self._blamed:
+            if not blamed.parts <= self._ever_blamed:
+                self._ever_blamed.update(blamed.parts)
+                logs.log_event(
+                    events.PROMPT_PARTS_SUSPECTED,
+                    parts=sorted(blamed.parts),
+                    targets=sorted(blamed.targets),
+                )
+        return self._blamed
+
     def was_ever_refused(self, content: str) -> bool:
         """Tell whether a request is refused, or was before it was cleared."""
+        if _is_part(content):
+            self._find_blamed(self._blamed_for[1])
+            return content in self._ever_blamed
         return len(self._targets_by_content.get(content, ())) >= _MAX_ENDS
 
     def would_refuse(self, content: str, ends: int, now: float) -> bool:
         """Tell whether so many more ends would make a request be refused."""
         return len(self._list_counted(content, now)) + ends >= _MAX_ENDS
 
-    def _list_counted(self, content: str, now: float) -> list[float]:
-        """Return when targets ended, without the ends that are cleared."""
+    def _list_counted(self, content: str, now: float) -> dict[str, float]:
+        """Return when each target ended, without ends that are cleared."""
         if content not in self._targets_by_content:
-            return []
-        return [
-            news.ended_at
+            return {}
+        return {
+            news.target: news.ended_at
             for news in self.list_ends(content)
             if not news.is_cleared and now - news.ended_at <= _KEPT_S
-        ]
+        }
 
     def list_ends(self, content: str) -> abc.Sequence[SuspectNews]:
         """Return all ends of targets that ran a request."""
@@ -208,3 +277,14 @@
         targets.discard(dropped.target)
         if not targets:
             del self._targets_by_content[dropped.content]
+
+
+def _is_part(content: str) -> bool:
+    """Tell whether a digest is that of a part of prompts."""
+    return content.startswith(request_digests.PART_PREFIX)
+
+
+def _find_refused_until(ended_at: abc.Mapping[str, float]) -> float:
+    """Return until when what targets ended under is refused."""
+    doublings = min(len(ended_at) - _MAX_ENDS, _MAX_DOUBLINGS)
+    return max(ended_at.values()) + _REFUSED_S * 2.0**doublings
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
@@ -111,6 +111,12 @@
                 target, "its software is not that which began the stream"
             )
         permit = await self.claim_permit(target, request)
+        if self.find_refused_ms(request) is not None:
+            # Known only since this send was planned.
+            self._permits.give_back(permit)
+            raise target_choice.make_send_error(
+                target, "targets ended under such requests"
+            )
         tokens = target_selection.count_tokens(request)
         now = trio.current_time()
         target.open_request(now, tokens)
@@ -221,7 +227,7 @@
         """Record that a target failed, for the next choices."""
         target.note_failure(trio.current_time())
         if error.disconnected:
-            self._ends.note_disconnect(target, request.content)
+            self._ends.note_disconnect(target, request.list_contents())
         self.metrics.record_failed_attempt(error.step)
         logs.log_event(
             events.ATTEMPT_FAILED,
@@ -278,7 +284,11 @@
 
     def note_answered(self, request: requests.CallerRequest) -> None:
         """Record that a target gave a request its whole answer."""
-        self._ends.note_answered(request.content)
+        self._ends.note_answered((request.content, *request.prompt_parts))
+
+    def note_parts_proven(self, request: requests.CallerRequest) -> None:
+        """Record that a target writes on the parts of a prompt and goes on."""
+        self._ends.note_answered(request.prompt_parts)
 
     async def wait_for_verdict(self, request: requests.CallerRequest) -> None:
         """Wait until it is known whether a request may run once more.
@@ -286,7 +296,7 @@
         That takes a few milliseconds, and only after targets have ended while
         they ran the request.
         """
-        await self._ends.wait_for_verdict(request.content)
+        await self._ends.wait_for_verdict(request.list_contents())
 
     def find_refused_ms(
         self, request: requests.CallerRequest
@@ -296,8 +306,16 @@
         None if it may run: no, or few, targets have ended under it.
         """
         now = trio.current_time()
-        until = self._ends.suspects.find_refused_until(request.content, now)
-        return None if until is None else (until - now) * 1000
+        suspects = self._ends.suspects
+        until = suspects.find_refused_until(request.content, now)
+        parts_until = None
+        if not request.are_parts_proven:
+            parts_until = suspects.find_parts_refused_until(
+                request.prompt_parts, now
+            )
+        if until is None and parts_until is None:
+            return None
+        return (max(until or 0.0, parts_until or 0.0) - now) * 1000
 
     def take_retry(self, request: requests.CallerRequest) -> bool:
         """Take one retry of the request's service, if its limit allows it."""
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/requests.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/requests.py
@@ -58,6 +58,8 @@
     prompt_parts: abc.Sequence[str] = ()
     """Digests of the parts of its prompt that other prompts may share, in
     their order."""
+    are_parts_proven: bool = False
+    """True once a target has written on them for a while."""
     resumed_id: str = ""
     """Identifier of the attempt that brought the first event of the stream
     that this one takes up; empty if it takes up none."""
@@ -66,6 +68,11 @@
     route_services: abc.Sequence[routes.Service] = ()
     """All services of its route, of which a stream keeps to one."""
 
+    def list_contents(self) -> abc.Sequence[str]:
+        """Return the digests under which an end of its target counts."""
+        parts = () if self.are_parts_proven else self.prompt_parts
+        return (self.content, *parts)
+
     def takes_stream_up(self) -> bool:
         """Tell whether the caller has events of this stream already."""
         return bool(self.resumed_id or self.last_event_id)
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
@@ -163,8 +163,11 @@
         return None
 
     def _set_origin(self, origin: stream_origins.StreamOrigin) -> None:
-        self._request = self._request._replace(origin=origin)
-        self.attempts.set_request(self._request)
+        self._set_request(self._request._replace(origin=origin))
+
+    def _set_request(self, request: requests.CallerRequest) -> None:
+        self._request = request
+        self.attempts.set_request(request)
 
     # Planning of runs.
 
@@ -380,6 +383,9 @@
         if not self._order.accept(event):
             return
         self._timing.note_event(trio.current_time())
+        if not self._request.are_parts_proven and run.is_proven():
+            self._set_request(self._request._replace(are_parts_proven=True))
+            self._shared.note_parts_proven(self._request)
         if self._request.origin is None:
             self._set_origin(run.target.origin)
             await self._shared.note_stream_began(self._request)
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_runs.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_runs.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import contextlib
+import math
 import typing
 
 import trio
@@ -13,8 +14,11 @@
 from gentianpoint_entry.forwarding import target_calls
 from gentianpoint_entry.forwarding import targets
 
-__all__ = ("RunPlan", "StreamRun")
+__all__ = ("PROVEN_S", "RunPlan", "StreamRun")
 
+PROVEN_S: typing.Final = 2.0
+"""Seconds after the first event from which on a run shows that its prompt does
+not end its target. What ends one does so as the target begins to write."""
 _POLL_INTERVAL_S: typing.Final = 0.1
 """Seconds between checks of how long a run has been silent."""
 
@@ -44,6 +48,7 @@
         self.backup = plan.backup
         self.began_at = trio.current_time()
         self.has_events = False
+        self._first_event_at = math.inf
         self._reader: typing.Final = stream_events.EventReader()
         self._last_data_at = self.began_at
         self._shared: typing.Final = shared
@@ -100,7 +105,9 @@
         """Yield events; raises :class:`ports.PortError` at a break."""
         chunks = self._receive_chunks()
         async for event in self._reader.read_events(chunks):
-            self.has_events = True
+            if not self.has_events:
+                self.has_events = True
+                self._first_event_at = trio.current_time()
             self._remove_pending_prompt()
             yield event
 
@@ -122,6 +129,10 @@
             if silent_ms > find_limit_ms(self):
                 return
 
+    def is_proven(self) -> bool:
+        """Tell whether its target has written on the prompt for a while."""
+        return trio.current_time() - self._first_event_at >= PROVEN_S
+
     def describe_end(self) -> dict[str, typing.Any]:
         """Return how the answer was framed and ended, for a log line."""
         return {
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_ends.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_ends.py
@@ -86,44 +86,53 @@
         self._sender: typing.Final = send
         self._receiver: typing.Final = receive
 
-    def note_disconnect(self, target: targets.Target, content: str) -> None:
+    def note_disconnect(
+        self, target: targets.Target, contents: abc.Collection[str]
+    ) -> None:
         """Note that a target's connection broke off while it ran a request.
 
-        ``content`` is the digest of the request's content.
+        ``contents`` are the digests of the request and of the parts of its
+        prompt.
         """
         target_id = target.target_id
         if target_id in self._ended:
-            self._record(target, {content})
+            self._record(target, contents)
         elif target_id in self._broken:
-            self._broken[target_id].contents.add(content)
+            self._broken[target_id].contents.update(contents)
         elif target.accepts_work():
             broken = _BrokenTarget(target)
-            broken.contents.add(content)
+            broken.contents.update(contents)
             self._broken[target_id] = broken
             self._sender.send_nowait(broken)
 
-    def note_answered(self, content: str) -> None:
-        """Note that a target answered a request completely."""
-        if self.suspects.note_answered(content, trio.current_time()):
-            self._notify((content,))
+    def note_answered(self, contents: abc.Iterable[str]) -> None:
+        """Note that a target answered a request, or parts of its prompt."""
+        now = trio.current_time()
+        cleared = [
+            content
+            for content in contents
+            if self.suspects.note_answered(content, now)
+        ]
+        if cleared:
+            self._notify(cleared)
 
-    async def wait_for_verdict(self, content: str) -> None:
+    async def wait_for_verdict(self, contents: abc.Collection[str]) -> None:
         """Wait until it is known whether a request may run once more.
 
         Returns at once unless the ends that are being examined would make the
         request be refused.
         """
-        examined = [
-            broken.examined
-            for broken in self._broken.values()
-            if content in broken.contents
-        ]
         now = trio.current_time()
-        if not self.suspects.would_refuse(content, len(examined), now):
-            return
         with trio.move_on_after(_VERDICT_WITHIN_S):
-            for event in examined:
-                await event.wait()
+            for content in contents:
+                examined = [
+                    broken.examined
+                    for broken in self._broken.values()
+                    if content in broken.contents
+                ]
+                if self.suspects.would_refuse(content, len(examined), now):
+                    for event in examined:
+                        await event.wait()
 
     async def run(self) -> None:
         """Examine targets until cancelled."""
