Play parts of prompts that end targets in the soak

The soak's requests had no parts, so no soak could show that requests with one part in common end one target after the other. The promise: from 3 s after the fifth end, or the last if there are fewer, at most three of them reach targets. On the own interface prompts have no named parts, and these steps are left out. The checker is shown one case that breaks the promise and two that don't.

--- a/bench/features/soak.feature
+++ b/bench/features/soak.feature
@@ -38,6 +38,7 @@
       | a second in which the soak stood still     | the soak itself keeps up             |
       | 100 repeats within a second                | repeats keep to their budget         |
       | a request that ends 4 more targets 3.1 s after the third | a request that ends targets is kept from others |
+      | a part that ends 4 more targets 3.1 s after the fifth | a part that ends targets is kept from others |
       | a target with a limit of 2 that gets 18 in 4 s, 3.1 s after it named it | a target's limit on requests is kept |
       | a target with a limit of 2 that gets 18 in 4 s, 3.2 s after an entry started | a target's limit on requests is kept |
 
@@ -69,6 +70,8 @@
       | a request that ends 3 more targets 3.1 s after the third |
       | a request that ends 4 more targets 2.9 s after the third |
       | a request that ends 4 more targets 3.1 s after the third, 2.9 s after its entry started |
+      | a part that ends 3 more targets 3.1 s after the fifth |
+      | a part that ends 4 more targets 2.9 s after the fifth |
 
   Scenario Outline: many entries are probed no more often than the soak bears
     Guards against a log and targets that are slow since probes of 60 entries
--- a/bench/features/soak_builders.py
+++ b/bench/features/soak_builders.py
@@ -203,21 +203,27 @@
 
 
 def _add_fatal_runs(
-    facts: seen.Facts, late_s: float, late_count: int, started_s: float = 99.0
+    facts: seen.Facts,
+    late_s: float,
+    late_count: int,
+    started_s: float = 99.0,
+    *,
+    name: str = "1",
+    ends: int = 3,
 ) -> None:
-    """Let a request end three targets, and more of them some time later.
+    """Let a request end some targets, and more of them some time later.
 
     All late attempts go to the one entry, which started ``started_s`` before.
     """
-    third_at = _CALM_FROM
-    times = [third_at] * 3 + [third_at + late_s] * late_count
+    last_at = _CALM_FROM
+    times = [last_at] * ends + [last_at + late_s] * late_count
     for number, at in enumerate(times):
-        request_id = f"tag-20-fatal-1-{number}"
+        request_id = f"tag-20-fatal-{name}-{number}"
         facts.fatal_calls.append(seen.FatalCall(request_id, _ENTRY, at))
         facts.fatal_runs.append(
-            seen.FatalRun("tag-1", request_id, _TARGET, at)
+            seen.FatalRun(f"tag-{name}", request_id, _TARGET, at)
         )
-    started_at = third_at + late_s - started_s
+    started_at = last_at + late_s - started_s
     facts.disturbances.append(
         seen.Disturbance(_ENTRY, "entry_kill", started_at, started_at)
     )
@@ -398,5 +404,14 @@
     " 2.9 s after its entry started": (
         lambda facts: _add_fatal_runs(facts, 3.1, 4, 2.9)
     ),
+    "a part that ends 4 more targets 3.1 s after the fifth": (
+        lambda facts: _add_fatal_runs(facts, 3.1, 4, name="part.1", ends=5)
+    ),
+    "a part that ends 3 more targets 3.1 s after the fifth": (
+        lambda facts: _add_fatal_runs(facts, 3.1, 3, name="part.1", ends=5)
+    ),
+    "a part that ends 4 more targets 2.9 s after the fifth": (
+        lambda facts: _add_fatal_runs(facts, 2.9, 4, name="part.1", ends=5)
+    ),
 }
 """What is seen besides, by its name."""
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -266,13 +266,17 @@
     source: random.Random,
     step: schedule.Step,
 ) -> None:
-    """Send a request that ends targets, as often as the step says.
+    """Send a request that ends targets, or others with one part of it.
 
     Its first attempts end targets until the entries know it. The later ones
     show whether they do.
     """
-    kind = kinds.KINDS[step.place % len(kinds.KINDS)]
     content = f"{step.place}x{round(step.at * 1000)}"
+    choice: abc.Sequence[kinds.RequestKind] = kinds.KINDS
+    if step.kind == schedule.FATAL_PART:
+        content = kinds.make_part_content(content)
+        choice = [kind for kind in kinds.KINDS if kind.is_stream]
+    kind = choice[step.place % len(choice)]
     for _ in range(_FATAL_ROUNDS + step.changes):
         for _ in range(_FATAL_ATTEMPTS):
             place = source.choice(balancer.list_ready())
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -23,6 +23,9 @@
 """Faults after which an entry may not know yet what the others do."""
 _FATAL_ENDS: typing.Final = 3
 """Targets that a request may end before it is kept from the others."""
+_FATAL_PART_ENDS: typing.Final = 5
+"""Targets that requests with one part may end before they are kept from the
+others."""
 _UNSTEADY_LINKS: typing.Final = frozenset(
     ("target_link_stalls", "target_link_silent", "target_link_cut")
 )
@@ -121,7 +124,8 @@
         _check_in_force(facts, bounds),
         _check_leaving(facts, bounds),
         _check_recovery(facts, bounds),
-        _check_fatal(facts, bounds),
+        _check_fatal(facts, bounds, is_part=False),
+        _check_fatal(facts, bounds, is_part=True),
         _check_limits(facts, bounds),
         _check_software(facts),
         _check_taken_up(facts, bounds),
@@ -393,8 +397,14 @@
     return _judge("service is back", len(after), failures, is_timed=True)
 
 
-def _check_fatal(facts: seen.Facts, bounds: Bounds) -> Verdict:
-    """Check that a request that ends targets is kept from further ones."""
+def _check_fatal(
+    facts: seen.Facts, bounds: Bounds, *, is_part: bool
+) -> Verdict:
+    """Check that what ends targets is kept from further ones.
+
+    That is a request, or all that have a part of it.
+    """
+    ends = _FATAL_PART_ENDS if is_part else _FATAL_ENDS
     entries = {call.request_id: call.entry for call in facts.fatal_calls}
     runs_by_content = collections.defaultdict(list)
     for run in sorted(facts.fatal_runs, key=lambda item: item.at):
@@ -402,9 +412,11 @@
     tested = 0
     failures = []
     for content, runs in runs_by_content.items():
+        if kinds.is_part_content(content) != is_part:
+            continue
         if len(runs) < _FATAL_ENDS:
             continue
-        known_from = runs[_FATAL_ENDS - 1].at + bounds.calm_s
+        known_from = runs[min(ends, len(runs)) - 1].at + bounds.calm_s
         tested += sum(
             call.sent_at > known_from
             for call in facts.fatal_calls
@@ -422,8 +434,9 @@
             failures.append(
                 f"{content}: {len(runs)} runs, {len(late)} of them late"
             )
+    what = "part" if is_part else "request"
     return _judge(
-        "a request that ends targets is kept from others", tested, failures
+        f"a {what} that ends targets is kept from others", tested, failures
     )
 
 
--- a/bench/soak/dialects.py
+++ b/bench/soak/dialects.py
@@ -3,6 +3,7 @@
 import abc
 from collections import abc as collections_abc
 import typing
+import zlib
 
 from bench.soak import kinds
 from gentianpoint_core import connection_pools
@@ -21,6 +22,8 @@
 _NOT_RUN: typing.Final = 503
 _NOT_FOUND: typing.Final = 404
 _NO_KEY: typing.Final = 401
+_PROMPT_CALLERS: typing.Final = 5
+"""Callers whose prompts have a part of their own."""
 _PROBE_MS: typing.Final = 1000
 
 
@@ -54,6 +57,8 @@
     """Path under which a balancer asks."""
     takes_streams_up = False
     """True where callers take up streams that broke off."""
+    names_parts = False
+    """True where callers name the parts of prompts."""
 
     @abc.abstractmethod
     def make_call(
@@ -104,6 +109,7 @@
 
     ready_path = "/api/readiness"
     takes_streams_up = True
+    names_parts = True
 
     def make_call(
         self,
@@ -124,6 +130,12 @@
             headers["Last-Event-Id"] = str(broken.last_event)
         content = kinds.find_fatal_content(request_id)
         body = content.encode() or _PROMPT
+        if kinds.is_part_content(content):
+            body = request_id.encode()
+        if kind.is_stream:
+            headers["X-Gentianpoint-Prompt-Prefix"] = _list_parts(
+                kind, request_id, content
+            )
         return ask(b"POST", f"/{kind.name}/x", headers, body)
 
     def read_outcome(self, request_id: str, outcome: Outcome) -> Outcome:
@@ -154,6 +166,15 @@
         return None if status == _NO_KEY else False
 
 
+def _list_parts(kind: kinds.RequestKind, request_id: str, content: str) -> str:
+    """Return the parts of a prompt: its route's, its caller's, its own."""
+    number = zlib.crc32(request_id.encode())
+    names = [kind.name, f"caller {number % _PROMPT_CALLERS}", request_id]
+    if kinds.is_part_content(content):
+        names.insert(2, content)
+    return ",".join(f"{zlib.crc32(name.encode()):x}:25" for name in names)
+
+
 def _make_headers(
     request_id: str, deadline_ms: int, key: str
 ) -> dict[str, str]:
--- a/bench/soak/kinds.py
+++ b/bench/soak/kinds.py
@@ -14,7 +14,9 @@
     "find_fatal_content",
     "find_kind",
     "find_most_events",
+    "is_part_content",
     "make_fatal_id",
+    "make_part_content",
 )
 
 HOST: typing.Final = "soak.example"
@@ -23,6 +25,7 @@
 PLAIN: typing.Final = "plain"
 """Service whose targets answer plain calls."""
 _FATAL: typing.Final = "fatal"
+_PART: typing.Final = "part."
 _FATAL_EVENTS: typing.Final = 20
 _FIRST_STATUS: typing.Final = 20
 _STATUSES: typing.Final = 200
@@ -87,6 +90,23 @@
     return f"{kind.name}-{_FATAL_EVENTS}-{_FATAL}-{content}-{attempt}"
 
 
+def make_part_content(name: str) -> str:
+    """Return the content of requests that share a part which ends targets.
+
+    No two of these requests are alike otherwise.
+    """
+    return f"{_PART}{name}"
+
+
+def is_part_content(content: str) -> bool:
+    """Tell whether requests of this content share only a part.
+
+    >>> is_part_content(find_fatal_content("tag-20-fatal-part.3-a"))
+    True
+    """
+    return _PART in content
+
+
 def find_fatal_content(request_id: str) -> str:
     """Return the content of such a request, empty for all others.
 
--- a/bench/soak/playing.py
+++ b/bench/soak/playing.py
@@ -147,6 +147,10 @@
             await trio.sleep_until(began_at + step.at)
             if step.kind == schedule.FATAL_REQUEST:
                 nursery.start_soon(send_fatal, step)
+            elif step.kind == schedule.FATAL_PART:
+                # Where prompts have no named parts, no two are alike.
+                if _DIALECTS[options.interface].names_parts:
+                    nursery.start_soon(send_fatal, step)
             elif step.kind == schedule.RELEASE:
                 nursery.start_soon(player.release, step)
             elif step.kind == schedule.LIMITED_TARGET:
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -5,6 +5,7 @@
 
 __all__ = (
     "CUTTING_TARGET",
+    "FATAL_PART",
     "FATAL_REQUEST",
     "KINDS",
     "LIMITED_TARGET",
@@ -43,6 +44,9 @@
 """What may come."""
 FATAL_REQUEST: typing.Final = "fatal_request"
 """A request comes again and again and ends each target that runs it."""
+FATAL_PART: typing.Final = "fatal_part"
+"""Requests with one part in their prompts, no two alike otherwise, end each
+target that runs them."""
 LIMITED_TARGET: typing.Final = "limited_target"
 """A target says in its answers how many requests a second it takes."""
 CUTTING_TARGET: typing.Final = "target_cuts"
@@ -53,6 +57,8 @@
 """Share of series with a release."""
 _LIMITED_SHARE: typing.Final = 0.8
 """Share of series in which targets name limits."""
+_FATAL_PART_SHARE: typing.Final = 0.5
+"""Share of series that have requests with such a part."""
 _CUTTING_SHARE: typing.Final = 0.8
 """Share of series in which targets break streams off."""
 _MOST_CUTTING: typing.Final = 3
@@ -118,6 +124,7 @@
     steps += _draw_apart(
         LIMITED_TARGET, _LIMITED_SHARE, seed, length_s, _MOST_LIMITED
     )
+    steps += _draw_apart(FATAL_PART, _FATAL_PART_SHARE, seed, length_s)
     steps += _draw_apart(
         CUTTING_TARGET, _CUTTING_SHARE, seed, length_s, _MOST_CUTTING
     )
