--- a/packages/gentianpoint-entry/features/forwarding/prompt_parts.feature
+++ b/packages/gentianpoint-entry/features/forwarding/prompt_parts.feature
@@ -63,3 +63,10 @@
     Given a part that has ended 3 targets
     Then prompts with it are refused for 10 minutes, and run after them
     And once one is answered, ends that come later count anew
+
+  Scenario: the ends of a part that is blamed lapse after a day
+    Guards against an error for each request that has such a part, just as its
+    ends lapse.
+    Given a part that has ended 3 targets
+    When it is asked for in each second around the end of a day
+    Then it may run each time
--- a/packages/gentianpoint-entry/features/forwarding/steps/prompt_parts_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/prompt_parts_steps.py
@@ -291,3 +291,14 @@
     context.suspects.note_answered(PART, 700.0)
     end_under_part(context.suspects, 2, now=900.0)
     assert context.suspects.find_parts_refused_until((PART,), 901.0) is None
+
+
+@behave.when("it is asked for in each second around the end of a day")
+def ask_around_a_day(context):
+    find = context.suspects.find_parts_refused_until
+    context.found = [find((PART,), 86_400.0 + at) for at in range(-70, 70)]
+
+
+@behave.then("it may run each time")
+def check_may_run(context):
+    assert set(context.found) == {None}, context.found
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/crash_suspects.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/crash_suspects.py
@@ -83,7 +83,8 @@
         self._targets_by_content: typing.Final[dict[str, set[str]]] = {}
         # Used as an ordered map, the request answered last at the end.
         self._answered_at: typing.Final[dict[str, float]] = {}
-        self._blamed: abc.Sequence[blamed_parts.BlamedParts] = ()
+        # Parts that are blamed, and until when.
+        self._blamed: abc.Sequence[tuple[blamed_parts.BlamedParts, float]] = ()
         # Changes of the ends, and the time, for which that was found.
         self._blamed_for = (0, 0.0)
         self._ever_blamed: typing.Final[set[str]] = set()
@@ -190,35 +191,31 @@
             return None
         refused_until = [
             until
-            for blamed in self._find_blamed(now)
-            if blamed.parts.issubset(parts)
-            and now < (until := self._find_lapse(blamed, now))
+            for blamed, until in self._find_blamed(now)
+            if now < until and blamed.parts.issubset(parts)
         ]
         return max(refused_until, default=None)
 
-    def _find_lapse(
-        self, blamed: blamed_parts.BlamedParts, now: float
-    ) -> float:
-        """Return when parts that are blamed may run again."""
-        part = next(iter(blamed.parts))
-        return _find_refused_until(self._list_counted(part, now))
-
     def _find_blamed(
         self, now: float
-    ) -> abc.Sequence[blamed_parts.BlamedParts]:
+    ) -> abc.Sequence[tuple[blamed_parts.BlamedParts, float]]:
         changes, found_at = self._blamed_for
         if changes == self.changes and now - found_at < _BLAME_KEPT_S:
             return self._blamed
         self._blamed_for = (self.changes, now)
-        self._blamed = blamed_parts.blame_parts(
-            {
-                content: self._list_counted(content, now).keys()
-                for content, targets in self._targets_by_content.items()
-                if len(targets) >= _MAX_ENDS and _is_part(content)
-            },
-            _MAX_ENDS,
-        )
-        for blamed in self._blamed:
+        ends = {
+            content: self._list_counted(content, now)
+            for content, targets in self._targets_by_content.items()
+            if len(targets) >= _MAX_ENDS and _is_part(content)
+        }
+        self._blamed = [
+            (blamed, _find_refused_until(ends[next(iter(blamed.parts))]))
+            for blamed in blamed_parts.blame_parts(
+                {part: ended_at.keys() for part, ended_at in ends.items()},
+                _MAX_ENDS,
+            )
+        ]
+        for blamed, _ in self._blamed:
             if not blamed.parts <= self._ever_blamed:
                 self._ever_blamed.update(blamed.parts)
                 logs.log_event(
