--- a/packages/gentianpoint-entry/features/forwarding/part_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/part_builders.py
@@ -17,7 +17,7 @@
 _CALLERS: typing.Final = 6
 _TOOLS: typing.Final = 8
 """Parts of callers that some of their requests have, rare ones included."""
-_CALM_S: typing.Final = 10.0
+_CALM_S: typing.Final = 5.0
 _FATAL_EVERY_S: typing.Final = 0.4
 _HARMLESS_EVERY_S: typing.Final = 0.1
 
--- a/packages/gentianpoint-entry/features/forwarding/prompt_parts_many_entries.feature
+++ b/packages/gentianpoint-entry/features/forwarding/prompt_parts_many_entries.feature
@@ -5,7 +5,7 @@
     Guards against a part that ends further targets through the entries that
     never met it.
     Given <count> entries and 12 targets
-    When streams with 1 part that ends targets come for 15 seconds beside harmless ones
+    When streams with 1 part that ends targets come for 10 seconds beside harmless ones
     Then from 3 seconds after the fifth end on, at most 3 more with it reach a target
     And at most 5 targets have ended
 
