Keep the length that an answer to HEAD names

Since callers of HTTP/1.0 get a length with plain answers, those that asked for the head only were told the length 0 instead of that of the answer: the body that was read is empty. A length is set only with a body.

--- a/features/interface.feature
+++ b/features/interface.feature
@@ -81,6 +81,12 @@
     When a caller reads a plain answer of 3 chunks
     Then the caller got the 3 chunks and a regular end
 
+  Scenario: a caller of HTTP/1.0 asks for the head of a plain answer
+    Guards against a length of 0 in place of that of the answer.
+    Given a plain service
+    When callers of HTTP/1.0 and HTTP/1.1 ask for the head of /status/200
+    Then both are told the same length, which is not 0
+
   Scenario Outline: a caller of HTTP/1.0 reads a plain answer
     Such a caller knows no chunks, and takes the end of the connection for the
     end of the answer. Guards against half an answer that looks whole.
--- a/features/steps/interface_steps.py
+++ b/features/steps/interface_steps.py
@@ -227,17 +227,38 @@
         )
 
 
-@behave.when("a caller of HTTP/1.0 reads a plain answer of {count:d} chunks")
-def read_as_old_caller(context, count):
+def ask_as_old_caller(context, method, path):
+    """Return the connection of a caller of HTTP/1.0 that asks for a path."""
     entry = context.fixture.entries[0]
     host, port = entry.url.removeprefix("http://").split(":")
     connection = http.client.HTTPConnection(host, int(port), timeout=30)
     connection._http_vsn, connection._http_vsn_str = 10, "HTTP/1.0"
     connection.request(
-        "GET",
-        f"/services/{builders.PLAIN}/stream?chunks={count}",
+        method,
+        f"/services/{builders.PLAIN}{path}",
         headers=builders.make_headers(),
     )
+    return connection
+
+
+@behave.when("callers of HTTP/1.0 and HTTP/1.1 ask for the head of {path}")
+def ask_for_head(context, path):
+    connection = ask_as_old_caller(context, "HEAD", path)
+    old = connection.getresponse().getheader("Content-Length")
+    connection.close()
+    new = send_plain(context, "HEAD", path).headers.get("Content-Length")
+    context.lengths = (old, new)
+
+
+@behave.then("both are told the same length, which is not 0")
+def check_lengths(context):
+    old, new = context.lengths
+    assert old == new and int(new) > 0, context.lengths
+
+
+@behave.when("a caller of HTTP/1.0 reads a plain answer of {count:d} chunks")
+def read_as_old_caller(context, count):
+    connection = ask_as_old_caller(context, "GET", f"/stream?chunks={count}")
     answer = connection.getresponse()
     context.body = answer.read()
     context.answer = types.SimpleNamespace(
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/plain_routes.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/plain_routes.py
@@ -128,7 +128,8 @@
     for name, value in headers:
         if _is_forwarded(name) or name.lower() == "content-length":
             response.headers.add(name, value)
-    if isinstance(body, bytes):
+    # An answer to HEAD names the length of a body that it does not have.
+    if isinstance(body, bytes) and body:
         response.headers["Content-Length"] = str(len(body))
     response.headers["Gentianpoint-Generation"] = call.generation
     return response
