Check which target's body a caller is given

The steps on ends of plain and error answers named the target whose body the caller gets, and compared the bytes only, which are the same for both targets: a body of the one that ended would have passed. They now check which target was asked last, and that a refusal holds no body.

--- a/packages/gentianpoint-entry/features/forwarding/steps/answer_ends_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/answer_ends_steps.py
@@ -26,6 +26,7 @@
     answer: forwarding_builders.RecordedAnswer
     took_s: float
     lines: typing.Sequence[typing.Mapping[str, typing.Any]]
+    asked: typing.Sequence[str]
 
 
 def looks_complete(item):
@@ -52,7 +53,8 @@
 
     with testing.capture_logs() as lines:
         topic_builders.run_on_mock_clock(run)
-    return Served(cut, answer, took_s[0], lines)
+    asked = [name for name, _ in calls.sends]
+    return Served(cut, answer, took_s[0], lines, asked)
 
 
 @behave.when(
@@ -161,6 +163,9 @@
     assert item.answer.status == status, item.answer.status
     if name != "none":
         assert item.answer.data == WHOLE
+        assert item.asked[-1] == name, item.asked
+    else:
+        assert WHOLE not in item.answer.data
 
 
 @behave.then("it waits {wait_ms:d} ms longer for the end than with a length")
