Try a refused request once, now and then

What callers saw: after three targets had ended under a request that was not answered lately, all entries refused it for ten minutes, also one that never ended a target.

Cause: an end is held against all requests that ran there, and only an answer takes it back. While all entries refuse a request it can have none, so a wrong verdict is never put to the test, and each further end doubles it.

Evidence: three silent targets killed three times, then sound. Each refusal says "several targets ended while they ran this request", each entry logs the suspicion as the list drops the targets; no other reason occurs.

Change: six seconds after the last end, then 12, 24 and 600 s after the trial before, one entry of all lets the request run once. Entries claim a trial by gossip, and the same claim counts everywhere; on the own interface the first claim in the log counts. An answer clears the request at all entries. Callers are told when the next trial is due.

--- a/bench/replay/playing.py
+++ b/bench/replay/playing.py
@@ -125,6 +125,7 @@
 
     ends = target_ends.TargetEnds(
         suspects[number],
+        f"entry-{number}",
         calls.check_listening,
         share,
     )
--- a/bench/replay/policies.py
+++ b/bench/replay/policies.py
@@ -162,11 +162,11 @@
 class _NeverRefused(forwarder.Forwarder):
     """Our choice, without knowing under which requests engines end."""
 
-    def find_refused_ms(
+    def list_refused(
         self, request: requests.CallerRequest
-    ) -> typing.Optional[float]:
+    ) -> abc.Sequence[str]:
         """Refuse nothing."""
-        return None
+        return ()
 
 
 class _RefusedSooner(forwarder.Forwarder):
@@ -174,12 +174,12 @@
 
     _most_ends = 2
 
-    def find_refused_ms(
+    def list_refused(
         self, request: requests.CallerRequest
-    ) -> typing.Optional[float]:
+    ) -> abc.Sequence[str]:
         """Count ends to another number."""
         with mock.patch.object(crash_suspects, "_MAX_ENDS", self._most_ends):
-            return super().find_refused_ms(request)
+            return super().list_refused(request)
 
 
 class _RefusedAtOnce(_RefusedSooner):
--- a/packages/gentianpoint-entry/features/forwarding/cold_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/cold_builders.py
@@ -109,6 +109,7 @@
             change()
         ends = target_ends.TargetEnds(
             crash_suspects.CrashSuspects(),
+            "entry",
             self.calls.check_listening,
             lambda contents: None,
         )
--- a/packages/gentianpoint-entry/features/forwarding/crash_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/crash_builders.py
@@ -8,6 +8,7 @@
 from collections import abc
 import contextlib
 import itertools
+import math
 import typing
 
 import fleet_builders
@@ -123,6 +124,10 @@
         # Whether connections are taken at the address of a target that is
         # down.
         self.has_fronts = False
+        # Whether targets take requests and answer nothing.
+        self.are_silent = False
+        # Whether a target ends under each request.
+        self.are_all_fatal = False
         self._nursery: typing.Final = nursery
         self.places: typing.Final = places
         self._starts: typing.Final[dict[int, _TargetStart]] = {}
@@ -183,8 +188,10 @@
 
     def is_fatal(self, request: requests.CallerRequest) -> bool:
         """Tell whether a request ends each target that begins to run it."""
-        return request.content in self.fatal or not (
-            self.fatal_parts.isdisjoint(request.prompt_parts)
+        return (
+            self.are_all_fatal
+            or request.content in self.fatal
+            or not self.fatal_parts.isdisjoint(request.prompt_parts)
         )
 
     def start_fatal(self, start: _TargetStart, content: str) -> None:
@@ -259,6 +266,8 @@
         )
         if self._park.is_fatal(request):
             self._park.start_fatal(start, request.content)
+        if self._park.are_silent:
+            await start.work(math.inf, self.link)
         if request.route.kind is not routes.RouteKind.STREAM:
             is_fatal = self._park.is_fatal(request)
             run_s = 10 * _CRASH_S if is_fatal else _PLAIN_S
@@ -350,6 +359,7 @@
         registry = park.add_registry()
         self.ends: typing.Final = target_ends.TargetEnds(
             gossip.suspects,
+            gossip.address,
             calls.check_listening,
             lambda contents: gossip.gossip.notify_urgent(),
             registry.has_other_start,
--- a/packages/gentianpoint-entry/features/forwarding/forwarding_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/forwarding_builders.py
@@ -296,6 +296,7 @@
         target.open_requests = place * 4
     ends = target_ends.TargetEnds(
         crash_suspects.CrashSuspects(),
+        "entry",
         calls.check_listening,
         lambda contents: None,
     )
--- a/packages/gentianpoint-entry/features/forwarding/limit_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/limit_builders.py
@@ -164,7 +164,10 @@
             self.registry.put_entry(place.entry, trio.current_time())
         calls = _LimitedCalls(gossip.number, park)
         ends = target_ends.TargetEnds(
-            gossip.suspects, calls.check_listening, lambda contents: None
+            gossip.suspects,
+            gossip.address,
+            calls.check_listening,
+            lambda contents: None,
         )
         super().__init__(
             forwarding_builders.connect_forwarder(
--- a/packages/gentianpoint-entry/features/forwarding/steps/target_ends_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/target_ends_steps.py
@@ -238,3 +238,124 @@
 @behave.then("{count:d} targets have ended")
 def check_ends(context, count):
     assert len(context.fleet.park.ends) == count, context.fleet.park.ends
+
+
+_WATCHED_S = 30
+"""Seconds after the last kill for which requests are sent on."""
+_CALL_PAUSE_S = 0.25
+"""Seconds between two requests of a caller."""
+
+
+async def call_for_ever(fleet, kind, content, number, pause_s=_CALL_PAUSE_S):
+    while True:
+        await fleet.call(kind, content, number)
+        await trio.sleep(pause_s)
+
+
+def start_callers(nursery, fleet, count, kind, content):
+    """Start callers, which keep to entries that are far from each other."""
+    for number in range(count):
+        entry = number * max(1, len(fleet.entries) // count)
+        nursery.start_soon(call_for_ever, fleet, kind, content, entry)
+
+
+@behave.when(
+    "{count:d} callers send the same {kind}, and silent targets are killed"
+    " {kills:d} times, {every:d} seconds apart"
+)
+def kill_silent(context, count, kind, kills, every):
+    async def act(fleet):
+        fleet.park.are_silent = True
+        async with trio.open_nursery() as nursery:
+            start_callers(nursery, fleet, count, kind, CONTENT)
+            for _ in range(kills):
+                await trio.sleep(every)
+                fleet.park.end_all()
+            context.calm_from = trio.current_time()
+            fleet.park.are_silent = False
+            await trio.sleep(_WATCHED_S)
+            nursery.cancel_scope.cancel()
+
+    run_fleet(context, act)
+
+
+@behave.then(
+    "from {seconds:d} seconds after the last kill on, {share:g} of the"
+    " requests are served"
+)
+def check_share_served(context, seconds, share):
+    calls = [
+        item
+        for item in context.fleet.served
+        if item.at >= context.calm_from + seconds
+    ]
+    served = sum(item.status == 200 and item.is_whole for item in calls)
+    print(f"{served} of {len(calls)} served")
+    assert len(calls) >= 20, len(calls)
+    assert served >= share * len(calls), f"{served} of {len(calls)}"
+
+
+@behave.when(
+    "{count:d} callers send a {kind} that ends each target for {seconds:d}"
+    " seconds"
+)
+def send_popular_fatal(context, count, kind, seconds):
+    async def act(fleet):
+        async with trio.open_nursery() as nursery:
+            start_callers(nursery, fleet, count, kind, crash_builders.FATAL)
+            await trio.sleep(seconds)
+            nursery.cancel_scope.cancel()
+
+    context.act = act
+
+
+@behave.when(
+    "callers send {count:d} plain calls while targets end under each request"
+    " for {minutes:d} minutes"
+)
+def send_during_release(context, count, minutes):
+    async def act(fleet):
+        async with trio.open_nursery() as nursery:
+            for number in range(count):
+                nursery.start_soon(
+                    call_for_ever,
+                    fleet,
+                    "repeatable plain call",
+                    f"{CONTENT}-{number}",
+                    number,
+                    5.0,
+                )
+            fleet.park.are_all_fatal = True
+            await trio.sleep(minutes * 60)
+            fleet.park.are_all_fatal = False
+            await trio.sleep(600)
+            nursery.cancel_scope.cancel()
+        context.results = [
+            await fleet.call(
+                "repeatable plain call", f"{CONTENT}-{number}", number
+            )
+            for number in range(count)
+        ]
+
+    run_fleet(context, act)
+
+
+@behave.then("{minutes:d} minutes later all of them are answered")
+def check_all_answered(context, minutes):
+    assert all(item.status == 200 for item in context.results), context.results
+
+
+@behave.then("a caller is told to come back within {seconds:d} seconds")
+def check_told(context, seconds):
+    earlier, context.act = context.act, None
+
+    async def act(fleet):
+        await earlier(fleet)
+        context.result = await fleet.call(
+            context.kind, crash_builders.FATAL, 1
+        )
+
+    run_fleet(context, act)
+    result = context.result
+    assert result.status == 503, result
+    assert 0 < result.refusal.retry_after_ms <= seconds * 1000, result
--- a/packages/gentianpoint-entry/features/forwarding/target_ends.feature
+++ b/packages/gentianpoint-entry/features/forwarding/target_ends.feature
@@ -73,3 +73,47 @@
     Given 3 entries and 12 targets
     When a stream that may run once meets 2 kills, an answer after more than a minute, and 2 kills after another
     Then the request is answered at the end
+
+  Scenario Outline: a request is there as silent targets are killed
+    The most frequent request of a service runs at all its targets, which have
+    not answered it lately. Guards against refusing a kind of request for ten
+    minutes at all entries, although it never ended a target.
+    Given <count> entries and 3 targets behind fronts that go on listening
+    When 24 callers send the same <kind>, and silent targets are killed <kills> times, <every> seconds apart
+    Then from 12 seconds after the last kill on, 0.8 of the requests are served
+
+    Examples:
+      | count | kind                         | kills | every |
+      | 3     | repeatable plain call        | 1     | 5     |
+      | 3     | repeatable plain call        | 3     | 2     |
+      | 3     | repeatable plain call        | 3     | 5     |
+      | 3     | repeatable plain call        | 3     | 10    |
+      | 3     | plain call that may run once | 3     | 5     |
+      | 3     | resumable stream             | 3     | 5     |
+      | 29    | repeatable plain call        | 3     | 5     |
+
+  Scenario: a release ends all targets for minutes
+    Guards against refusing the requests of a service for hours after a release
+    that ended its targets was taken back.
+    Given 3 entries and 12 targets
+    When callers send 3 plain calls while targets end under each request for 15 minutes
+    Then 10 minutes later all of them are answered
+
+  Scenario Outline: many callers send a request that ends targets
+    Guards against entries that let such a request run once each, to see
+    whether it is harmless by now.
+    Given <count> entries and 12 targets
+    When 24 callers send a repeatable plain call that ends each target for 60 seconds
+    Then from 3 seconds after the third end on, at most 3 more reach a target
+
+    Examples:
+      | count |
+      | 3     |
+      | 29    |
+
+  Scenario: a refused caller comes back when the request is tried
+    Guards against a caller that is sent away for minutes, while what it asks
+    for is served again within seconds.
+    Given 3 entries and 12 targets
+    When a repeatable plain call that ends each target is sent twice every 5 seconds, 1 times
+    Then a caller is told to come back within 7 seconds
--- a/packages/gentianpoint-entry/features/forwarding/version_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/version_builders.py
@@ -170,7 +170,10 @@
         self.origins.get_list_confirmed_at = self._confirm_list
         calls = _VersionCalls(park)
         ends = target_ends.TargetEnds(
-            gossip.suspects, calls.check_listening, lambda contents: None
+            gossip.suspects,
+            gossip.address,
+            calls.check_listening,
+            lambda contents: None,
         )
         super().__init__(
             forwarding_builders.connect_forwarder(
--- a/packages/gentianpoint-entry/features/shutdown_builders.py
+++ b/packages/gentianpoint-entry/features/shutdown_builders.py
@@ -68,7 +68,9 @@
         _FirstLinkPolicy(),
         64,
         suspect_stream.SuspectStream(
-            suspect_builders.SharedLog(), crash_suspects.CrashSuspects()
+            suspect_builders.SharedLog(),
+            crash_suspects.CrashSuspects(),
+            "entry",
         ),
     )
 
--- a/packages/gentianpoint-entry/features/steps/suspect_stream_steps.py
+++ b/packages/gentianpoint-entry/features/steps/suspect_stream_steps.py
@@ -135,3 +135,50 @@
             await context.log.append_record("", data)
 
     context.actions.append(act)
+
+
+async def try_everywhere(entries):
+    """Return the entries that may try the request, asked all at once."""
+    trying = []
+
+    async def ask(number, entry):
+        if await entry.trials.take(f"request-{number}", [CONTENT]):
+            entry.trials.begin(f"request-{number}")
+            trying.append(entry)
+
+    async with trio.open_nursery() as nursery:
+        for number, entry in enumerate(entries):
+            nursery.start_soon(ask, number, entry)
+    return trying
+
+
+@behave.when("all entries get the request {seconds:d} seconds later")
+def ask_all(context, seconds):
+    async def act():
+        await trio.sleep(seconds)
+        context.trying = await try_everywhere(context.entries)
+
+    context.actions.append(act)
+
+
+@behave.then("{count:d} of them may try it")
+def check_trying(context, count):
+    async def judge():
+        context.trying_again = await try_everywhere(context.entries)
+
+    run_entries(context, judge)
+    assert len(context.trying) == count, len(context.trying)
+
+
+@behave.then("it may be tried once more only after that")
+def check_not_tried_again(context):
+    assert not context.trying_again
+
+
+@behave.when("the entry that tries it has an answer")
+def answer_trial(context):
+    async def act():
+        for entry in context.trying:
+            entry.note_answered(CONTENT)
+
+    context.actions.append(act)
--- a/packages/gentianpoint-entry/features/suspect_builders.py
+++ b/packages/gentianpoint-entry/features/suspect_builders.py
@@ -1,5 +1,6 @@
 """A log that entries share, and entries that follow it."""
 
+import itertools
 import typing
 
 import trio
@@ -11,6 +12,7 @@
 __all__ = ("SharedLog", "make_entry")
 
 _ANSWER_S: typing.Final = 0.01
+_NUMBERS: typing.Final = itertools.count()
 
 
 class SharedLog(ports.Log):
@@ -55,6 +57,8 @@
     log: SharedLog, nursery: trio.Nursery
 ) -> suspect_stream.SuspectStream:
     """Return an entry's view of the stream, which runs in ``nursery``."""
-    entry = suspect_stream.SuspectStream(log, crash_suspects.CrashSuspects())
+    entry = suspect_stream.SuspectStream(
+        log, crash_suspects.CrashSuspects(), f"entry-{next(_NUMBERS)}"
+    )
     nursery.start_soon(entry.run)
     return entry
--- a/packages/gentianpoint-entry/features/suspect_stream.feature
+++ b/packages/gentianpoint-entry/features/suspect_stream.feature
@@ -39,3 +39,35 @@
     When a record that can't be read is appended
     And a request ends 3 targets, each at another entry
     Then all entries refuse it within 100 ms
+
+  Scenario Outline: all entries get a refused request when it may be tried
+    Guards against entries that let a request which ends targets run once
+    each, as well as against one that is refused for ten minutes by mistake.
+    Given <count> entries that follow one log
+    When a request ends 3 targets, each at another entry
+    And all entries get the request 12 seconds later
+    Then 1 of them may try it
+    And it may be tried once more only after that
+
+    Examples:
+      | count |
+      | 3     |
+      | 29    |
+      | 380   |
+
+  Scenario: the log is out when a refused request may be tried
+    Guards against entries that each try a request which ends targets, since
+    they can't hear of each other.
+    Given 3 entries that follow one log
+    When a request ends 3 targets, each at another entry
+    And the log is out for 20 seconds
+    And all entries get the request 12 seconds later
+    Then 0 of them may try it
+
+  Scenario: a trial is answered
+    Guards against refusing a request at the entries that did not try it.
+    Given 3 entries that follow one log
+    When a request ends 3 targets, each at another entry
+    And all entries get the request 12 seconds later
+    And the entry that tries it has an answer
+    Then no entry refuses it 4 seconds later
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/calls.py
@@ -242,7 +242,9 @@
             self._recover_from_loss()
 
     async def _choose_link(self) -> agent_links.AgentLink:
-        self._dispatcher.require_harmless(self.request, self._find_content())
+        await self._dispatcher.require_harmless(
+            self.request, self._find_content()
+        )
         if self.request.start_by.is_past():
             raise errors.CallError(
                 errors.NOT_RUN,
@@ -279,7 +281,7 @@
 
     async def _offer_at_home(self) -> None:
         if self.request.generation:
-            self._dispatcher.require_harmless(
+            await self._dispatcher.require_harmless(
                 self.request, self._find_content()
             )
         try:
@@ -316,6 +318,7 @@
         self._incarnation = link.welcome["incarnation"]
         # Set before the send, since a send that fails may still arrive.
         self._may_have_started = True
+        self._dispatcher.suspects.trials.begin(request.identifier)
         link.sent_since_report += 1
         logs.log_event(
             events.CALL_OFFERED,
@@ -379,6 +382,7 @@
         if self._link_call is not None:
             self._link_call.link.note_refusal(message["retry_after_ms"])
         self._drop_link_call()
+        self._dispatcher.suspects.trials.give_back(self.request.identifier)
         self._may_have_started = self._earlier_attempt_lost
         # The generation did not run and delivered nothing, so another one
         # may replace it unless the caller named this one.
@@ -594,6 +598,7 @@
         can resume it; an offer that has not started is withdrawn.
         """
         self._dispatcher.forget_call(self)
+        self._dispatcher.suspects.trials.end(self.request.identifier)
         if self._span.is_recording():
             self._span.end()
         call = self._link_call
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/crash_suspects.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/crash_suspects.py
@@ -7,11 +7,11 @@
 beside it, and its caller sends it again, at any entry. One end proves little:
 the target may have been killed, and other requests ran there too. But a
 request under which several targets ended, one start after another, and that no
-target has answered, is refused.
+target has answered, is refused, except for a few trials.
 
-Entries tell each other of ends and of clearances, see
-:class:`SuspectNews`. Both are facts that never change, so they may arrive in
-any order and more than once.
+Entries tell each other of ends, of clearances and of trials, see
+:class:`SuspectNews`. Ends and clearances are facts that never change, so they
+may arrive in any order and more than once.
 """
 
 from collections import abc
@@ -20,10 +20,11 @@
 from gentianpoint_core import change_log
 from gentianpoint_core import logs
 from gentianpoint_core.decisions import blamed_parts
+from gentianpoint_core.decisions import suspect_trials
 from gentianpoint_core.generated import events
 from gentianpoint_entry import request_digests
 
-__all__ = ("CrashSuspects", "SuspectNews")
+__all__ = ("CrashSuspects", "SuspectNews", "is_trial")
 
 _MAX_ENDS: typing.Final = 3
 """Targets that may end under a request before it is refused. A request that
@@ -48,22 +49,34 @@
 """Seconds after which blame is found anew, as ends lapse."""
 _MAX_NAME_LENGTH: typing.Final = 128
 """Longest name of a request or target that other entries may tell."""
+_TRIAL: typing.Final = "trial"
+"""Takes the place of the target in the key of a request's last trial."""
 
 
 class SuspectNews(typing.NamedTuple):
-    """A target ended while it ran a request."""
+    """A target ended while it ran a request, or a trial of it was claimed.
+
+    A trial is told like an end that is cleared, and so counts as none to
+    entries of releases that know no trials.
+    """
 
     content: str
     """Digest of what was requested, the same for all attempts."""
     target: str
-    """Identifier of the target's start."""
+    """Identifier of the target's start, or text that names a trial."""
     ended_at: float
-    """When it ended, in seconds of the clock that all methods use."""
+    """When it ended or was claimed, in seconds of the clock that all methods
+    use."""
     is_cleared: bool
     """True when a target has answered the request since, or shortly before,
     so that the end says nothing about the request."""
 
 
+def is_trial(news: SuspectNews) -> bool:
+    """Tell whether news tell of a trial, and of no end."""
+    return _parse_trial(news) is not None
+
+
 class CrashSuspects:
     """The ends of targets, by the requests that they ran.
 
@@ -137,12 +150,14 @@
 
     def merge(self, news: SuspectNews, now: float) -> bool:
         """Merge news of this or another entry; False if they are not new."""
-        names = (news.content, news.target)
-        if max(map(len, names)) > _MAX_NAME_LENGTH:
+        if max(len(news.content), len(news.target)) > _MAX_NAME_LENGTH:
             return False
         if now - news.ended_at > _KEPT_S:
             return False
-        key = "/".join(names)
+        trial = _parse_trial(news)
+        if trial is not None:
+            return self._merge_trial(news, trial)
+        key = _make_key(news)
         known = self._ends.find(key)
         if self._was_answered(news.content, now):
             news = news._replace(is_cleared=True)
@@ -161,10 +176,84 @@
                 content=news.content,
                 targets=sorted(self._targets_by_content[news.content]),
             )
-        if len(self._ends) > _MAX_KEPT_ENDS:
-            self._drop_one()
+        self._limit_kept()
+        return True
+
+    def _merge_trial(
+        self, news: SuspectNews, trial: suspect_trials.Trial
+    ) -> bool:
+        known = self._find_trial(news.content)
+        if known is not None and (
+            suspect_trials.prefer(news.content, known, trial) is known
+        ):
+            return False
+        self._ends.put(_make_key(news), news)
+        self._limit_kept()
         return True
 
+    def _find_trial(
+        self, content: str
+    ) -> typing.Optional[suspect_trials.Trial]:
+        """Return the last trial of a request, of any entry."""
+        news = self._ends.find(f"{content}/{_TRIAL}")
+        return None if news is None else _parse_trial(news)
+
+    def find_trial_at(
+        self, content: str, now: float
+    ) -> typing.Optional[float]:
+        """Return when a refused request may next be tried, else None."""
+        refusal = self._find_refusal(content, now)
+        if refusal is None:
+            return None
+        return suspect_trials.find_next_at(refusal)
+
+    def plan_trial(
+        self, content: str, claimant: str, now: float
+    ) -> typing.Optional[SuspectNews]:
+        """Return the news with which an entry claims a trial, if one is due.
+
+        The claim counts once it is merged here, and at the other entries.
+        """
+        refusal = self._find_refusal(content, now)
+        if refusal is None:
+            return None
+        trial = suspect_trials.claim_next(refusal, claimant, now)
+        if trial is None:
+            return None
+        name = suspect_trials.format_trial(trial)
+        return SuspectNews(content, name, now, is_cleared=True)
+
+    def _find_refusal(
+        self, content: str, now: float
+    ) -> typing.Optional[suspect_trials.Refusal]:
+        if self.find_refused_until(content, now) is None:
+            return None
+        ended_at = sorted(self._list_counted(content, now).values())
+        return suspect_trials.Refusal(
+            ended_at[_MAX_ENDS - 1], ended_at[-1], self._find_trial(content)
+        )
+
+    def holds_trial(self, claim: SuspectNews) -> bool:
+        """Tell whether a claim is the one that counts."""
+        trial = self._find_trial(claim.content)
+        own = _parse_trial(claim)
+        return (
+            own is not None
+            and trial is not None
+            and own.claimant == trial.claimant
+            and suspect_trials.are_rivals(own, trial)
+        )
+
+    def has_rival(self, claim: SuspectNews) -> bool:
+        """Tell whether a claim to the same trial is known already."""
+        trial = self._find_trial(claim.content)
+        own = _parse_trial(claim)
+        return (
+            own is not None
+            and trial is not None
+            and suspect_trials.are_rivals(own, trial)
+        )
+
     def _was_answered(self, content: str, now: float) -> bool:
         answered_at = self._answered_at.get(content)
         return answered_at is not None and now - answered_at < _ANSWERED_KEPT_S
@@ -187,14 +276,38 @@
         self, parts: abc.Collection[str], now: float
     ) -> typing.Optional[float]:
         """Return until when a prompt with ``parts`` is refused, or None."""
+        return max(
+            (until for _, until in self._list_blamed_in(parts, now)),
+            default=None,
+        )
+
+    def list_refused(
+        self, content: str, parts: abc.Collection[str], now: float
+    ) -> abc.Sequence[str]:
+        """Return what a request is refused for, by which trials are claimed.
+
+        That is its own digest, or one of each group of parts.
+        """
+        whole = self.find_refused_until(content, now)
+        return [
+            *([] if whole is None else [content]),
+            *(
+                min(blamed.parts)
+                for blamed, _ in self._list_blamed_in(parts, now)
+            ),
+        ]
+
+    def _list_blamed_in(
+        self, parts: abc.Collection[str], now: float
+    ) -> abc.Sequence[tuple[blamed_parts.BlamedParts, float]]:
+        """Return what is blamed of a prompt, and until when."""
         if not parts:
-            return None
-        refused_until = [
-            until
+            return ()
+        return [
+            (blamed, until)
             for blamed, until in self._find_blamed(now)
             if now < until and blamed.parts.issubset(parts)
         ]
-        return max(refused_until, default=None)
 
     def _find_blamed(
         self, now: float
@@ -254,26 +367,41 @@
         ]
         return [news for news in ends if news is not None]
 
-    def _drop_one(self) -> None:
-        """Drop the end that says least.
+    def _limit_kept(self) -> None:
+        """Drop the end that says least if there are too many.
 
         That is the oldest one of a request with a single end, or else the
-        oldest of all.
+        oldest of all. The same holds for trials.
         """
+        if len(self._ends) <= _MAX_KEPT_ENDS:
+            return
         rows = self._ends.list_all()
         dropped = next(
             (
                 news
                 for _, news in rows
-                if len(self._targets_by_content[news.content]) == 1
+                if len(self._targets_by_content.get(news.content, ())) <= 1
             ),
             rows[0][1],
         )
-        self._ends.drop(f"{dropped.content}/{dropped.target}")
-        targets = self._targets_by_content[dropped.content]
+        self._ends.drop(_make_key(dropped))
+        targets = self._targets_by_content.get(dropped.content, set())
         targets.discard(dropped.target)
         if not targets:
-            del self._targets_by_content[dropped.content]
+            self._targets_by_content.pop(dropped.content, None)
+
+
+def _parse_trial(news: SuspectNews) -> typing.Optional[suspect_trials.Trial]:
+    """Return the trial that news tell of, None if they tell of an end."""
+    if not news.is_cleared:
+        return None
+    return suspect_trials.parse_trial(news.target, news.ended_at)
+
+
+def _make_key(news: SuspectNews) -> str:
+    """Return the key of an end, or the only one for trials of a request."""
+    target = _TRIAL if is_trial(news) else news.target
+    return f"{news.content}/{target}"
 
 
 def _is_part(content: str) -> bool:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/dispatch.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/dispatch.py
@@ -91,24 +91,34 @@
         for call in self._open_calls:
             call.stop_waiting()
 
-    def require_harmless(
+    async def require_harmless(
         self, request: call_requests.CallRequest, content: str
     ) -> None:
         """Raise ``not_run`` if several targets ended under the request.
 
         ``content`` is the digest of what is requested. A request that names a
-        generation may have run, so for that it is ``outcome_unknown``.
+        generation may have run, so for that it is ``outcome_unknown``. One
+        that takes a trial may go on.
         """
+        suspects = self.suspects.suspects
+        if suspects.find_trial_at(content, trio.current_time()) is None:
+            return
+        with trio.move_on_at(request.start_by.at):
+            if await self.suspects.trials.take(request.identifier, [content]):
+                return
         now = trio.current_time()
-        until = self.suspects.suspects.find_refused_until(content, now)
-        if until is None:
+        trial_at = suspects.find_trial_at(content, now)
+        if trial_at is None:
+            # It was answered elsewhere meanwhile.
             return
         raise errors.CallError(
             errors.OUTCOME_UNKNOWN if request.generation else errors.NOT_RUN,
             "several targets ended while they ran this request",
             step="choose target",
             peer=request.service,
-            retry_after_ms=math.ceil((until - now) * 1000),
+            retry_after_ms=max(
+                RETRY_AFTER_MS, math.ceil((trial_at - now) * 1000)
+            ),
         )
 
     async def choose_link(
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/entry.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/entry.py
@@ -258,7 +258,7 @@
         )
         evacuated.add_watcher(pool.set_evacuated)
         suspects = suspect_stream.SuspectStream(
-            log, crash_suspects.CrashSuspects()
+            log, crash_suspects.CrashSuspects(), incarnation
         )
         dispatcher = dispatch.Dispatcher(
             pool,
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/attempts.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/attempts.py
@@ -78,10 +78,16 @@
     async def is_suspect(self) -> bool:
         """Tell whether the request must not be sent to any target.
 
-        That is the case while it counts as the cause why targets ended.
+        That is the case while it counts as the cause why targets ended,
+        unless it takes a trial.
         """
         await self._shared.wait_for_verdict(self._request)
-        return self._shared.find_refused_ms(self._request) is not None
+        if not self._shared.is_refused(self._request):
+            return False
+        if await self._shared.take_trial(self._request):
+            return False
+        # It may have been answered elsewhere meanwhile.
+        return self._shared.is_refused(self._request)
 
     def refuse_suspect(
         self, answer: caller_answers.CallerAnswer
@@ -92,7 +98,7 @@
         reason = "several targets ended while they ran this request"
         if self.may_have_run:
             return refusals.refuse_outcome_unknown(reason)
-        wait_ms = self._shared.find_refused_ms(self._request) or 0.0
+        wait_ms = self._shared.find_return_ms(self._request)
         refusal = refusals.refuse_not_run(reason, wait_ms)
         # Unlike load, this does not change within seconds.
         return refusal._replace(max_retry_after_ms=math.inf)
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
@@ -33,6 +33,9 @@
 """Seconds between checks for connections to targets that have gone."""
 _RELEASE_TIMEOUT_S: typing.Final = 0.3
 """Seconds allowed for releasing a copy, which expires by itself otherwise."""
+_OUTCOME_MS: typing.Final = 1000.0
+"""Milliseconds within which the outcome of most trials of a refused request
+is known."""
 
 
 class _UnusedCopy(typing.NamedTuple):
@@ -111,7 +114,9 @@
                 target, "its software is not that which began the stream"
             )
         permit = await self.claim_permit(target, request)
-        if self.find_refused_ms(request) is not None:
+        if self.is_refused(request) and not self._ends.trials.begin(
+            request.request_id
+        ):
             # Known only since this send was planned.
             self._permits.give_back(permit)
             raise target_choice.make_send_error(
@@ -142,10 +147,13 @@
                 target, request, options
             ) as answer:
                 self._note_limit(target, answer, asked_at=now)
+                if answer.is_refusal():
+                    self._ends.trials.give_back(request.request_id)
                 yield answer
         except ports.PortError as error:
             if not error.took_effect:
                 self._permits.give_back(permit)
+                self._ends.trials.give_back(request.request_id)
             raise
         finally:
             target.close_request(tokens)
@@ -298,24 +306,45 @@
         """
         await self._ends.wait_for_verdict(request.list_contents())
 
-    def find_refused_ms(
-        self, request: requests.CallerRequest
-    ) -> typing.Optional[float]:
-        """Return for how many milliseconds a request must not run.
+    def is_refused(self, request: requests.CallerRequest) -> bool:
+        """Tell whether a request must not run, but for a trial."""
+        return bool(self.list_refused(request))
+
+    def find_return_ms(self, request: requests.CallerRequest) -> float:
+        """Return in how many milliseconds a refused request may run.
 
-        None if it may run: no, or few, targets have ended under it.
+        That is when it may next be tried. Where it is being tried, that is
+        when the outcome may be known.
         """
         now = trio.current_time()
-        suspects = self._ends.suspects
-        until = suspects.find_refused_until(request.content, now)
-        parts_until = None
-        if not request.are_parts_proven:
-            parts_until = suspects.find_parts_refused_until(
-                request.prompt_parts, now
-            )
-        if until is None and parts_until is None:
-            return None
-        return (max(until or 0.0, parts_until or 0.0) - now) * 1000
+        return_at = [
+            self._ends.suspects.find_trial_at(content, now) or now
+            for content in self.list_refused(request)
+        ]
+        return max(_OUTCOME_MS, *((at - now) * 1000 for at in return_at), 0.0)
+
+    def list_refused(
+        self, request: requests.CallerRequest
+    ) -> abc.Sequence[str]:
+        """Return for what a request is refused, nothing if it may run."""
+        parts = () if request.are_parts_proven else request.prompt_parts
+        return self._ends.suspects.list_refused(
+            request.content, parts, trio.current_time()
+        )
+
+    async def take_trial(self, request: requests.CallerRequest) -> bool:
+        """Take the trial of a refused request, if one is due."""
+        return await self._ends.trials.take(
+            request.request_id, self.list_refused(request)
+        )
+
+    def is_trial(self, request: requests.CallerRequest) -> bool:
+        """Tell whether a request is about to make a trial."""
+        return self._ends.trials.has_taken(request.request_id)
+
+    def end_trial(self, request: requests.CallerRequest) -> None:
+        """Let others make the trial that an ended request has not made."""
+        self._ends.trials.end(request.request_id)
 
     def take_retry(self, request: requests.CallerRequest) -> bool:
         """Take one retry of the request's service, if its limit allows it."""
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/plain_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/plain_calls.py
@@ -117,6 +117,9 @@
         # only after it has failed.
         if not self.attempts.may_run_again(unrecorded_runs=1):
             return math.inf
+        if self._shared.is_trial(self._request):
+            # No other target may run it then.
+            return math.inf
         route = self._request.route
         wait_ms = max(route.objective_ms * _TIMEOUT_FACTOR, _MIN_TIMEOUT_MS)
         left_ms = self._request.deadline.remaining_ms()
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/request_handling.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/request_handling.py
@@ -102,6 +102,7 @@
             try:
                 outcome = await self._serve_in_time(call, request, answer)
             finally:
+                self._shared.end_trial(request)
                 outcome = outcome or self._classify_cancellation()
                 took_ms = round((trio.current_time() - began) * 1000)
                 self._shared.metrics.record_request(
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_ends.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_ends.py
@@ -19,6 +19,7 @@
 from gentianpoint_core import logs
 from gentianpoint_core.generated import events
 from gentianpoint_entry import crash_suspects
+from gentianpoint_entry import trial_claims
 from gentianpoint_entry.forwarding import targets
 
 __all__ = ("CheckListening", "TargetEnds")
@@ -43,6 +44,10 @@
 off one after the other."""
 
 
+_CLAIM_HEARD_S: typing.Final = 0.25
+"""Seconds after which a claim is known to all entries, and theirs here."""
+
+
 class _BrokenTarget:
     """A target to which connections broke off."""
 
@@ -52,6 +57,26 @@
         self.examined: typing.Final = trio.Event()
 
 
+class _GossipedClaims(trial_claims.ClaimSender):
+    """Tells of claims as of ends; of rivals, the same one counts for all."""
+
+    def __init__(
+        self,
+        suspects: crash_suspects.CrashSuspects,
+        notify: abc.Callable[[abc.Collection[str]], None],
+    ) -> None:
+        self._suspects: typing.Final = suspects
+        self._notify: typing.Final = notify
+
+    async def announce(
+        self, claims: abc.Sequence[crash_suspects.SuspectNews]
+    ) -> None:
+        for claim in claims:
+            self._suspects.merge(claim, trio.current_time())
+        self._notify([claim.content for claim in claims])
+        await trio.sleep(_CLAIM_HEARD_S)
+
+
 def _has_no_other_start(target: targets.Target) -> bool:
     """Tell that the list names no other start, as without a list."""
     return False
@@ -63,6 +88,7 @@
     def __init__(
         self,
         suspects: crash_suspects.CrashSuspects,
+        claimant: str,
         check_listening: CheckListening,
         notify: abc.Callable[[abc.Collection[str]], None],
         has_other_start: abc.Callable[
@@ -71,10 +97,14 @@
     ) -> None:
         """Record ends and answers in ``suspects``.
 
+        ``claimant`` is the name of this entry, under which it claims trials.
         After each change ``notify`` is called with the digests of the
         requests that it concerns. ``has_other_start`` tells whether the list
         names another start at a target's address.
         """
+        self.trials: typing.Final = trial_claims.TrialClaims(
+            suspects, claimant, _GossipedClaims(suspects, notify)
+        )
         self._has_other_start: typing.Final = has_other_start
         self.suspects: typing.Final = suspects
         self._check_listening: typing.Final = check_listening
@@ -136,6 +166,7 @@
 
     async def run(self) -> None:
         """Examine targets until cancelled."""
+        self.trials.start()
         async with trio.open_nursery() as nursery:
             async for broken in self._receiver:
                 nursery.start_soon(self._examine, broken)
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/suspect_stream.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/suspect_stream.py
@@ -4,6 +4,9 @@
 entry appends that to a stream of the log, which all entries follow, also those
 that start later. While the log is unavailable, each entry knows what it has
 seen itself, and appends it once the log is back.
+
+A trial is made by the entry whose claim comes first in the stream, and none
+while the log is unavailable.
 """
 
 import math
@@ -20,6 +23,7 @@
 from gentianpoint_core.generated import events
 from gentianpoint_entry import crash_suspects
 from gentianpoint_entry import log_streams
+from gentianpoint_entry import trial_claims
 
 __all__ = ("STREAM", "SuspectStream")
 
@@ -37,6 +41,8 @@
 """Ends in one record."""
 _CLEARANCE_SPREAD_S: typing.Final = 2.0
 """Seconds over which the entries' clearances of one end are spread."""
+_CLAIM_READ_S: typing.Final = 1.0
+"""Seconds within which a claim that was appended is read again."""
 _MAX_KEPT_CLEARANCES: typing.Final = 1024
 """Clearances in the stream that are remembered."""
 
@@ -77,13 +83,24 @@
         return taken
 
 
-class SuspectStream:
+class SuspectStream(trial_claims.ClaimSender):
     """The ends of targets that this entry and the others have seen."""
 
     def __init__(
-        self, log: ports.Log, suspects: crash_suspects.CrashSuspects
+        self,
+        log: ports.Log,
+        suspects: crash_suspects.CrashSuspects,
+        claimant: str,
     ) -> None:
-        """Keep ``suspects`` up to date with the stream in ``log``."""
+        """Keep ``suspects`` up to date with the stream in ``log``.
+
+        ``claimant`` is the name of this entry, under which it claims trials.
+        """
+        self.trials: typing.Final = trial_claims.TrialClaims(
+            suspects, claimant, self
+        )
+        # Set once a claim to a trial of a content has been read.
+        self._claim_read: typing.Final[dict[str, trio.Event]] = {}
         self.suspects: typing.Final = suspects
         self._stream: typing.Final = log_streams.LogStream(
             log, STREAM, "read ends of targets", _READ_TIMEOUT_S
@@ -116,11 +133,31 @@
 
     async def run(self) -> None:
         """Append and read ends until cancelled."""
+        self.trials.start()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._append_ends)
             nursery.start_soon(self._append_clearances)
             nursery.start_soon(self._follow)
 
+    async def announce(
+        self, claims: typing.Sequence[crash_suspects.SuspectNews]
+    ) -> None:
+        """Append claims, and wait until they or earlier ones were read."""
+        if not self._stream.is_available:
+            return
+        read = [
+            self._claim_read.setdefault(claim.content, trio.Event())
+            for claim in claims
+        ]
+        with trio.move_on_after(_CLAIM_READ_S):
+            try:
+                await self._stream.append(_encode(claims))
+            except ports.PortError as error:
+                self._stream.note_outcome(error)
+                return
+            for event in read:
+                await event.wait()
+
     async def _append_ends(self) -> None:
         while True:
             await self._append(await self._ends.take())
@@ -148,7 +185,7 @@
 
         An end that is appended twice counts once.
         """
-        data = cbor2.dumps([list(_pack(item)) for item in news])
+        data = _encode(news)
         while True:
             try:
                 await self._stream.append(data)
@@ -190,6 +227,9 @@
             return
         now = trio.current_time()
         for item in news:
+            if crash_suspects.is_trial(item):
+                self._apply_claim(item, now)
+                continue
             self.suspects.merge(item, now)
             if item.is_cleared:
                 self._note_cleared(item)
@@ -199,12 +239,25 @@
                     # This entry has seen an answer.
                     self._add_pending(known)
 
+    def _apply_claim(
+        self, claim: crash_suspects.SuspectNews, now: float
+    ) -> None:
+        if not self.suspects.has_rival(claim):
+            self.suspects.merge(claim, now)
+        event = self._claim_read.pop(claim.content, None)
+        if event is not None:
+            event.set()
+
     def _note_cleared(self, news: crash_suspects.SuspectNews) -> None:
         self._cleared[news.content, news.target] = None
         if len(self._cleared) > _MAX_KEPT_CLEARANCES:
             del self._cleared[next(iter(self._cleared))]
 
 
+def _encode(news: typing.Sequence[crash_suspects.SuspectNews]) -> bytes:
+    return cbor2.dumps([list(_pack(item)) for item in news])
+
+
 def _pack(news: crash_suspects.SuspectNews) -> _Row:
     age_s = max(0.0, trio.current_time() - news.ended_at)
     ended_ms = math.floor((time.time() - age_s) * 1000)
