Keep what failed soaks have seen, and excuse one promise at a time

An entry of KNOWN-RED.txt named the whole scenario, so a new fault in it would have passed unseen.

The step names each broken promise, and an entry of the list excuses only the promise that it names in brackets.

--- a/bench/features/steps/soak_steps.py
+++ b/bench/features/steps/soak_steps.py
@@ -9,8 +9,10 @@
 from bench.features import soak_builders
 from bench.soak import callers
 from bench.soak import checks
+from bench.soak import failures
 from bench.soak import fleet
 from bench.soak import playing
+from tools import run_tests
 
 
 @behave.given("what a soak without a fault has seen")
@@ -25,11 +27,9 @@
 
 
 def find_broken(context):
-    return [
-        item
-        for item in checks.check_all(context.facts, context.bounds)
-        if item.failures
-    ]
+    return failures.list_broken(
+        checks.check_all(context.facts, context.bounds)
+    )
 
 
 @behave.then('the only promise that is broken is "{promise}"')
@@ -40,7 +40,15 @@
 
 @behave.then("no promise is broken")
 def check_kept(context):
-    assert not find_broken(context), find_broken(context)
+    broken = find_broken(context)
+    if broken and hasattr(context, "soak_output"):
+        kept = failures.keep("ci", context.soak_output, context.facts, broken)
+        print(f"facts and output of the programs: {kept}")
+    lines = [
+        f"{run_tests.BROKEN_PROMISE}{item.promise}: {'; '.join(item.failures)}"
+        for item in broken
+    ]
+    assert not broken, "\n" + "\n".join(lines)
 
 
 @behave.when("a soak of {length_s:d} seconds with seed {seed:d} is played")
@@ -66,8 +74,10 @@
 
 def play_soak(context, length_s, seed, interface):
     options = playing.SoakOptions(seed, length_s, fleet.FleetSize(), interface)
-    with tempfile.TemporaryDirectory() as folder:
-        context.facts = trio.run(playing.play, options, pathlib.Path(folder))
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.soak_output = pathlib.Path(folder.name)
+    context.facts = trio.run(playing.play, options, context.soak_output)
     context.bounds = checks.Bounds(
         are_timed=False, do_agents_carry=interface == "own"
     )
--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -10,6 +10,7 @@
 import typer
 
 from bench.soak import checks
+from bench.soak import failures
 from bench.soak import fleet
 from bench.soak import playing
 from bench.soak import schedule
@@ -23,36 +24,33 @@
 def _tell(
     verdicts: typing.Sequence[checks.Verdict],
     options: playing.SoakOptions,
-    folder: pathlib.Path,
-) -> bool:
-    """Print a line for each promise; return True when all were kept."""
-    is_kept = True
+) -> None:
+    """Print a line for each promise."""
     for item in verdicts:
         word = "never tested" if not item.tested else "kept"
         if item.failures:
-            is_kept = False
             word = "BROKEN: " + "; ".join(item.failures)
         print(f"seed {options.seed}: {item.promise}: {item.tested}, {word}")
-    if not is_kept:
-        print(f"output of the programs: {folder}")
-        for step in schedule.draw_schedule(options.seed, options.length_s):
-            print(f"  {step}")
-    return is_kept
 
 
 def play_one(options: playing.SoakOptions, bounds: checks.Bounds) -> bool:
     """Play one soak and print its verdicts; return True if all were kept.
 
-    What the programs printed stays behind when a promise was broken.
+    When a promise was broken, what was seen and printed is kept.
     """
-    folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{options.seed}-"))
-    facts = trio.run(playing.play, options, folder)
-    is_kept = _tell(checks.check_all(facts, bounds), options, folder)
-    if is_kept:
-        for path in folder.iterdir():
-            path.unlink()
-        folder.rmdir()
-    return is_kept
+    with tempfile.TemporaryDirectory() as name:
+        folder = pathlib.Path(name)
+        facts = trio.run(playing.play, options, folder)
+        verdicts = checks.check_all(facts, bounds)
+        _tell(verdicts, options)
+        broken = failures.list_broken(verdicts)
+        if not broken:
+            return True
+        kept = failures.keep(f"seed-{options.seed}", folder, facts, broken)
+    print(f"facts and output of the programs: {kept}")
+    for step in schedule.draw_schedule(options.seed, options.length_s):
+        print(f"  {step}")
+    return False
 
 
 def main(
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -1,9 +1,10 @@
 """Runs all features and counts what ran.
 
 Each folder of features runs in a behave process of its own, several at a
-time; results come as JSON. A scenario that fails counts as failed unless a
-line of KNOWN-RED.txt starts with its name; such a line is printed. The last
-line is ``N passed, N failed``, from what really ran.
+time; results come as JSON. A scenario that fails counts as failed unless
+KNOWN-RED.txt names it; such a line is printed. A line that names a promise
+excuses no other one. The last line is ``N passed, N failed``, from what
+really ran.
 
 ``python tools/run_tests.py packages/gentianpoint-core`` runs one package.
 """
@@ -18,6 +19,9 @@
 import time
 import typing
 
+BROKEN_PROMISE: typing.Final = "broken promise: "
+"""Starts a line of a failed scenario that names the promise it broke, up to
+the next colon."""
 ROOT: typing.Final = pathlib.Path(__file__).resolve().parent.parent
 AT_ONCE: typing.Final = 8
 SUITE_TIMEOUT_S: typing.Final = 300
@@ -32,6 +36,15 @@
 """Parts of the paths of features that play many processes."""
 
 
+class Failure(typing.NamedTuple):
+    """A scenario that failed."""
+
+    name: str
+    """Name of the scenario, or of the suite if none of it could be read."""
+    promises: tuple[str, ...] = ()
+    """Promises that it names as broken; it checks others in another way."""
+
+
 class SuiteResult(typing.NamedTuple):
     """What one behave process reported."""
 
@@ -39,8 +52,8 @@
     """Folder of the features, from the root."""
     passed: int
     """Scenarios that passed."""
-    failed: tuple[str, ...]
-    """Names of the scenarios that failed."""
+    failed: tuple[Failure, ...]
+    """The scenarios that failed."""
     output: str
     """What the process printed."""
     seconds: float
@@ -69,7 +82,42 @@
     return not is_simulation, -path.stat().st_size
 
 
-def _collect(report: pathlib.Path) -> tuple[int, list[str]]:
+def find_known(
+    failure: Failure, known: typing.Sequence[str]
+) -> typing.Optional[typing.Sequence[str]]:
+    """Return the lines of ``known`` that excuse a failure, None if none do.
+
+    A line begins with the name of the scenario. Where the scenario names the
+    promises that it broke, each of them, in square brackets, must follow the
+    name in a line.
+
+    >>> find_known(Failure("soak", ("a", "b")), ["soak [a] -- seed 3"])
+    >>> find_known(Failure("soak", ("a",)), ["soak [a] -- seed 3"])
+    ['soak [a] -- seed 3']
+    """
+    starts = [f"{failure.name} [{item}] " for item in failure.promises]
+    lines = [
+        next((line for line in known if line.startswith(start)), None)
+        for start in starts or [f"{failure.name} -- "]
+    ]
+    found = [line for line in lines if line is not None]
+    return found if len(found) == len(lines) else None
+
+
+def _list_promises(element: typing.Mapping[str, typing.Any]) -> list[str]:
+    """Return the promises that a failed scenario names as broken."""
+    found = []
+    for step in element.get("steps", ()):
+        message = step.get("result", {}).get("error_message", "")
+        text = message if isinstance(message, str) else "\n".join(message)
+        for line in text.splitlines():
+            _, prefix, rest = line.partition(BROKEN_PROMISE)
+            if prefix:
+                found.append(rest.partition(":")[0])
+    return found
+
+
+def _collect(report: pathlib.Path) -> tuple[int, list[Failure]]:
     passed = 0
     failed = []
     for feature in json.loads(report.read_text()):
@@ -79,7 +127,8 @@
             if element.get("status") == "passed":
                 passed += 1
             else:
-                failed.append(str(element["name"]))
+                promises = _list_promises(element)
+                failed.append(Failure(str(element["name"]), tuple(promises)))
     return passed, failed
 
 
@@ -89,7 +138,7 @@
     began = time.monotonic()
 
     def report_result(
-        passed: int, failed: typing.Sequence[str], output: str
+        passed: int, failed: typing.Sequence[Failure], output: str
     ) -> SuiteResult:
         seconds = time.monotonic() - began
         return SuiteResult(name, passed, tuple(failed), output, seconds)
@@ -111,13 +160,17 @@
                 timeout=SUITE_TIMEOUT_S,
             )
         except subprocess.TimeoutExpired as error:
-            return report_result(0, [f"{name}: timeout"], str(error))
+            failure = Failure(f"{name}: timeout")
+            return report_result(0, [failure], str(error))
         try:
             passed, failed = _collect(report)
         except (ValueError, OSError):
-            return report_result(0, [f"{name}: no result"], done.stdout)
+            failure = Failure(f"{name}: no result")
+            return report_result(0, [failure], done.stdout)
         if done.returncode != 0 and not failed:
-            failed.append(f"{name}: behave ended with {done.returncode}")
+            failed.append(
+                Failure(f"{name}: behave ended with {done.returncode}")
+            )
         return report_result(passed, failed, done.stdout)
 
 
@@ -140,10 +193,13 @@
         print(f" in {result.seconds:.0f} s")
         if result.failed:
             print(result.output)
-        for name in result.failed:
-            lines = [line for line in known if line.startswith(name)]
-            unknown += 0 if lines else 1
-            print(f"KNOWN RED: {lines[0]}" if lines else f"FAILED: {name}")
+        for failure in result.failed:
+            lines = find_known(failure, known)
+            if lines is None:
+                unknown += 1
+                print(f"FAILED: {failure.name}")
+            for line in lines or ():
+                print(f"KNOWN RED: {line}")
     passed = sum(result.passed for result in results)
     failed = sum(len(result.failed) for result in results)
     print(f"{passed} passed, {failed} failed")
