Ask another target beside a late one, not in its place

What callers saw: where all targets of a service took more than half of the time that callers had, calls that may be repeated were hardly ever answered, while calls that may run once were.

Cause: such a call was cut at its first target after three objectives or half of its time, before it was known whether another target may be asked. Without a retry it failed at once; with one, the second target had as little time. A resumable stream without its first event was cut the same way.

Change: the first attempt goes on while a second one is made. The first answer counts, and the other attempt is cancelled. Without a retry or a target the first one is waited for; a resumable stream is cut only once its retry is taken.

--- a/packages/gentianpoint-entry/features/forwarding/forwarding_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/forwarding_builders.py
@@ -30,6 +30,8 @@
 """Seconds between two events of a stream."""
 LATE_S: typing.Final = 0.6
 """Seconds by which a late event is later than usual."""
+SLOW_S: typing.Final = 1.0
+"""Seconds that a slow target takes for its answer."""
 
 ENGINE: typing.Final = routes.EngineSpec(
     slots=16,
@@ -138,7 +140,7 @@
         self.status = 200
         if self.has_not_run or words == "unproved refusal":
             self.status = 503
-        if words == "failure":
+        if words.endswith("failure"):
             self.status = 500
         self._words: typing.Final = words
         self._target: typing.Final = target
@@ -202,6 +204,8 @@
                 )
             if words == "mute":
                 await trio.sleep_forever()
+            if words.startswith("slow"):
+                await trio.sleep(SLOW_S)
             yield ScriptedAnswer(words, target)
         finally:
             self.open.discard(name)
--- a/packages/gentianpoint-entry/features/forwarding/plain_calls.feature
+++ b/packages/gentianpoint-entry/features/forwarding/plain_calls.feature
@@ -87,3 +87,34 @@
     When the request is served
     Then the caller is given status 500
     And 4 targets were asked
+
+  Scenario Outline: targets take more than half of the time that a caller has
+    All targets of a service are slow. Guards against a kind of call of which
+    none is answered, since each target is given up before its answer comes.
+    Given a plain request that may be repeated, whose caller waits 1500 ms
+    And target a answers: <first>
+    And target b answers: <second>
+    When the request is served
+    Then the caller is given <answer>
+    And <asked> targets were asked
+
+    Examples:
+      | first        | second       | answer        | asked |
+      | slow body    | slow body    | the body of a | 2     |
+      | slow body    | body         | the body of b | 2     |
+      | slow body    | failure      | the body of a | 2     |
+      | slow body    | lost         | the body of a | 2     |
+      | slow body    | refuse       | the body of a | 2     |
+      | slow failure | body         | the body of b | 2     |
+      | mute         | slow body    | status 504    | 2     |
+
+  Scenario: the only retry is taken while a target is late
+    Guards against a call that fails as its target is given up, although no
+    other may be asked.
+    Given a plain request that may be repeated, whose caller waits 1500 ms
+    And target a answers: slow body
+    And target b answers: body
+    And no retry is left
+    When the request is served
+    Then the caller is given the body of a
+    And 1 targets were asked
--- a/packages/gentianpoint-entry/features/forwarding/steps/plain_calls_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/plain_calls_steps.py
@@ -11,6 +11,14 @@
     start_plain(context, routes.RouteKind.IDEMPOTENT)
 
 
+@behave.given(
+    "a plain request that may be repeated, whose caller waits {wait_ms:d} ms"
+)
+def make_impatient(context, wait_ms):
+    start_plain(context, routes.RouteKind.IDEMPOTENT)
+    context.wait_ms = wait_ms
+
+
 @behave.given("a plain request that may run once only")
 def make_once(context):
     start_plain(context, routes.RouteKind.ONCE)
--- a/packages/gentianpoint-entry/features/forwarding/steps/stream_calls_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/stream_calls_steps.py
@@ -117,6 +117,11 @@
         request = forwarding_builders.make_request(
             context.route, context.engine
         )
+        if "wait_ms" in context:
+            deadline = deadlines.make_deadline(context.wait_ms)
+            request = request._replace(
+                caller_deadline=deadline, deadline=deadline
+            )
         handler = request_handling.RequestHandler(
             shared, forwarding_builders.send_refusal, find_shutdown_time
         )
--- a/packages/gentianpoint-entry/features/forwarding/stream_calls.feature
+++ b/packages/gentianpoint-entry/features/forwarding/stream_calls.feature
@@ -141,6 +141,17 @@
     Then the caller has events 1 to 3, and the answer is broken off
     And it took as long as the caller waits
 
+  Scenario: a target is slow and no retry is left
+    Guards against a generation that is given up before its first event,
+    although it can't run anywhere else.
+    Given a generation that may be resumed
+    And target a answers: events 1-3 then end, late before 1
+    And target b answers: events 1-3 then end
+    And no retry is left
+    When the request is served
+    Then the caller has events 1 to 3, each once, as a complete answer
+    And target b received no request
+
   Scenario: a target gets notice and its generation moves
     The platform takes an engine away in two seconds. The generation's memory
     is copied while it runs; then it stops, the rest is copied, and it
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/attempts.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/attempts.py
@@ -27,6 +27,7 @@
         self._shared: typing.Final = shared
         self._request = request
         self._retry_after_ms = 0.0
+        self._has_reserved_retry = False
 
     def set_request(self, request: requests.CallerRequest) -> None:
         """Go on with the same request, of which more is known."""
@@ -75,6 +76,18 @@
         """Tell whether the request may be sent to another target."""
         return not self.may_have_run or self.may_run_again()
 
+    def reserve_retry(self) -> bool:
+        """Take a retry for an attempt that follows; False if none is left."""
+        if not self._has_reserved_retry:
+            self._has_reserved_retry = self._shared.take_retry(self._request)
+        return self._has_reserved_retry
+
+    def take_retry(self) -> bool:
+        """Take a retry, the reserved one if there is one."""
+        is_taken = self.reserve_retry()
+        self._has_reserved_retry = False
+        return is_taken
+
     async def is_suspect(self) -> bool:
         """Tell whether the request must not be sent to any target.
 
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/plain_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/plain_calls.py
@@ -10,6 +10,7 @@
 from gentianpoint_entry.forwarding import caller_answers
 from gentianpoint_entry.forwarding import caller_calls
 from gentianpoint_entry.forwarding import forwarder
+from gentianpoint_entry.forwarding import hedged_attempts
 from gentianpoint_entry.forwarding import refusals
 from gentianpoint_entry.forwarding import requests
 from gentianpoint_entry.forwarding import target_calls
@@ -25,11 +26,11 @@
 """Longest answer, in bytes, that is buffered until it is complete, so that one
 that breaks off can still be replaced. Longer ones are forwarded as they
 arrive."""
-_TIMEOUT_FACTOR: typing.Final = 3.0
+_LATE_FACTOR: typing.Final = 3.0
 """Multiple of the route's objective after which an idempotent request is sent
-to another target. Most answers arrive within the objective, so three times as
-long indicates a stuck target and leaves time for another one."""
-_MIN_TIMEOUT_MS: typing.Final = 250.0
+to another target as well. Most answers arrive within the objective, so three
+times as long indicates a stuck target and leaves time for another one."""
+_MIN_LATE_MS: typing.Final = 250.0
 """Least time, in milliseconds, before the request is sent to another target. A
 target that is only slow after its start answers within it."""
 
@@ -48,12 +49,16 @@
         self._request: typing.Final = request
         self._answer: typing.Final = answer
         self.attempts = attempts.Attempts(shared, request)
-        self._has_reserved_retry = False
+        self._hedged: typing.Final = hedged_attempts.HedgedAttempts(
+            self._attempt, self._find_hedge, self._find_late_at
+        )
         self._is_delimited = True
+        # True from the moment on in which an answer goes to the caller.
+        self._is_forwarding = False
 
     async def serve(self) -> typing.Optional[refusals.Refusal]:
         """Answer the caller; return a refusal if there is no answer."""
-        for number in range(_MAX_SENDS):
+        while len(self.attempts.tried) < _MAX_SENDS:
             if await self.attempts.is_suspect():
                 return self.attempts.refuse_suspect(self._answer)
             target = await self._shared.find_target(
@@ -61,17 +66,13 @@
             )
             if target is None:
                 break
-            if number and not self._take_retry():
+            if self.attempts.tried and not self.attempts.take_retry():
                 self._shared.give_back(target, self._request)
                 break
             self.attempts.tried.add(target.target_id)
-            try:
-                if await self._try_target(target):
-                    return None
-            except ports.PortError as error:
-                self.attempts.note_error(target, error)
-            is_started = self._answer.is_started
-            if is_started or not self.attempts.may_send_again():
+            if await self._hedged.run(target):
+                return None
+            if not self.attempts.may_send_again():
                 break
         return self.attempts.give_up(
             self._answer, "the target's answer was lost, and it may have run"
@@ -81,47 +82,67 @@
         """Return how the last answer was framed."""
         return {"is_delimited": self._is_delimited}
 
-    def _take_retry(self) -> bool:
-        """Take a retry, unless one is reserved for this attempt."""
-        if self._has_reserved_retry:
-            self._has_reserved_retry = False
-            return True
-        return self._shared.take_retry(self._request)
+    async def _attempt(self, target: targets.Target) -> bool:
+        """Send to one target; return True if the caller gets its answer."""
+        try:
+            return await self._try_target(target)
+        except ports.PortError as error:
+            self.attempts.note_error(target, error)
+            # A part of an answer can't be replaced.
+            return self._answer.is_started
 
     async def _try_target(self, target: targets.Target) -> bool:
-        """Send to one target; return True when the caller has its answer."""
-        attempt_scope = trio.CancelScope(
-            deadline=self._find_attempt_deadline()
-        )
-        with attempt_scope:
-            async with self._shared.send(
-                target, self._request, requests.SendOptions()
-            ) as target_answer:
-                self._is_delimited = target_answer.is_delimited
-                if target_answer.is_refusal():
-                    self.attempts.note_refusal(target, target_answer)
-                    return False
-                return await self._forward_answer(
-                    target, target_answer, attempt_scope
-                )
-        raise ports.PortError(
-            "wait for answer",
-            target.entry.address,
-            "no answer before the timeout for trying another target",
-            took_effect=True,
+        async with self._shared.send(
+            target, self._request, requests.SendOptions()
+        ) as target_answer:
+            self._is_delimited = target_answer.is_delimited
+            if target_answer.is_refusal():
+                self.attempts.note_refusal(target, target_answer)
+                return False
+            return await self._forward_answer(target, target_answer)
+
+    async def _find_hedge(self) -> typing.Optional[targets.Target]:
+        """Return another target while those asked are late, or None.
+
+        Where no other may be asked, or a retry is missing, those are waited
+        for.
+        """
+        if len(self.attempts.tried) >= _MAX_SENDS or self._is_forwarding:
+            return None
+        if not self._may_run_beside() or self._shared.is_refused(
+            self._request
+        ):
+            return None
+        target = await self._shared.find_target(
+            self._request, self.attempts.tried
         )
-
-    def _find_attempt_deadline(self) -> float:
-        """Return when to stop waiting for this target, on trio's clock."""
-        # The attempt that is about to start is one run, which is recorded
-        # only after it has failed.
-        if not self.attempts.may_run_again(unrecorded_runs=1):
+        if target is None:
+            return None
+        if not self.attempts.take_retry():
+            self._shared.give_back(target, self._request)
+            return None
+        for late in self._hedged.list_open():
+            self._shared.note_failure(
+                late, _make_late_error(late), self._request
+            )
+        self.attempts.tried.add(target.target_id)
+        return target
+
+    def _may_run_beside(self) -> bool:
+        """Tell whether the request may run once more beside its open runs."""
+        # Those are recorded only after they have failed.
+        open_runs = len(self._hedged.list_open())
+        return self.attempts.may_run_again(unrecorded_runs=open_runs)
+
+    def _find_late_at(self) -> float:
+        """Return when to ask another target too, on trio's clock."""
+        if not self._may_run_beside():
             return math.inf
         if self._shared.is_trial(self._request):
             # No other target may run it then.
             return math.inf
         route = self._request.route
-        wait_ms = max(route.objective_ms * _TIMEOUT_FACTOR, _MIN_TIMEOUT_MS)
+        wait_ms = max(route.objective_ms * _LATE_FACTOR, _MIN_LATE_MS)
         left_ms = self._request.deadline.remaining_ms()
         return trio.current_time() + min(wait_ms, left_ms / 2) / 1000
 
@@ -129,7 +150,6 @@
         self,
         target: targets.Target,
         target_answer: target_calls.TargetAnswer,
-        attempt_scope: trio.CancelScope,
     ) -> bool:
         buffered = bytearray()
         body = self._shared.receive_body(target, target_answer)
@@ -138,12 +158,13 @@
             if len(buffered) > _MAX_BUFFERED_BYTES:
                 break
         else:
-            attempt_scope.deadline = math.inf
             return await self._forward_whole_answer(
                 target, target_answer, bytes(buffered)
             )
-        attempt_scope.deadline = math.inf
         self._check_answer(target, target_answer)
+        if self._is_forwarding:
+            return False
+        self._is_forwarding = True
         self._shared.note_success(target)
         await self._answer.start(target_answer.status, target_answer.headers)
         await self._answer.send(bytes(buffered))
@@ -164,13 +185,18 @@
         body: bytes,
     ) -> bool:
         self._check_answer(target, target_answer)
+        if self._is_forwarding:
+            return False
+        if target_answer.status >= 500 and len(self._hedged.list_open()) > 1:
+            self._note_status(target, target_answer)
+            return False
         if target_answer.status >= 500 and self._can_replace_failure():
             self._note_status(target, target_answer)
             # Taken before the failure is discarded: without a retry, the
             # caller could then only be told that the outcome is unknown.
-            self._has_reserved_retry = self._shared.take_retry(self._request)
-            if self._has_reserved_retry:
+            if self.attempts.reserve_retry():
                 return False
+        self._is_forwarding = True
         if target_answer.status < 500:
             self._shared.note_success(target)
         self._note_answered(target_answer)
@@ -213,3 +239,13 @@
             return False
         # The target that failed is among those tried.
         return self._shared.choose_target(self._request, tried) is not None
+
+
+def _make_late_error(target: targets.Target) -> ports.PortError:
+    """Return the error of a target that is late, and may still answer."""
+    return ports.PortError(
+        "wait for answer",
+        target.entry.address,
+        "no answer before another target is asked too",
+        took_effect=True,
+    )
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
@@ -57,6 +57,9 @@
 _FIRST_EVENT_FACTOR: typing.Final = 1.5
 """Multiple of the route's objective after which a stream that may be run again
 is sent to another target, if it has no event yet."""
+_SILENCE_RECHECK_S: typing.Final = 0.5
+"""Seconds after which it is checked again whether a silent stream can run at
+another target."""
 _MOVE_RETRY_INTERVAL_S: typing.Final = 0.2
 """Least number of seconds between two attempts to move a generation."""
 _BACKUP_READY_AGE_S: typing.Final = 1.2
@@ -186,7 +189,7 @@
         )
         if target is None:
             return None
-        if not self._shared.take_retry(self._request):
+        if not self.attempts.take_retry():
             self._shared.give_back(target, self._request)
             return None
         options = requests.SendOptions(
@@ -343,9 +346,19 @@
     async def _cancel_when_silent(
         self, run: stream_runs.StreamRun, nursery: trio.Nursery
     ) -> None:
-        await run.wait_until_silent(self._find_silence_limit_ms)
+        while True:
+            await run.wait_until_silent(self._find_silence_limit_ms)
+            # A target that is still listed may only be slow.
+            if run.target.is_gone or self._reserve_other_run():
+                break
+            await trio.sleep(_SILENCE_RECHECK_S)
         nursery.cancel_scope.cancel()
 
+    def _reserve_other_run(self) -> bool:
+        """Reserve a retry for a run elsewhere, if there can be one."""
+        target = self._shared.choose_target(self._request, self.attempts.tried)
+        return target is not None and self.attempts.reserve_retry()
+
     def _find_silence_limit_ms(self, run: stream_runs.StreamRun) -> float:
         """Return the silence after which a run is abandoned, in milliseconds.
 
