Send streams whole that a leaving entry takes

What callers saw: a stream that an entry took after SIGTERM was cut as the entry ended, 7.6 s after the signal, if its events came later than the route allows.

Cause: the entry takes a stream if its objective and its events at the longest allowed pause fit into what is left. Nothing keeps events to that pause on a slow engine or a busy machine.

Change: a stream that is taken after SIGTERM and may outlast the entry is buffered and sent whole, or replaced by a final answer. Only streams of a few seconds are taken then, so callers wait little longer.

The row with 5000 ms of the new scenario failed before (status 200, cut).

--- a/packages/gentianpoint-entry/features/forwarding/forwarding_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/forwarding_builders.py
@@ -154,7 +154,7 @@
         first, _, last = numbers.partition("-")
         for number in range(int(first), int(last) + 1):
             await trio.sleep(EVENT_S)
-            if end == f"end, late before {number}":
+            if end in (f"end, late before {number}", "end, late before each"):
                 await trio.sleep(LATE_S)
             yield make_event(number)
         if end == "half an event":
--- a/packages/gentianpoint-entry/features/forwarding/leaving.feature
+++ b/packages/gentianpoint-entry/features/forwarding/leaving.feature
@@ -59,6 +59,20 @@
       | 9      | the whole answer                           |
       | 90     | a final answer that the entry ends, only   |
 
+  Scenario Outline: the target of a leaving entry is slow
+    Events come later than their route allows, as on a busy machine. Guards
+    against a stream that is taken after SIGTERM, begins in time, and is cut as
+    the entry ends.
+    Given a generation of about 20 tokens
+    And target a answers: events 1-9 then end, late before each
+    When it arrives <left> ms before the entry ends, which then ends
+    Then the caller has <answer>
+
+    Examples:
+      | left | answer                                   |
+      | 7500 | the whole answer                         |
+      | 5000 | a final answer that the entry ends, only |
+
   Scenario: a route without objectives
     Guards against a request that is expected to end at once because its route
     states no objective.
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/leaving.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/leaving.py
@@ -15,7 +15,6 @@
 import math
 import typing
 
-from gentianpoint_core import deadlines
 from gentianpoint_entry.forwarding import requests
 from gentianpoint_entry.forwarding import routes
 
@@ -23,7 +22,7 @@
     "READINESS_LAG_MS",
     "bound_duration_ms",
     "find_retry_delay_ms",
-    "find_start_deadline",
+    "must_be_whole",
 )
 
 READINESS_LAG_MS: typing.Final = 2600.0
@@ -42,7 +41,7 @@
 
     A request ends with its deadline at the latest, and sooner if its route has
     objectives: a plain answer probably does, and a stream that is on time
-    certainly does. For streams that are late see :func:`find_start_deadline`.
+    certainly does. For streams that are late see :func:`must_be_whole`.
     """
     route = request.route
     needed_ms = math.inf
@@ -55,19 +54,17 @@
     return min(needed_ms, request.deadline.remaining_ms())
 
 
-def find_start_deadline(
-    request: requests.CallerRequest, ends_at: float
-) -> deadlines.Deadline:
-    """Return until when an answer may begin at an entry that shuts down.
+def must_be_whole(request: requests.CallerRequest, ends_at: float) -> bool:
+    """Tell whether an entry that shuts down may send only the whole answer.
 
-    A stream that begins later could be cut although its events keep their
-    objective. Its first event is late by then, so the stream is sent whole
-    once it is complete, or replaced by a final answer if that is too late.
+    A stream whose events are late, since its target is slow or has left, can
+    last longer than :func:`bound_duration_ms` says, and would be cut. Sent
+    whole once it is complete, or replaced by a final answer, it never is.
+
+    ``ends_at`` is when the entry ends, on trio's clock.
     """
     is_stream = request.route.kind is routes.RouteKind.STREAM
-    if not is_stream or request.deadline.at <= ends_at:
-        return deadlines.Deadline(ends_at)
-    return deadlines.Deadline(ends_at - _bound_stream_ms(request) / 1000)
+    return is_stream and request.deadline.at > ends_at
 
 
 def _bound_stream_ms(request: requests.CallerRequest) -> float:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/request_handling.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/request_handling.py
@@ -7,7 +7,6 @@
 import structlog
 import trio
 
-from gentianpoint_core import deadlines
 from gentianpoint_core import logs
 from gentianpoint_core.generated import events
 from gentianpoint_entry.forwarding import caller_answers
@@ -91,10 +90,10 @@
         began = trio.current_time()
         self._shared.limits.note_request(request.service.name, began)
         ends_at = self._find_shutdown_time()
-        start_deadline = deadlines.NO_DEADLINE
-        if ends_at is not None:
-            start_deadline = leaving.find_start_deadline(request, ends_at)
-        call = self._make_call(request, answer, start_deadline)
+        must_be_whole = ends_at is not None and leaving.must_be_whole(
+            request, ends_at
+        )
+        call = self._make_call(request, answer, must_be_whole)
         with structlog.contextvars.bound_contextvars(
             request=request.request_id, route=request.route.name
         ):
@@ -215,11 +214,11 @@
         self,
         request: requests.CallerRequest,
         answer: caller_answers.CallerAnswer,
-        start_deadline: deadlines.Deadline,
+        must_be_whole: bool,
     ) -> caller_calls.CallerCall:
         if request.route.kind is routes.RouteKind.STREAM:
             return stream_calls.StreamCall(
-                self._shared, request, answer, start_deadline
+                self._shared, request, answer, must_be_whole=must_be_whole
             )
         return plain_calls.PlainCall(self._shared, request, answer)
 
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
@@ -13,7 +13,6 @@
 
 import trio
 
-from gentianpoint_core import deadlines
 from gentianpoint_core import logs
 from gentianpoint_core import ports
 from gentianpoint_core.decisions import stream_origins
@@ -81,17 +80,18 @@
         shared: forwarder.Forwarder,
         request: requests.CallerRequest,
         answer: caller_answers.CallerAnswer,
-        start_deadline: deadlines.Deadline = deadlines.NO_DEADLINE,
+        *,
+        must_be_whole: bool = False,
     ) -> None:
         """Serve ``request`` and answer to ``answer``.
 
-        An answer that has not begun by ``start_deadline`` is buffered, and
-        sent whole or not at all.
+        An answer that ``must_be_whole`` is buffered, and sent whole or not at
+        all.
         """
         self._shared: typing.Final = shared
         self._request = request
         self._answer: typing.Final = answer
-        self._start_deadline: typing.Final = start_deadline
+        self._must_be_whole: typing.Final = must_be_whole
         self._buffered: typing.Final = bytearray()
         self._order: typing.Final = stream_events.EventOrder(
             request.last_event_id
@@ -403,7 +403,7 @@
             self._set_origin(run.target.origin)
             await self._shared.note_stream_began(self._request)
         if not self._answer.is_started:
-            if self._start_deadline.is_past():
+            if self._must_be_whole:
                 self._buffered.extend(event.data)
                 return
             await self._answer.start(run.answer.status, run.answer.headers)
