Let prompts come at once in the test of preemptions

What was seen: beside load, 31 preemptions without admission and 13 with it where a third is allowed; reproduced as 17 without where 20 are asked.

Cause: the test. 60 callers on a busy machine take seconds to send their prompts, while the engine answers the first ones, so the two engines got other loads from run to run.

Evidence: the same prompts, lengths and engine on a virtual clock.

Change: the engine makes no step until all prompts were offered to its agent; the numbers and checks are as they were.

--- a/bench/admission_trials.py
+++ b/bench/admission_trials.py
@@ -174,22 +174,27 @@
     """Tokens of whole answers a second, until the last answer."""
 
 
-class _Caller(typing.NamedTuple):
+class Caller(typing.NamedTuple):
     """One call of the load."""
 
     at: float
+    """When it comes, in seconds from the start."""
     customer: str
+    """Customer that asks."""
     prompt: str
+    """What is asked."""
     length: int
+    """Tokens of the answer, which the agent does not know."""
     max_tokens: int = 0
+    """Bound on them that the caller gives; 0 for none."""
 
 
-def make_load(variant: Variant, seed: int) -> abc.Sequence[_Caller]:
+def make_load(variant: Variant, seed: int) -> abc.Sequence[Caller]:
     """Return the calls of a run; the first customer sends half of them."""
     if variant.scenario:
         return _draw_scenario(variant, seed)
     source = random.Random(seed)
-    callers: list[_Caller] = []
+    callers: list[Caller] = []
     at = 0.0
     while at < _RUN_S:
         at += source.expovariate(variant.calls_a_second)
@@ -205,7 +210,7 @@
         words = "word " * source.randrange(10, 160)
         length = min(_LIMIT_TOKENS, max(1, round(drawn)))
         callers.append(
-            _Caller(
+            Caller(
                 at,
                 f"customer-{number}",
                 f"{opening} {number} {len(callers)} {words}",
@@ -215,7 +220,7 @@
     return callers
 
 
-def _draw_scenario(variant: Variant, seed: int) -> abc.Sequence[_Caller]:
+def _draw_scenario(variant: Variant, seed: int) -> abc.Sequence[Caller]:
     """Return an engine's part of a user's scenario."""
     path = _SCENARIOS / f"{variant.scenario}.yaml"
     scenario = scenarios.load_scenario(path)
@@ -229,7 +234,7 @@
         seed, {**engine_lengths.DEFAULT_CLASSES, **classes}, 0.0
     )
     return [
-        _Caller(
+        Caller(
             row.at_s,
             row.customer,
             row.prompt,
@@ -284,12 +289,19 @@
 class _Trial:
     """One run of one policy."""
 
-    def __init__(self, variant: Variant, policy: str, seed: int) -> None:
+    def __init__(
+        self,
+        variant: Variant,
+        policy: str,
+        callers: abc.Sequence[Caller],
+        queue: abc.Mapping[str, typing.Any],
+        warm_s: float,
+    ) -> None:
         self._variant: typing.Final = variant
-        self._seed: typing.Final = seed
+        self._callers: typing.Final = callers
         self._limit = _LIMIT_TOKENS
         self._deadline_ms = _DEADLINE_MS
-        self._warm_s = _WARM_S
+        self._warm_s = warm_s
         if variant.scenario:
             self._limit = _SCENARIO_LIMIT_TOKENS
             self._deadline_ms = _SCENARIO_DEADLINE_MS
@@ -301,6 +313,7 @@
             "max_tokens": self._limit,
             "objective": typing.cast(typing.Any, variant.objective),
         }
+        service.spec.update(typing.cast(typing.Any, queue))
         self._control: typing.Final = admission.AdmissionControl(
             _make_policy(policy, service), service
         )
@@ -337,7 +350,7 @@
                 nursery.start_soon(self._run_engine)
                 nursery.start_soon(self._report)
                 async with trio.open_nursery() as calls:
-                    for caller in make_load(self._variant, self._seed):
+                    for caller in self._callers:
                         await trio.sleep_until(start + caller.at)
                         calls.start_soon(self._call, caller)
                     self._coming = False
@@ -400,7 +413,7 @@
             reclaim_in_ms=None,
         )
 
-    async def _call(self, caller: _Caller) -> None:
+    async def _call(self, caller: Caller) -> None:
         arrived = trio.current_time()
         counts = caller.at >= self._warm_s
         if counts:
@@ -428,7 +441,7 @@
         except errors.CallError:
             return
 
-    def _start(self, caller: _Caller, slot: admission_policy.Slot) -> _Reader:
+    def _start(self, caller: Caller, slot: admission_policy.Slot) -> _Reader:
         if self._scheduler.is_full():
             raise errors.CallError(
                 errors.NOT_RUN, "the engine is full", step="start stream"
@@ -455,7 +468,7 @@
         self._work = trio.Event()
         return reader
 
-    def _count(self, caller: _Caller, reader: _Reader, arrived: float) -> None:
+    def _count(self, caller: Caller, reader: _Reader, arrived: float) -> None:
         self._gaps_ms.extend(reader.gaps_ms)
         if reader.first_at >= 0:
             self._first_s.append(reader.first_at - arrived)
@@ -521,9 +534,26 @@
 
 def run_trial(variant: Variant, policy: str, seed: int) -> TrialFigures:
     """Run one policy on one seed."""
+    callers = make_load(variant, seed)
+    return run_callers(variant, policy, callers, warm_s=_WARM_S)
+
+
+def run_callers(
+    variant: Variant,
+    policy: str,
+    callers: abc.Sequence[Caller],
+    queue: abc.Mapping[str, typing.Any] = {},
+    *,
+    warm_s: float = 0.0,
+) -> TrialFigures:
+    """Run one policy on calls.
+
+    ``queue`` has the service's bounds on waits. What comes in the first
+    ``warm_s`` seconds does not count.
+    """
 
     async def run() -> TrialFigures:
-        return await _Trial(variant, policy, seed).run()
+        return await _Trial(variant, policy, callers, queue, warm_s).run()
 
     return trio.run(
         functools.partial(run),
--- a/packages/gentianpoint-agent/features/steps/preemptions_steps.py
+++ b/packages/gentianpoint-agent/features/steps/preemptions_steps.py
@@ -1,6 +1,7 @@
 """Steps that compare the preemptions of stand-in engines."""
 
 from concurrent import futures
+import time
 
 import behave
 import httpx
@@ -8,12 +9,21 @@
 from features import builders
 from gentianpoint_standins import processes
 
-# Decoding steps are long compared with the time that a busy machine needs to
-# send all prompts to the engine. If the first were answered before the last
-# arrives, the engine would not run out of memory.
 _ENGINE = {"step_ms": 30, "stream_ms": 0.05, "block_tokens": 16, "seed": 5}
 
 
+_OFFERED_WITHIN_S = 50.0
+_POLL_S = 0.05
+
+
+def wait_until_offered(entry, count):
+    """Wait until an entry has offered so many calls to its agent."""
+    deadline = time.monotonic() + _OFFERED_WITHIN_S
+    while len(entry.log.find_events("call_offered")) < count:
+        assert time.monotonic() < deadline, entry.log.tail()
+        time.sleep(_POLL_S)
+
+
 def run_prompts(context, count, blocks, policy):
     context.deployment.kill_all()
     context.deployment = processes.LocalDeployment()
@@ -25,6 +35,11 @@
         admission=policy,
     )
 
+    engine = fixture.targets[0].target
+    # Prompts that come over some seconds would hardly fill its memory, so it
+    # makes no step until the last one has come.
+    context.deployment.set_faults(engine, freeze=True)
+
     def ask(number):
         # Both engines answer a prompt with the same length, which is drawn
         # from the prompt and the engine's seed.
@@ -32,8 +47,11 @@
         return builders.complete(fixture.entries[0], prompt)
 
     with futures.ThreadPoolExecutor(count) as pool:
-        answers = list(pool.map(ask, range(count)))
-    load = httpx.get(f"{fixture.targets[0].target.url}/load").json()
+        asked = [pool.submit(ask, number) for number in range(count)]
+        wait_until_offered(fixture.entries[0], count)
+        context.deployment.set_faults(engine, freeze=False)
+        answers = [call.result() for call in asked]
+    load = httpx.get(f"{engine.url}/load").json()
     context.outcomes = {
         **getattr(context, "outcomes", {}),
         policy: (answers, load["preemptions"]),
