Count claims of trials from when they are read

Cause: rival claims are told apart by their times, and records carry the time of the host's clock.

Change: a claim that is younger than a minute counts from when it is read.

--- a/packages/gentianpoint-entry/features/steps/suspect_stream_steps.py
+++ b/packages/gentianpoint-entry/features/steps/suspect_stream_steps.py
@@ -1,6 +1,10 @@
 """Steps for ends of targets that entries share through the log."""
 
+import math
+import time
+
 import behave
+import cbor2
 import suspect_builders
 import trio
 import trio.testing
@@ -137,6 +141,21 @@
     context.actions.append(act)
 
 
+@behave.when(
+    "an entry whose clock is {behind:d} seconds behind claims a trial"
+    " {seconds:d} seconds later"
+)
+def claim_by_other_clock(context, behind, seconds):
+    async def act():
+        await trio.sleep(seconds)
+        claimed_ms = math.floor((time.time() - behind) * 1000)
+        rows = [[CONTENT, "trial~1~behind", claimed_ms, True]]
+        await context.log.append_record("", cbor2.dumps(rows))
+        await trio.sleep(0.1)
+
+    context.actions.append(act)
+
+
 async def try_everywhere(entries):
     """Return the entries that may try the request, asked all at once."""
     trying = []
--- a/packages/gentianpoint-entry/features/suspect_stream.feature
+++ b/packages/gentianpoint-entry/features/suspect_stream.feature
@@ -64,6 +64,15 @@
     And all entries get the request 12 seconds later
     Then 0 of them may try it
 
+  Scenario: the clock of the entry that tries a request is behind
+    Guards against entries that take a claim for an old one, and make the same
+    trial once more.
+    Given 3 entries that follow one log
+    When a request ends 3 targets, each at another entry
+    And an entry whose clock is 20 seconds behind claims a trial 12 seconds later
+    And all entries get the request 0 seconds later
+    Then 0 of them may try it
+
   Scenario: a trial is answered
     Guards against refusing a request at the entries that did not try it.
     Given 3 entries that follow one log
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/suspect_stream.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/suspect_stream.py
@@ -43,6 +43,10 @@
 """Seconds over which the entries' clearances of one end are spread."""
 _CLAIM_READ_S: typing.Final = 1.0
 """Seconds within which a claim that was appended is read again."""
+_CLOCK_ERROR_S: typing.Final = 60.0
+"""Seconds by which hosts' clocks may differ. A claim that is younger counts
+from when it is read, since claims to one trial are told apart by their
+times."""
 _MAX_KEPT_CLEARANCES: typing.Final = 1024
 """Clearances in the stream that are remembered."""
 
@@ -242,6 +246,8 @@
     def _apply_claim(
         self, claim: crash_suspects.SuspectNews, now: float
     ) -> None:
+        if now - claim.ended_at < _CLOCK_ERROR_S:
+            claim = claim._replace(ended_at=now)
         if not self.suspects.has_rival(claim):
             self.suspects.merge(claim, now)
         event = self._claim_read.pop(claim.content, None)
