--- a/bench/soak/failures.py
+++ b/bench/soak/failures.py
@@ -47,13 +47,25 @@
     for path in output.iterdir():
         if path.is_file():
             (folder / path.name).write_bytes(_read_last(path))
-    encoded = msgspec.json.encode(vars(facts))
+    encoded = msgspec.json.encode(_name_fields(facts))
     (folder / "facts.json.gz").write_bytes(gzip.compress(encoded))
     (folder / "broken.json").write_bytes(msgspec.json.encode(list(broken)))
     _drop_old(parent)
     return folder
 
 
+def _name_fields(facts: seen.Facts) -> dict[str, typing.Any]:
+    """Return the facts with the names of all fields."""
+    return {
+        name: [
+            row._asdict() if hasattr(row, "_asdict") else row for row in value
+        ]
+        if isinstance(value, list)
+        else value
+        for name, value in vars(facts).items()
+    }
+
+
 def _read_last(path: pathlib.Path) -> bytes:
     with path.open("rb") as file:
         file.seek(max(0, path.stat().st_size - _MOST_BYTES))
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/crash_suspects.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/crash_suspects.py
@@ -235,24 +235,23 @@
 
     def holds_trial(self, claim: SuspectNews) -> bool:
         """Tell whether a claim is the one that counts."""
-        trial = self._find_trial(claim.content)
-        own = _parse_trial(claim)
+        trial = _parse_trial(claim)
         return (
-            own is not None
-            and trial is not None
-            and own.claimant == trial.claimant
-            and suspect_trials.are_rivals(own, trial)
+            trial is not None and self._find_claimant(claim) == trial.claimant
         )
 
     def has_rival(self, claim: SuspectNews) -> bool:
         """Tell whether a claim to the same trial is known already."""
-        trial = self._find_trial(claim.content)
-        own = _parse_trial(claim)
-        return (
-            own is not None
-            and trial is not None
-            and suspect_trials.are_rivals(own, trial)
-        )
+        return self._find_claimant(claim) is not None
+
+    def _find_claimant(self, claim: SuspectNews) -> typing.Optional[str]:
+        """Return whose claim to the trial of ``claim`` counts, if any does."""
+        known = self._find_trial(claim.content)
+        trial = _parse_trial(claim)
+        if known is None or trial is None:
+            return None
+        is_same = suspect_trials.are_rivals(known, trial)
+        return known.claimant if is_same else None
 
     def _was_answered(self, content: str, now: float) -> bool:
         answered_at = self._answered_at.get(content)
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
@@ -317,11 +317,12 @@
         when the outcome may be known.
         """
         now = trio.current_time()
-        return_at = [
-            self._ends.suspects.find_trial_at(content, now) or now
+        tried_at = [
+            self._ends.suspects.find_trial_at(content, now)
             for content in self.list_refused(request)
         ]
-        return max(_OUTCOME_MS, *((at - now) * 1000 for at in return_at), 0.0)
+        last_at = max((at for at in tried_at if at is not None), default=now)
+        return max(_OUTCOME_MS, (last_at - now) * 1000)
 
     def list_refused(
         self, request: requests.CallerRequest
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/trial_claims.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/trial_claims.py
@@ -4,8 +4,8 @@
 request of the kind at this entry may use the claim, one at a time.
 """
 
-import abc as abstract
-from collections import abc
+import abc
+from collections import abc as collections_abc
 import math
 import typing
 
@@ -21,13 +21,13 @@
 """Seconds for which an entry that has started claims nothing. It may not have
 heard yet what the others have tried."""
 
-_Claims = abc.Sequence[crash_suspects.SuspectNews]
+_Claims = collections_abc.Sequence[crash_suspects.SuspectNews]
 
 
-class ClaimSender(abstract.ABC):
+class ClaimSender(abc.ABC):
     """Tells the other entries of claims."""
 
-    @abstract.abstractmethod
+    @abc.abstractmethod
     async def announce(self, claims: _Claims) -> None:
         """Tell all entries of ``claims``.
 
@@ -66,7 +66,7 @@
         self._claims_from = trio.current_time() + _NEW_S
 
     async def take(
-        self, request_id: str, contents: abc.Collection[str]
+        self, request_id: str, contents: collections_abc.Collection[str]
     ) -> bool:
         """Take a trial of all ``contents`` for a request.
 
@@ -88,7 +88,7 @@
         ]
         return True
 
-    async def _claim(self, contents: abc.Sequence[str]) -> bool:
+    async def _claim(self, contents: collections_abc.Sequence[str]) -> bool:
         """Claim trials of ``contents``; False if one of them is not due."""
         now = trio.current_time()
         planned = [
