Let the engines stand still as a leaving entry is asked to start

Cause: the test. An open stream keeps the leaving entry up; on the busy machine it ended 2.96 s after SIGTERM (1002 at 54:41.488, 1003 at 54:44.450), before the test's request to the entry was sent.

Change: the engines make no steps while that request is sent, so the stream goes on; the checks are as they were.

--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -123,7 +123,9 @@
     And starts it 1 times through the last entries
     And a caller reads a stream of 150 tokens
     And after 10 tokens the first entry is told to stop
+    And the engines make no steps, so that its stream goes on
     And starts it 1 times through all entries
+    And the engines make steps again
     Then each start is told outcome_unknown
     And the stream ends whole with 150 tokens
 
--- a/features/steps/at_most_once_steps.py
+++ b/features/steps/at_most_once_steps.py
@@ -22,6 +22,7 @@
 
 
 @behave.given("the engines make no steps")
+@behave.when("the engines make no steps, so that its stream goes on")
 def freeze_engines(context):
     set_engine_faults(context, freeze=True)
 
