Let a fake engine answer once all questions were sent

Cause: the test. Its engine answers a poll within 1 ms, and a busy machine takes longer to send 20 questions. With 0.5 ms between the questions the test fails in the same way, with 5 polls.

Change: the engine answers once all questions were sent.

--- a/packages/gentianpoint-agent/features/steps/state_answers_steps.py
+++ b/packages/gentianpoint-agent/features/steps/state_answers_steps.py
@@ -20,10 +20,15 @@
         self.running = running
         self.born_ms = 1
         self.polls = 0
+        # Set once all questions have been sent. A busy machine takes longer
+        # for them than a poll lasts.
+        self.are_all_asked = trio.Event()
+        self.are_all_asked.set()
 
     async def read_status(self):
         """Return the status; fail if there is no engine."""
         self.polls += 1
+        await self.are_all_asked.wait()
         await trio.sleep(0.001)
         if self.running is None:
             raise ports.PortError("poll", "engine", "out", took_effect=False)
@@ -67,11 +72,13 @@
 
 async def ask(context, address, count):
     """Ask ``count`` times, and collect the answers."""
+    context.engine.are_all_asked = trio.Event()
     with trio.socket.socket(type=trio.socket.SOCK_DGRAM) as socket:
         await socket.bind(("127.0.0.1", 0))
         for number in range(count):
             message = {"type": "state_wanted", "probe": number}
             await socket.sendto(codec.encode_message(message), address)
+        context.engine.are_all_asked.set()
         with trio.move_on_after(ANSWERED_S):
             while len(context.answers) < count:
                 data, _ = await socket.recvfrom(4096)
