Let nine in ten callers come to one entry, before targets with limits

What callers saw: while the load balancer sends most new connections to a few entries, most requests there are refused.

--- a/packages/gentianpoint-entry/features/forwarding/limit_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/limit_builders.py
@@ -259,6 +259,22 @@
         """Draw the entry that a caller comes to."""
         return self._rng.randrange(len(self.entries))
 
+    def list_live(self) -> abc.Sequence[int]:
+        """Return the numbers of the entries that were not killed."""
+        return [
+            number
+            for number, entry in enumerate(self.entries)
+            if not entry.gossip.is_stopped
+        ]
+
+    def draw(self) -> float:
+        """Return a random number from 0 to 1."""
+        return self._rng.random()
+
+    def kill(self, number: int) -> None:
+        """Kill an entry; callers come to it no longer."""
+        self.gossip.stop(self.entries[number].gossip)
+
     async def call(
         self, choose: abc.Callable[[], int], priority: int, customer: str
     ) -> None:
--- /dev/null
+++ b/packages/gentianpoint-entry/features/forwarding/request_limits_uneven.feature
@@ -0,0 +1,34 @@
+Feature: Limits that targets name, while few entries get most callers
+  The load balancer sends most new connections to a few entries. All entries
+  together may send as much as before.
+
+  Scenario: nine in ten callers come to one entry
+    Guards against parts of a limit that stay with entries that have no
+    requests, while others refuse theirs.
+    Given 5 entries before 3 targets
+    And from 2 s on all of them name a limit of 20
+    And from 12 s on nine in ten callers come to 1 of the entries
+    When 40 requests a second come for 24 seconds
+    Then from 16 s on at least three quarters as many are served as before
+    And from 3 s after that on no target gets more in any 4 s than it may
+
+  Scenario: others are preferred after the first one was killed
+    Guards against an entry that begins to get most callers as the one that had
+    them ends.
+    Given 5 entries before 3 targets
+    And from 2 s on all of them name a limit of 20
+    And from 12 s on nine in ten callers come to 1 of the entries
+    And at 18 s that one is killed, and another one gets them
+    When 40 requests a second come for 32 seconds
+    Then from 22 s on at least three quarters as many are served as before
+    And from 3 s after that on no target gets more in any 4 s than it may
+
+  Scenario: callers are spread evenly again
+    Guards against parts of a limit that stay where they were needed.
+    Given 5 entries before 3 targets
+    And from 2 s on all of them name a limit of 20
+    And from 12 s on nine in ten callers come to 1 of the entries
+    And from 20 s on callers come to all entries alike
+    When 40 requests a second come for 32 seconds
+    Then from 22 s on at least nine tenths as many are served as before
+    And from 3 s after that on no target gets more in any 4 s than it may
--- a/packages/gentianpoint-entry/features/forwarding/steps/request_limits_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/request_limits_steps.py
@@ -9,6 +9,9 @@
 import trio
 
 _PLAIN_VALUES = {"no limit": None}
+_PREFERRED_SHARE = 0.9
+_SETTLED_S = 3.0
+"""Seconds after a limit is first named in which entries learn of it."""
 
 
 @behave.given("{count:d} entries before {targets:d} targets")
@@ -132,6 +135,46 @@
     context.choose = choose
 
 
+def prefer_few(context, from_s, count):
+    """Let nine in ten callers come to the first ``count`` live entries."""
+    context.preferred = [(from_s, count)]
+
+    def choose(fleet):
+        now = trio.current_time() - context.began
+        live = fleet.list_live()
+        count = 0
+        for since_s, more in context.preferred:
+            if now >= since_s:
+                count = more
+        if count and fleet.draw() < _PREFERRED_SHARE:
+            return live[int(fleet.draw() * count)]
+        return live[int(fleet.draw() * len(live))]
+
+    context.choose = choose
+
+
+@behave.given(
+    "from {from_s:d} s on nine in ten callers come to {count:d} of the entries"
+)
+def prefer_from(context, from_s, count):
+    context.uneven_s = from_s
+    prefer_few(context, from_s, count)
+
+
+@behave.given("from {from_s:d} s on callers come to all entries alike")
+def prefer_none(context, from_s):
+    context.preferred.append((from_s, 0))
+
+
+@behave.given("at {at_s:d} s that one is killed, and another one gets them")
+def kill_preferred(context, at_s):
+    async def kill(fleet):
+        await trio.sleep_until(context.began + at_s)
+        fleet.kill(0)
+
+    context.events.append(kill)
+
+
 def make_header(context, name):
     def read(now):
         value = None
@@ -274,6 +317,48 @@
     assert not lost, (len(lost), lost[:3])
 
 
+def measure_first_tries(context, from_s, to_s=math.inf):
+    """Return which share of the calls were served at their first try."""
+    calls = [
+        call
+        for call in context.fleet.calls
+        if from_s <= call.at - context.began < to_s
+    ]
+    served = [call for call in calls if call.status == 200 and call.tries == 1]
+    return len(served) / len(calls)
+
+
+def check_share(context, from_s, least):
+    limited_s = max(phases[-1][0] for phases in context.phases.values())
+    before = measure_first_tries(
+        context, limited_s + _SETTLED_S, context.uneven_s
+    )
+    then = measure_first_tries(context, from_s)
+    assert then >= least * before, (before, then)
+
+
+@behave.then(
+    "from {from_s:d} s on at least three quarters as many are served as before"
+)
+def check_three_quarters(context, from_s):
+    check_share(context, from_s, 0.75)
+
+
+@behave.then(
+    "from {from_s:d} s on at least nine tenths as many are served as before"
+)
+def check_nine_tenths(context, from_s):
+    check_share(context, from_s, 0.9)
+
+
+@behave.then(
+    "from {from_s:d} s on at least three quarters of all requests are served"
+)
+def check_served_share(context, from_s):
+    share = measure_first_tries(context, from_s)
+    assert share >= 0.75, share
+
+
 def list_late(context):
     """Return the calls that came 3 s after the last change of a limit."""
     changed_s = max(phases[-1][0] for phases in context.phases.values())
