Let a target say that it leaves, or ask for rest, in its answers

What callers saw: nothing while a leaving target still served; refusals beside targets that had room where one turned requests away and asked for rest.

--- a/packages/gentianpoint-entry/features/forwarding/limit_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/limit_builders.py
@@ -61,10 +61,10 @@
 
 
 class SentRequest(typing.NamedTuple):
-    """A request that reached a target."""
+    """A request that reached a target, or its answer."""
 
     at: float
-    """When, on trio's clock."""
+    """When it arrived or was answered, on trio's clock."""
     entry: int
     """Number of the entry that sent it."""
     request_id: str
@@ -116,6 +116,21 @@
         self.work_s = _WORK_S
         self.transit_s = _TRANSIT_S
         self.fails = False
+        # From when on it says so.
+        self.leaves_from = math.inf
+        self.rests_from = math.inf
+        self.rest_s = 0.0
+        # Answers that said one of the two.
+        self.told: typing.Final[list[SentRequest]] = []
+
+    def say_leaving(self, from_at: float) -> None:
+        """Let its answers say from a time on that it leaves."""
+        self.leaves_from = from_at
+
+    def ask_for_rest(self, from_at: float, rest_s: float) -> None:
+        """Let it refuse requests from a time on, and ask for rest."""
+        self.rests_from = from_at
+        self.rest_s = rest_s
 
     def read_limit(self) -> named_limits.NamedLimit:
         """Return what its answers name now."""
@@ -145,12 +160,23 @@
         place.sent.append(
             SentRequest(trio.current_time(), self._number, request.request_id)
         )
-        await trio.sleep(place.work_s)
+        rests = trio.current_time() >= place.rests_from
+        await trio.sleep(0.0 if rests else place.work_s)
         limit = place.read_limit()
+        leaves = trio.current_time() >= place.leaves_from
+        if rests or leaves:
+            place.told.append(
+                SentRequest(
+                    trio.current_time(), self._number, request.request_id
+                )
+            )
         await trio.sleep(place.transit_s)
         words = "failure" if place.fails else "answer"
+        words = "refuse" if rests else words
         answer = forwarding_builders.ScriptedAnswer(words, target)
         answer.limit = limit
+        answer.is_leaving = leaves
+        answer.retry_after_ms = place.rest_s * 1000 if rests else 0.0
         yield answer
 
 
--- a/packages/gentianpoint-entry/features/forwarding/steps/request_limits_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/request_limits_steps.py
@@ -21,6 +21,8 @@
     # What each target names from some time on, as texts and limits.
     context.phases = {name: [(0.0, None, math.inf)] for name in context.names}
     context.events = []
+    # What changes a target, by its name.
+    context.notices = {}
     context.choose = None
     context.may_repeat = False
     context.failing = ()
@@ -198,6 +200,8 @@
             fleet.may_repeat = context.may_repeat
             for name in context.failing:
                 fleet.park[name].fails = True
+            for name, change in context.notices.items():
+                change(fleet.park[name])
             for event in context.events:
                 nursery.start_soon(event, fleet)
             context.fleet = fleet
--- /dev/null
+++ b/packages/gentianpoint-entry/features/forwarding/steps/target_notices_steps.py
@@ -0,0 +1,78 @@
+"""Steps for what targets ask for in their answers."""
+
+import behave
+
+_UNDER_WAY_S = 0.5
+"""Seconds after an answer for which requests may still arrive that were under
+way."""
+_MAX_IN_REST = 2
+
+
+@behave.given(
+    "from {from_s:d} s on the first one says in its answers that it leaves"
+)
+def say_leaving(context, from_s):
+    context.notices["target-0"] = lambda place: place.say_leaving(
+        context.began + from_s
+    )
+
+
+@behave.given(
+    "from {from_s:d} s on the first one refuses requests and asks for"
+    " {rest_s:g} s of rest"
+)
+def ask_for_rest(context, from_s, rest_s):
+    context.rest_s = rest_s
+    context.notices["target-0"] = lambda place: place.ask_for_rest(
+        context.began + from_s, rest_s
+    )
+
+
+def find_first(context):
+    return context.fleet.park["target-0"]
+
+
+@behave.then(
+    "no entry sends it anything from {within_s:d} s after it has passed that"
+    " on"
+)
+def check_drain(context, within_s):
+    place = find_first(context)
+    assert place.told
+    first = {}
+    for told in place.told:
+        first.setdefault(told.entry, told.at)
+    late = [
+        item
+        for item in place.sent
+        if item.at > first.get(item.entry, item.at) + within_s
+    ]
+    assert not late, (len(late), late[-1])
+
+
+@behave.then("from {from_s:d} s on it gets nothing")
+def check_nothing(context, from_s):
+    late = [
+        item
+        for item in find_first(context).sent
+        if item.at > context.began + from_s
+    ]
+    assert not late, (len(late), late[-1])
+
+
+@behave.then(
+    "from half a second after it has asked until the end of its rest no entry"
+    " sends it more than two requests"
+)
+def check_rest(context):
+    place = find_first(context)
+    assert place.told
+    most = max(
+        sum(
+            item.entry == told.entry
+            and told.at + _UNDER_WAY_S < item.at < told.at + context.rest_s
+            for item in place.sent
+        )
+        for told in place.told
+    )
+    assert most <= _MAX_IN_REST, most
