Send nothing to targets that say in their answers that they leave

Cause: a target says that it leaves in its answers, and nothing read that; only the list and the agent were asked. The class: news that come with an answer are passed on and not acted upon.

Change: each answer's head is read, also that of a stream, a failure or a refusal, but for one of another target at the address. The target gets no new work, by the same decision as for the list and the agents' reports. All entries are told by gossip, also those that start later. It ends with the start of the target, or after a minute, so that a field that was wrong does not rest a service for ever.

Where all targets say so, callers are refused within 150 ms. On the own interface agents tell entries that their target leaves, and plain services have no such header.

--- a/packages/gentianpoint-entry/features/forwarding/fleet_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/fleet_builders.py
@@ -14,6 +14,7 @@
 from gentianpoint_entry import crash_suspects
 from gentianpoint_entry.forwarding import entry_peers
 from gentianpoint_entry.forwarding import gossip_state
+from gentianpoint_entry.forwarding import leaving_notices
 from gentianpoint_entry.forwarding import members
 from gentianpoint_entry.forwarding import peer_links
 from gentianpoint_entry.forwarding import targets
@@ -65,8 +66,11 @@
             self.address, data_centre
         )
         self.suspects: typing.Final = crash_suspects.CrashSuspects()
+        self.registry: typing.Final = targets.TargetRegistry()
         self.gossip: typing.Final = gossip_state.GossipState(
-            self.table, self.suspects
+            self.table,
+            self.suspects,
+            notices=leaving_notices.LeavingNotices(self.registry),
         )
         self.gossip.handle_report = self._record_report
         self.fleet: typing.Final = fleet
--- a/packages/gentianpoint-entry/features/forwarding/limit_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/limit_builders.py
@@ -118,14 +118,16 @@
         self.fails = False
         # From when on it says so.
         self.leaves_from = math.inf
+        self.leaves_to = math.inf
         self.rests_from = math.inf
         self.rest_s = 0.0
         # Answers that said one of the two.
         self.told: typing.Final[list[SentRequest]] = []
 
-    def say_leaving(self, from_at: float) -> None:
-        """Let its answers say from a time on that it leaves."""
+    def say_leaving(self, from_at: float, to_at: float = math.inf) -> None:
+        """Let its answers say for some time that it leaves."""
         self.leaves_from = from_at
+        self.leaves_to = to_at
 
     def ask_for_rest(self, from_at: float, rest_s: float) -> None:
         """Let it refuse requests from a time on, and ask for rest."""
@@ -163,7 +165,8 @@
         rests = trio.current_time() >= place.rests_from
         await trio.sleep(0.0 if rests else place.work_s)
         limit = place.read_limit()
-        leaves = trio.current_time() >= place.leaves_from
+        now = trio.current_time()
+        leaves = place.leaves_from <= now < place.leaves_to
         if rests or leaves:
             place.told.append(
                 SentRequest(
@@ -212,7 +215,7 @@
     ) -> None:
         self.mail: typing.Final = _Mail(fleet, gossip.address)
         self.gossip: typing.Final = gossip
-        self.registry: typing.Final = targets.TargetRegistry()
+        self.registry: typing.Final = gossip.registry
         for place in park.values():
             self.registry.put_entry(place.entry, trio.current_time())
         calls = _LimitedCalls(gossip.number, park)
@@ -248,6 +251,7 @@
                     ),
                     rng,
                 ),
+                notices=gossip.gossip.notices,
             )
         )
 
@@ -276,6 +280,8 @@
             _LimitEntry(self, entry, self.park)
             for entry in self.gossip.entries.values()
         ]
+        for entry in self.entries:
+            nursery.start_soon(entry.forwarder.close_stale_connections)
         self._nursery: typing.Final = nursery
         self.may_repeat = False
         self._numbers: typing.Final = itertools.count(1)
--- a/packages/gentianpoint-entry/features/forwarding/steps/target_notices_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/target_notices_steps.py
@@ -17,6 +17,39 @@
     )
 
 
+@behave.given(
+    "from {from_s:d} s to {to_s:d} s all of them say in their answers that"
+    " they leave"
+)
+def say_all_leave(context, from_s, to_s):
+    for name in context.names:
+        context.notices[name] = lambda place: place.say_leaving(
+            context.began + from_s, context.began + to_s
+        )
+
+
+@behave.then(
+    "from {from_s:d} s to {to_s:d} s each request is refused within {most:d}"
+    " ms"
+)
+def check_refused(context, from_s, to_s, most):
+    calls = [
+        call
+        for call in context.fleet.calls
+        if from_s <= call.at - context.began < to_s
+    ]
+    assert calls
+    for call in calls:
+        assert call.status == 503, call
+        assert call.last_took_s <= most / 1000, call
+
+
+@behave.then("from {from_s:d} s on the other start gets requests")
+def check_other_start(context, from_s):
+    sent = context.fleet.park["target-0-again"].sent
+    assert any(item.at > context.began + from_s for item in sent)
+
+
 @behave.given(
     "from {from_s:d} s on the first one refuses requests and asks for"
     " {rest_s:g} s of rest"
--- a/packages/gentianpoint-entry/features/forwarding/target_notices.feature
+++ b/packages/gentianpoint-entry/features/forwarding/target_notices.feature
@@ -12,6 +12,39 @@
     And from 7 s on it gets nothing
     And all requests are served
 
+  Scenario Outline: an entry that could not hear that a target leaves
+    Guards against an entry that sends to it, since it was not there, or heard
+    of nothing, as the target said so.
+    Given 5 entries before 4 targets
+    And from 4 s on the first one says in its answers that it leaves
+    And one of the entries <what>
+    When 40 requests a second come for 16 seconds
+    Then from <from> s on it gets nothing
+    And all requests are served
+
+    Examples:
+      | what                                             | from |
+      | starts at 8 s, and gets all requests from 9 s on | 9    |
+      | hears from no other from 3 s to 8 s              | 11   |
+
+  Scenario: another start of a target that has left
+    Guards against a target that gets nothing since the start before it left.
+    Given 5 entries before 4 targets
+    And from 4 s on the first one says in its answers that it leaves
+    And at 8 s the first one starts again without a limit
+    When 40 requests a second come for 16 seconds
+    Then from 10 s on the other start gets requests
+    And all requests are served
+
+  Scenario: all targets say that they leave
+    Guards against callers that wait for targets of which none is left, and
+    against a service that is never asked again.
+    Given 5 entries before 4 targets
+    And from 4 s to 20 s all of them say in their answers that they leave
+    When 20 requests a second come for 80 seconds
+    Then from 7 s to 60 s each request is refused within 150 ms
+    And from 70 s on all requests are served
+
   Scenario: a target turns requests away and asks for rest
     Guards against a target that gets the more requests the faster it refuses
     them, and callers that are refused beside targets that have room.
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
@@ -17,6 +17,7 @@
 from gentianpoint_core.generated import events
 from gentianpoint_entry.forwarding import engine_probes
 from gentianpoint_entry.forwarding import entry_metrics
+from gentianpoint_entry.forwarding import leaving_notices
 from gentianpoint_entry.forwarding import request_permits
 from gentianpoint_entry.forwarding import requests
 from gentianpoint_entry.forwarding import retry_limits
@@ -66,6 +67,7 @@
         probes: typing.Optional[engine_probes.EngineProbes] = None,
         origins: typing.Optional[stream_records.StreamRecords] = None,
         loans: typing.Optional[turn_loans.TurnLoans] = None,
+        notices: typing.Optional[leaving_notices.LeavingNotices] = None,
     ) -> None:
         """Serve from ``data_centre`` as one of ``count_entries()`` entries.
 
@@ -76,6 +78,7 @@
         the whole of each limit. Without ``probes`` engines are chosen by their
         reports alone. Without ``origins`` no caller can take a stream up, and
         without ``loans`` this entry has its own part of each limit only.
+        ``notices`` are told of targets that say that they leave.
         """
         super().__init__(
             registry, data_centre, count_entries, rng, permits, probes, loans
@@ -88,6 +91,11 @@
         self.metrics: typing.Final = metrics
         self._ends: typing.Final = ends
         self._origins: typing.Final = origins
+        self._notices: typing.Final = (
+            leaving_notices.LeavingNotices(registry)
+            if notices is None
+            else notices
+        )
         send, receive = trio.open_memory_channel[_UnusedCopy](math.inf)
         self._unused_sender: typing.Final = send
         self._unused_receiver: typing.Final = receive
@@ -102,6 +110,7 @@
             await trio.sleep(_STALE_CHECK_INTERVAL_S)
             self.calls.close_unlisted(self.registry.list_all())
             self.forget_unused_permits()
+            self._notices.prune(trio.current_time())
 
     @contextlib.asynccontextmanager
     async def send(
@@ -150,6 +159,7 @@
                 target, request, options
             ) as answer:
                 self._note_limit(target, answer, asked_at=now)
+                self._note_leaving(target, answer)
                 if answer.is_refusal():
                     self._ends.trials.give_back(request.request_id)
                 yield answer
@@ -208,6 +218,19 @@
                 target, answer.limit, asked_at, trio.current_time()
             )
 
+    def _note_leaving(
+        self, target: targets.Target, answer: target_calls.TargetAnswer
+    ) -> None:
+        """Let no entry send more to a target that says that it leaves."""
+        if not answer.is_leaving or answer.is_wrong_target:
+            return
+        if self._notices.note_answer(target, trio.current_time()):
+            logs.log_event(
+                events.TARGET_LEAVING,
+                target=target.target_id,
+                leaves_in_ms=None,
+            )
+
     def schedule_copy_release(self, target: targets.Target, name: str) -> None:
         """Queue a copy for :meth:`release_unused_copies`."""
         if not target.is_gone:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/gossip_state.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/gossip_state.py
@@ -19,6 +19,7 @@
 from gentianpoint_core.decisions import request_turns
 from gentianpoint_entry import crash_suspects
 from gentianpoint_entry.forwarding import engine_reports
+from gentianpoint_entry.forwarding import leaving_notices
 from gentianpoint_entry.forwarding import link_delay
 from gentianpoint_entry.forwarding import members
 from gentianpoint_entry.forwarding import targets
@@ -56,6 +57,7 @@
         self.reports_seen = 0
         self.ends_seen = 0
         self.limits_seen = 0
+        self.notices_seen = 0
         # What the other end knows: heartbeat counters by member, runs and
         # report numbers by agent, progress by topic.
         self.beats: typing.Final[dict[str, int]] = {}
@@ -66,6 +68,8 @@
         self.ends: typing.Final[set[tuple[str, str, bool]]] = set()
         # Keys of limits that the other end has told since then.
         self.limits: typing.Final[set[str]] = set()
+        # Keys of leaving targets that it has told since then.
+        self.notices: typing.Final[set[str]] = set()
 
 
 class GossipState:
@@ -76,11 +80,13 @@
         table: members.MemberTable,
         suspects: crash_suspects.CrashSuspects,
         limits: typing.Optional[limit_table.LimitTable] = None,
+        notices: typing.Optional[leaving_notices.LeavingNotices] = None,
     ) -> None:
         """Start with the members of ``table`` and no reports or topics.
 
-        The ends of targets in ``suspects`` and the ``limits`` of targets are
-        passed on, and those that others tell are added to them.
+        The ends of targets in ``suspects``, the ``limits`` of targets and the
+        ``notices`` of those that leave are passed on, and those that others
+        tell are added to them.
         """
         self.members: typing.Final = table
         self.suspects: typing.Final = suspects
@@ -97,6 +103,12 @@
             limit_table.LimitTable() if limits is None else limits
         )
         self.limits.notify_urgent = self.notify_urgent
+        self.notices: typing.Final = (
+            leaving_notices.LeavingNotices(targets.TargetRegistry())
+            if notices is None
+            else notices
+        )
+        self.notices.notify_urgent = self.notify_urgent
 
     def add_topic(self, follower: topic_follower.TopicFollower) -> None:
         """Gossip the progress of ``follower``."""
@@ -164,7 +176,11 @@
         topics = self._collect_topics(link, now)
         ends = self._collect_ends(link, now)
         limits = self._collect_limits(link, now)
-        if not (new_members or beats or reports or topics or ends or limits):
+        notices = self._collect_notices(link, now)
+        members_changed = bool(new_members or beats)
+        if not (
+            members_changed or reports or topics or ends or limits or notices
+        ):
             return None
         return {
             "type": "gossip",
@@ -177,6 +193,7 @@
             "topics": topics,
             "ended_targets": ends,
             "limits": limits,
+            "leaving_targets": notices,
         }
 
     def _collect_members(
@@ -283,6 +300,21 @@
         link.limits.clear()
         return rows
 
+    def _collect_notices(
+        self, link: LinkState, now: float
+    ) -> abc.Sequence[_Message]:
+        rows = [
+            {
+                "key": notice.key,
+                "said_ms_ago": _compute_age_ms(now, notice.said_at),
+            }
+            for notice in self.notices.list_since(link.notices_seen)
+            if notice.key not in link.notices
+        ]
+        link.notices_seen = self.notices.changes
+        link.notices.clear()
+        return rows
+
     def apply_message(
         self, link: LinkState, message: _Message
     ) -> abc.Sequence[tuple[str, topic_follower.TopicProgress]]:
@@ -307,6 +339,7 @@
             self._apply_report(link, row, sent_at)
         self._apply_ends(link, message.get("ended_targets", ()), sent_at)
         self._apply_limits(link, message.get("limits", ()), sent_at)
+        self._apply_notices(link, message.get("leaving_targets", ()), sent_at)
         if not link.delay.is_settled(now):
             # The age of the progress is not known yet. If it were taken as
             # fresh, it would keep this entry from polling the log itself.
@@ -365,6 +398,19 @@
         if self.limits.changes != seen:
             self.notify_urgent()
 
+    def _apply_notices(
+        self, link: LinkState, rows: abc.Iterable[_Message], sent_at: float
+    ) -> None:
+        is_any_new = False
+        for row in rows:
+            notice = leaving_notices.LeavingNotice(
+                row["key"], sent_at - max(0, row["said_ms_ago"]) / 1000
+            )
+            link.notices.add(notice.key)
+            is_any_new |= self.notices.merge(notice, trio.current_time())
+        if is_any_new:
+            self.notify_urgent()
+
     @staticmethod
     def _apply_progress(
         link: LinkState, row: _Message, sent_at: float
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/request_permits.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/request_permits.py
@@ -39,7 +39,7 @@
 
 
 def make_key(target: targets.Target) -> str:
-    """Return the key of the limit that a start of a target names."""
+    """Return the key of a start of a target, and of the limit it names."""
     return f"{target.target_id}/{target.entry.started_ms}"
 
 
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_calls.py
@@ -37,6 +37,8 @@
     is_delimited: bool = True
     """True when a length or chunks tell where the body ends, False when it
     ends with its connection."""
+    is_leaving: bool = False
+    """True when the target says that it leaves and wants no new work."""
     limit: named_limits.NamedLimit = named_limits.UNNAMED
     """Limit on requests from all entries together that the target names."""
 
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
@@ -1,9 +1,10 @@
 """The targets that an entry knows, and their state as the entry sees it.
 
-There are three sources: a target's own entry in the platform's list, which
-lags; its agent, whose reports are fresh but may be missing; and the outcomes
-of this entry's own requests. A target that one of them calls leaving gets no
-new work, whatever the others say.
+There are four sources: a target's own entry in the platform's list, which
+lags; its agent, whose reports are fresh but may be missing; what it says in
+its answers, to any entry; and the outcomes of this entry's own requests. A
+target that one of them calls leaving gets no new work, whatever the others
+say.
 """
 
 from collections import abc
@@ -108,6 +109,8 @@
         self.leaves_at: typing.Optional[deadlines.Deadline] = None
         # True while its data centre is evacuated.
         self.is_evacuated = False
+        # True once it has said so in an answer to this or another entry.
+        self.is_said_to_leave = False
         # Until when it is cold by its own entry.
         self.cold_until = now + entry.cold_left_ms / 1000
         # When it may have become cold without saying so yet.
@@ -170,7 +173,7 @@
         """Tell whether new work may be sent here."""
         if self.is_gone or self.is_replaced or self.is_evacuated:
             return False
-        if self.entry.is_leaving:
+        if self.entry.is_leaving or self.is_said_to_leave:
             return False
         return self.report is None or not self.report.is_leaving
 
@@ -245,6 +248,10 @@
     def __init__(self) -> None:
         """Start without targets."""
         self.last_leaving_notice_at = -math.inf
+        # Tells whether a target that is added has said that it leaves.
+        self.is_said_to_leave: abc.Callable[[Target], bool] = lambda target: (
+            False
+        )
         self._evacuated: frozenset[str] = frozenset()
         self._targets: typing.Final[dict[str, Target]] = {}
         self._by_service: typing.Final[dict[str, list[Target]]] = {}
@@ -304,6 +311,7 @@
             self.drop(entry.target_id)
         target = Target(entry, now)
         target.offset = offset
+        target.is_said_to_leave = self.is_said_to_leave(target)
         target.is_evacuated = entry.data_centre in self._evacuated
         self._targets[entry.target_id] = target
         self._by_service.setdefault(entry.service, []).append(target)
