Rest targets that ask for it, and choose those last that refuse

What callers saw: refusals beside targets that had room, as one target turned all requests away.

Cause: Retry-After of a target was only passed on to the caller, so the target got the next request all the same; and one that refuses at once has the fewest open requests, so it looked the least busy and drew the more. The class: a quick failure counts as a free place.

Change: a refusal with 429 or 503 and Retry-After rests its target at that entry, from the answer on, a minute at the most; what it asked for before holds also if it asks for less then. Rest is one of the reasons for which a target gets nothing yet, beside limits and cold targets, so that waiting, copies and the times that callers are told see it too. A target that has refused within the last second, with or without a time, is the last choice.

--- a/packages/gentianpoint-entry/features/forwarding/limit_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/limit_builders.py
@@ -103,6 +103,8 @@
     """When it was told."""
     opens_at: float
     """When a target takes it, on trio's clock."""
+    left_s: float
+    """Seconds until its deadline; it waits for a third of that at most."""
 
 
 class LimitedTarget:
@@ -120,7 +122,10 @@
         self.leaves_from = math.inf
         self.leaves_to = math.inf
         self.rests_from = math.inf
+        self.rests_to = math.inf
         self.rest_s = 0.0
+        self.rest_chance = 1.0
+        self._rng: typing.Final = random.Random(name)
         # Answers that said one of the two.
         self.told: typing.Final[list[SentRequest]] = []
 
@@ -129,10 +134,25 @@
         self.leaves_from = from_at
         self.leaves_to = to_at
 
-    def ask_for_rest(self, from_at: float, rest_s: float) -> None:
-        """Let it refuse requests from a time on, and ask for rest."""
+    def ask_for_rest(
+        self,
+        from_at: float,
+        rest_s: float,
+        to_at: float = math.inf,
+        chance: float = 1.0,
+    ) -> None:
+        """Let it refuse requests for some time, and ask for rest."""
         self.rests_from = from_at
+        self.rests_to = to_at
         self.rest_s = rest_s
+        self.rest_chance = chance
+
+    def refuses(self) -> bool:
+        """Tell whether it refuses the request that has come now."""
+        now = trio.current_time()
+        if not self.rests_from <= now < self.rests_to:
+            return False
+        return self._rng.random() < self.rest_chance
 
     def read_limit(self) -> named_limits.NamedLimit:
         """Return what its answers name now."""
@@ -162,7 +182,7 @@
         place.sent.append(
             SentRequest(trio.current_time(), self._number, request.request_id)
         )
-        rests = trio.current_time() >= place.rests_from
+        rests = place.refuses()
         await trio.sleep(0.0 if rests else place.work_s)
         limit = place.read_limit()
         now = trio.current_time()
@@ -180,6 +200,7 @@
         answer.limit = limit
         answer.is_leaving = leaves
         answer.retry_after_ms = place.rest_s * 1000 if rests else 0.0
+        answer.rest_ms = answer.retry_after_ms
         yield answer
 
 
@@ -386,7 +407,7 @@
             left_s = deadline - now
             if refusal is not None:
                 opens_at = now + refusal.retry_after_ms / 1000
-                self.told.append(ToldTime(number, now, opens_at))
+                self.told.append(ToldTime(number, now, opens_at, left_s))
             if refusal is None or tries == 2:
                 break
             wait_s = refusal.retry_after_ms / 1000
--- a/packages/gentianpoint-entry/features/forwarding/steps/target_notices_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/target_notices_steps.py
@@ -1,7 +1,11 @@
 """Steps for what targets ask for in their answers."""
 
+import math
+
 import behave
 
+from gentianpoint_standins import windows
+
 _UNDER_WAY_S = 0.5
 """Seconds after an answer for which requests may still arrive that were under
 way."""
@@ -61,6 +65,30 @@
     )
 
 
+@behave.given(
+    "from {from_s:d} s on all of them refuse one request in ten, and ask for"
+    " {rest_s:g} s of rest"
+)
+def refuse_some(context, from_s, rest_s):
+    ask_all(context, from_s, math.inf, rest_s, 0.1)
+
+
+@behave.given(
+    "from {from_s:d} s to {to_s:d} s all of them refuse requests and ask for"
+    " {rest_s:g} s of rest"
+)
+def refuse_all(context, from_s, to_s, rest_s):
+    ask_all(context, from_s, to_s, rest_s, 1.0)
+
+
+def ask_all(context, from_s, to_s, rest_s, chance):
+    context.rest_s = rest_s
+    for name in context.names:
+        context.notices[name] = lambda place: place.ask_for_rest(
+            context.began + from_s, rest_s, context.began + to_s, chance
+        )
+
+
 def find_first(context):
     return context.fleet.park["target-0"]
 
@@ -98,7 +126,65 @@
     " sends it more than two requests"
 )
 def check_rest(context):
-    place = find_first(context)
+    check_place(context, find_first(context))
+
+
+@behave.then(
+    "from half a second after any has asked until the end of its rest no entry"
+    " sends it more than two requests"
+)
+def check_rests(context):
+    for place in context.fleet.park.values():
+        check_place(context, place)
+
+
+@behave.then("from {from_s:d} s on it gets at most {most:d} requests a second")
+def check_rate(context, from_s, most):
+    times = [
+        item.at
+        for item in find_first(context).sent
+        if item.at > context.began + from_s
+    ]
+    found = windows.count_most(times, 1.0)
+    assert 0 < found <= most, found
+
+
+@behave.then("from {from_s:d} s on each target gets requests")
+def check_used(context, from_s):
+    for place in context.fleet.park.values():
+        assert any(item.at > context.began + from_s for item in place.sent), (
+            place.entry.target_id
+        )
+
+
+@behave.then(
+    "each refused caller of an entry that knows all to rest is told when the"
+    " first is back"
+)
+def check_told_rest(context):
+    park = context.fleet.park.values()
+    checked = 0
+    for told in context.fleet.told:
+        # When the entry heard last from each target that it rests.
+        known = [
+            [
+                item.at
+                for item in place.told
+                if item.entry == told.entry and item.at < told.refusal_at
+            ]
+            for place in park
+        ]
+        if not all(known):
+            continue
+        back_at = min(times[-1] for times in known) + context.rest_s
+        if back_at > told.refusal_at:
+            checked += 1
+            latest_at = told.refusal_at + told.left_s / 3
+            assert told.opens_at >= min(back_at, latest_at) - 0.01, told
+    assert checked
+
+
+def check_place(context, place):
     assert place.told
     most = max(
         sum(
--- a/packages/gentianpoint-entry/features/forwarding/target_notices.feature
+++ b/packages/gentianpoint-entry/features/forwarding/target_notices.feature
@@ -53,3 +53,45 @@
     When 40 requests a second come for 20 seconds
     Then from half a second after it has asked until the end of its rest no entry sends it more than two requests
     And all requests are served
+
+  Scenario: a target that refuses requests and does not ask for rest
+    Guards against a target that gets the more requests the faster it refuses
+    them.
+    Given 5 entries before 4 targets
+    And from 4 s on the first one refuses requests and asks for 0 s of rest
+    When 40 requests a second come for 20 seconds
+    Then from 5 s on it gets at most 6 requests a second
+    And all requests are served
+
+  Scenario: targets that refuse some requests
+    Guards against requests that cross the rest that another answer asks for.
+    Given 5 entries before 4 targets
+    And from 4 s on all of them refuse one request in ten, and ask for 3 s of rest
+    When 40 requests a second come for 24 seconds
+    Then from half a second after any has asked until the end of its rest no entry sends it more than two requests
+
+  Scenario: most callers come to one entry while a target rests
+    Guards against a target whose few open requests count for more at an entry
+    that has most of them.
+    Given 29 entries before 4 targets
+    And from 4 s on the first one refuses requests and asks for 3 s of rest
+    And from 8 s on nine in ten callers come to 1 of the entries
+    When 40 requests a second come for 24 seconds
+    Then from half a second after it has asked until the end of its rest no entry sends it more than two requests
+    And from 10 s on all requests are served
+
+  Scenario Outline: all targets rest
+    Guards against callers that wait for targets that take nothing, or come
+    back before they do, and against targets that get all of them at once.
+    Given <count> entries before 4 targets
+    And from 4 s to 8 s all of them refuse requests and ask for 3 s of rest
+    When 40 requests a second come for 24 seconds
+    Then from half a second after any has asked until the end of its rest no entry sends it more than two requests
+    And each refused caller of an entry that knows all to rest is told when the first is back
+    And from 13 s on all requests are served
+    And from 13 s on each target gets requests
+
+    Examples:
+      | count |
+      | 3     |
+      | 29    |
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
@@ -282,15 +282,20 @@
         ended, but its entry stays on the list until it expires. Each request
         that is sent to it until then costs its caller time and the service a
         retry. So it gets no requests until it writes its entry again.
+
+        One that asks for rest gets none from this entry until that is over.
         """
         if answer.is_wrong_target:
             target.is_replaced = True
+        else:
+            target.note_refusal(trio.current_time(), answer.rest_ms)
         logs.log_event(
             events.ATTEMPT_FAILED,
             target=target.target_id,
             step="receive head",
             peer=target.entry.address,
             reason=f"the target refused with status {answer.status}",
+            rest_ms=round(answer.rest_ms),
             may_have_run=False,
         )
 
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_calls.py
@@ -37,6 +37,9 @@
     is_delimited: bool = True
     """True when a length or chunks tell where the body ends, False when it
     ends with its connection."""
+    rest_ms: float = 0.0
+    """Milliseconds for which a target that refuses wants no request of this
+    entry, 0 if it does not say."""
     is_leaving: bool = False
     """True when the target says that it leaves and wants no new work."""
     limit: named_limits.NamedLimit = named_limits.UNNAMED
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_choice.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_choice.py
@@ -25,6 +25,7 @@
 from gentianpoint_entry.forwarding import move_destinations
 from gentianpoint_entry.forwarding import request_permits
 from gentianpoint_entry.forwarding import requests
+from gentianpoint_entry.forwarding import routes
 from gentianpoint_entry.forwarding import target_selection
 from gentianpoint_entry.forwarding import targets
 from gentianpoint_entry.forwarding import turn_loans
@@ -134,7 +135,10 @@
         """Ask other entries for permits; True if there may be some."""
         if self._loans is None or trio.current_time() >= until:
             return False
-        if not self._list_working(request):
+        now = trio.current_time()
+        if all(
+            target.rests_until > now for target in self._list_working(request)
+        ):
             return False
         name = request.service.name
         return await self._loans.find_more(name, order.count(), until)
@@ -170,7 +174,9 @@
     ) -> bool:
         """Take a permit to send a request to a target; False without one."""
         now = trio.current_time()
-        permit = self._permits.take(target, request.service, now)
+        permit = None
+        if target.rests_until <= now:
+            permit = self._permits.take(target, request.service, now)
         if permit is None:
             return False
         self._reserved[request.request_id, target.target_id] = (permit, now)
@@ -256,7 +262,7 @@
         candidates = self._list_working(request, excluded)
 
         def find_permitted_at(place: int, count: int) -> float:
-            return self._permits.find_permitted_at(
+            return self._find_permitted_at(
                 candidates[place], request.service, now, count
             )
 
@@ -289,10 +295,25 @@
             for target in self.registry.list_by_service(request.service.name)
             if target.target_id not in excluded
             and target.may_go_on(request.origin)
-            and self._permits.find_permitted_at(target, request.service, now)
-            <= now
+            and self._find_permitted_at(target, request.service, now) <= now
         ]
 
+    def _find_permitted_at(
+        self,
+        target: targets.Target,
+        service: routes.Service,
+        now: float,
+        ahead: int = 0,
+    ) -> float:
+        """Return when a request may be sent to a target that takes work.
+
+        Neither its limits nor the rest that it has asked for forbid it then.
+        """
+        permitted_at = self._permits.find_permitted_at(
+            target, service, now, ahead
+        )
+        return max(permitted_at, target.rests_until)
+
     def choose_target(
         self,
         request: requests.CallerRequest,
@@ -404,7 +425,7 @@
         key = (request.request_id, target.target_id)
         while key not in self._reserved:
             now = trio.current_time()
-            permitted_at = self._permits.find_permitted_at(
+            permitted_at = self._find_permitted_at(
                 target, request.service, now
             )
             if permitted_at > request.deadline.at:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_selection.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_selection.py
@@ -34,6 +34,9 @@
 request in many."""
 _FAILURE_COST: typing.Final = 2.0
 """Score of one failure, equal to twice that of all slots taken."""
+_REFUSAL_WINDOW_S: typing.Final = 1.0
+"""Seconds for which a target that has refused a request is the last choice.
+Then a request tells whether it still refuses."""
 _SILENT_COST: typing.Final = 10.0
 """Score of an engine that does not answer its own agent. It is the last choice
 but still one, since the agent may be at fault."""
@@ -175,6 +178,7 @@
     second. ``avoided`` names targets that are chosen only if they are much
     better.
     """
+    working = [target for target in candidates if target.accepts_work()]
     scored = [
         (
             score_target(
@@ -188,8 +192,7 @@
             + rng.random() * _TIE_BREAK_NOISE,
             target,
         )
-        for target in candidates
-        if target.accepts_work()
+        for target in _leave_out_refusing(working, now)
     ]
     if not scored:
         return None
@@ -205,6 +208,22 @@
     return rng.choices(scored, weights)[0][1]
 
 
+def _leave_out_refusing(
+    working: abc.Sequence[targets.Target], now: float
+) -> abc.Sequence[targets.Target]:
+    """Return the targets without those that have just refused a request.
+
+    One that refuses has few open requests, and would look the least busy. If
+    all refuse, all are returned.
+    """
+    others = [
+        target
+        for target in working
+        if now - target.refused_at >= _REFUSAL_WINDOW_S
+    ]
+    return others or working
+
+
 def _measure_report_age_s(
     scored: abc.Sequence[tuple[float, targets.Target]], now: float
 ) -> float:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
@@ -26,6 +26,11 @@
 still in use."""
 
 
+_MAX_REST_S: typing.Final = 60.0
+"""Longest rest that a target is given, in seconds. It may ask for more by
+mistake, and only an answer tells that it takes requests again."""
+
+
 class TargetEntry(typing.NamedTuple):
     """What a target says of itself in the platform's list."""
 
@@ -134,6 +139,10 @@
         self.named_limit = named_limits.UNNAMED
         self.failures = 0
         self.failed_at = -1e9
+        # Until when it has asked this entry for rest.
+        self.rests_until = -math.inf
+        # When it last refused a request of this entry.
+        self.refused_at = -math.inf
 
     @property
     def target_id(self) -> str:
@@ -189,6 +198,15 @@
         self.failures += 1
         self.failed_at = now
 
+    def note_refusal(self, now: float, rest_ms: float) -> None:
+        """Record a refusal, and for how long the target wants nothing.
+
+        What it has asked for before holds also if it asks for less now.
+        """
+        self.refused_at = now
+        rest_s = min(rest_ms / 1000, _MAX_REST_S)
+        self.rests_until = max(self.rests_until, now + rest_s)
+
     def open_request(self, now: float, tokens: int) -> None:
         """Count a request that is sent here and has not ended yet."""
         if not self.open_requests:
