Let targets of a soak ask for less work, and its balancer prefer an entry

Targets say in their answers that they leave, or refuse requests and ask for rest, and the balancer sends nine in ten new connections to one entry for some seconds, each drawn by a source of its own, so that a seed draws the same faults as before. The own interface has no such answers and only the balancer's preference.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -36,6 +36,8 @@
 """Standard deviation of the logarithm of estimated over real length."""
 _CONNECT_MS: typing.Final = 1000.0
 _OK: typing.Final = 200
+_PREFERRED_SHARE: typing.Final = 0.9
+"""Share of new connections that a preferred entry gets."""
 _LOST_SHARE: typing.Final = 0.2
 """Share of streams that may run again whose callers lose their connection."""
 _LOST_AFTER_S: typing.Final = (0.1, 1.0)
@@ -70,6 +72,8 @@
         """Ask ``entries``."""
         self._entries: typing.Final = entries
         self._dialect: typing.Final = dialect
+        # Name of the entry that gets most new connections, if any does.
+        self.preferred = ""
         self._misses: typing.Final = dict.fromkeys(
             range(len(entries)), _MOST_MISSES
         )
@@ -85,6 +89,16 @@
             return list(self._entries)
         return ready
 
+    def choose(self, source: random.Random) -> EntryPlace:
+        """Draw the entry of a new connection."""
+        ready = self.list_ready()
+        preferred = [
+            place for place in ready if place.program.name == self.preferred
+        ]
+        if preferred and source.random() < _PREFERRED_SHARE:
+            return preferred[0]
+        return source.choice(ready)
+
     async def wait_all_ready(self) -> None:
         """Return once every entry is in rotation."""
         while max(self._misses.values()) >= _MOST_MISSES:
@@ -155,7 +169,7 @@
             place, pid = self._last
             if place.program.pid == pid and place.program.is_running:
                 return place
-        return self._source.choice(balancer.list_ready())
+        return balancer.choose(self._source)
 
     def _choose_wait_s(self, kind: kinds.RequestKind) -> float:
         """Return how long a caller reads; some lose their connection."""
@@ -253,7 +267,7 @@
             if broken is None:
                 break
             await trio.sleep(source.random() * _PAUSE_S)
-            place = source.choice(balancer.list_ready())
+            place = balancer.choose(source)
             answer = await caller.call(place, kind, broken)
             facts.answers.append(answer)
         await trio.sleep(source.random() * _PAUSE_S)
@@ -279,7 +293,7 @@
     kind = choice[step.place % len(choice)]
     for _ in range(_FATAL_ROUNDS + step.changes):
         for _ in range(_FATAL_ATTEMPTS):
-            place = source.choice(balancer.list_ready())
+            place = balancer.choose(source)
             request_id = kinds.make_fatal_id(kind, content, uuid.uuid4().hex)
             facts.fatal_calls.append(
                 seen.FatalCall(
--- a/bench/soak/facts.py
+++ b/bench/soak/facts.py
@@ -17,6 +17,8 @@
     "FatalRun",
     "Leaving",
     "NamedLimit",
+    "Notice",
+    "Preference",
     "Probe",
     "Run",
     "Serving",
@@ -62,6 +64,32 @@
     """The start of the target."""
     at: float
     """When it came."""
+    request_id: str = ""
+    """Identifier of the attempt; empty if it is not known."""
+
+
+class Notice(typing.NamedTuple):
+    """An answer of a target that asked for less work."""
+
+    target_id: str
+    """The start of the target."""
+    request_id: str
+    """The attempt that it answered."""
+    at: float
+    """When."""
+    rest_s: float
+    """Seconds for which it wants nothing; 0 if it says that it leaves."""
+
+
+class Preference(typing.NamedTuple):
+    """The balancer sent most new connections to one entry for some time."""
+
+    entry: str
+    """Its name."""
+    begins_at: float
+    """When that began."""
+    ends_at: float
+    """When it was over."""
 
 
 class NamedLimit(typing.NamedTuple):
@@ -209,6 +237,8 @@
         self.runs: typing.Final[list[Run]] = []
         self.arrivals: typing.Final[list[Arrival]] = []
         self.limits: typing.Final[list[NamedLimit]] = []
+        self.notices: typing.Final[list[Notice]] = []
+        self.preferences: typing.Final[list[Preference]] = []
         self.servings: typing.Final[list[Serving]] = []
         self.answers: typing.Final[list[Answer]] = []
         self.changes: typing.Final[list[Change]] = []
--- a/bench/soak/own_player.py
+++ b/bench/soak/own_player.py
@@ -100,6 +100,11 @@
         if self._latest[name] is step:
             await self._parts.set_faults(name, **no_faults)
 
+    def set_notice(
+        self, step: schedule.Step, rest_s: typing.Optional[float]
+    ) -> None:
+        """Do nothing: targets of this interface have no such answers."""
+
     async def release(self, step: schedule.Step) -> None:
         """Let engines go on with other software, as if started anew.
 
--- a/bench/soak/platform_player.py
+++ b/bench/soak/platform_player.py
@@ -16,6 +16,8 @@
 __all__ = ("PlatformPlayer",)
 
 _FAULTY_SHARE: typing.Final = 0.3
+_REFUSING_SHARES: typing.Final = (1.0, 0.2)
+"""Shares of requests that a target refuses while it asks for rest."""
 _LOG_TROUBLES: typing.Final = {
     "log_silent": "silent",
     "log_busy": "busy",
@@ -68,6 +70,14 @@
         """Let a target name a limit from now on, None for none."""
         self._find_target(step).limit_per_s = per_s
 
+    def set_notice(
+        self, step: schedule.Step, rest_s: typing.Optional[float]
+    ) -> None:
+        """Let a target ask for less work from now on, None for none."""
+        target = self._find_target(step)
+        target.notice_rest_s = rest_s
+        target.refusing_share = _REFUSING_SHARES[step.place % 2]
+
     async def release(self, step: schedule.Step) -> None:
         """Replace some engines, one after the other."""
         software = self.name_next_software()
--- a/bench/soak/platform_targets.py
+++ b/bench/soak/platform_targets.py
@@ -35,6 +35,7 @@
 _NOT_EXECUTED: typing.Final = (b"x-gentianpoint-not-executed", b"1")
 _INSTANCE: typing.Final = b"x-gentianpoint-instance-id"
 _LIMIT: typing.Final = b"server-limit"
+_LEAVING: typing.Final = (b"server-leaving", b"1")
 _RESUMES: typing.Final = "resumes"
 _FIRST_SOFTWARE: typing.Final = "v1"
 
@@ -88,6 +89,10 @@
         self.cutting_share = 0.0
         # Limit on requests that answers name, None without one.
         self.limit_per_s: typing.Optional[float] = None
+        # Seconds of rest that it asks for, 0 to say that it leaves, and which
+        # share of requests it refuses in the first case.
+        self.notice_rest_s: typing.Optional[float] = None
+        self.refusing_share = 1.0
         self._software = _FIRST_SOFTWARE
         # Software of the next start.
         self.next_software = _FIRST_SOFTWARE
@@ -145,6 +150,7 @@
         self._is_up = True
         self._is_leaving = False
         self.limit_per_s = None
+        self.notice_rest_s = None
         self._software = self.next_software
         self._took_work_at = trio.current_time()
         self.relay.apply(relay.RelayFaults())
@@ -251,7 +257,12 @@
         after = int(headers.get("last-event-id", 0) or 0)
         service = self.place.service
         now = trio.current_time()
-        self._facts.arrivals.append(seen.Arrival(self.target_id, now))
+        self._facts.arrivals.append(
+            seen.Arrival(self.target_id, now, request_id)
+        )
+        if self._refuses():
+            await self._refuse(answer, request_id)
+            return
         self._facts.runs.append(
             seen.Run(request_id, service, self.target_id, now, after)
         )
@@ -268,6 +279,9 @@
         ]
         if self.limit_per_s is not None:
             marks.append((_LIMIT, str(self.limit_per_s).encode()))
+        if self.notice_rest_s == 0:
+            marks.append(_LEAVING)
+            self._note_notice(request_id)
         if self._source.random() < self.failing_share:
             error = {"error": "failed"}
             await http_serving.answer_json(answer, error, 500, *marks)
@@ -286,6 +300,31 @@
             await trio.sleep(_PLAIN_S)
             await self._answer_plain(answer, marks, request_id.encode())
 
+    def _refuses(self) -> bool:
+        """Tell whether it refuses the request that has come now."""
+        if not self.notice_rest_s:
+            return False
+        return self._source.random() < self.refusing_share
+
+    async def _refuse(
+        self, answer: caller_answers.CallerAnswer, request_id: str
+    ) -> None:
+        """Refuse a request and ask for rest."""
+        self._note_notice(request_id)
+        rest = (b"retry-after", str(self.notice_rest_s).encode())
+        error = {"error": "in need of rest"}
+        await http_serving.answer_json(answer, error, 503, _NOT_EXECUTED, rest)
+
+    def _note_notice(self, request_id: str) -> None:
+        self._facts.notices.append(
+            seen.Notice(
+                self.target_id,
+                request_id,
+                trio.current_time(),
+                self.notice_rest_s or 0.0,
+            )
+        )
+
     async def _answer_plain(
         self,
         answer: caller_answers.CallerAnswer,
--- a/bench/soak/players.py
+++ b/bench/soak/players.py
@@ -22,6 +22,10 @@
 """Longest pause between the stops of two entries; each takes longer to end."""
 _LIMITS_PER_S: typing.Final = (0.3, 1.0, 2.0, 3.0, 5.0)
 """Limits that targets name, in requests a second."""
+_PREFERRED_S: typing.Final = 10.0
+"""Least time for which the balancer prefers an entry."""
+_REST_S: typing.Final = (0.8, 2.0, 3.0, 4.5)
+"""Times for which targets ask for rest, in seconds."""
 _LIMITED_S: typing.Final = 14.0
 """Least time for which a target names its limit."""
 _LINK_FAULTS: typing.Final = {
@@ -113,6 +117,41 @@
         )
         self._facts.calm_from = max(self._facts.calm_from, ends_at)
 
+    async def carry_out_preference(
+        self, step: schedule.Step, balancer: callers.Balancer
+    ) -> None:
+        """Let the balancer prefer an entry for a while; excuses nothing."""
+        number = step.place % len(self._shared.entries)
+        name = self._shared.entries[number].program.name
+        begins_at = trio.current_time()
+        balancer.preferred = name
+        await trio.sleep(step.for_s + _PREFERRED_S)
+        if balancer.preferred == name:
+            balancer.preferred = ""
+        ends_at = trio.current_time()
+        self._facts.preferences.append(
+            seen.Preference(name, begins_at, ends_at)
+        )
+
+    async def carry_out_notice(self, step: schedule.Step) -> None:
+        """Let a target ask for less work for a while; excuses nothing."""
+        is_leaving = step.kind == schedule.LEAVING_TARGET
+        rest_s = _REST_S[step.changes % len(_REST_S)]
+        name = self.find_start(step)
+        self.set_notice(step, 0.0 if is_leaving else rest_s)
+        await trio.sleep(step.for_s)
+        if self.find_start(step) == name:
+            self.set_notice(step, None)
+
+    @abc.abstractmethod
+    def set_notice(
+        self, step: schedule.Step, rest_s: typing.Optional[float]
+    ) -> None:
+        """Let a target ask for less work from now on, None for none.
+
+        That is for ``rest_s`` seconds of rest, with 0 that it leaves.
+        """
+
     @abc.abstractmethod
     async def kill_service(self, step: schedule.Step) -> None:
         """Let all targets of a service end at once."""
--- a/bench/soak/playing.py
+++ b/bench/soak/playing.py
@@ -85,7 +85,7 @@
                 facts,
                 random.Random(options.seed),
             )
-            await _carry_all_out(options, player, send_fatal)
+            await _carry_all_out(options, player, balancer, send_fatal)
             facts.calm_from = max(facts.calm_from, trio.current_time())
             await trio.sleep(_CALM_S)
             nursery.cancel_scope.cancel()
@@ -138,6 +138,7 @@
 async def _carry_all_out(
     options: SoakOptions,
     player: players.Player,
+    balancer: callers.Balancer,
     send_fatal: abc.Callable[[schedule.Step], abc.Awaitable[None]],
 ) -> None:
     """Carry the schedule out; its steps overlap."""
@@ -155,5 +156,12 @@
                 nursery.start_soon(player.release, step)
             elif step.kind == schedule.LIMITED_TARGET:
                 nursery.start_soon(player.carry_out_limit, step)
+            elif step.kind in (
+                schedule.LEAVING_TARGET,
+                schedule.RESTING_TARGET,
+            ):
+                nursery.start_soon(player.carry_out_notice, step)
+            elif step.kind == schedule.PREFERRED_ENTRY:
+                nursery.start_soon(player.carry_out_preference, step, balancer)
             else:
                 nursery.start_soon(player.carry_out, step)
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -8,8 +8,11 @@
     "FATAL_PART",
     "FATAL_REQUEST",
     "KINDS",
+    "LEAVING_TARGET",
     "LIMITED_TARGET",
+    "PREFERRED_ENTRY",
     "RELEASE",
+    "RESTING_TARGET",
     "Step",
     "draw_schedule",
 )
@@ -49,6 +52,12 @@
 target that runs them."""
 LIMITED_TARGET: typing.Final = "limited_target"
 """A target says in its answers how many requests a second it takes."""
+LEAVING_TARGET: typing.Final = "leaving_target"
+"""A target says in its answers that it leaves, and its entry does not."""
+RESTING_TARGET: typing.Final = "resting_target"
+"""A target refuses requests and asks for rest."""
+PREFERRED_ENTRY: typing.Final = "preferred_entry"
+"""The balancer sends most new connections to one entry."""
 CUTTING_TARGET: typing.Final = "target_cuts"
 """A target breaks streams off inside an event, and goes on."""
 RELEASE: typing.Final = "release"
@@ -65,6 +74,12 @@
 """Targets that do so in one series."""
 _MOST_LIMITED: typing.Final = 3
 """Targets that name a limit in one series."""
+_NOTICE_SHARE: typing.Final = 0.8
+"""Share of series in which targets ask for less work in their answers."""
+_MOST_NOTICES: typing.Final = 2
+"""Targets that do so in one series, for each of the two ways."""
+_PREFERRED_SHARE: typing.Final = 0.6
+"""Share of series in which the balancer prefers an entry."""
 _FATAL_SHARE: typing.Final = 0.8
 """Share of series that have such a request."""
 _SERIES_S: typing.Final = 5.0
@@ -128,6 +143,11 @@
     steps += _draw_apart(
         CUTTING_TARGET, _CUTTING_SHARE, seed, length_s, _MOST_CUTTING
     )
+    for kind in (LEAVING_TARGET, RESTING_TARGET):
+        steps += _draw_apart(
+            kind, _NOTICE_SHARE, seed, length_s, _MOST_NOTICES
+        )
+    steps += _draw_apart(PREFERRED_ENTRY, _PREFERRED_SHARE, seed, length_s)
     return sorted(steps)
 
 
