Plant what breaks the soak's promises on notices of targets

Three cases that break one promise each (a run 2.1 s after an answer said that the target leaves, three requests within its rest, an entry that serves 14 of 20 where all served 20), and seven that are allowed.

--- a/bench/features/soak.feature
+++ b/bench/features/soak.feature
@@ -41,6 +41,9 @@
       | a part that ends 4 more targets 3.1 s after the fifth | a part that ends targets is kept from others |
       | a target with a limit of 2 that gets 18 in 4 s, 3.1 s after it named it | a target's limit on requests is kept |
       | a target with a limit of 2 that gets 18 in 4 s, 3.2 s after an entry started | a target's limit on requests is kept |
+      | a run 2.1 s after a target said to its entry that it leaves | a target that says that it leaves gets nothing new |
+      | 3 requests 0.6 s after a target asked for rest | a target gets the rest that it asks for |
+      | a preferred entry that serves 14 of 20     | a preferred entry serves what all did |
 
   Scenario Outline: what is no broken promise
     Given what a soak without a fault has seen
@@ -72,6 +75,13 @@
       | a request that ends 4 more targets 3.1 s after the third, 2.9 s after its entry started |
       | a part that ends 3 more targets 3.1 s after the fifth |
       | a part that ends 4 more targets 2.9 s after the fifth |
+      | a run 1.9 s after a target said to its entry that it leaves |
+      | a run 2.1 s after a target said so to an earlier start of its entry |
+      | a run 2.1 s after a target said so to its entry, killed meanwhile |
+      | 2 requests 0.6 s after a target asked for rest |
+      | 3 requests 0.4 s after a target asked for rest |
+      | 3 requests 3.1 s after a target asked for rest |
+      | a preferred entry that serves 15 of 20            |
 
   Scenario Outline: many entries are probed no more often than the soak bears
     Guards against a log and targets that are slow since probes of 60 entries
--- a/bench/features/soak_builders.py
+++ b/bench/features/soak_builders.py
@@ -256,6 +256,58 @@
     )
 
 
+def _make_sent(
+    request_id: str, sent_at: float, pid: int = _PID
+) -> seen.Answer:
+    """Return the answer to a request that was sent to the one entry."""
+    answer = make_answer(request_id, request_id.encode(), sent_at=sent_at)
+    return answer._replace(entry=_ENTRY, pid=pid)
+
+
+def _add_told(
+    facts: seen.Facts,
+    after_s: float,
+    *,
+    pid: int = _PID,
+    was_killed: bool = False,
+) -> None:
+    """Let a request reach a target after it said that it leaves."""
+    told_at = 30.0
+    facts.answers.append(_make_sent("lookup-7", told_at))
+    facts.answers.append(_make_sent("lookup-8", told_at + after_s, pid))
+    facts.notices.append(seen.Notice(_TARGET, "lookup-7", told_at, 0.0))
+    facts.runs.append(make_run("lookup-8", told_at + after_s))
+    if was_killed:
+        facts.disturbances.append(
+            seen.Disturbance(_ENTRY, "entry_kill", told_at + 1, told_at + 1)
+        )
+
+
+def _add_rest(facts: seen.Facts, count: int, after_s: float) -> None:
+    """Let requests reach a target that has asked for 3 s of rest."""
+    asked_at = 30.0
+    facts.answers.append(_make_sent("lookup-7", asked_at))
+    facts.notices.append(seen.Notice(_TARGET, "lookup-7", asked_at, 3.0))
+    for number in range(count):
+        name = f"lookup-1{number}"
+        facts.answers.append(_make_sent(name, asked_at + after_s))
+        facts.arrivals.append(seen.Arrival(_TARGET, asked_at + after_s, name))
+
+
+def _add_preferred(facts: seen.Facts, served: int) -> None:
+    """Let an entry be preferred, and serve ``served`` of 20 requests."""
+    begins_at = 40.0
+    facts.preferences.append(
+        seen.Preference(_ENTRY, begins_at, begins_at + 8.0)
+    )
+    for number in range(20):
+        facts.answers.append(_make_sent(f"lookup-2{number}", begins_at - 1))
+        answer = _make_sent(f"lookup-3{number}", begins_at + 5)
+        if number >= served:
+            answer = answer._replace(status=503, body=b"busy")
+        facts.answers.append(answer)
+
+
 def _lose_service(facts: seen.Facts) -> None:
     facts.answers[-1] = facts.answers[-1]._replace(status=0, body=b"")
 
@@ -288,6 +340,36 @@
     "a lookup that runs after it was refused": (
         lambda facts: facts.runs.append(make_run("lookup-2"))
     ),
+    "a run 2.1 s after a target said to its entry that it leaves": (
+        lambda facts: _add_told(facts, 2.1)
+    ),
+    "a run 1.9 s after a target said to its entry that it leaves": (
+        lambda facts: _add_told(facts, 1.9)
+    ),
+    "a run 2.1 s after a target said so to an earlier start of its entry": (
+        lambda facts: _add_told(facts, 2.1, pid=_PID + 1)
+    ),
+    "a run 2.1 s after a target said so to its entry, killed meanwhile": (
+        lambda facts: _add_told(facts, 2.1, was_killed=True)
+    ),
+    "3 requests 0.6 s after a target asked for rest": (
+        lambda facts: _add_rest(facts, 3, 0.6)
+    ),
+    "2 requests 0.6 s after a target asked for rest": (
+        lambda facts: _add_rest(facts, 2, 0.6)
+    ),
+    "3 requests 0.4 s after a target asked for rest": (
+        lambda facts: _add_rest(facts, 3, 0.4)
+    ),
+    "3 requests 3.1 s after a target asked for rest": (
+        lambda facts: _add_rest(facts, 3, 3.1)
+    ),
+    "a preferred entry that serves 14 of 20": (
+        lambda facts: _add_preferred(facts, 14)
+    ),
+    "a preferred entry that serves 15 of 20": (
+        lambda facts: _add_preferred(facts, 15)
+    ),
     "a status with the answer of another": lambda facts: facts.answers.append(
         make_answer("status-3", b"status-4")
     ),
