Split the soak's checks, and share what two builders and two plays had twice

No behaviour changes: bounds and verdicts, and the promises on notices and preferred entries, are modules of their own; the two fleets of entries share their datagrams, and the ways of limits are played by one function.

--- a/bench/features/steps/known_failures_steps.py
+++ b/bench/features/steps/known_failures_steps.py
@@ -9,8 +9,8 @@
 import behave
 
 from bench.features import soak_builders
-from bench.soak import checks
 from bench.soak import failures
+from bench.soak import verdicts
 from tools import run_tests
 
 
@@ -43,7 +43,7 @@
 @behave.when("its soak fails {times:d} times")
 def fail_soak(context, times):
     facts = soak_builders.make_facts()
-    broken = [checks.Verdict("memory is bounded", 1, ("entry-1",))]
+    broken = [verdicts.Verdict("memory is bounded", 1, ("entry-1",))]
     context.kept = [
         failures.keep("seed-1", context.output, facts, broken, context.root)
         for _ in range(times)
--- a/bench/features/steps/soak_steps.py
+++ b/bench/features/steps/soak_steps.py
@@ -12,13 +12,14 @@
 from bench.soak import failures
 from bench.soak import fleet
 from bench.soak import playing
+from bench.soak import verdicts
 from tools import run_tests
 
 
 @behave.given("what a soak without a fault has seen")
 def make_facts(context):
     context.facts = soak_builders.make_facts()
-    context.bounds = checks.Bounds()
+    context.bounds = verdicts.Bounds()
 
 
 @behave.when("{plant} is seen besides")
@@ -78,7 +79,7 @@
     context.add_cleanup(folder.cleanup)
     context.soak_output = pathlib.Path(folder.name)
     context.facts = trio.run(playing.play, options, context.soak_output)
-    context.bounds = checks.Bounds(
+    context.bounds = verdicts.Bounds(
         are_timed=False, do_agents_carry=interface == "own"
     )
 
--- a/bench/limit_ways.py
+++ b/bench/limit_ways.py
@@ -270,54 +270,40 @@
     """Most requests in any window."""
     used: float
     """Requests as a share of what the limit allows."""
+    served: float
+    """Share of the requests that were sent in their time."""
 
 
-def _play(way: Way, load_per_s: float) -> _Outcome:
-    source = random.Random(1)
-    per_s = load_per_s * way.count
-    waiting: dict[int, collections.deque[float]] = collections.defaultdict(
-        collections.deque
-    )
-    sent: list[float] = []
-    next_at = source.expovariate(per_s)
-    for step in range(round(_LENGTH_S / _STEP_S)):
-        now = step * _STEP_S
-        while next_at <= now:
-            waiting[source.randrange(way.count)].append(next_at)
-            next_at += source.expovariate(per_s)
-        for entry, queue in list(waiting.items()):
-            while queue and queue[0] < now - _WAIT_S:
-                queue.popleft()
-            while queue and way.take(entry, now):
-                queue.popleft()
-                sent.append(now)
-            if not queue:
-                del waiting[entry]
-    most = windows.count_most(sent, _WINDOW_S)
-    return _Outcome(most, len(sent) / (way.per_s * _LENGTH_S))
-
+def _play(
+    way: Way,
+    load_per_s: float,
+    wait_s: float = _WAIT_S,
+    *,
+    is_even: bool = True,
+) -> _Outcome:
+    """Send ``load_per_s`` requests a second, which wait for ``wait_s``.
 
-def _play_uneven(way: Way) -> tuple[_Outcome, float]:
-    """Play most requests at one entry; return also the share in time."""
+    They come to all entries alike, or most of them to one after the other.
+    """
     source = random.Random(1)
     waiting: dict[int, collections.deque[float]] = collections.defaultdict(
         collections.deque
     )
     sent: list[float] = []
     asked = 0
-    next_at = source.expovariate(_UNEVEN_LOAD_PER_S)
+    next_at = source.expovariate(load_per_s)
     for step in range(round(_LENGTH_S / _STEP_S)):
         now = step * _STEP_S
         while next_at <= now:
             entry = source.randrange(way.count)
-            if source.random() < _PREFERRED_SHARE:
+            if not is_even and source.random() < _PREFERRED_SHARE:
                 entry = int(now / _PREFERRED_S) % way.count
             waiting[entry].append(next_at)
             way.note_wanted(entry, now)
             asked += 1
-            next_at += source.expovariate(_UNEVEN_LOAD_PER_S)
+            next_at += source.expovariate(load_per_s)
         for entry, queue in list(waiting.items()):
-            while queue and queue[0] < now - _SHORT_WAIT_S:
+            while queue and queue[0] < now - wait_s:
                 queue.popleft()
             while queue and way.take(entry, now):
                 queue.popleft()
@@ -326,7 +312,7 @@
                 del waiting[entry]
     most = windows.count_most(sent, _WINDOW_S)
     used = len(sent) / (way.per_s * _LENGTH_S)
-    return _Outcome(most, used), len(sent) / asked
+    return _Outcome(most, used, len(sent) / asked)
 
 
 def _print_uneven() -> None:
@@ -338,8 +324,10 @@
         cells = []
         for count in _ENTRIES:
             way = make_way(count, _UNEVEN_LIMIT_PER_S)
-            outcome, served = _play_uneven(way)
-            cells.append(f"{outcome.most}, {served:.2f}")
+            outcome = _play(
+                way, _UNEVEN_LOAD_PER_S, _SHORT_WAIT_S, is_even=False
+            )
+            cells.append(f"{outcome.most}, {outcome.served:.2f}")
         print(f"| {make_way.name} | {' | '.join(cells)} |", flush=True)
 
 
@@ -362,7 +350,7 @@
         for per_s in _LIMITS_PER_S:
             for load_per_s in _LOADS_PER_S:
                 found = [
-                    _play(make_way(count, per_s), load_per_s)
+                    _play(make_way(count, per_s), load_per_s * count)
                     for count in _ENTRIES
                 ]
                 cells = " | ".join(
--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -14,26 +14,27 @@
 from bench.soak import fleet
 from bench.soak import playing
 from bench.soak import schedule
+from bench.soak import verdicts
 
 _BOUNDS: typing.Final = {
-    "platform": checks.Bounds(),
-    "own": checks.Bounds(in_force_s=7.0, do_agents_carry=True),
+    "platform": verdicts.Bounds(),
+    "own": verdicts.Bounds(in_force_s=7.0, do_agents_carry=True),
 }
 
 
 def _tell(
-    verdicts: typing.Sequence[checks.Verdict],
+    judged: typing.Sequence[verdicts.Verdict],
     options: playing.SoakOptions,
 ) -> None:
     """Print a line for each promise."""
-    for item in verdicts:
+    for item in judged:
         word = "never tested" if not item.tested else "kept"
         if item.failures:
             word = "BROKEN: " + "; ".join(item.failures)
         print(f"seed {options.seed}: {item.promise}: {item.tested}, {word}")
 
 
-def play_one(options: playing.SoakOptions, bounds: checks.Bounds) -> bool:
+def play_one(options: playing.SoakOptions, bounds: verdicts.Bounds) -> bool:
     """Play one soak and print its verdicts; return True if all were kept.
 
     When a promise was broken, what was seen and printed is kept.
@@ -41,9 +42,9 @@
     with tempfile.TemporaryDirectory() as name:
         folder = pathlib.Path(name)
         facts = trio.run(playing.play, options, folder)
-        verdicts = checks.check_all(facts, bounds)
-        _tell(verdicts, options)
-        broken = failures.list_broken(verdicts)
+        judged = checks.check_all(facts, bounds)
+        _tell(judged, options)
+        broken = failures.list_broken(judged)
         if not broken:
             return True
         kept = failures.keep(f"seed-{options.seed}", folder, facts, broken)
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -3,13 +3,14 @@
 import bisect
 import collections
 from collections import abc
-import itertools
 import typing
 
 from bench.soak import facts as seen
 from bench.soak import kinds
+from bench.soak import notice_checks
+from bench.soak import verdicts
 
-__all__ = ("Bounds", "Verdict", "check_all")
+__all__ = ("check_all",)
 
 _NOT_RUN: typing.Final = frozenset((408, 421, 429, 503))
 """Statuses that say that a request has not run and never will."""
@@ -17,107 +18,20 @@
 """Faults that cut what an entry has taken."""
 _OF_AGENT: typing.Final = frozenset(("agent_kill", "agent_pause"))
 """Faults that cut nothing where requests don't pass through agents."""
-_OF_KNOWLEDGE: typing.Final = frozenset(
-    ("entry_kill", "entry_pause", "entry_stop", "entries_stop")
-)
-"""Faults after which an entry may not know yet what the others do."""
 _FATAL_ENDS: typing.Final = 3
 """Targets that a request may end before it is kept from the others."""
 _FATAL_PART_ENDS: typing.Final = 5
 """Targets that requests with one part may end before they are kept from the
 others."""
-_UNSTEADY_LINKS: typing.Final = frozenset(
-    ("target_link_stalls", "target_link_silent", "target_link_cut")
-)
-"""Faults that hold back what was sent to a target."""
 _SIGNAL_S: typing.Final = 0.2
 """Time until a program knows of a signal."""
-_MOST_NAMED: typing.Final = 5
-"""Failures of one promise that are named."""
-
-
-class Bounds(typing.NamedTuple):
-    """Figures of the promises."""
-
-    in_force_s: float = 2.0
-    """Time from an acknowledgement until a version is in force."""
-    calm_s: float = 3.0
-    """Time after a fault from which an entry is bound again."""
-    drain_s: float = 2.0
-    """Time from a notice until a target gets nothing new."""
-    recovery_s: float = 12.0
-    """Time after the last fault in which service is back."""
-    recovered_share: float = 0.25
-    """Share of requests that is served then, at least."""
-    retry_ratio: float = 0.2
-    """Repeated arrivals for each request."""
-    retry_slack: int = 58
-    """Repeated arrivals in a window that are allowed besides."""
-    retry_window_s: float = 10.0
-    """Length of that window."""
-    memory_mb: float = 150.0
-    """Memory of an entry."""
-    asked_enough: int = 20
-    """Requests of a kind of which one is served, at least."""
-    grace_s: float = 8.0
-    """Time from the signal to end until a program is killed."""
-    outlast_share: float = 5 / 6
-    """Share of it after which a request may be cut that came before it."""
-    silent_s: float = 5.0
-    """Time for which kept connections that fell silent are still used."""
-    read_s: float = 1.0
-    """Time for which a request may lie unread in a connection that is
-    closed."""
-    fatal_runs: int = 3
-    """Runs of a request that has ended targets, from ``calm_s`` after the
-    third end on."""
-    limit_window_s: float = 4.0
-    """Time over which requests to a target with a limit are counted."""
-    limit_factor: float = 1.5
-    """Factor by which it may get more than its limit allows."""
-    limit_slack: int = 5
-    """Requests in such a time that are allowed besides."""
-    under_way_s: float = 0.5
-    """Time after an answer in which requests may arrive that were under
-    way."""
-    rest_requests: int = 2
-    """Requests of an entry that a target may get besides while it rests."""
-    preferred_s: float = 4.0
-    """Time from which on a preferred entry serves as many as others did."""
-    preferred_share: float = 0.75
-    """Share that is served then, against the one before."""
-    serving: int = 2
-    """Engines of a stream's version that serve, for it to go on."""
-    taken_up: int = 12
-    """Streams that are taken up, from which on their share counts."""
-    went_on_share: float = 0.5
-    """Share of them that go on, against that of new ones that begin."""
-    lag_s: float = 1.0
-    """Time for which the soak's own process may stand still."""
-    do_agents_carry: bool = False
-    """True where requests pass through agents, so that faults of these cut
-    them."""
-    are_timed: bool = True
-    """False leaves out the promises with a time, which a busy machine
-    can't be held to."""
-
-
-class Verdict(typing.NamedTuple):
-    """How one promise fared."""
-
-    promise: str
-    """The promise."""
-    tested: int
-    """How often it was put to the test."""
-    failures: tuple[str, ...]
-    """What broke it, the first few."""
-    is_timed: bool = False
-    """True when it depends on how fast the machine is."""
-
-
-def check_all(facts: seen.Facts, bounds: Bounds) -> list[Verdict]:
+
+
+def check_all(
+    facts: seen.Facts, bounds: verdicts.Bounds
+) -> list[verdicts.Verdict]:
     """Check every promise."""
-    verdicts = [
+    found = [
         _check_once(facts),
         _check_not_run(facts),
         _check_own(facts),
@@ -136,24 +50,13 @@
         _check_fatal(facts, bounds, is_part=False),
         _check_fatal(facts, bounds, is_part=True),
         _check_limits(facts, bounds),
-        _check_said_leaving(facts, bounds),
-        _check_rests(facts, bounds),
-        _check_preferred(facts, bounds),
+        notice_checks.check_said_leaving(facts, bounds),
+        notice_checks.check_rests(facts, bounds),
+        notice_checks.check_preferred(facts, bounds),
         _check_software(facts),
         _check_taken_up(facts, bounds),
     ]
-    return [item for item in verdicts if bounds.are_timed or not item.is_timed]
-
-
-def _judge(
-    promise: str,
-    tested: int,
-    failures: abc.Iterable[str],
-    *,
-    is_timed: bool = False,
-) -> Verdict:
-    named = tuple(itertools.islice(failures, _MOST_NAMED))
-    return Verdict(promise, tested, named, is_timed)
+    return [item for item in found if bounds.are_timed or not item.is_timed]
 
 
 def _runs_once(request_id: str) -> bool:
@@ -161,15 +64,15 @@
     return kind is not None and not kind.may_run_again
 
 
-def _check_once(facts: seen.Facts) -> Verdict:
+def _check_once(facts: seen.Facts) -> verdicts.Verdict:
     counts = collections.Counter(
         run.request_id for run in facts.runs if _runs_once(run.request_id)
     )
     twice = (name for name, count in counts.items() if count > 1)
-    return _judge("what may run once runs once", len(counts), twice)
+    return verdicts.judge("what may run once runs once", len(counts), twice)
 
 
-def _check_not_run(facts: seen.Facts) -> Verdict:
+def _check_not_run(facts: seen.Facts) -> verdicts.Verdict:
     ran = {run.request_id for run in facts.runs}
     refused = [
         answer.request_id
@@ -177,12 +80,12 @@
         if answer.status in _NOT_RUN and _runs_once(answer.request_id)
     ]
     untrue = (name for name in refused if name in ran)
-    return _judge(
+    return verdicts.judge(
         "what is refused as not run has not run", len(refused), untrue
     )
 
 
-def _check_own(facts: seen.Facts) -> Verdict:
+def _check_own(facts: seen.Facts) -> verdicts.Verdict:
     plain = [
         answer
         for answer in facts.answers
@@ -193,7 +96,9 @@
         for answer in plain
         if answer.is_whole and answer.body != answer.request_id.encode()
     )
-    return _judge("an answer is of its own request", len(plain), foreign)
+    return verdicts.judge(
+        "an answer is of its own request", len(plain), foreign
+    )
 
 
 def _is_stream(answer: seen.Answer) -> bool:
@@ -201,7 +106,7 @@
     return kind is not None and kind.is_stream
 
 
-def _check_streams(facts: seen.Facts) -> Verdict:
+def _check_streams(facts: seen.Facts) -> verdicts.Verdict:
     streams = [
         answer
         for answer in facts.answers
@@ -212,7 +117,9 @@
         for answer in streams
         if (fault := _find_stream_fault(answer))
     )
-    return _judge("a stream is whole and in order", len(streams), broken)
+    return verdicts.judge(
+        "a stream is whole and in order", len(streams), broken
+    )
 
 
 def _find_stream_fault(answer: seen.Answer) -> str:
@@ -258,7 +165,7 @@
     return versions
 
 
-def _check_software(facts: seen.Facts) -> Verdict:
+def _check_software(facts: seen.Facts) -> verdicts.Verdict:
     """Check that each stream was written by one software version."""
     versions = _collect_software(facts)
     mixed = (
@@ -268,10 +175,14 @@
     )
     several = {item.software for item in facts.servings}
     tested = len(versions) if len(several) > 1 else 0
-    return _judge("a stream has events of one software version", tested, mixed)
+    return verdicts.judge(
+        "a stream has events of one software version", tested, mixed
+    )
 
 
-def _check_taken_up(facts: seen.Facts, bounds: Bounds) -> Verdict:
+def _check_taken_up(
+    facts: seen.Facts, bounds: verdicts.Bounds
+) -> verdicts.Verdict:
     """Check that streams go on where two targets of their version serve."""
     versions = _collect_software(facts)
     due = [
@@ -301,7 +212,9 @@
         failures.append(
             f"{went_on} of {len(due)} went on, {begun:.2f} of new ones begin"
         )
-    return _judge("streams that are taken up go on", len(due), failures)
+    return verdicts.judge(
+        "streams that are taken up go on", len(due), failures
+    )
 
 
 def _has_begun(answer: seen.Answer) -> bool:
@@ -325,7 +238,7 @@
     )
 
 
-def _check_never_back(facts: seen.Facts) -> Verdict:
+def _check_never_back(facts: seen.Facts) -> verdicts.Verdict:
     tested = 0
     failures = []
     newest: dict[tuple[str, int], tuple[int, float]] = {}
@@ -339,7 +252,7 @@
         elif probe.version <= version and probe.sent_at > at:
             failures.append(f"{probe.entry}: {probe.version} after {version}")
         tested += 1
-    return _judge("a version never goes back", tested, failures)
+    return verdicts.judge("a version never goes back", tested, failures)
 
 
 def _is_disturbed(
@@ -353,7 +266,9 @@
     )
 
 
-def _check_in_force(facts: seen.Facts, bounds: Bounds) -> Verdict:
+def _check_in_force(
+    facts: seen.Facts, bounds: verdicts.Bounds
+) -> verdicts.Verdict:
     acked = {change.version: change.acked_at for change in facts.changes}
     due = [
         probe
@@ -370,12 +285,14 @@
         for probe in due
         if not probe.is_in_force
     )
-    return _judge(
+    return verdicts.judge(
         "a version is in force in time", len(due), late, is_timed=True
     )
 
 
-def _check_leaving(facts: seen.Facts, bounds: Bounds) -> Verdict:
+def _check_leaving(
+    facts: seen.Facts, bounds: verdicts.Bounds
+) -> verdicts.Verdict:
     acked = {item.target_id: item.acked_at for item in facts.leavings}
     late = [
         run
@@ -389,7 +306,7 @@
         )
     ]
     failures = (f"{run.request_id} at {run.target_id}" for run in late)
-    return _judge(
+    return verdicts.judge(
         "a leaving target gets nothing new",
         len(acked),
         failures,
@@ -397,7 +314,9 @@
     )
 
 
-def _check_recovery(facts: seen.Facts, bounds: Bounds) -> Verdict:
+def _check_recovery(
+    facts: seen.Facts, bounds: verdicts.Bounds
+) -> verdicts.Verdict:
     after = [
         answer.status == 200 and answer.is_whole
         for answer in facts.answers
@@ -406,12 +325,14 @@
     served = sum(after)
     is_back = served >= bounds.recovered_share * len(after) and after
     failures = () if is_back else (f"{served} of {len(after)} served",)
-    return _judge("service is back", len(after), failures, is_timed=True)
+    return verdicts.judge(
+        "service is back", len(after), failures, is_timed=True
+    )
 
 
 def _check_fatal(
-    facts: seen.Facts, bounds: Bounds, *, is_part: bool
-) -> Verdict:
+    facts: seen.Facts, bounds: verdicts.Bounds, *, is_part: bool
+) -> verdicts.Verdict:
     """Check that what ends targets is kept from further ones.
 
     That is a request, or all that have a part of it.
@@ -447,12 +368,14 @@
                 f"{content}: {len(runs)} runs, {len(late)} of them late"
             )
     what = "part" if is_part else "request"
-    return _judge(
+    return verdicts.judge(
         f"a {what} that ends targets is kept from others", tested, failures
     )
 
 
-def _check_limits(facts: seen.Facts, bounds: Bounds) -> Verdict:
+def _check_limits(
+    facts: seen.Facts, bounds: verdicts.Bounds
+) -> verdicts.Verdict:
     """Check that targets get no more than the limits that they name."""
     tested = 0
     failures = []
@@ -479,14 +402,19 @@
                     f"{limit.target_id}: {count} requests until {at:.1f} s,"
                     f" allowed {allowed:.0f}"
                 )
-    return _judge("a target's limit on requests is kept", tested, failures)
+    return verdicts.judge(
+        "a target's limit on requests is kept", tested, failures
+    )
 
 
 def _is_limit_excused(
-    facts: seen.Facts, began_at: float, ended_at: float, bounds: Bounds
+    facts: seen.Facts,
+    began_at: float,
+    ended_at: float,
+    bounds: verdicts.Bounds,
 ) -> bool:
     """Tell whether a fault hid a limit, or held requests back."""
-    kinds_of_fault = _OF_KNOWLEDGE | _UNSTEADY_LINKS
+    kinds_of_fault = verdicts.OF_KNOWLEDGE | verdicts.UNSTEADY_LINKS
     if bounds.do_agents_carry:
         kinds_of_fault |= _OF_AGENT
     return any(
@@ -497,158 +425,12 @@
     )
 
 
-def _find_processes(
-    facts: seen.Facts,
-) -> abc.Mapping[str, tuple[str, int]]:
-    """Return the entry and the process that each attempt was sent to."""
-    return {
-        answer.request_id: (answer.entry, answer.pid)
-        for answer in facts.answers
-    }
-
-
-def _is_notice_excused(
-    facts: seen.Facts, entry: str, began_at: float, ended_at: float
-) -> bool:
-    """Tell whether an entry did not run, or a link to targets had a fault.
-
-    What a target says of itself is known without the log.
-    """
-    return any(
-        (
-            (item.kind in _OF_KNOWLEDGE and item.entry in ("", entry))
-            or item.kind in _UNSTEADY_LINKS
-        )
-        and item.begins_at <= ended_at
-        and item.ends_at >= began_at
-        for item in facts.disturbances
-    )
-
-
-def _check_said_leaving(facts: seen.Facts, bounds: Bounds) -> Verdict:
-    """Check that an entry that passed an answer on sends nothing more."""
-    processes = _find_processes(facts)
-    told: dict[tuple[str, tuple[str, int]], float] = {}
-    for notice in facts.notices:
-        process = processes.get(notice.request_id)
-        if process is not None and not notice.rest_s:
-            told.setdefault((notice.target_id, process), notice.at)
-    failures = []
-    for run in facts.runs:
-        process = processes.get(run.request_id, ("", 0))
-        told_at = told.get((run.target_id, process))
-        if told_at is None or run.at <= told_at + bounds.drain_s:
-            continue
-        if not _is_notice_excused(facts, process[0], told_at, run.at):
-            failures.append(
-                f"{run.request_id} at {run.target_id},"
-                f" {run.at - told_at:.1f} s after it said so to {process[0]}"
-            )
-    return _judge(
-        "a target that says that it leaves gets nothing new",
-        len(told),
-        failures,
-        is_timed=True,
-    )
-
-
-def _check_rests(facts: seen.Facts, bounds: Bounds) -> Verdict:
-    """Check that targets get the rest that they ask an entry for."""
-    processes = _find_processes(facts)
-    arrivals = collections.defaultdict(list)
-    for item in facts.arrivals:
-        process = processes.get(item.request_id)
-        arrivals[item.target_id, process].append(item.at)
-    asked = [
-        (notice, processes[notice.request_id])
-        for notice in facts.notices
-        if notice.rest_s and notice.request_id in processes
-    ]
-    failures = []
-    for notice, process in asked:
-        begins_at = notice.at + bounds.under_way_s
-        ends_at = notice.at + notice.rest_s
-        count = sum(
-            begins_at < at < ends_at
-            for at in arrivals[notice.target_id, process]
-        )
-        if count > bounds.rest_requests and not _is_notice_excused(
-            facts, process[0], notice.at, ends_at
-        ):
-            failures.append(
-                f"{notice.target_id}: {count} requests of {process[0]} in"
-                f" {notice.rest_s} s of rest from {notice.at:.1f} s on"
-            )
-    return _judge(
-        "a target gets the rest that it asks for",
-        len(asked),
-        failures,
-        is_timed=True,
-    )
-
-
-def _check_preferred(facts: seen.Facts, bounds: Bounds) -> Verdict:
-    """Check that as many are served while an entry gets most connections.
-
-    Only calm spans count, in which no target begins to take less either.
-    """
-    tested = 0
-    failures = []
-    for item in facts.preferences:
-        before = (item.begins_at - bounds.preferred_s, item.begins_at)
-        then = (item.begins_at + bounds.preferred_s, item.ends_at)
-        if _is_any_disturbed(facts, before[0] - bounds.calm_s, then[1]):
-            continue
-        shares = [_measure_served(facts, *span) for span in (before, then)]
-        if min(count for _, count in shares) < bounds.asked_enough:
-            continue
-        tested += 1
-        if shares[1][0] < bounds.preferred_share * shares[0][0]:
-            failures.append(
-                f"{item.entry}: {shares[0][0]:.2f} served before,"
-                f" {shares[1][0]:.2f} then"
-            )
-    return _judge(
-        "a preferred entry serves what all did",
-        tested,
-        failures,
-        is_timed=True,
-    )
-
-
-def _is_any_disturbed(
-    facts: seen.Facts, began_at: float, ended_at: float
-) -> bool:
-    """Tell whether any fault, or target that takes less, was in a span."""
-    times = [(item.begins_at, item.ends_at) for item in facts.disturbances]
-    times += [(item.begins_at, item.begins_at) for item in facts.limits]
-    times += [(item.at, item.at) for item in facts.notices]
-    times += [(item.at, item.at) for item in facts.fatal_runs]
-    return any(
-        begins_at <= ended_at and ends_at >= began_at
-        for begins_at, ends_at in times
-    )
-
-
-def _measure_served(
-    facts: seen.Facts, began_at: float, ended_at: float
-) -> tuple[float, int]:
-    """Return the share that is served of what is sent in a span, and all."""
-    sent = [
-        answer.status == 200 and answer.is_whole
-        for answer in facts.answers
-        if began_at <= answer.sent_at < ended_at
-        and answer.end in ("answered", "cut")
-    ]
-    return (sum(sent) / len(sent) if sent else 0.0), len(sent)
-
-
 def _was_away(
-    facts: seen.Facts, entry: str, at: float, bounds: Bounds
+    facts: seen.Facts, entry: str, at: float, bounds: verdicts.Bounds
 ) -> bool:
     """Tell whether an entry, "" for any, did not run a short time before."""
     return any(
-        item.kind in _OF_KNOWLEDGE
+        item.kind in verdicts.OF_KNOWLEDGE
         and (not entry or item.entry in ("", entry))
         and item.begins_at <= at
         and item.ends_at >= at - bounds.calm_s
@@ -656,7 +438,9 @@
     )
 
 
-def _check_retries(facts: seen.Facts, bounds: Bounds) -> Verdict:
+def _check_retries(
+    facts: seen.Facts, bounds: verdicts.Bounds
+) -> verdicts.Verdict:
     """Count arrivals beyond the first of each request, by service.
 
     Requests count in a window and in the one before it, as retries of those
@@ -680,29 +464,35 @@
             )
             if count > bounds.retry_ratio * asked + bounds.retry_slack:
                 failures.append(f"{service}: {count} repeats at {at:.1f} s")
-    return _judge("repeats keep to their budget", len(facts.runs), failures)
+    return verdicts.judge(
+        "repeats keep to their budget", len(facts.runs), failures
+    )
 
 
-def _check_endings(facts: seen.Facts) -> Verdict:
+def _check_endings(facts: seen.Facts) -> verdicts.Verdict:
     failures = (
         f"{item.program} with {item.code} at {item.at:.1f} s"
         for item in facts.endings
     )
     tested = len(facts.most_memory_mb)
-    return _judge("no program ends by itself", tested, failures)
+    return verdicts.judge("no program ends by itself", tested, failures)
 
 
-def _check_memory(facts: seen.Facts, bounds: Bounds) -> Verdict:
+def _check_memory(
+    facts: seen.Facts, bounds: verdicts.Bounds
+) -> verdicts.Verdict:
     failures = (
         f"{program}: {most:.0f} MB"
         for program, most in facts.most_memory_mb.items()
         if most > bounds.memory_mb
     )
     tested = len(facts.most_memory_mb)
-    return _judge("memory is bounded", tested, failures)
+    return verdicts.judge("memory is bounded", tested, failures)
 
 
-def _check_served(facts: seen.Facts, bounds: Bounds) -> Verdict:
+def _check_served(
+    facts: seen.Facts, bounds: verdicts.Bounds
+) -> verdicts.Verdict:
     asked = collections.Counter(answer.kind for answer in facts.answers)
     served = {
         answer.kind
@@ -713,7 +503,7 @@
     failures = (
         f"none of {asked[kind]} {kind}" for kind in due if kind not in served
     )
-    return _judge("each kind of request is served", len(due), failures)
+    return verdicts.judge("each kind of request is served", len(due), failures)
 
 
 class _Cut(typing.NamedTuple):
@@ -754,7 +544,7 @@
     return stops
 
 
-def _list_cuts(facts: seen.Facts, bounds: Bounds) -> list[_Cut]:
+def _list_cuts(facts: seen.Facts, bounds: verdicts.Bounds) -> list[_Cut]:
     """Return what was cut by nothing but the entry itself."""
     stops = _find_stops(facts)
     ran = {run.request_id for run in facts.runs}
@@ -770,7 +560,7 @@
     return [cut for cut in cuts if not _is_excused(facts, cut, bounds)]
 
 
-def _is_excused(facts: seen.Facts, cut: _Cut, bounds: Bounds) -> bool:
+def _is_excused(facts: seen.Facts, cut: _Cut, bounds: verdicts.Bounds) -> bool:
     answer = cut.answer
     kind = kinds.find_kind(answer.request_id)
     took_s = answer.ended_at - answer.sent_at
@@ -794,7 +584,9 @@
     return False
 
 
-def _check_taken(facts: seen.Facts, bounds: Bounds) -> Verdict:
+def _check_taken(
+    facts: seen.Facts, bounds: verdicts.Bounds
+) -> verdicts.Verdict:
     """Check what was sent to entries that had been told to end."""
     stops = _find_stops(facts)
     tested = sum(
@@ -808,10 +600,14 @@
         for cut in _list_cuts(facts, bounds)
         if cut.is_late() and cut.was_taken
     )
-    return _judge("what a leaving entry takes is not cut", tested, failures)
+    return verdicts.judge(
+        "what a leaving entry takes is not cut", tested, failures
+    )
 
 
-def _check_final(facts: seen.Facts, bounds: Bounds) -> Verdict:
+def _check_final(
+    facts: seen.Facts, bounds: verdicts.Bounds
+) -> verdicts.Verdict:
     """Check that what an entry has read is answered to its end.
 
     Without a run or the head of an answer only the time shows that it was
@@ -832,10 +628,12 @@
                 continue
         if cut.was_taken or was_read:
             failures.append(cut.describe())
-    return _judge("what an entry has read is answered", tested, failures)
+    return verdicts.judge(
+        "what an entry has read is answered", tested, failures
+    )
 
 
-def _check_lag(facts: seen.Facts, bounds: Bounds) -> Verdict:
+def _check_lag(facts: seen.Facts, bounds: verdicts.Bounds) -> verdicts.Verdict:
     """Check that stand-ins and callers were as quick as they pretend.
 
     Where their process stands still, the log is slow and time-outs of the
@@ -843,6 +641,6 @@
     """
     late = [lag_s for lag_s in facts.lags_s if lag_s > bounds.lag_s]
     failures = (f"stood still for {lag_s:.1f} s" for lag_s in late)
-    return _judge(
+    return verdicts.judge(
         "the soak itself keeps up", len(facts.lags_s), failures, is_timed=True
     )
--- a/bench/soak/failures.py
+++ b/bench/soak/failures.py
@@ -9,8 +9,8 @@
 
 import msgspec
 
-from bench.soak import checks
 from bench.soak import facts as seen
+from bench.soak import verdicts
 
 __all__ = ("keep", "list_broken")
 
@@ -23,17 +23,17 @@
 
 
 def list_broken(
-    verdicts: abc.Iterable[checks.Verdict],
-) -> abc.Sequence[checks.Verdict]:
+    judged: abc.Iterable[verdicts.Verdict],
+) -> abc.Sequence[verdicts.Verdict]:
     """Return the verdicts on promises that were broken."""
-    return [item for item in verdicts if item.failures]
+    return [item for item in judged if item.failures]
 
 
 def keep(
     name: str,
     output: pathlib.Path,
     facts: seen.Facts,
-    broken: abc.Iterable[checks.Verdict],
+    broken: abc.Iterable[verdicts.Verdict],
     root: typing.Optional[pathlib.Path] = None,
 ) -> pathlib.Path:
     """Keep what a soak has left, and return the folder with it.
--- a/packages/gentianpoint-core/src/gentianpoint_core/decisions/turn_book.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/decisions/turn_book.py
@@ -27,8 +27,8 @@
         self._times: typing.Final[list[float]] = []
         # Turns of others that may be used, sorted.
         self.borrowed: typing.Final[list[int]] = []
-        # Those and the used ones, as the news of a loan may come twice.
-        self._lent_here: typing.Final[set[int]] = set()
+        # Those, and those already used: the news of a loan may come twice.
+        self._loans: typing.Final[set[int]] = set()
 
     def is_spent(self, turn: int) -> bool:
         """Tell whether an own turn was used or lent."""
@@ -41,13 +41,13 @@
 
     def borrow(self, turn: int) -> None:
         """Add a turn of another member, once."""
-        if turn not in self._lent_here:
-            self._lent_here.add(turn)
+        if turn not in self._loans:
+            self._loans.add(turn)
             bisect.insort(self.borrowed, turn)
 
     def give_back(self, turn: int) -> None:
         """Return a turn with which nothing was sent."""
-        if turn in self._lent_here:
+        if turn in self._loans:
             bisect.insort(self.borrowed, turn)
             return
         at = self._spent.pop(turn, None)
@@ -77,5 +77,5 @@
         for number in [item for item in self._spent if item < turn]:
             del self._spent[number]
         del self.borrowed[: bisect.bisect_left(self.borrowed, turn)]
-        for number in [item for item in self._lent_here if item < turn]:
-            self._lent_here.remove(number)
+        for number in [item for item in self._loans if item < turn]:
+            self._loans.remove(number)
--- a/packages/gentianpoint-entry/features/forwarding/limit_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/limit_builders.py
@@ -13,13 +13,13 @@
 
 import fleet_builders
 import forwarding_builders
+import mail_builders
 import trio
 
 from gentianpoint_core import codec
 from gentianpoint_core import named_limits
 from gentianpoint_core import option_types
 from gentianpoint_core.decisions import request_turns
-from gentianpoint_entry.forwarding import peer_datagrams
 from gentianpoint_entry.forwarding import refusals
 from gentianpoint_entry.forwarding import request_permits
 from gentianpoint_entry.forwarding import requests
@@ -204,27 +204,6 @@
         yield answer
 
 
-class _Mail(peer_datagrams.PeerDatagrams):
-    """One entry's datagrams to the others."""
-
-    def __init__(self, fleet: "LimitFleet", address: str) -> None:
-        super().__init__()
-        self._fleet: typing.Final = fleet
-        self._address: typing.Final = option_types.split_address(address)
-        self.sent = 0
-        self.sent_bytes = 0
-
-    async def send(
-        self,
-        address: tuple[str, int],
-        message: abc.Mapping[str, typing.Any],
-    ) -> None:
-        data = codec.encode_message(message)
-        self.sent += 1
-        self.sent_bytes += len(data)
-        self._fleet.deliver(address, data, self._address)
-
-
 class _LimitEntry(forwarding_builders.ServingEntry):
     """An entry that serves requests."""
 
@@ -234,7 +213,9 @@
         gossip: fleet_builders.Entry,
         park: abc.Mapping[str, LimitedTarget],
     ) -> None:
-        self.mail: typing.Final = _Mail(fleet, gossip.address)
+        self.mail: typing.Final = mail_builders.FleetMail(
+            fleet.deliver, gossip.address
+        )
         self.gossip: typing.Final = gossip
         self.registry: typing.Final = gossip.registry
         for place in park.values():
--- a/packages/gentianpoint-entry/features/forwarding/version_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/version_builders.py
@@ -13,13 +13,13 @@
 
 import fleet_builders
 import forwarding_builders
+import mail_builders
 import topic_builders
 import trio
 
 from gentianpoint_core import codec
 from gentianpoint_core import option_types
 from gentianpoint_core import ports
-from gentianpoint_entry.forwarding import peer_datagrams
 from gentianpoint_entry.forwarding import refusals
 from gentianpoint_entry.forwarding import requests
 from gentianpoint_entry.forwarding import routes
@@ -120,27 +120,6 @@
         yield _VersionAnswer(start, after)
 
 
-class _Mail(peer_datagrams.PeerDatagrams):
-    """One entry's datagrams to the others."""
-
-    def __init__(self, fleet: "VersionFleet", address: str) -> None:
-        super().__init__()
-        self._fleet: typing.Final = fleet
-        self._address: typing.Final = option_types.split_address(address)
-        self.sent = 0
-        self.sent_bytes = 0
-
-    async def send(
-        self,
-        address: tuple[str, int],
-        message: abc.Mapping[str, typing.Any],
-    ) -> None:
-        data = codec.encode_message(message)
-        self.sent += 1
-        self.sent_bytes += len(data)
-        self._fleet.deliver(address, data, self._address)
-
-
 class _VersionEntry(forwarding_builders.ServingEntry):
     """An entry that serves streams."""
 
@@ -152,7 +131,9 @@
     ) -> None:
         self.gossip: typing.Final = gossip
         self.registry: typing.Final = targets.TargetRegistry()
-        self.mail: typing.Final = _Mail(fleet, gossip.address)
+        self.mail: typing.Final = mail_builders.FleetMail(
+            fleet.deliver, gossip.address
+        )
         self.is_cut_off = False
         self.list_age_s = 0.0
         self.cut_off_at = 0.0
