Forget old arrivals as new ones come

What callers saw: nothing; found by reading. An entry that knows of a limit counts each request for a service with targets, and forgot old ones only when the rate was asked for, which is when it lacks turns. While it needs none its memory grew by each request.

Change: old arrivals are forgotten as new ones are counted. The new scenario asks for the number that is remembered, which could not be asked for before, so it was not seen to fail in another way; with this it passes.

--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/arrivals.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/arrivals.py
@@ -21,12 +21,20 @@
             collections.deque()
         )
 
+    def __len__(self) -> int:
+        """Return how many arrivals are remembered."""
+        return len(self._times)
+
     def note(self, now: float) -> None:
         """Count an arrival."""
+        self._forget_old(now)
         self._times.append(now)
 
     def measure_per_s(self, now: float) -> float:
         """Return how many arrive a second."""
+        self._forget_old(now)
+        return len(self._times) / self._window_s
+
+    def _forget_old(self, now: float) -> None:
         while self._times and self._times[0] <= now - self._window_s:
             self._times.popleft()
-        return len(self._times) / self._window_s
