Choose engines by their reports also after a refusal

Cause: a target that has refused a request was the last choice for a second. That is meant for targets of which only the open requests are known. An engine has a report, and refuses what is too large for it, so one large prompt kept all others from several engines.

Change: refusals count so only for targets without a report. Rest that is asked for holds for all.

--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_selection.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_selection.py
@@ -35,8 +35,8 @@
 _FAILURE_COST: typing.Final = 2.0
 """Score of one failure, equal to twice that of all slots taken."""
 _REFUSAL_WINDOW_S: typing.Final = 1.0
-"""Seconds for which a target that has refused a request is the last choice.
-Then a request tells whether it still refuses."""
+"""Seconds for which a target without reports that has refused a request is the
+last choice. Then a request tells whether it still refuses."""
 _SILENT_COST: typing.Final = 10.0
 """Score of an engine that does not answer its own agent. It is the last choice
 but still one, since the agent may be at fault."""
@@ -213,13 +213,15 @@
 ) -> abc.Sequence[targets.Target]:
     """Return the targets without those that have just refused a request.
 
-    One that refuses has few open requests, and would look the least busy. If
-    all refuse, all are returned.
+    One that refuses has few open requests, and would look the least busy
+    where only these are known. An engine's report tells more, and a refusal
+    may be due to the request's size. If all refuse, all are returned.
     """
     others = [
         target
         for target in working
-        if now - target.refused_at >= _REFUSAL_WINDOW_S
+        if target.report is not None
+        or now - target.refused_at >= _REFUSAL_WINDOW_S
     ]
     return others or working
 
