Forward an event that comes as its silent target is given up

What callers saw: a stream that began with its second event.

Cause: an entry gives a target up that is silent for too long, by cancelling all that is done for its stream. If the first event has just come, it was counted as passed on and then cancelled before it was sent, and the stream went on at another target after it. The class: a count that runs ahead of what it counts.

The new scenario, in which the event comes as the other target is chosen, lost it on the code before (with the fake answer that notices a cancel as the real one does).

Change: only the wait for an event is given up, and what has come is forwarded.

Measured: the 36 scenarios of stream_calls.feature pass.

--- a/packages/gentianpoint-entry/features/forwarding/forwarding_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/forwarding_builders.py
@@ -144,6 +144,8 @@
             self.status = 500
         self._words: typing.Final = words
         self._target: typing.Final = target
+        # Set when an event that is held comes.
+        self.released: typing.Optional[trio.Event] = None
 
     async def receive_body(self) -> abc.AsyncIterator[bytes]:
         """Yield the events or the body."""
@@ -153,7 +155,11 @@
         _, numbers, _, end = self._words.split(" ", 3)
         first, _, last = numbers.partition("-")
         for number in range(int(first), int(last) + 1):
-            await trio.sleep(EVENT_S)
+            if end == f"end, held before {number}":
+                assert self.released is not None
+                await self.released.wait()
+            else:
+                await trio.sleep(EVENT_S)
             if end in (f"end, late before {number}", "end, late before each"):
                 await trio.sleep(LATE_S)
             yield make_event(number)
@@ -179,6 +185,7 @@
         self.open: set[str] = set()
         self.max_open = 0
         self.freed_copies: list[tuple[str, str]] = []
+        self.released: typing.Optional[trio.Event] = None
 
     @contextlib.asynccontextmanager
     async def send_request(
@@ -206,7 +213,9 @@
                 await trio.sleep_forever()
             if words.startswith("slow"):
                 await trio.sleep(SLOW_S)
-            yield ScriptedAnswer(words, target)
+            answer = ScriptedAnswer(words, target)
+            answer.released = self.released
+            yield answer
         finally:
             self.open.discard(name)
 
@@ -269,7 +278,8 @@
     async def start(
         self, status: int, headers: abc.Sequence[tuple[bytes, bytes]]
     ) -> None:
-        """Record the head."""
+        """Record the head, unless the request is cancelled."""
+        await trio.lowlevel.checkpoint_if_cancelled()
         assert not self.is_started
         self.is_started = True
         self.status = status
--- a/packages/gentianpoint-entry/features/forwarding/steps/stream_calls_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/stream_calls_steps.py
@@ -149,6 +149,26 @@
     serve(context)
 
 
+@behave.when(
+    "the request is served, and an event that is held comes as another target"
+    " is chosen"
+)
+def serve_held(context):
+    async def release(context, shared, number):
+        context.calls.released = trio.Event()
+        choose = shared.choose_target
+
+        def choose_and_release(request, excluded=()):
+            if excluded:
+                context.calls.released.set()
+            return choose(request, excluded)
+
+        shared.choose_target = choose_and_release
+
+    context.before = release
+    serve(context)
+
+
 @behave.when("the request is served and a gets notice after event {number:d}")
 def serve_with_notice(context, number):
     serve(context, give_notice, number)
--- a/packages/gentianpoint-entry/features/forwarding/stream_calls.feature
+++ b/packages/gentianpoint-entry/features/forwarding/stream_calls.feature
@@ -141,6 +141,15 @@
     Then the caller has events 1 to 3, and the answer is broken off
     And it took as long as the caller waits
 
+  Scenario: an event comes as its silent target is given up
+    Guards against an event that is counted as passed on, and lost as the
+    stream goes on elsewhere after it.
+    Given a generation that may be resumed
+    And target a answers: events 1-3 then end, held before 1
+    And target b answers: events 2-3 then end
+    When the request is served, and an event that is held comes as another target is chosen
+    Then the caller has events 1 to 3, each once, as a complete answer
+
   Scenario: a target is slow and no retry is left
     Guards against a generation that is given up before its first event,
     although it can't run anywhere else.
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
@@ -300,13 +300,12 @@
         self, run: stream_runs.StreamRun
     ) -> typing.Optional[stream_runs.StreamRun]:
         """Forward a run's events; return the next run, or None at the end."""
-        failure: typing.Optional[Exception] = run.make_silence_error()
+        failure: typing.Optional[Exception] = None
         next_run = None
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._cancel_when_silent, run, nursery)
+            nursery.start_soon(self._give_up_when_silent, run)
             try:
                 next_run = await self._forward_events(run, nursery)
-                failure = None
             except _STREAM_ERRORS as error:
                 # Raised below: a nursery would wrap it in an exception group.
                 failure = error
@@ -343,16 +342,13 @@
         if unused:
             self._shared.schedule_copy_release(run.target, unused)
 
-    async def _cancel_when_silent(
-        self, run: stream_runs.StreamRun, nursery: trio.Nursery
-    ) -> None:
+    async def _give_up_when_silent(self, run: stream_runs.StreamRun) -> None:
         while True:
             await run.wait_until_silent(self._find_silence_limit_ms)
             # A target that is still listed may only be slow.
             if run.target.is_gone or self._reserve_other_run():
-                break
+                run.give_up()
             await trio.sleep(_SILENCE_RECHECK_S)
-        nursery.cancel_scope.cancel()
 
     def _reserve_other_run(self) -> bool:
         """Reserve a retry for a run elsewhere, if there can be one."""
@@ -383,7 +379,7 @@
         self, run: stream_runs.StreamRun, nursery: trio.Nursery
     ) -> typing.Optional[stream_runs.StreamRun]:
         """Forward events until the end, or until another run takes over."""
-        async for event in run.iterate_events():
+        while (event := await run.receive_event()) is not None:
             await self._forward_event(run, event)
             next_run = await self._hand_over(run, nursery)
             if next_run is not None:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_runs.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_runs.py
@@ -57,6 +57,9 @@
         self._stack: typing.Final = contextlib.AsyncExitStack()
         self._answer: typing.Optional[target_calls.TargetAnswer] = None
         self._has_pending_prompt = False
+        self._events: typing.Final = self._iterate_events()
+        # Scope in which the last event was waited for.
+        self._receiving = trio.CancelScope()
 
     @property
     def answer(self) -> target_calls.TargetAnswer:
@@ -99,7 +102,26 @@
         with trio.CancelScope(shield=True):
             await self._stack.aclose()
 
-    async def iterate_events(
+    async def receive_event(
+        self,
+    ) -> typing.Optional[stream_events.StreamEvent]:
+        """Return the next event, None at the end.
+
+        Raises :class:`ports.PortError` at a break, and once the run is given
+        up. An event that comes as it is given up is returned all the same.
+        """
+        with trio.CancelScope() as scope:
+            self._receiving = scope
+            event = await anext(self._events, None)
+        if scope.cancelled_caught:
+            raise self.make_silence_error()
+        return event
+
+    def give_up(self) -> None:
+        """Receive no more, unless an event is being forwarded."""
+        self._receiving.cancel()
+
+    async def _iterate_events(
         self,
     ) -> abc.AsyncIterator[stream_events.StreamEvent]:
         """Yield events; raises :class:`ports.PortError` at a break."""
