Play a preferred entry at full rates, and tell what happens to it

bench.few_entries had one process for all callers, the log and the targets, and brought half of the requests and a sixth of the events. Callers give up as the platform's do, try once more where nothing was read, and each kind of request has a line of its outcomes. The quota of processor time is kept by a thread, which a busy scheduler does not delay.

--- a/bench/few_entries.py
+++ b/bench/few_entries.py
@@ -6,20 +6,26 @@
 thing happens meanwhile. Run as ``python -m bench.few_entries CASE ...``.
 """
 
+import collections
 from collections import abc
 import contextlib
 import functools
-import os
+import json
 import pathlib
 import random
-import signal
+import statistics
+import subprocess
+import sys
 import tempfile
+import time
 import typing
-import uuid
 
 import trio
 import typer
 
+from bench import caller_process
+from bench import engine_process
+from bench import processor_quota
 from bench.soak import callers
 from bench.soak import configurations
 from bench.soak import dialects
@@ -30,7 +36,6 @@
 from bench.soak import playing
 from bench.soak import programs
 from bench.soak import schedule
-from gentianpoint_core import connection_pools
 from gentianpoint_standins import relay
 
 __all__ = ("main",)
@@ -38,25 +43,71 @@
 _ENTRIES: typing.Final = 24
 _ENGINES: typing.Final = 8
 _PLAIN: typing.Final = 3
-_PREFERRED_SHARE: typing.Final = 0.9
 _EVEN_S: typing.Final = 10.0
 """Seconds in which requests come to all entries alike."""
 _UNEVEN_S: typing.Final = 22.0
 """Seconds in which most connections go to the preferred entries."""
 _CONTACT_S: typing.Final = 4.0
 """Seconds after a change from which on requests count."""
-_CONNECT_MS: typing.Final = 1000.0
-_RATES_PER_S: typing.Final = {
-    "report": 6.0,
-    "tag": 9.0,
-    "lookup": 20.0,
-    "status": 14.0,
+_SETTLE_S: typing.Final = 3.0
+"""Seconds in which processes that have just started become idle."""
+_BALANCER_LOOK_S: typing.Final = 1.0
+_LOOK_S: typing.Final = 0.1
+_PROCESSES: typing.Final = 2
+"""Processes of callers."""
+_EVENT_BYTES: typing.Final = 380
+_ANSWER_BYTES: typing.Final = 800
+_GAP_MS: typing.Final = 180
+"""Longest pause of a stream on time, in milliseconds."""
+
+
+_SILENCE_MS: typing.Final = 2000
+"""Least silence after which callers abandon an answer, in milliseconds."""
+_REMOTE_ENGINES: typing.Final = range(3, _ENGINES)
+"""Engines that other processes serve; some cases disturb those before."""
+_ENGINE_PROCESSES: typing.Final = 2
+"""Processes that serve them."""
+
+
+class _Load(typing.NamedTuple):
+    """What callers send of one kind of request."""
+
+    rate_per_s: float
+    """Requests a second."""
+    most_events: int
+    """Bound on the events of a stream; half of it on average."""
+    body_bytes: int
+    """Length of a request's body."""
+    deadline_ms: int
+    """Time that a caller waits."""
+    objective_ms: int
+    """Time until the answer, or its first event, that counts as on time."""
+    timeout_ms: int
+    """Time limit of the route."""
+
+
+_LOADS: typing.Final[abc.Mapping[str, _Load]] = {
+    "report": _Load(14.1, 371, 1300, 39000, 1800, 39000),
+    "tag": _Load(15.7, 4, 1500, 6000, 1500, 6000),
+    "lookup": _Load(52.7, 1, 600, 1500, 100, 800),
+    "status": _Load(21.1, 1, 0, 1500, 100, 800),
 }
-"""Requests a second of each kind."""
-_QUOTA_S: typing.Final = 0.1
-"""Time in which a host with a quota uses it up."""
-_LOOK_S: typing.Final = 0.01
-_LINK_BYTES_PER_S: typing.Final = 5e6 / 8
+"""A load of many short calls, and of streams that bring most events."""
+
+
+class _Options(typing.NamedTuple):
+    """What all cases of a run have in common."""
+
+    preferred: int
+    """Entries that get most new connections."""
+    cores: float
+    """Quota of processor time of each of them."""
+    scale: float
+    """Factor of all rates."""
+    tail_s: float
+    """Time in which open calls go on, in seconds."""
+
+
 _LIMIT_PER_S: typing.Final = 20.0
 """Requests a second that plain targets name."""
 _BURST: typing.Final = 1.6
@@ -72,7 +123,6 @@
         self.facts: typing.Final = facts
         self.rate = 1.0
         self.small: abc.Sequence[callers.EntryPlace] = ()
-        self.preferred: abc.Sequence[callers.EntryPlace] = ()
         self.version = 0
         self.is_cold_service = False
 
@@ -84,6 +134,12 @@
     async def write_newest(self) -> None:
         """Write the newest version, which may be gone from the log."""
         fields = configurations.make_configuration(self.version)
+        for route in fields["routes"]:
+            load = _LOADS.get(route["name"])
+            if load is not None:
+                route["goal_ms"] = load.objective_ms
+                route["gap_goal_ms"] = _GAP_MS
+                route["timeout_ms"] = load.timeout_ms
         if self.is_cold_service:
             for service in fields["services"]:
                 service["cold_s"] = _COLD_S
@@ -183,7 +239,8 @@
 
 async def _send_fatal(play: _Play) -> None:
     """Send requests that end each target that runs them."""
-    balancer = _FewEntriesBalancer(play)
+    balancer = callers.Balancer(play.parts.entries, dialects.PlatformDialect())
+    balancer.preferred = play.small[0].program.name
     for number, kind in enumerate((schedule.FATAL_PART, "fatal_request")):
         step = schedule.Step(0.0, kind, number, 1.0, 1)
         await callers.send_fatal(
@@ -210,193 +267,285 @@
 }
 
 
-class _FewEntriesBalancer(callers.Balancer):
-    """Sends most new connections to the preferred entries."""
+class _Processes:
+    """The processes of callers, and the balancer's state that they read."""
 
-    def __init__(self, play: _Play) -> None:
-        super().__init__(play.parts.entries, dialects.PlatformDialect())
+    def __init__(
+        self, play: _Play, balancer: callers.Balancer, folder: pathlib.Path
+    ) -> None:
         self._play: typing.Final = play
+        self._balancer: typing.Final = balancer
+        self._folder: typing.Final = folder
+        self._state_path: typing.Final = folder / "balancer.json"
+        self._is_sending = False
+        self.preferred: abc.Sequence[callers.EntryPlace] = ()
 
-    def choose(self, source: random.Random) -> callers.EntryPlace:
-        """Draw the entry of a new connection."""
-        ready = self.list_ready()
-        preferred = [place for place in self._play.preferred if place in ready]
-        if preferred and source.random() < _PREFERRED_SHARE:
-            return source.choice(preferred)
-        return source.choice(ready)
-
-
-class _Link:
-    """Bytes that the link of a small host passes, one after the other."""
-
-    def __init__(self) -> None:
-        self._free_at = 0.0
-
-    async def take(self, count: int) -> None:
-        """Wait for as long as ``count`` bytes take."""
-        now = trio.current_time()
-        self._free_at = max(now, self._free_at) + count / _LINK_BYTES_PER_S
-        if self._free_at > now:
-            await trio.sleep_until(self._free_at)
-
-
-async def _keep_quota(program: programs.Program, cores: float) -> None:
-    """Let a program have no more than its quota of each tenth of a second.
-
-    It stands still for what is left once its quota is used up.
-    """
-    while True:
-        ends_at = trio.current_time() + _QUOTA_S
-        pid = program.pid
-        used_s = _read_processor_s(pid)
-        while trio.current_time() < ends_at:
-            await trio.sleep(_LOOK_S)
-            if _read_processor_s(pid) - used_s < cores * _QUOTA_S:
-                continue
-            if program.pid == pid and program.is_running:
-                with contextlib.suppress(ProcessLookupError):
-                    os.kill(pid, signal.SIGSTOP)
-                    await trio.sleep_until(ends_at)
-                    os.kill(pid, signal.SIGCONT)
-
-
-def _read_processor_s(pid: int) -> float:
-    try:
-        text = pathlib.Path(f"/proc/{pid}/schedstat").read_text()
-    except OSError:
-        # It has ended, and another one comes.
-        return 0.0
-    return int(text.split()[0]) / 1e9
-
-
-async def _call_once(
-    play: _Play,
-    balancer: callers.Balancer,
-    links: abc.Mapping[str, _Link],
-    kind: kinds.RequestKind,
-    source: random.Random,
-) -> None:
-    """Send a request over a new connection, once."""
-    place = balancer.choose(source)
-    dialect = dialects.PlatformDialect()
-    most = source.choice(kind.most_events)
-    request_id = f"{kind.name}-{most}-{uuid.uuid4().hex}"
-    request = dialect.make_call(
-        kind, request_id, kinds.count_events(request_id)
-    )
-    link = links.get(place.program.name)
-    if link is not None:
-        await link.take(len(request.body) + 1500)
-    connections = connection_pools.ConnectionPool(place.front, _CONNECT_MS)
-    sent_at = trio.current_time()
-    outcome = await callers.exchange(
-        connections, request, kind.deadline_ms / 1000
-    )
-    connections.close()
-    if link is not None:
-        await link.take(len(outcome.body) + 500)
-    play.facts.answers.append(
-        seen.Answer(
-            request_id,
-            kind.name,
-            sent_at,
-            outcome.status,
-            outcome.body,
-            outcome.is_whole,
-            place.program.name,
-            0,
-            trio.current_time(),
-            outcome.end,
+    async def run(self, seed: int, scale: float) -> None:
+        """Start the processes, and write the state until cancelled."""
+        self._write_state()
+        started: list[subprocess.Popen[bytes]] = []
+        try:
+            for number in range(_PROCESSES):
+                started.append(self._start(number, seed, scale))
+            while True:
+                self._write_state()
+                await trio.sleep(_LOOK_S)
+        finally:
+            self._write_state(has_ended=True)
+            for process in started:
+                # A process looks at the state again and again.
+                process.wait()
+
+    def _start(
+        self, number: int, seed: int, scale: float
+    ) -> subprocess.Popen[bytes]:
+        plan = caller_process.CallerPlan(
+            seed=seed * _PROCESSES + number,
+            rates_per_s={
+                kind: item.rate_per_s * scale / _PROCESSES
+                for kind, item in _LOADS.items()
+            },
+            most_events={
+                kind: item.most_events for kind, item in _LOADS.items()
+            },
+            body_bytes={
+                kind: item.body_bytes for kind, item in _LOADS.items()
+            },
+            deadline_ms={
+                kind: item.deadline_ms for kind, item in _LOADS.items()
+            },
+            silence_ms={
+                kind: max(_SILENCE_MS, 4 * item.objective_ms, 8 * _GAP_MS)
+                for kind, item in _LOADS.items()
+            },
+            state=str(self._state_path),
+            calls=str(self._folder / f"calls-{number}.jsonl"),
+        )
+        path = self._folder / f"callers-{number}.json"
+        path.write_text(json.dumps(plan))
+        return subprocess.Popen(
+            [sys.executable, "-m", "bench.caller_process", str(path)],
+            stdin=subprocess.DEVNULL,
+            cwd=programs.ROOT,
         )
-    )
 
+    def begin(self) -> None:
+        """Let the callers send."""
+        self._is_sending = True
 
-async def _send_kind(
-    play: _Play,
-    call: abc.Callable[
-        [kinds.RequestKind, random.Random], abc.Awaitable[None]
-    ],
-    kind: kinds.RequestKind,
-    source: random.Random,
-) -> None:
-    """Send requests of one kind at its rate, whatever comes of them."""
-    async with trio.open_nursery() as nursery:
-        while True:
-            nursery.start_soon(call, kind, source)
-            rate_per_s = _RATES_PER_S[kind.name] * play.rate
-            await trio.sleep(source.expovariate(rate_per_s))
+    def _write_state(self, *, has_ended: bool = False) -> None:
+        state = caller_process.BalancerState(
+            ready=[place.front for place in self._balancer.list_ready()],
+            preferred=[place.front for place in self.preferred],
+            rate=self._play.rate if self._is_sending else 0.0,
+            has_ended=has_ended,
+        )
+        caller_process.write_state(self._state_path, state)
 
+    def read_calls(self) -> list[caller_process.Call]:
+        """Return what callers have seen, once the processes have ended."""
+        return [
+            call
+            for number in range(_PROCESSES)
+            for call in caller_process.read_calls(
+                self._folder / f"calls-{number}.jsonl"
+            )
+        ]
 
-def _measure(
-    answers: abc.Iterable[seen.Answer], begins_at: float, ends_at: float
-) -> tuple[float, int, float]:
-    """Return the served share of what was read, their number, and unread."""
-    found = [item for item in answers if begins_at <= item.sent_at < ends_at]
-    read = [item for item in found if item.end != "not_sent"]
-    served = sum(item.status == 200 and item.is_whole for item in read)
-    unread = len(found) - len(read)
-    return served / max(1, len(read)), len(read), unread / max(1, len(found))
+
+class _Span(typing.NamedTuple):
+    """A time in which calls count, by the monotonic clock."""
+
+    name: str
+    begins_at: float
+    ends_at: float
+
+
+def _describe_calls(
+    calls: abc.Iterable[caller_process.Call], span: _Span
+) -> abc.Iterator[str]:
+    """Yield a line for all calls of a span, and one for each kind."""
+    found = [
+        call for call in calls if span.begins_at <= call.sent_at < span.ends_at
+    ]
+    rate_per_s = len(found) / (span.ends_at - span.begins_at)
+    yield f"  {span.name}: {rate_per_s:.1f} a second; {_count_ends(found)}"
+    for kind, load in _LOADS.items():
+        of_kind = [call for call in found if call.kind == kind]
+        served = [call for call in of_kind if call.is_served]
+        if served:
+            late = sum(call.first_ms > load.objective_ms for call in served)
+            paused = sum(call.longest_pause_ms > _GAP_MS for call in served)
+            yield (
+                f"    {kind}: {_count_ends(of_kind)}; of those served"
+                f" {late / len(served):.3f} late,"
+                f" {paused / len(served):.3f} paused, median"
+                f" {statistics.median(c.first_ms for c in served):.0f} ms"
+            )
+
+
+def _count_ends(calls: abc.Sequence[caller_process.Call]) -> str:
+    """Return what came of first tries that were read, and in the end."""
+    read = [call for call in calls if call.end != "unread"]
+    ends = collections.Counter(call.end for call in read)
+    del ends["served"]
+    unread = sum(call.unread_tries > 0 for call in calls)
+    return (
+        f"{_measure_served(calls):.3f} of {len(read)} first tries served,"
+        f" {sum(call.is_served for call in calls) / max(1, len(calls)):.3f}"
+        f" in the end, {unread} unread at first, {dict(ends)}"
+    )
+
+
+def _measure_served(calls: abc.Sequence[caller_process.Call]) -> float:
+    read = [call for call in calls if call.end != "unread"]
+    return sum(call.end == "served" for call in read) / max(1, len(read))
 
 
 async def _play(
     names: abc.Sequence[str],
-    preferred: int,
-    cores: float,
+    options: _Options,
     seed: int,
     folder: pathlib.Path,
 ) -> str:
-    """Play cases together; return a line on what was served."""
+    """Play cases together; return lines on what was served."""
     facts = seen.Facts()
     source = random.Random(seed)
     slot = fleet.NetworkSlot()
     size = fleet.FleetSize(_ENTRIES, _ENGINES, _PLAIN)
-    parts = fleet.Fleet(size, folder, slot, facts, source)
+    parts = fleet.Fleet(
+        size,
+        folder,
+        slot,
+        facts,
+        source,
+        # Ends of targets are played by their relays, in this process.
+        relays_targets="fatal" in names,
+        served_elsewhere=[] if "fatal" in names else _REMOTE_ENGINES,
+    )
+    for target in parts.targets:
+        target.event_bytes = _EVENT_BYTES
+        target.answer_bytes = _ANSWER_BYTES
+        target.undelimited_share = 0.0
     play = _Play(parts, facts)
-    balancer = _FewEntriesBalancer(play)
+    balancer = callers.Balancer(
+        parts.entries, dialects.PlatformDialect(), _BALANCER_LOOK_S
+    )
+    processes = _Processes(play, balancer, folder)
     # Without preferred entries the same ones are disturbed.
-    small = play.small = parts.entries[: max(1, preferred)]
-    links = {place.program.name: _Link() for place in small}
+    small = play.small = parts.entries[: max(1, options.preferred)]
     try:
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(playing.end_when_told)
-            await nursery.start(parts.run)
-            nursery.start_soon(balancer.run)
-            await play.write()
-            await balancer.wait_all_ready()
-            for place in small:
-                nursery.start_soon(_keep_quota, place.program, cores)
-            call = functools.partial(_call_once, play, balancer, links)
-            for kind in kinds.KINDS:
-                nursery.start_soon(_send_kind, play, call, kind, source)
-            if "limits" in names:
-                nursery.start_soon(_name_limits, play)
-            began_at = trio.current_time()
-            await trio.sleep(_EVEN_S)
-            play.preferred = small[:preferred]
-            turned_at = trio.current_time()
-            used_s = _read_processor_s(small[0].program.pid)
-            for name in names:
-                if name != "limits":
-                    nursery.start_soon(_CASES[name], play)
-            await trio.sleep(_UNEVEN_S)
-            ended_at = trio.current_time()
-            used_s = _read_processor_s(small[0].program.pid) - used_s
-            await trio.sleep(kinds.KINDS[0].deadline_ms / 1000)
-            nursery.cancel_scope.cancel()
+        with contextlib.ExitStack() as stack:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(playing.end_when_told)
+                await nursery.start(parts.run)
+                if "fatal" not in names:
+                    stack.enter_context(_serve_engines(parts, seed, folder))
+                nursery.start_soon(balancer.run)
+                await play.write()
+                await balancer.wait_all_ready()
+                await trio.sleep(_SETTLE_S)
+                for place in small:
+                    stack.enter_context(
+                        processor_quota.ProcessorQuota(
+                            functools.partial(_find_pid, place.program),
+                            options.cores,
+                        )
+                    )
+                nursery.start_soon(processes.run, seed, options.scale)
+                await trio.sleep(_SETTLE_S)
+                if "limits" in names:
+                    nursery.start_soon(_name_limits, play)
+                processes.begin()
+                began_at = time.monotonic()
+                await trio.sleep(_EVEN_S)
+                processes.preferred = small[: options.preferred]
+                turned_at = time.monotonic()
+                used_s = processor_quota.read_processor_s(small[0].program.pid)
+                own_s = time.process_time()
+                for name in names:
+                    if name != "limits":
+                        nursery.start_soon(_CASES[name], play)
+                await trio.sleep(_UNEVEN_S)
+                ended_at = time.monotonic()
+                own_s = time.process_time() - own_s
+                used_s = (
+                    processor_quota.read_processor_s(small[0].program.pid)
+                    - used_s
+                )
+                await trio.sleep(options.tail_s)
+                nursery.cancel_scope.cancel()
     finally:
         slot.release()
-    before = _measure(facts.answers, began_at + _CONTACT_S, turned_at)
-    then = _measure(facts.answers, turned_at + _CONTACT_S, ended_at)
-    return (
-        f"{'+'.join(names)}, {preferred} of {_ENTRIES} preferred with"
-        f" {cores} cores, seed {seed}:"
-        f" served {before[0]:.3f} of {before[1]} before,"
-        f" {then[0]:.3f} of {then[1]} then"
-        f" ({then[0] / max(before[0], 0.001):.3f});"
-        f" not connected {before[2]:.3f}, {then[2]:.3f};"
+    calls = processes.read_calls()
+    before = _Span("before", began_at + _CONTACT_S, turned_at)
+    then = _Span("then", turned_at + _CONTACT_S, ended_at)
+    shares = [
+        _measure_served(
+            [c for c in calls if span.begins_at <= c.sent_at < span.ends_at]
+        )
+        for span in (before, then)
+    ]
+    head = (
+        f"{'+'.join(names)}, {options.preferred} of {_ENTRIES} preferred with"
+        f" {options.cores} cores, {options.scale} of the rates, seed {seed}:"
+        f" share {shares[1] / max(shares[0], 0.001):.3f};"
         f" {_count_behind(folder)} times behind;"
-        f" {used_s / _UNEVEN_S:.2f} cores used by the first one"
+        f" {used_s / _UNEVEN_S:.2f} cores used by the first one,"
+        f" {own_s / _UNEVEN_S:.2f} by the targets and the log"
     )
+    to_small = [
+        call
+        for call in calls
+        if call.entry in {place.front for place in small}
+        and call.sent_at >= then.begins_at
+    ]
+    return "\n".join(
+        [
+            head,
+            *_describe_calls(calls, before),
+            *_describe_calls(calls, then),
+            f"  at preferred entries then: {_count_ends(to_small)}",
+        ]
+    )
+
+
+@contextlib.contextmanager
+def _serve_engines(
+    parts: fleet.Fleet, seed: int, folder: pathlib.Path
+) -> abc.Iterator[None]:
+    """Serve the engines that this process does not serve in others."""
+    started: list[subprocess.Popen[bytes]] = []
+    try:
+        for number in range(_ENGINE_PROCESSES):
+            plan = engine_process.EnginePlan(
+                seed=seed * _ENGINE_PROCESSES + number,
+                log=parts.log_address,
+                event_bytes=_EVENT_BYTES,
+                places=[
+                    list(parts.targets[at].place)
+                    for at in _REMOTE_ENGINES[number::_ENGINE_PROCESSES]
+                ],
+            )
+            path = folder / f"engines-{number}.json"
+            path.write_text(json.dumps(plan))
+            started.append(
+                subprocess.Popen(
+                    [sys.executable, "-m", "bench.engine_process", str(path)],
+                    stdin=subprocess.PIPE,
+                    cwd=programs.ROOT,
+                )
+            )
+        yield
+    finally:
+        for process in started:
+            assert process.stdin is not None
+            process.stdin.close()
+            process.wait()
+
+
+def _find_pid(program: programs.Program) -> int:
+    return program.pid if program.is_running else 0
 
 
 def _count_behind(folder: pathlib.Path) -> int:
@@ -414,13 +563,18 @@
     preferred: typing.Annotated[int, typer.Option(help="Entries.")] = 1,
     cores: typing.Annotated[
         float, typer.Option(help="Processor quota of a preferred entry.")
-    ] = 0.14,
+    ] = 0.387,
+    scale: typing.Annotated[float, typer.Option(help="Of all rates.")] = 1.0,
     seed: typing.Annotated[int, typer.Option(help="First seed.")] = 1,
+    tail: typing.Annotated[
+        float, typer.Option(help="Seconds in which open calls go on.")
+    ] = 13.0,
     keep: typing.Annotated[
         typing.Optional[pathlib.Path], typer.Option(help="Folder of the logs.")
     ] = None,
 ) -> None:
     """Print what was served in each case."""
+    options = _Options(preferred, cores, scale, tail)
     for text in case:
         with contextlib.ExitStack() as stack:
             folder = keep or pathlib.Path(
@@ -428,9 +582,7 @@
             )
             folder.mkdir(exist_ok=True)
             print(
-                trio.run(
-                    _play, text.split("+"), preferred, cores, seed, folder
-                ),
+                trio.run(_play, text.split("+"), options, seed, folder),
                 flush=True,
             )
 
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -68,9 +68,13 @@
     """Knows which entries take connections, as a balancer does."""
 
     def __init__(
-        self, entries: abc.Sequence[EntryPlace], dialect: dialects.Dialect
+        self,
+        entries: abc.Sequence[EntryPlace],
+        dialect: dialects.Dialect,
+        look_s: float = _LOOK_S,
     ) -> None:
-        """Ask ``entries``."""
+        """Ask each of ``entries`` every ``look_s`` seconds."""
+        self._look_s: typing.Final = look_s
         self._entries: typing.Final = entries
         self._dialect: typing.Final = dialect
         # Name of the entry that gets most new connections, if any does.
@@ -113,14 +117,14 @@
 
     async def _ask(self, number: int, place: EntryPlace) -> None:
         connections = connection_pools.ConnectionPool(
-            place.ready, _LOOK_S * 1000
+            place.ready, self._look_s * 1000
         )
         request = dialects.ask(b"GET", self._dialect.ready_path, {})
         while True:
-            answer = await exchange(connections, request, _LOOK_S)
+            answer = await exchange(connections, request, self._look_s)
             is_ready = answer.is_whole and answer.status == _OK
             self._misses[number] = 0 if is_ready else self._misses[number] + 1
-            await trio.sleep(_LOOK_S)
+            await trio.sleep(self._look_s)
 
 
 async def exchange(
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -91,14 +91,24 @@
         slot: NetworkSlot,
         facts: seen.Facts,
         source: random.Random,
+        *,
+        relays_targets: bool = True,
+        served_elsewhere: abc.Collection[int] = (),
     ) -> None:
-        """Put the parts together; settings and output go into ``folder``."""
+        """Put the parts together; settings and output go into ``folder``.
+
+        Without ``relays_targets`` nothing stands before the targets, which is
+        cheaper, and they can't be cut off. Other processes serve the targets
+        with the numbers ``served_elsewhere``.
+        """
+        self._served_elsewhere: typing.Final = served_elsewhere
         self._size: typing.Final = size
+        self._relays_targets: typing.Final = relays_targets
         self._folder: typing.Final = folder
         self._slot: typing.Final = slot
         self._facts: typing.Final = facts
         self.log: typing.Final = platform_log.PlatformLog(source)
-        self._log_address: typing.Final = f"{slot.find_ip(0, 0)}:{_LOG_PORT}"
+        self.log_address: typing.Final = f"{slot.find_ip(0, 0)}:{_LOG_PORT}"
         count = size.engines + size.plain
         self.targets: typing.Final = [
             platform_targets.Target(
@@ -107,7 +117,7 @@
             for number in range(count)
         ]
         self.log_relays = [
-            relay.Relay(self._log_address) for _ in range(size.entries)
+            relay.Relay(self.log_address) for _ in range(size.entries)
         ]
         self.entries = [
             self._place_entry(number) for number in range(size.entries)
@@ -119,11 +129,12 @@
     def _place_target(self, number: int) -> platform_targets.TargetPlace:
         ip = self._slot.find_ip(2, number)
         is_engine = number < self._size.engines
+        port = _LISTED_PORT if self._relays_targets else _TARGET_PORT
         return platform_targets.TargetPlace(
             number,
             kinds.ENGINES if is_engine else kinds.PLAIN,
             f"centre-{number % _DATA_CENTRES}",
-            f"{ip}:{_LISTED_PORT}",
+            f"{ip}:{port}",
             f"{ip}:{_TARGET_PORT}",
         )
 
@@ -164,7 +175,7 @@
             "zone": f"centre-{number % _DATA_CENTRES}",
             "port_range": list(_PEER_PORTS),
             "seeds": seeds,
-            "platform": {"address": self._log_address},
+            "platform": {"address": self.log_address},
             "bounds": {
                 "grace_s": 8,
                 "retry_ratio": 0.2,
@@ -195,12 +206,14 @@
         """
         async with trio.open_nursery() as nursery:
             await http_serving.open_server(
-                nursery, self._log_address, self.log.serve
+                nursery, self.log_address, self.log.serve
             )
             for number, item in enumerate(self.log_relays):
                 address = f"{self._slot.find_ip(3, number)}:{_LOG_PORT}"
                 await open_relay(nursery, item, address)
             for target in self.targets:
+                if target.place.number in self._served_elsewhere:
+                    continue
                 await http_serving.open_server(
                     nursery, target.place.own, target.serve
                 )
--- a/bench/soak/platform_targets.py
+++ b/bench/soak/platform_targets.py
@@ -95,6 +95,9 @@
         self.refusing_share = 1.0
         # Until when its entry says that it is cold.
         self.cold_until = 0.0
+        # Least length of an event, and of a whole answer.
+        self.event_bytes = 0
+        self.answer_bytes = 0
         self._software = _FIRST_SOFTWARE
         # Software of the next start.
         self.next_software = _FIRST_SOFTWARE
@@ -122,7 +125,8 @@
         """Start, and write the entry at each heartbeat, for ever."""
         self._start()
         async with trio.open_nursery() as nursery:
-            await nursery.start(self._listener.run)
+            if self.place.listed != self.place.own:
+                await nursery.start(self._listener.run)
             nursery.start_soon(self._crash_when_fatal)
             nursery.start_soon(self._lapse_after_returns)
             while True:
@@ -314,7 +318,8 @@
             await self._generate(stream_id, after, answer, is_cut=cut)
         else:
             await trio.sleep(_PLAIN_S)
-            await self._answer_plain(answer, marks, request_id.encode())
+            body = request_id.encode().ljust(self.answer_bytes)
+            await self._answer_plain(answer, marks, body)
 
     def _refuses(self) -> bool:
         """Tell whether it refuses the request that has come now."""
@@ -373,7 +378,8 @@
                 if start != self._starts or not self._is_up:
                     return
                 data = f"{stream_id}/{number}/{most}/{self._software}"
-                event = f"id: {number}\ndata: {data}\n\n".encode()
+                event = f"id: {number}\ndata: {data}\n".encode()
+                event = _pad_event(event, self.event_bytes)
                 if number == cut_at:
                     await answer.send(event[: len(event) // 2])
                     return
@@ -381,3 +387,10 @@
             await answer.finish()
         finally:
             self._active -= 1
+
+
+def _pad_event(event: bytes, least_bytes: int) -> bytes:
+    """Return an event with its end, filled up by a comment."""
+    missing = least_bytes - len(event) - 1
+    comment = b":" + b"." * (missing - 2) + b"\n" if missing > 1 else b""
+    return event + comment + b"\n"
