Accept all waiting connections at once, and drop those whose callers left

Cause: one connection was accepted for each turn of the scheduler, which takes tens of milliseconds there, and connections were served first come, first served, until callers gave up after 1.5 s. From then on each request had lost its caller, and the work on it made the next one as late. In the lines nine of ten requests end 40 ms after they were read with the caller gone.

Change: a listener of our own accepts all that wait in one turn, and closes connections whose callers have closed theirs, as does a request that was read too late (request_abandoned, 1831). What an entry does with more requests than it can serve is not decided here.

--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/caller_connections.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/caller_connections.py
@@ -21,6 +21,7 @@
 from gentianpoint_core import logs
 from gentianpoint_core.generated import events
 from gentianpoint_entry.forwarding import caller_answers
+from gentianpoint_entry.forwarding import connection_listener
 from gentianpoint_entry.forwarding import refusals
 from gentianpoint_entry.forwarding import routes
 
@@ -167,8 +168,14 @@
         self,
         handler: Handler,
         read_limits: abc.Callable[[], routes.CallerLimits],
+        note_abandoned: abc.Callable[[], None] = lambda: None,
     ) -> None:
-        """Serve with ``handler`` under the limits in force."""
+        """Serve with ``handler`` under the limits in force.
+
+        ``note_abandoned`` is called for each request whose caller had left
+        before it was read.
+        """
+        self._note_abandoned: typing.Final = note_abandoned
         self._handler: typing.Final = handler
         self._read_limits: typing.Final = read_limits
         # Scopes of reads on kept-alive connections without a request.
@@ -246,6 +253,10 @@
                 return _ConnectionEnd.IDLE
             self._new_until.pop(stream, None)
             self._answered.discard(stream)
+            if connection_listener.has_left(stream.socket.fileno()):
+                # It was read so late that its caller has given up.
+                self._note_abandoned()
+                return _ConnectionEnd.BROKEN
             answer = _Answer(
                 protocol,
                 stream,
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/entry_server.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/entry_server.py
@@ -6,19 +6,16 @@
 import trio
 
 from gentianpoint_core import logs
-from gentianpoint_core import option_types
 from gentianpoint_core.generated import events
 from gentianpoint_entry.forwarding import caller_answers
 from gentianpoint_entry.forwarding import caller_connections
+from gentianpoint_entry.forwarding import connection_listener
 from gentianpoint_entry.forwarding import entry_metrics
 from gentianpoint_entry.forwarding import leaving
 from gentianpoint_entry.forwarding import routes
 
 __all__ = ("EntryServer", "ListenAddresses")
 
-_BACKLOG: typing.Final = 1024
-"""New connections that the kernel queues until they are accepted. When the
-queue is full, a SYN packet is dropped and only sent again after a second."""
 _STOP_MARGIN_S: typing.Final = 0.45
 """Seconds before the platform kills the process at which it ends by itself."""
 _FINAL_WRITES_S: typing.Final = 0.2
@@ -46,10 +43,16 @@
         read_limits: abc.Callable[[], routes.CallerLimits],
         is_ready: abc.Callable[[], bool],
         shut_down_within_s: float,
+        closes_new: abc.Callable[[], bool] = lambda: False,
     ) -> None:
-        """Serve callers with ``handler``; report whether ``is_ready()``."""
+        """Serve callers with ``handler``; report whether ``is_ready()``.
+
+        While ``closes_new()`` is true, new connections of callers are closed
+        unread.
+        """
+        self._closes_new: typing.Final = closes_new
         self._callers: typing.Final = caller_connections.CallerConnections(
-            handler, read_limits
+            handler, read_limits, _log_abandoned
         )
         self._probes: typing.Final = caller_connections.CallerConnections(
             self._answer_probe, read_limits
@@ -68,16 +71,20 @@
 
     async def serve(self, addresses: ListenAddresses) -> None:
         """Serve on all addresses until cancelled."""
-        listening = [
-            (await _listen(addresses.callers), self._callers),
-            (await _listen(addresses.ready), self._probes),
-            (await _listen(addresses.metrics), self._scrapers),
-        ]
+        listeners = (
+            connection_listener.ConnectionListener(
+                addresses.callers, self._callers.serve, self._closes_new
+            ),
+            connection_listener.ConnectionListener(
+                addresses.ready, self._probes.serve
+            ),
+            connection_listener.ConnectionListener(
+                addresses.metrics, self._scrapers.serve
+            ),
+        )
         async with trio.open_nursery() as nursery:
-            for listeners, connections in listening:
-                nursery.start_soon(
-                    trio.serve_listeners, connections.serve, listeners
-                )
+            for listener in listeners:
+                nursery.start_soon(listener.run)
 
     async def shut_down(self) -> None:
         """Report not ready, finish open requests, and return.
@@ -115,14 +122,13 @@
         await answer.send_whole(200 if is_ready else 503, (), b"")
 
 
+def _log_abandoned() -> None:
+    logs.log_event(events.REQUEST_ABANDONED)
+
+
 async def _answer_scraper(
     request: caller_connections.RawRequest,
     answer: caller_answers.CallerAnswer,
 ) -> None:
     headers = ((b"content-type", b"text/plain; version=0.0.4"),)
     await answer.send_whole(200, headers, entry_metrics.render_metrics())
-
-
-async def _listen(address: str) -> list[trio.SocketListener]:
-    host, port = option_types.split_address(address)
-    return await trio.open_tcp_listeners(port, host=host, backlog=_BACKLOG)
