Forward events together that were read together, and wait for some while busy

Cause: each event of a stream cost a read, a write and turns of its own, also where several had come since the last read. So a late entry did not get cheaper by being late.

Change: a pooled connection yields together what it has read, and a stream call writes the events of one read at once.

An idle entry forwards each event as before (busy_entry.feature).

--- a/packages/gentianpoint-core/src/gentianpoint_core/connection_pools.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/connection_pools.py
@@ -141,18 +141,31 @@
         return b"".join([chunk async for chunk in chunks])
 
     async def receive_body(self) -> abc.AsyncIterator[bytes]:
-        """Yield the body as it arrives.
+        """Yield the body as it arrives, all that was read at once together.
 
         Raises if a length or chunks are not met. The end of a body without
         either is for :mod:`answer_bodies` to judge.
         """
+        step = "receive body"
         while True:
-            event = await self._receive_event("receive body")
+            event = await self._receive_event(step)
+            data = bytearray()
+            failure = None
+            while isinstance(event, h11.Data):
+                data += event.data
+                try:
+                    event = self._take_event(step)
+                except ports.PortError as error:
+                    # What came before is part of the body.
+                    failure = error
+                    break
+            if data:
+                yield bytes(data)
+            if failure is not None:
+                raise failure
             if isinstance(event, h11.EndOfMessage):
                 self._is_complete = True
                 return
-            if isinstance(event, h11.Data):
-                yield bytes(event.data)
 
     def find_header(self, name: bytes) -> bytes:
         """Return the value of a header by its lower-case name, or ``b""``."""
@@ -206,26 +219,38 @@
                 return
 
     async def _receive_event(self, step: str) -> typing.Any:
+        """Return the next part of a response, which is read if need be."""
         while True:
+            event = self._take_event(step)
+            if event is not h11.NEED_DATA:
+                return event
             try:
-                event = self._state.next_event()
-                if event is h11.NEED_DATA:
-                    data = await self._stream.receive_some(_READ_BYTES)
-                    self._is_disconnected = not data
-                    self._state.receive_data(data)
-                    continue
-            except h11.RemoteProtocolError as error:
-                raise self._make_error(
-                    step, f"not an HTTP response: {error}"
-                ) from error
+                data = await self._stream.receive_some(_READ_BYTES)
             except (trio.BrokenResourceError, OSError) as error:
                 self._is_disconnected = True
                 raise self._make_error(
                     step, f"connection lost: {error}"
                 ) from error
-            if isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
-                raise self._make_error(step, "connection closed")
-            return event
+            self._is_disconnected = not data
+            try:
+                self._state.receive_data(data)
+            except h11.RemoteProtocolError as error:
+                raise self._make_protocol_error(step, error) from error
+
+    def _take_event(self, step: str) -> typing.Any:
+        """Return the next part of a response, NEED_DATA if it was not read."""
+        try:
+            event = self._state.next_event()
+        except h11.RemoteProtocolError as error:
+            raise self._make_protocol_error(step, error) from error
+        if isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
+            raise self._make_error(step, "connection closed")
+        return event
+
+    def _make_protocol_error(
+        self, step: str, error: h11.RemoteProtocolError
+    ) -> ports.PortError:
+        return self._make_error(step, f"not an HTTP response: {error}")
 
     def _make_error(self, step: str, reason: str) -> ports.PortError:
         return ports.PortError(
--- a/packages/gentianpoint-entry/features/forwarding/busy_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/busy_builders.py
@@ -16,6 +16,7 @@
 from gentianpoint_standins import addresses
 
 __all__ = (
+    "REQUEST",
     "CountedAnswer",
     "RunningEntry",
     "SchedulerTurns",
@@ -27,7 +28,7 @@
 LIMITS: typing.Final = routes.CallerLimits(
     header_bytes=4096, body_bytes=1000, header_ms=2000, idle_ms=2000
 )
-_REQUEST: typing.Final = (
+REQUEST: typing.Final = (
     b"GET /a/b HTTP/1.1\r\nHost: host.example\r\nConnection: close\r\n\r\n"
 )
 
@@ -92,7 +93,7 @@
 def send_request(address: str) -> socket.socket:
     """Send a request over a new connection, without letting tasks run."""
     connection = socket.create_connection(option_types.split_address(address))
-    connection.sendall(_REQUEST)
+    connection.sendall(REQUEST)
     return connection
 
 
--- a/packages/gentianpoint-entry/features/forwarding/busy_entry.feature
+++ b/packages/gentianpoint-entry/features/forwarding/busy_entry.feature
@@ -25,3 +25,26 @@
       | events | together | writes |
       | 20     | 5        | 4      |
       | 20     | 1        | 20     |
+
+  Scenario Outline: a stream at an entry that is busy
+    Guards against streams that take all the time of a busy entry, against
+    pauses that its route does not allow, and against waits at an idle one.
+    Given a stream of 100 events that come 1 at a time, every 30 ms
+    When its caller reads it from an entry that is busy for <share> of the time
+    Then the caller gets all of it, by at most <writes> writes
+    And its first event is not held back
+    And no pause is longer than <pause> ms
+
+    Examples:
+      | share | writes | pause |
+      | 0.3   | 100    | 31    |
+      | 0.7   | 95     | 70    |
+      | 1.0   | 50     | 100   |
+
+  Scenario: a stream whose target leaves, at an entry that is busy
+    Guards against a handover that comes too late, since its stream is left
+    unread.
+    Given a stream of 100 events that come 1 at a time, every 30 ms
+    And its target leaves
+    When its caller reads it from an entry that is busy for 1.0 of the time
+    Then no pause is longer than 31 ms
--- a/packages/gentianpoint-entry/features/forwarding/steps/busy_entry_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/busy_entry_steps.py
@@ -1,11 +1,14 @@
 """Steps for an entry that is short of processor time."""
 
+import itertools
+
 import behave
 import busy_builders
 import forwarding_builders
 import topic_builders
 import trio
 
+from gentianpoint_core import loop_load
 from gentianpoint_entry.forwarding import request_handling
 from gentianpoint_entry.forwarding import routes
 
@@ -68,11 +71,35 @@
     context.stream = busy_builders.TimedStream(count, together, 0.1)
 
 
+@behave.given(
+    "a stream of {count:d} events that come {together:d} at a time, every"
+    " {gap_ms:d} ms"
+)
+def make_timed_stream(context, count, together, gap_ms):
+    context.count = count
+    context.gap_s = gap_ms / 1000
+    context.stream = busy_builders.TimedStream(count, together, gap_ms / 1000)
+
+
+@behave.given("its target leaves")
+def let_target_leave(context):
+    context.is_leaving = True
+
+
 @behave.when("its caller reads it")
 def read_stream(context):
     serve_stream(context)
 
 
+@behave.when(
+    "its caller reads it from an entry that is busy for {share:f} of the time"
+)
+def read_from_busy(context, share):
+    load = loop_load.LoopLoad()
+    load.busy_share = share
+    serve_stream(context, load=load)
+
+
 def serve_stream(context, **parts):
     context.answer = busy_builders.CountedAnswer()
     calls = forwarding_builders.ScriptedCalls()
@@ -87,6 +114,16 @@
         )
         route = forwarding_builders.make_route(routes.RouteKind.STREAM)
         request = forwarding_builders.make_request(route, None)
+        if "is_leaving" in context:
+            target = shared.registry.find("a")
+            choose = shared.find_target
+
+            async def choose_and_leave(request, excluded=()):
+                found = await choose(request, excluded)
+                target.entry = target.entry._replace(is_leaving=True)
+                return found
+
+            shared.find_target = choose_and_leave
         await handler.serve(request, context.answer)
 
     topic_builders.run_on_mock_clock(run)
@@ -99,3 +136,17 @@
     assert context.answer.data == whole, context.answer.data
     assert context.answer.is_finished
     assert len(context.answer.received_at) <= writes, context.answer
+
+
+@behave.then("its first event is not held back")
+def check_first(context):
+    # The target takes 10 ms for the head of its answer.
+    waited_s = context.answer.received_at[0] - context.began_at
+    assert waited_s < context.gap_s + 0.02, waited_s
+
+
+@behave.then("no pause is longer than {pause_ms:d} ms")
+def check_pauses(context, pause_ms):
+    times = context.answer.received_at
+    longest_s = max(b - a for a, b in itertools.pairwise(times))
+    assert longest_s * 1000 <= pause_ms, longest_s
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
@@ -11,6 +11,7 @@
 
 from gentianpoint_core import answer_bodies
 from gentianpoint_core import logs
+from gentianpoint_core import loop_load
 from gentianpoint_core import ports
 from gentianpoint_core.decisions import answer_ends
 from gentianpoint_core.decisions import stream_origins
@@ -68,6 +69,7 @@
         origins: typing.Optional[stream_records.StreamRecords] = None,
         loans: typing.Optional[turn_loans.TurnLoans] = None,
         notices: typing.Optional[leaving_notices.LeavingNotices] = None,
+        load: typing.Optional[loop_load.LoopLoad] = None,
     ) -> None:
         """Serve from ``data_centre`` as one of ``count_entries()`` entries.
 
@@ -78,7 +80,8 @@
         the whole of each limit. Without ``probes`` engines are chosen by their
         reports alone. Without ``origins`` no caller can take a stream up, and
         without ``loans`` this entry has its own part of each limit only.
-        ``notices`` are told of targets that say that they leave.
+        ``notices`` are told of targets that say that they leave. ``load``
+        measures how busy this entry is; by default it counts as idle.
         """
         super().__init__(
             registry, data_centre, count_entries, rng, permits, probes, loans
@@ -89,6 +92,7 @@
             count_retry_sharers or count_entries
         )
         self.metrics: typing.Final = metrics
+        self.load: typing.Final = load or loop_load.LoopLoad()
         self._ends: typing.Final = ends
         self._origins: typing.Final = origins
         self._notices: typing.Final = (
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
@@ -8,6 +8,7 @@
 has taken the generation over, or once the stream has broken off by itself.
 """
 
+from collections import abc
 import math
 import typing
 
@@ -26,6 +27,7 @@
 from gentianpoint_entry.forwarding import requests
 from gentianpoint_entry.forwarding import routes
 from gentianpoint_entry.forwarding import stream_events
+from gentianpoint_entry.forwarding import stream_pacing
 from gentianpoint_entry.forwarding import stream_runs
 from gentianpoint_entry.forwarding import stream_timing
 from gentianpoint_entry.forwarding import target_calls
@@ -380,17 +382,32 @@
     ) -> typing.Optional[stream_runs.StreamRun]:
         """Forward events until the end, or until another run takes over."""
         while (event := await run.receive_event()) is not None:
-            await self._forward_event(run, event)
+            await self._forward_together(run, (event, *run.take_read_events()))
             next_run = await self._hand_over(run, nursery)
             if next_run is not None:
                 return next_run
+            await self._pause_reading(run)
         return None
 
-    async def _forward_event(
-        self, run: stream_runs.StreamRun, event: stream_events.StreamEvent
+    async def _forward_together(
+        self,
+        run: stream_runs.StreamRun,
+        events_read: abc.Iterable[stream_events.StreamEvent],
     ) -> None:
-        if not self._order.accept(event):
-            return
+        """Forward events that were read together, by one write."""
+        data = bytearray()
+        try:
+            for event in events_read:
+                if self._order.accept(event):
+                    await self._note_event(run)
+                    data += event.data
+        finally:
+            # Those before one that does not follow are the caller's.
+            if data:
+                await self._send_events(run, bytes(data))
+
+    async def _note_event(self, run: stream_runs.StreamRun) -> None:
+        """Note that an event goes to the caller."""
         self._timing.note_event(trio.current_time())
         if not self._request.are_parts_proven and run.is_proven():
             self._set_request(self._request._replace(are_parts_proven=True))
@@ -398,12 +415,31 @@
         if self._request.origin is None:
             self._set_origin(run.target.origin)
             await self._shared.note_stream_began(self._request)
+
+    async def _send_events(
+        self, run: stream_runs.StreamRun, data: bytes
+    ) -> None:
         if not self._answer.is_started:
             if self._must_be_whole:
-                self._buffered.extend(event.data)
+                self._buffered.extend(data)
                 return
             await self._answer.start(run.answer.status, run.answer.headers)
-        await self._answer.send(event.data)
+        await self._answer.send(data)
+
+    async def _pause_reading(self, run: stream_runs.StreamRun) -> None:
+        """Let further events come before the next read while busy.
+
+        Each read and write costs processor time, however many events it has.
+        """
+        if not run.target.accepts_work():
+            # The next event may decide how the generation goes on.
+            return
+        wait_s = stream_pacing.choose_pause_s(
+            self._request.route.gap_objective_ms,
+            self._shared.load.busy_share,
+        )
+        if wait_s:
+            await trio.sleep(wait_s)
 
     async def _finish_answer(self, run: stream_runs.StreamRun) -> None:
         if self._buffered:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_events.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_events.py
@@ -64,15 +64,22 @@
         """
         async for chunk in chunks:
             self._buffered += chunk
-            while end := _EVENT_END.search(self._buffered):
-                data = self._buffered[: end.end()]
-                self._buffered = self._buffered[end.end() :]
-                yield StreamEvent(data, _read_number(data))
+            while (event := self.take_event()) is not None:
+                yield event
             if len(self._buffered) > _MAX_EVENT_BYTES:
                 raise EventOrderError("an event exceeds the size limit")
         if self._buffered and not self.partial_bytes:
             yield StreamEvent(self._buffered, _read_number(self._buffered))
 
+    def take_event(self) -> typing.Optional[StreamEvent]:
+        """Return the next event if it has been read whole, else None."""
+        end = _EVENT_END.search(self._buffered)
+        if end is None:
+            return None
+        data = self._buffered[: end.end()]
+        self._buffered = self._buffered[end.end() :]
+        return StreamEvent(data, _read_number(data))
+
 
 def _read_number(data: bytes) -> typing.Optional[int]:
     for line in data.splitlines():
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_runs.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_runs.py
@@ -117,6 +117,11 @@
             raise self.make_silence_error()
         return event
 
+    def take_read_events(self) -> abc.Iterator[stream_events.StreamEvent]:
+        """Yield the events that were read together with the last one."""
+        while (event := self._reader.take_event()) is not None:
+            yield event
+
     def give_up(self) -> None:
         """Receive no more, unless an event is being forwarded."""
         self._receiving.cancel()
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/task_delays.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/task_delays.py
@@ -11,6 +11,7 @@
 import trio
 
 from gentianpoint_core import logs
+from gentianpoint_core import loop_load
 from gentianpoint_core.generated import events
 
 __all__ = ("watch_task_delays",)
@@ -28,8 +29,8 @@
 """Seconds between lines on a mean delay."""
 
 
-async def watch_task_delays() -> None:
-    """Log delays until cancelled."""
+async def watch_task_delays(load: loop_load.LoopLoad) -> None:
+    """Log delays until cancelled; ``load`` measures the scheduler."""
     mean_s = 0.0
     logged_at = -math.inf
     while True:
@@ -50,4 +51,5 @@
                 processor_share=round(
                     (time.process_time() - used_s) / (now - began), 2
                 ),
+                busy_share=round(load.busy_share, 2),
             )
