Read all datagrams that have come in one turn of the scheduler

Cause: one datagram was read for each turn of the scheduler, and sending one took a turn too, while a turn takes tens of milliseconds there.

Change: one socket type reads all that have come, and sends without waiting.

--- a/packages/gentianpoint-agent/src/gentianpoint_agent/state_answers.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/state_answers.py
@@ -11,6 +11,7 @@
 import trio
 
 from gentianpoint_core import codec
+from gentianpoint_core import datagram_socket
 from gentianpoint_core import logs
 from gentianpoint_core import option_types
 from gentianpoint_core.generated import events
@@ -51,19 +52,22 @@
 
     async def run(self) -> None:
         """Answer until cancelled."""
-        with trio.socket.socket(type=trio.socket.SOCK_DGRAM) as socket:
-            await socket.bind(self.address)
-            self.address = socket.getsockname()
+        with datagram_socket.DatagramSocket(
+            self.address, _MAX_DATAGRAM_BYTES
+        ) as socket:
+            self.address = socket.address
             async with trio.open_nursery() as nursery:
                 while True:
-                    data, sender = await socket.recvfrom(_MAX_DATAGRAM_BYTES)
-                    if self._pending < _MAX_PENDING:
-                        self._pending += 1
-                        nursery.start_soon(self._answer, socket, data, sender)
+                    for data, sender in await socket.receive():
+                        if self._pending < _MAX_PENDING:
+                            self._pending += 1
+                            nursery.start_soon(
+                                self._answer, socket, data, sender
+                            )
 
     async def _answer(
         self,
-        socket: trio.socket.SocketType,
+        socket: datagram_socket.DatagramSocket,
         data: bytes,
         sender: tuple[str, int],
     ) -> None:
@@ -82,7 +86,7 @@
                 }
                 if self._get_identity():
                     answer["target"] = self._get_identity()
-                await socket.sendto(codec.encode_message(answer), sender)
+                socket.send(codec.encode_message(answer), sender)
         except OSError as error:
             logs.log_event(
                 events.CONNECTION_REFUSED,
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/peer_datagrams.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/peer_datagrams.py
@@ -9,9 +9,8 @@
 from collections import abc as collections_abc
 import typing
 
-import trio
-
 from gentianpoint_core import codec
+from gentianpoint_core import datagram_socket
 from gentianpoint_core import logs
 from gentianpoint_core import option_types
 from gentianpoint_core.generated import events
@@ -58,7 +57,7 @@
         super().__init__()
         # The port is the one that was bound, once that was done.
         self.address: tuple[str, int] = option_types.split_address(address)
-        self._socket: typing.Optional[trio.socket.SocketType] = None
+        self._socket: typing.Optional[datagram_socket.DatagramSocket] = None
 
     @property
     def is_open(self) -> bool:
@@ -67,29 +66,31 @@
 
     async def run(self) -> None:
         """Receive messages until cancelled."""
-        with trio.socket.socket(type=trio.socket.SOCK_DGRAM) as socket:
-            await socket.bind(self.address)
-            self.address = socket.getsockname()
+        with datagram_socket.DatagramSocket(
+            self.address, _MAX_DATAGRAM_BYTES
+        ) as socket:
+            self.address = socket.address
             self._socket = socket
             while True:
                 try:
-                    data, sender = await socket.recvfrom(_MAX_DATAGRAM_BYTES)
+                    received = await socket.receive()
                 except OSError as error:
                     # A host has refused an earlier datagram.
                     _log_error("receive datagram", "", error)
                     continue
-                decoded = codec.decode_message(data, sender[0])
-                # Anyone can send datagrams here, so a log line for each
-                # invalid one would drown the others.
-                if decoded.is_ok():
-                    await self.handle(decoded.ok, sender)
+                for data, sender in received:
+                    decoded = codec.decode_message(data, sender[0])
+                    # Anyone can send datagrams here, so a log line for each
+                    # invalid one would drown the others.
+                    if decoded.is_ok():
+                        await self.handle(decoded.ok, sender)
 
     async def send(self, address: tuple[str, int], message: _Message) -> None:
         """Send a message; see the base class."""
         if self._socket is None:
             return
         try:
-            await self._socket.sendto(codec.encode_message(message), address)
+            self._socket.send(codec.encode_message(message), address)
         except OSError as error:
             _log_error("send datagram", address[0], error)
 
