Bound what is read of an answer without an end

What callers would see: a target may send bytes until its connection is closed, in a head or a body. Requests whose target answered with the head of another request and a body without end got no answer until their callers gave up.

Cause, by reading and by test: the body of a response to another request was read to be skipped, without a bound in bytes or time; interim responses were read without a bound; whole bodies (reports, health, copies, the log's records, error answers of streams) were held in memory whatever their length. On the own interface the client's time limits are for silence only, so that a body without end was read for ever, and a line of an engine's stream was held until its end.

--- a/packages/gentianpoint-core/src/gentianpoint_core/connection_pools.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/connection_pools.py
@@ -31,6 +31,15 @@
 """Largest number of responses to other requests that are skipped before the
 connection is closed. More than one or two come only from a target that
 matches responses to requests wrongly."""
+_MAX_SKIPPED_BYTES: typing.Final = 262144
+"""Most bytes of the bodies of such responses that are read."""
+_MAX_SKIP_S: typing.Final = 0.5
+"""Most seconds for which they are read. They had been sent before the response
+that is waited for."""
+_MAX_INTERIM_RESPONSES: typing.Final = 8
+"""Most interim responses (1xx) that may precede a response."""
+_MAX_WHOLE_BODY_BYTES: typing.Final = 8 << 20
+"""Longest body that is held in memory as a whole."""
 _IDLE_TIMEOUT_MS: typing.Final = 4000.0
 """Idle timeout of a connection, in milliseconds, unless the server announces a
 shorter one. With a longer timeout a request is more likely to be sent while
@@ -118,8 +127,7 @@
             if not self.is_delimited:
                 # No response can follow one that ends with its connection.
                 break
-            async for _ in self.receive_body():
-                pass
+            await self._skip_body()
             remaining_data, _ = self._state.trailing_data
             self._state = h11.Connection(h11.CLIENT)
             self._encode_request()
@@ -130,15 +138,37 @@
             "receive head", "responses belong to other requests"
         )
 
+    async def _skip_body(self) -> None:
+        """Read the body of a response to another request, if it is short."""
+        skipped = 0
+        with trio.move_on_after(_MAX_SKIP_S):
+            async for chunk in self.receive_body():
+                skipped += len(chunk)
+                if skipped > _MAX_SKIPPED_BYTES:
+                    break
+            else:
+                return
+        raise self._make_error(
+            "receive head", "a response to another request does not end"
+        )
+
     async def receive_whole_body(self) -> bytes:
-        """Return the body once it is complete; raises if it breaks off."""
+        """Return the body once it is complete.
+
+        Raises if it breaks off, or exceeds 8 MiB.
+        """
         chunks = answer_bodies.receive_complete(
             self.receive_body(),
             is_delimited=self.is_delimited,
             ask_sender=self._ask_sender,
             peer=self._peer,
         )
-        return b"".join([chunk async for chunk in chunks])
+        body = bytearray()
+        async for chunk in chunks:
+            body += chunk
+            if len(body) > _MAX_WHOLE_BODY_BYTES:
+                raise self._make_error("receive body", "the body is too long")
+        return bytes(body)
 
     async def receive_body(self) -> abc.AsyncIterator[bytes]:
         """Yield the body as it arrives, all that was read at once together.
@@ -206,7 +236,7 @@
         return data + (self._state.send(h11.EndOfMessage()) or b"")
 
     async def _receive_next_head(self) -> None:
-        while True:
+        for _ in range(_MAX_INTERIM_RESPONSES + 1):
             event = await self._receive_event("receive head")
             if isinstance(event, h11.Response):
                 self.status = event.status_code
@@ -217,6 +247,7 @@
                     [name for name, _ in self.headers],
                 )
                 return
+        raise self._make_error("receive head", "interim responses do not end")
 
     async def _receive_event(self, step: str) -> typing.Any:
         """Return the next part of a response, which is read if need be."""
--- a/packages/gentianpoint-core/src/gentianpoint_core/http_engine.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/http_engine.py
@@ -15,6 +15,8 @@
 
 _TIMEOUT_S: typing.Final = 5.0
 """Timeout of a request in seconds, not counting a requested wait."""
+_MAX_LINE_BYTES: typing.Final = 1 << 20
+"""Longest line of a stream, in bytes, that is held until its end."""
 _SOFTWARE_HEADER: typing.Final = "software-version"
 """Header of answers with the version of the engine's software."""
 _REFUSAL_STATUSES: typing.Final = (404, 409, 429)
@@ -82,6 +84,10 @@
             for line in lines:
                 if line:
                     yield _decode_line(line)
+            if len(partial) > _MAX_LINE_BYTES:
+                raise ports.PortError(
+                    step, peer, "a line does not end", took_effect=True
+                )
     except (httpx.HTTPError, msgspec.DecodeError) as error:
         raise ports.PortError(
             step, peer, repr(error), took_effect=True
--- a/packages/gentianpoint-entry/features/forwarding/forwarding_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/forwarding_builders.py
@@ -149,6 +149,9 @@
 
     async def receive_body(self) -> abc.AsyncIterator[bytes]:
         """Yield the events or the body."""
+        while self._words == "endless failure":
+            await trio.sleep(0.001)
+            yield bytes(65536)
         if not self._words.startswith("events"):
             yield f"body of {self._target.target_id}".encode()
             return
--- a/packages/gentianpoint-entry/features/forwarding/stream_calls.feature
+++ b/packages/gentianpoint-entry/features/forwarding/stream_calls.feature
@@ -286,3 +286,11 @@
       | who               | outcome       |
       | the entry ends    | entry_stopped |
       | the caller leaves | caller_left   |
+
+  Scenario: a target's error answer has no end
+    Guards against an entry that holds it in memory until the caller's deadline.
+    Given a generation that may run once, without copies
+    And target a answers: endless failure
+    When the request is served
+    Then the caller is refused with status 502
+    And it took less than half a second
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
@@ -66,6 +66,8 @@
 _BACKUP_READY_AGE_S: typing.Final = 1.2
 """Age of a run, in seconds, from which its backup is expected to hold a copy;
 copies are sent several times a second once the prompt has been processed."""
+_MAX_FAILURE_BYTES: typing.Final = 262144
+"""Longest error answer of a target, in bytes, that is forwarded."""
 
 _STREAM_ERRORS: typing.Final = (
     ports.PortError,
@@ -459,10 +461,20 @@
             if self._answer.is_started:
                 return None
             target_answer: target_calls.TargetAnswer = run.answer
-            chunks = self._shared.receive_body(run.target, target_answer)
-            body = b"".join([chunk async for chunk in chunks])
+            body = bytearray()
+            async for chunk in self._shared.receive_body(
+                run.target, target_answer
+            ):
+                body += chunk
+                if len(body) > _MAX_FAILURE_BYTES:
+                    raise ports.PortError(
+                        "receive body",
+                        run.target.entry.address,
+                        "the error answer is too long",
+                        took_effect=True,
+                    )
             await self._answer.send_whole(
-                target_answer.status, target_answer.headers, body
+                target_answer.status, target_answer.headers, bytes(body)
             )
         except ports.PortError as error:
             self._shared.note_failure(run.target, error, self._request)
