Log a request as answered whose caller left with the whole answer

What operators saw: with callers that close their connection after each answer, half of the lines of a preferred entry said caller_left although the answer was complete, and timelines of incidents could not be read.

Cause: the task that watches the caller cancels the request when the connection is closed, which may come before the task that has sent the answer goes on.

Change: a finished answer counts as answered.

--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/request_handling.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/request_handling.py
@@ -102,7 +102,7 @@
                 outcome = await self._serve_in_time(call, request, answer)
             finally:
                 self._shared.end_trial(request)
-                outcome = outcome or self._classify_cancellation()
+                outcome = outcome or self._classify_cancellation(answer)
                 took_ms = round((trio.current_time() - began) * 1000)
                 self._shared.metrics.record_request(
                     request.route.name, outcome, answer.status, took_ms
@@ -120,13 +120,18 @@
                     },
                 )
 
-    def _classify_cancellation(self) -> str:
-        """Return why a request ended without a final answer.
+    def _classify_cancellation(
+        self, answer: caller_answers.CallerAnswer
+    ) -> str:
+        """Return how a cancelled request ended.
 
-        A request is cancelled when its caller closes the connection, and when
-        this entry stops before the request has ended. The first is the
-        caller's choice, the second a failure of the service.
+        A caller may close the connection as soon as it has the whole answer.
+        Otherwise a request is cancelled when its caller leaves, and when this
+        entry stops before the request has ended. The first is the caller's
+        choice, the second a failure of the service.
         """
+        if answer.is_finished:
+            return "answered"
         ends_at = self._find_shutdown_time()
         if ends_at is not None and trio.current_time() >= ends_at:
             return "entry_stopped"
