--- a/packages/gentianpoint-entry/features/forwarding/forwarding_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/forwarding_builders.py
@@ -269,6 +269,8 @@
         """Start without an answer."""
         self.data = b""
         self.headers: abc.Sequence[tuple[bytes, bytes]] = ()
+        # Called once the answer is complete.
+        self.leave: abc.Callable[[], None] = lambda: None
 
     async def send_whole(
         self,
@@ -300,6 +302,7 @@
         """Record the end."""
         assert not self.is_finished
         self.is_finished = True
+        self.leave()
 
 
 def make_forwarder(
--- a/packages/gentianpoint-entry/features/forwarding/plain_calls.feature
+++ b/packages/gentianpoint-entry/features/forwarding/plain_calls.feature
@@ -118,3 +118,12 @@
     When the request is served
     Then the caller is given the body of a
     And 1 targets were asked
+
+  Scenario: a caller leaves with its answer
+    Guards against a log line which says that the caller left before it was
+    answered.
+    Given a plain request that may run once only
+    And target a answers: body
+    When its caller leaves as soon as it has the whole answer
+    Then the caller is given the body of a
+    And the log line that ends the request has the outcome answered
--- a/packages/gentianpoint-entry/features/forwarding/steps/stream_calls_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/stream_calls_steps.py
@@ -133,7 +133,9 @@
             nursery.start_soon(measure_overlap, context)
             if number is not None:
                 nursery.start_soon(change, context, shared, number)
-            with trio.move_on_after(timeout_s):
+            with trio.move_on_after(timeout_s) as scope:
+                if "leaves_after" in context:
+                    context.answer.leave = scope.cancel
                 await handler.serve(request, context.answer)
             context.took_s = trio.current_time() - began
             nursery.cancel_scope.cancel()
@@ -149,6 +151,12 @@
     serve(context)
 
 
+@behave.when("its caller leaves as soon as it has the whole answer")
+def serve_leaving(context):
+    context.leaves_after = True
+    serve(context)
+
+
 @behave.when(
     "the request is served, and an event that is held comes as another target"
     " is chosen"
