Close connections unread only while far more come than usually do

Cause: a saturated entry closed new connections whether others had time or not.

Change: it does so only if the connections of the last second are three times as many as those of the half minute before (ConnectionRates). A balancer that prefers an entry brings it ten times as many; where all are short of time, each gets what it had. It is not ready either way, and the balancer uses all entries once fewer than half are.

--- a/packages/gentianpoint-entry/features/forwarding/saturation.feature
+++ b/packages/gentianpoint-entry/features/forwarding/saturation.feature
@@ -5,25 +5,51 @@
   Scenario Outline: a scheduler that is busy for a time
     Guards against callers that are taken by an entry without time for them,
     or that a busy one turns away.
-    Given an entry that is idle
+    Given an entry that is idle, to which 4 connections come a second
     When its scheduler is busy for <share> of the time
+    And 60 connections come a second, for 2 s
     Then it <is> ready
-    And it <closes> new connections
+    And it <takes> the last connection
+
+    Examples:
+      | share | is     | takes  |
+      | 0.5   | is     | serves |
+      | 0.9   | is     | serves |
+      | 0.96  | is not | closes |
+      | 1.0   | is not | closes |
+
+  Scenario Outline: all entries are short of time
+    Guards against callers that are turned away by one entry after the other.
+    Where no more connections come than before, others are as busy.
+    Given an entry that is idle, to which <usual> connections come a second
+    When its scheduler is busy for 1.0 of the time
+    And <now> connections come a second, for 2 s
+    Then it is not ready
+    And it <takes> the last connection
 
     Examples:
-      | share | is     | closes         |
-      | 0.5   | is     | takes          |
-      | 0.9   | is     | takes          |
-      | 0.96  | is not | closes         |
-      | 1.0   | is not | closes         |
+      | usual | now | takes  |
+      | 4     | 4   | serves |
+      | 4     | 8   | serves |
+      | 30    | 60  | serves |
+      | 30    | 240 | closes |
+
+  Scenario: an entry that has just started is preferred
+    Guards against an entry that turns callers away as all start anew.
+    Given an entry that is idle
+    When its scheduler is busy for 1.0 of the time
+    And 60 connections come a second, for 2 s
+    Then it is not ready
+    And it serves the last connection
 
   Scenario: the balancer has noticed that an entry is saturated
     Guards against callers that no entry takes. Connections that come although
     the entry is not ready have nowhere better to go.
-    Given an entry that is saturated
-    When 2800 ms have passed
+    Given an entry that is idle, to which 4 connections come a second
+    When its scheduler is busy for 1.0 of the time
+    And 60 connections come a second, for 3 s
     Then it is not ready
-    And it takes new connections
+    And it serves the last connection
 
   Scenario Outline: an entry has time again
     Guards against an entry that is not ready for ever, or that is ready
@@ -55,7 +81,7 @@
   Scenario: callers connect to a saturated entry
     Guards against a request that is read, so that its caller may not send it
     elsewhere.
-    Given a server that closes new connections
+    Given a server that takes no new connections
     When 5 callers send a request
     Then no request is read
     And all callers see a connection that ends without an answer
--- a/packages/gentianpoint-entry/features/forwarding/steps/saturation_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/saturation_steps.py
@@ -23,6 +23,12 @@
         """Tell what the balancer is told."""
         return not self.saturation.is_saturated(self.now)
 
+    def connect(self, per_s, for_s):
+        """Let connections come at a rate."""
+        for _ in range(per_s * for_s):
+            self.now += 1 / per_s
+            self.took_last = self.saturation.takes_connection(self.now)
+
     def be_saturated(self):
         """Be saturated until it is ready again."""
         began_at = self.now
@@ -77,11 +83,22 @@
     assert context.entry.is_ready() == (verb == "is")
 
 
-@behave.then("it {verb} new connections")
-def check_closes(context, verb):
-    entry = context.entry
-    closes_new = entry.saturation.closes_new(entry.now)
-    assert closes_new == (verb == "closes")
+@behave.given(
+    "an entry that is idle, to which {per_s:d} connections come a second"
+)
+def make_usual(context, per_s):
+    make_idle(context)
+    context.entry.connect(per_s, 60)
+
+
+@behave.when("{per_s:d} connections come a second, for {for_s:d} s")
+def connect(context, per_s, for_s):
+    context.entry.connect(per_s, for_s)
+
+
+@behave.then("it {verb} the last connection")
+def check_takes(context, verb):
+    assert context.entry.took_last == (verb == "serves")
 
 
 @behave.then("it was not ready for {seconds} seconds")
@@ -90,10 +107,10 @@
     assert context.entry.held_s == wanted, context.entry.held_s
 
 
-@behave.given("a server that closes new connections")
+@behave.given("a server that takes no new connections")
 def make_closing(context):
     context.entry = busy_builders.RunningEntry(
-        closes_new=lambda: True, is_ready=lambda: False
+        takes_connection=lambda: False, is_ready=lambda: False
     )
 
 
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/connection_listener.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/connection_listener.py
@@ -34,14 +34,15 @@
         self,
         address: str,
         serve: abc.Callable[[trio.SocketStream], abc.Awaitable[None]],
-        closes_new: abc.Callable[[], bool] = lambda: False,
+        takes_connection: abc.Callable[[], bool] = lambda: True,
     ) -> None:
         """Listen at ``address``, IP:PORT, and serve each connection.
 
-        While ``closes_new()`` is true, connections are closed unread.
+        ``takes_connection`` is called for each new one, which is closed
+        unread if it returns False.
         """
         self._serve: typing.Final = serve
-        self._closes_new: typing.Final = closes_new
+        self._takes_connection: typing.Final = takes_connection
         self._socket: typing.Final = _open_socket(address)
 
     async def run(self) -> None:
@@ -72,7 +73,7 @@
                 )
                 await trio.sleep(_EXHAUSTED_WAIT_S)
                 return
-            if self._closes_new() or has_left(accepted.fileno()):
+            if not self._takes_connection() or has_left(accepted.fileno()):
                 accepted.close()
                 continue
             accepted.setblocking(False)
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/entry_server.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/entry_server.py
@@ -43,14 +43,14 @@
         read_limits: abc.Callable[[], routes.CallerLimits],
         is_ready: abc.Callable[[], bool],
         shut_down_within_s: float,
-        closes_new: abc.Callable[[], bool] = lambda: False,
+        takes_connection: abc.Callable[[], bool] = lambda: True,
     ) -> None:
         """Serve callers with ``handler``; report whether ``is_ready()``.
 
-        While ``closes_new()`` is true, new connections of callers are closed
-        unread.
+        ``takes_connection`` is called for each new connection of a caller,
+        which is closed unread if it returns False.
         """
-        self._closes_new: typing.Final = closes_new
+        self._takes_connection: typing.Final = takes_connection
         self._callers: typing.Final = caller_connections.CallerConnections(
             handler, read_limits, _log_abandoned
         )
@@ -73,7 +73,7 @@
         """Serve on all addresses until cancelled."""
         listeners = (
             connection_listener.ConnectionListener(
-                addresses.callers, self._callers.serve, self._closes_new
+                addresses.callers, self._callers.serve, self._takes_connection
             ),
             connection_listener.ConnectionListener(
                 addresses.ready, self._probes.serve
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/saturation.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/saturation.py
@@ -3,11 +3,12 @@
 An entry whose scheduler is never idle can't serve what comes to it. What it
 reads all the same is answered too late, and keeps it from answering the rest.
 So it reports to the load balancer that it is not ready, which sends new
-connections to other entries, and closes those that come until the balancer has
-noticed. Their requests are not read, so their callers may send them elsewhere.
+connections to other entries. If far more come than usually do, others have
+time for them, and those that come until the balancer has noticed are closed.
+Their requests are not read, so their callers may send them elsewhere.
 
-Connections that still come later have nowhere better to go, as where most
-entries are saturated, and are served.
+Other connections have nowhere better to go, as where most entries are
+saturated, and are served.
 """
 
 import math
@@ -16,6 +17,7 @@
 from gentianpoint_core import logs
 from gentianpoint_core import loop_load
 from gentianpoint_core.generated import events
+from gentianpoint_entry.forwarding import connection_rates
 from gentianpoint_entry.forwarding import leaving
 
 __all__ = ("Saturation",)
@@ -41,6 +43,7 @@
     def __init__(self, load: loop_load.LoopLoad) -> None:
         """Start as not saturated; ``load`` measures the scheduler."""
         self._load: typing.Final = load
+        self._rates: typing.Final = connection_rates.ConnectionRates()
         self._since = math.inf
         self._relieved_at = -math.inf
         self._hold_s = _LEAST_HOLD_S
@@ -59,10 +62,18 @@
             self._end(now, busy_share)
         return self._since < math.inf
 
-    def closes_new(self, now: float) -> bool:
-        """Tell whether new connections are closed before they are read."""
-        lag_s = leaving.READINESS_LAG_MS / 1000
-        return self.is_saturated(now) and now < self._since + lag_s
+    def takes_connection(self, now: float) -> bool:
+        """Count a new connection, and tell whether it is served.
+
+        Otherwise it is closed before it is read.
+        """
+        self._rates.note_connection(now)
+        if not self.is_saturated(now):
+            return True
+        has_balancer_noticed = (
+            now >= self._since + leaving.READINESS_LAG_MS / 1000
+        )
+        return has_balancer_noticed or not self._rates.are_raised()
 
     def _begin(self, now: float, busy_share: float) -> None:
         is_calm = now - self._relieved_at >= _CALM_S
