--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/saturation.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/saturation.py
@@ -73,7 +73,7 @@
         has_balancer_noticed = (
             now >= self._since + leaving.READINESS_LAG_MS / 1000
         )
-        return has_balancer_noticed or not self._rates.are_raised()
+        return has_balancer_noticed or not self._rates.are_raised(now)
 
     def _begin(self, now: float, busy_share: float) -> None:
         is_calm = now - self._relieved_at >= _CALM_S
