--- a/bench/decision_times.py
+++ b/bench/decision_times.py
@@ -21,10 +21,10 @@
 from gentianpoint_agent import applied_service
 from gentianpoint_agent import call_estimates
 from gentianpoint_agent import fair_queue
-from gentianpoint_agent import memory_forecasts
 from gentianpoint_agent import predictive_policy
 from gentianpoint_core import deadlines
 from gentianpoint_core import ports
+from gentianpoint_core.decisions import memory_forecasts
 from gentianpoint_core.generated import messages
 from gentianpoint_entry import agent_links
 from gentianpoint_entry import link_settings
--- a/packages/gentianpoint-agent/features/steps/lengths_steps.py
+++ b/packages/gentianpoint-agent/features/steps/lengths_steps.py
@@ -5,7 +5,7 @@
 
 from gentianpoint_agent import call_estimates
 from gentianpoint_agent import length_estimators
-from gentianpoint_agent import memory_forecasts
+from gentianpoint_core.decisions import memory_forecasts
 
 _DEVIATIONS = 2.3
 
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/length_estimators.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/length_estimators.py
@@ -12,7 +12,7 @@
 from collections import abc
 import typing
 
-from gentianpoint_agent import length_distributions
+from gentianpoint_core.decisions import length_distributions
 
 __all__ = ("LengthEstimator", "StreamLength")
 
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/predictive_policy.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/predictive_policy.py
@@ -12,11 +12,11 @@
 
 from gentianpoint_agent import admission_policy
 from gentianpoint_agent import applied_service
-from gentianpoint_agent import memory_forecasts
 from gentianpoint_agent import memory_ledger
 from gentianpoint_agent import pace_limits
 from gentianpoint_core import deadlines
 from gentianpoint_core import ports
+from gentianpoint_core.decisions import memory_forecasts
 
 __all__ = ("PredictivePolicy",)
 
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/memory_forecasts.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/decisions/memory_forecasts.py
@@ -21,7 +21,7 @@
 import math
 import typing
 
-from gentianpoint_agent import length_distributions
+from gentianpoint_core.decisions import length_distributions
 
 __all__ = ("HORIZONS", "MemoryForecast", "StreamMemory")
 
--- a/packages/gentianpoint-core/src/gentianpoint_core/ports.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/ports.py
@@ -16,6 +16,7 @@
     "Engine",
     "EngineLoad",
     "EngineOrder",
+    "EngineRun",
     "EngineStatus",
     "EngineStatusSource",
     "Host",
@@ -436,6 +437,19 @@
         """Send an order; the load report shows when it is carried out."""
 
 
+class EngineRun(typing.NamedTuple):
+    """A generation that an engine runs and that has produced an event."""
+
+    request_id: str
+    """Identifier of its request."""
+    tokens: int
+    """Tokens in the engine's memory."""
+    events: int
+    """Events that it has produced."""
+    urgency: int
+    """Urgency that the engine was told; 0 is the most urgent."""
+
+
 class EngineStatus(typing.NamedTuple):
     """Current status of an engine, which the agent reads on the same host.
 
@@ -466,6 +480,8 @@
     """True if the platform has announced that it will stop the engine."""
     leaves_in_ms: typing.Optional[int]
     """Milliseconds until the engine stops; None if not known."""
+    runs: tuple[EngineRun, ...] = ()
+    """The requests in the batch that have produced an event."""
 
 
 class EngineStatusSource(abc.ABC):
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/engine_reports.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/engine_reports.py
@@ -16,7 +16,9 @@
 _UNKNOWN_MS: typing.Final = -1
 """Stands for an unknown time in a row."""
 _ROW_LENGTH: typing.Final = 11
-"""Numbers in a row."""
+"""Least numbers in a row."""
+_PACE_ROW_LENGTH: typing.Final = 13
+"""Numbers in a row that ends with the pace of the engine."""
 _MAX_NUMBER: typing.Final = 1 << 62
 """Largest number of a report, positive or negative; arithmetic with larger
 ones can fail."""
@@ -35,6 +37,8 @@
     "number",
 )
 """Fields with numbers in an agent's message."""
+_PACE_FIELDS: typing.Final = ("step_us", "prefill_us_per_k")
+"""Fields with the pace of the engine, which may be absent."""
 
 
 def make_report(
@@ -45,6 +49,7 @@
     Raises OverflowError if a number is out of range.
     """
     _check_range([message[name] for name in _NUMBER_FIELDS])
+    _check_range([message.get(name, 0) for name in _PACE_FIELDS])
     sampled_at = now - message["age_ms"] / 1000
     return targets.EngineReport(
         sampled_at=sampled_at,
@@ -59,6 +64,8 @@
         started_ms=message["born_ms"],
         agent_run=message["run"],
         sequence_number=message["number"],
+        step_us=message.get("step_us", 0),
+        prefill_us_per_k=message.get("prefill_us_per_k", 0),
     )
 
 
@@ -79,6 +86,8 @@
         report.started_ms,
         report.is_leaving + 2 * report.is_silent,
         leaves_in_ms,
+        report.step_us,
+        report.prefill_us_per_k,
     ]
 
 
@@ -93,7 +102,8 @@
     """
     if len(row) < _ROW_LENGTH:
         return None
-    _check_range(row[:_ROW_LENGTH])
+    _check_range(row[:_PACE_ROW_LENGTH])
+    has_pace = len(row) >= _PACE_ROW_LENGTH
     return targets.EngineReport(
         agent_run=row[0],
         sequence_number=row[1],
@@ -107,6 +117,8 @@
         is_leaving=bool(row[9] & 1),
         is_silent=bool(row[9] & 2),
         leaves_at=_make_deadline(row[10], now),
+        step_us=row[11] if has_pace else 0,
+        prefill_us_per_k=row[12] if has_pace else 0,
     )
 
 
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
@@ -92,6 +92,11 @@
     """Identifies the run of the agent, which changes when it restarts."""
     sequence_number: int = 0
     """Counts the reports of this run of the agent."""
+    step_us: int = 0
+    """Time of a decoding step in microseconds; 0 if unknown."""
+    prefill_us_per_k: int = 0
+    """Time to prefill a thousand prompt tokens, in microseconds; 0 if
+    unknown."""
 
 
 class _SentRequest(typing.NamedTuple):
