Tell engines which generations are urgent

Cause: engines queue and preempt in order of arrival. In a burst of long generations the short ones, with an objective of 1,500 ms, miss it while the long ones, with 4,000 ms, have up to 2 s to spare.

Change: `decisions/engine_urgency` tells a request as urgent where a less urgent route of its service has at least twice its objective. `request_sent` logs it.

--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
@@ -395,13 +395,16 @@
 
 
 def _describe_size(request: requests.CallerRequest) -> dict[str, int]:
-    """Return the size of a generation for a log line."""
+    """Return the size and urgency of a generation for a log line."""
     if request.service.engine is None:
         return {}
-    return {
+    size = {
         "prompt_tokens": request.prompt_tokens,
         "likely_output_tokens": request.likely_output_tokens,
     }
+    if request.urgency is not None:
+        size["urgency"] = request.urgency
+    return size
 
 
 def _describe_target(target: targets.Target) -> dict[str, typing.Any]:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/requests.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/requests.py
@@ -67,6 +67,8 @@
     """Where its stream began; None for a stream that has no event yet."""
     route_services: abc.Sequence[routes.Service] = ()
     """All services of its route, of which a stream keeps to one."""
+    urgency: typing.Optional[int] = None
+    """Urgency that engines are told; None if they are told nothing."""
 
     def list_contents(self) -> abc.Sequence[str]:
         """Return the digests under which an end of its target counts."""
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/routes.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/routes.py
@@ -9,6 +9,8 @@
 import random
 import typing
 
+from gentianpoint_core.decisions import engine_urgency
+
 __all__ = (
     "CallerLimits",
     "Customer",
@@ -19,6 +21,7 @@
     "Service",
     "ServiceShare",
     "choose_service",
+    "get_priority",
 )
 
 
@@ -164,8 +167,20 @@
         self.requires_keys: typing.Final = requires_keys
         self._customers: typing.Final = dict(customers)
         self._by_host: typing.Final[dict[str, list[Route]]] = {}
+        ranks: dict[str, list[engine_urgency.RouteUrgency]] = {}
         for route in routes:
             self._by_host.setdefault(route.host, []).append(route)
+            for share in route.shares:
+                ranks.setdefault(share.service, []).append(
+                    engine_urgency.RouteUrgency(
+                        route.priority, route.objective_ms
+                    )
+                )
+        self._urgencies: typing.Final = {
+            name: engine_urgency.find_urgent(frozenset(found))
+            for name, found in ranks.items()
+            if name in self.services and self.services[name].engine
+        }
         for found in self._by_host.values():
             found.sort(key=lambda item: -len(item.path_prefix))
 
@@ -180,11 +195,30 @@
                 return route
         return None
 
+    def find_urgency(
+        self,
+        route: Route,
+        service: Service,
+        customer: typing.Optional[Customer],
+    ) -> typing.Optional[int]:
+        """Return the urgency that an engine is told, None for none."""
+        urgencies = self._urgencies.get(service.name)
+        if urgencies is None or not route.is_generation:
+            return None
+        return urgencies.find(get_priority(route, customer))
+
     def find_customer(self, key: str) -> typing.Optional[Customer]:
         """Return the customer that a key belongs to."""
         return self._customers.get(key)
 
 
+def get_priority(route: Route, customer: typing.Optional[Customer]) -> int:
+    """Return the priority of a request; the customer's goes first."""
+    if customer is not None and customer.priority is not None:
+        return customer.priority
+    return route.priority
+
+
 def choose_service(route: Route, source: random.Random) -> str:
     """Draw the service for one request of a route, by the weights."""
     if len(route.shares) == 1:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_choice.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_choice.py
@@ -455,20 +455,14 @@
     )
 
 
-def _get_priority(request: requests.CallerRequest) -> int:
-    customer = request.customer
-    if customer is not None and customer.priority is not None:
-        return customer.priority
-    return request.route.priority
-
-
 def _rank_urgency(request: requests.CallerRequest) -> int:
     """Return the rank among waiting requests; lower goes first.
 
     Of the same priority, streams that have events already go before others:
     what was generated for them would be lost.
     """
-    return 2 * _get_priority(request) + (request.origin is None)
+    priority = routes.get_priority(request.route, request.customer)
+    return 2 * priority + (request.origin is None)
 
 
 def _get_customer(request: requests.CallerRequest) -> str:
