Let entries leave out a target whose connections break off

Cause: a target resets each connection for a second or two while the report of its engine is good. Idle as it is, all entries prefer it, and each finds out by losing a request of its own, which may not be run again.

Change: `decisions/target_outages` tells of the first failure in the gossip field `outages`.

--- a/packages/gentianpoint-entry/features/forwarding/gossip_state.feature
+++ b/packages/gentianpoint-entry/features/forwarding/gossip_state.feature
@@ -31,6 +31,14 @@
     And 3 entries hear that an engine is leaving
     Then all entries know within 100 ms
 
+  Scenario: connections to a target break off
+    Guards against a request lost by each entry at a target that looks idle.
+    An entry that only passes messages on tells of outages as well.
+    Given a fleet of 68 entries
+    When 8 seconds pass after its start
+    And a connection of one entry to a target breaks off
+    Then all entries leave the target out within 100 ms
+
   Scenario Outline: an entry is told to stop, and starts again
     Guards against refusing callers who are sent from one leaving entry to the
     next. An entry that still counted as leaving after its restart would
--- a/packages/gentianpoint-entry/features/forwarding/steps/gossip_state_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/gossip_state_steps.py
@@ -5,6 +5,7 @@
 import topic_builders
 import trio
 
+from gentianpoint_core.decisions import target_outages
 from gentianpoint_entry.forwarding import members
 
 AGENT = "10.9.0.1:7000"
@@ -158,6 +159,32 @@
     assert took_ms <= within_ms, took_ms
 
 
+@behave.when("a connection of one entry to a target breaks off")
+def break_off(context):
+    async def fail(fleet):
+        entries = list(fleet.entries.values())
+        for entry in entries:
+            entry.gossip.outages = target_outages.TargetOutages(
+                entry.address, lambda: frozenset(fleet.entries)
+            )
+        entries[-1].gossip.outages.note_failure(AGENT, trio.current_time())
+        entries[-1].gossip.notify_urgent()
+        await trio.sleep(0.1)
+        context.unaware = [
+            entry.address
+            for entry in entries
+            if entry.gossip.outages.may_send(AGENT, trio.current_time())
+        ]
+
+    context.actions.append(fail)
+
+
+@behave.then("all entries leave the target out within 100 ms")
+def check_outage_known(context):
+    run_fleet(context)
+    assert context.unaware == []
+
+
 def put_reports(context, *versions):
     async def hear(fleet):
         entry = next(iter(fleet.entries.values()))
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
@@ -103,6 +103,8 @@
         send, receive = trio.open_memory_channel[_UnusedCopy](math.inf)
         self._unused_sender: typing.Final = send
         self._unused_receiver: typing.Final = receive
+        # Called when the other entries should be told of an outage.
+        self.notify_outages: abc.Callable[[], None] = lambda: None
 
     async def close_stale_connections(self) -> None:
         """Close connections to targets that have gone, until cancelled.
@@ -115,6 +117,8 @@
             self.calls.close_unlisted(self.registry.list_all())
             self.forget_unused_permits()
             self._notices.prune(trio.current_time())
+            if self.outages is not None:
+                self.outages.forget(trio.current_time())
 
     @contextlib.asynccontextmanager
     async def send(
@@ -140,6 +144,8 @@
             )
         tokens = target_selection.count_tokens(request)
         now = trio.current_time()
+        if self.outages is not None:
+            self.outages.note_sent(request_permits.make_key(target), now)
         target.open_request(now, tokens)
         needs_prefill = options.copy is None
         target.note_sent(
@@ -164,6 +170,7 @@
             ) as answer:
                 self._note_limit(target, answer, asked_at=now)
                 self._note_leaving(target, answer)
+                self._note_answering(target)
                 if answer.is_refusal():
                     self._ends.trials.give_back(request.request_id)
                 yield answer
@@ -235,6 +242,22 @@
                 leaves_in_ms=None,
             )
 
+    def _note_answering(self, target: targets.Target) -> None:
+        """End a target's outage, as the target answers."""
+        if self.outages is not None and self.outages.note_success(
+            request_permits.make_key(target), trio.current_time()
+        ):
+            logs.log_event(events.TARGET_RECOVERED, target=target.target_id)
+            self.notify_outages()
+
+    def _note_outage(self, target: targets.Target) -> None:
+        """Let entries leave a target out whose connections break off."""
+        if self.outages is not None and self.outages.note_failure(
+            request_permits.make_key(target), trio.current_time()
+        ):
+            logs.log_event(events.TARGET_OUTAGE, target=target.target_id)
+            self.notify_outages()
+
     def schedule_copy_release(self, target: targets.Target, name: str) -> None:
         """Queue a copy for :meth:`release_unused_copies`."""
         if not target.is_gone:
@@ -266,6 +289,8 @@
         target.note_failure(trio.current_time())
         if error.disconnected:
             self._ends.note_disconnect(target, request.list_contents())
+            if request.service.engine is not None and target.accepts_work():
+                self._note_outage(target)
         self.metrics.record_failed_attempt(error.step)
         logs.log_event(
             events.ATTEMPT_FAILED,
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/gossip_state.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/gossip_state.py
@@ -18,6 +18,7 @@
 from gentianpoint_core import limit_table
 from gentianpoint_core import ports
 from gentianpoint_core.decisions import request_turns
+from gentianpoint_core.decisions import target_outages
 from gentianpoint_entry import crash_suspects
 from gentianpoint_entry.forwarding import engine_reports
 from gentianpoint_entry.forwarding import leaving_notices
@@ -59,6 +60,7 @@
         self.ends_seen = 0
         self.limits_seen = 0
         self.notices_seen = 0
+        self.outages_seen = 0
         # What the other end knows: heartbeat counters by member, runs and
         # report numbers by agent, progress by topic.
         self.beats: typing.Final[dict[str, int]] = {}
@@ -71,6 +73,8 @@
         self.limits: typing.Final[set[str]] = set()
         # Keys of leaving targets that it has told since then.
         self.notices: typing.Final[set[str]] = set()
+        # Outages that it has told since then.
+        self.outages: typing.Final[set[tuple[str, bool]]] = set()
 
 
 class GossipState:
@@ -110,6 +114,7 @@
             else notices
         )
         self.notices.notify_urgent = self.notify_urgent
+        self.outages: typing.Optional[target_outages.TargetOutages] = None
 
     def add_topic(self, follower: topic_follower.TopicFollower) -> None:
         """Gossip the progress of ``follower``."""
@@ -178,12 +183,11 @@
         ends = self._collect_ends(link, now)
         limits = self._collect_limits(link, now)
         notices = self._collect_notices(link, now)
-        members_changed = bool(new_members or beats)
-        if not (
-            members_changed or reports or topics or ends or limits or notices
-        ):
+        outages = self._collect_outages(link, now)
+        parts = (new_members, beats, reports, topics, ends, limits, notices)
+        if not any((*parts, outages)):
             return None
-        return {
+        message = {
             "type": "gossip",
             "address": self.members.address,
             "clock_ms": round(now * 1000),
@@ -196,6 +200,9 @@
             "limits": limits,
             "leaving_targets": notices,
         }
+        if outages:
+            message["outages"] = outages
+        return message
 
     def _collect_members(
         self, link: LinkState
@@ -317,6 +324,24 @@
         link.notices.clear()
         return rows
 
+    def _collect_outages(
+        self, link: LinkState, now: float
+    ) -> abc.Sequence[_Message]:
+        if self.outages is None:
+            return []
+        rows = [
+            {
+                "key": news.key,
+                "failed_ms_ago": _compute_age_ms(now, news.failed_at),
+                "over": news.is_over,
+            }
+            for news in self.outages.list_since(link.outages_seen)
+            if (news.key, news.is_over) not in link.outages
+        ]
+        link.outages_seen = self.outages.changes
+        link.outages.clear()
+        return rows
+
     def apply_message(
         self, link: LinkState, message: _Message
     ) -> abc.Sequence[tuple[str, topic_follower.TopicProgress]]:
@@ -342,6 +367,7 @@
         self._apply_ends(link, message.get("ended_targets", ()), sent_at)
         self._apply_limits(link, message.get("limits", ()), sent_at)
         self._apply_notices(link, message.get("leaving_targets", ()), sent_at)
+        self._apply_outages(link, message.get("outages", ()), sent_at)
         if not link.delay.is_settled(now):
             # The age of the progress is not known yet. If it were taken as
             # fresh, it would keep this entry from polling the log itself.
@@ -413,6 +439,24 @@
         if is_any_new:
             self.notify_urgent()
 
+    def _apply_outages(
+        self, link: LinkState, rows: abc.Iterable[_Message], sent_at: float
+    ) -> None:
+        if self.outages is None:
+            return
+        is_any_new = False
+        for row in rows:
+            news = target_outages.OutageNews(
+                row["key"],
+                sent_at - max(0, row["failed_ms_ago"]) / 1000,
+                row["over"],
+            )
+            if self.outages.merge(news, trio.current_time()):
+                link.outages.add((news.key, news.is_over))
+                is_any_new = True
+        if is_any_new:
+            self.notify_urgent()
+
     @staticmethod
     def _apply_progress(
         link: LinkState, row: _Message, sent_at: float
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_choice.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_choice.py
@@ -18,6 +18,7 @@
 from gentianpoint_core import logs
 from gentianpoint_core import ports
 from gentianpoint_core.decisions import request_turns
+from gentianpoint_core.decisions import target_outages
 from gentianpoint_core.decisions import waiting_order
 from gentianpoint_core.generated import events
 from gentianpoint_entry.forwarding import arrivals
@@ -80,6 +81,8 @@
         self._probes: typing.Final = probes
         self._loans: typing.Final = loans
         self._arrival_rate: typing.Final = arrivals.ArrivalRate()
+        # Outages that entries tell each other; None if they don't.
+        self.outages: typing.Optional[target_outages.TargetOutages] = None
 
     async def find_target(
         self,
@@ -153,13 +156,35 @@
         excluded: abc.Collection[str] = (),
     ) -> abc.Sequence[targets.Target]:
         """Return the targets that take work and may run a request."""
-        return [
+        return self._leave_out_outages(
+            [
+                target
+                for target in self.registry.list_by_service(
+                    request.service.name
+                )
+                if target.target_id not in excluded
+                and target.accepts_work()
+                and target.may_go_on(request.origin)
+            ]
+        )
+
+    def _leave_out_outages(
+        self, found: abc.Sequence[targets.Target]
+    ) -> abc.Sequence[targets.Target]:
+        """Return the targets without those that have an outage.
+
+        If all have one, the fault is more likely elsewhere, and all are
+        returned.
+        """
+        if self.outages is None:
+            return found
+        now = trio.current_time()
+        others = [
             target
-            for target in self.registry.list_by_service(request.service.name)
-            if target.target_id not in excluded
-            and target.accepts_work()
-            and target.may_go_on(request.origin)
+            for target in found
+            if self.outages.may_send(request_permits.make_key(target), now)
         ]
+        return others or found
 
     def _find_order(
         self, request: requests.CallerRequest
@@ -290,13 +315,18 @@
     ) -> abc.Sequence[targets.Target]:
         """Return the targets to which a request may be sent now."""
         now = trio.current_time()
-        return [
-            target
-            for target in self.registry.list_by_service(request.service.name)
-            if target.target_id not in excluded
-            and target.may_go_on(request.origin)
-            and self._find_permitted_at(target, request.service, now) <= now
-        ]
+        return self._leave_out_outages(
+            [
+                target
+                for target in self.registry.list_by_service(
+                    request.service.name
+                )
+                if target.target_id not in excluded
+                and target.may_go_on(request.origin)
+                and self._find_permitted_at(target, request.service, now)
+                <= now
+            ]
+        )
 
     def _find_permitted_at(
         self,
