--- a/packages/gentianpoint-core/src/gentianpoint_core/decisions/memory_forecasts.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/decisions/memory_forecasts.py
@@ -31,7 +31,7 @@
 """Number of horizons from one horizon to its double."""
 _DOUBLINGS: typing.Final = 13
 """Number of doublings that the horizons cover."""
-HORIZONS: typing.Final = (
+HORIZONS: typing.Final[tuple[int, ...]] = (
     0,
     *(
         round(_FIRST_HORIZON * 2.0 ** (index / _HORIZONS_PER_DOUBLING))
@@ -131,7 +131,10 @@
             bounds[index] += sign * blocks
 
     def find_peak(self, deviations: float) -> float:
-        return max(
+        return max(self.iterate_levels(deviations))
+
+    def iterate_levels(self, deviations: float) -> abc.Iterator[float]:
+        return (
             min(mean + deviations * math.sqrt(max(variance, 0.0)), bound)
             for mean, variance, bound in zip(
                 self._means, self._variances, self._bounds, strict=True
@@ -159,6 +162,13 @@
         sums.add(_Term(stream, stream.distribution.get_survival(), 0.0))
         return sums.find_peak(deviations)
 
+    def list_levels(self, deviations: float) -> abc.Sequence[float]:
+        """Return the forecast at each horizon, in blocks.
+
+        ``deviations`` is as for :meth:`find_peak`.
+        """
+        return tuple(self._sums.iterate_levels(deviations))
+
     def add(
         self, key: abc.Hashable, stream: StreamMemory, refresh_at_ms: float
     ) -> None:
