Grant and refuse claims of room at the agent

Cause: the messages room_wanted, room_found and room_returned are in the schema, but nothing answers them.

Change: the agent's feed keeps a room book from the engine's reports, and the answers to datagrams include claims. A claim waits at most 10 ms for a present report.

--- a/packages/gentianpoint-agent/features/steps/state_answers_steps.py
+++ b/packages/gentianpoint-agent/features/steps/state_answers_steps.py
@@ -127,7 +127,10 @@
     async def run():
         feed = engine_feed.EngineFeed(context.engine, lambda born_ms: None)
         answers = state_answers.StateAnswers(
-            "127.0.0.1:0", feed.read_present_state, lambda: feed.identity
+            "127.0.0.1:0",
+            feed.read_present_state,
+            lambda: feed.identity,
+            feed,
         )
         feed.note_identity("engine-1")
         async with trio.open_nursery() as nursery:
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/engine_feed.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/engine_feed.py
@@ -4,7 +4,8 @@
 show first that the engine is about to be taken away. So the agent polls the
 engine often and sends changes to the entries. Entries send requests to the
 engine themselves, and use their last known status while the agent is
-unavailable.
+unavailable. Before that they may claim room, which the agent grants or refuses
+by what it has read and leased so far.
 """
 
 from collections import abc
@@ -16,9 +17,12 @@
 
 from gentianpoint_agent import move_turns
 from gentianpoint_agent import prompt_backlog
+from gentianpoint_agent import room_claims
+from gentianpoint_agent import state_answers
 from gentianpoint_core import logs
 from gentianpoint_core import peer_connections
 from gentianpoint_core import ports
+from gentianpoint_core.decisions import room_book
 from gentianpoint_core.generated import events
 
 __all__ = ("POLL_INTERVAL_S", "EngineFeed")
@@ -34,13 +38,16 @@
 entries can tell an unchanged engine from a stopped agent."""
 _FAILURES_UNTIL_SILENT: typing.Final = 2
 """Number of failed requests in a row after which the engine is silent."""
+_MAX_CLAIM_POLL_S: typing.Final = 0.01
+"""Time in seconds after which a claim is decided by the last status. Entries
+wait 25 ms for the reply; a later one would lease room that nobody uses."""
 
 
 _RUN_BITS: typing.Final = 31
 """Size of the random number that identifies a run of an agent, in bits."""
 
 
-class EngineFeed:
+class EngineFeed(state_answers.RoomSource):
     """Polls one engine, and sends its status to connected entries."""
 
     def __init__(
@@ -65,6 +72,8 @@
         self._polling: typing.Final = trio.Lock()
         self._changed = trio.Event()
         self._turns: typing.Final = move_turns.MoveTurns()
+        self._book: typing.Final = room_book.RoomBook()
+        self._room_log: typing.Final = room_claims.RoomLog(self._book)
 
     @property
     def identity(self) -> str:
@@ -85,6 +94,7 @@
             async with self._polling:
                 await self._poll()
             self._turns.grant_next()
+            self._room_log.write_due(trio.current_time())
             await trio.sleep(POLL_INTERVAL_S)
 
     async def read_present_state(
@@ -98,9 +108,38 @@
         async with self._polling:
             if trio.current_time() - self._polled_at > _PRESENT_S:
                 await self._poll()
-        return (
-            None if self._status is None else self._make_message(self._status)
-        )
+        return self._make_present_message()
+
+    def _make_present_message(
+        self,
+    ) -> typing.Optional[abc.Mapping[str, typing.Any]]:
+        if self._status is None:
+            return None
+        return self._make_message(self._status)
+
+    async def claim_room(
+        self, claim: room_book.RoomClaim
+    ) -> typing.Optional[room_claims.RoomReply]:
+        """Grant or refuse a claim, by the engine's present status.
+
+        If the engine does not answer at once, its last status counts. None
+        if it has not answered yet.
+        """
+        with trio.move_on_after(_MAX_CLAIM_POLL_S):
+            await self.read_present_state()
+        state = self._make_present_message()
+        if state is None:
+            return None
+        now = trio.current_time()
+        answer = self._book.claim(claim, now)
+        opens_in_ms = room_claims.find_delay_ms(answer.opens_at, now)
+        if not answer.is_granted:
+            self._room_log.note_refused(opens_in_ms)
+        return room_claims.RoomReply(answer.is_granted, opens_in_ms, state)
+
+    def give_room_back(self, request_id: str) -> None:
+        """End the lease of a request that its entry does not send."""
+        self._book.give_back(request_id)
 
     async def _poll(self) -> None:
         try:
@@ -137,6 +176,7 @@
         self._is_silent = False
         self._number += 1
         self._polled_at = trio.current_time()
+        self._book.note_status(status, self._polled_at)
         if is_changed:
             self._notify()
 
@@ -167,6 +207,7 @@
     ) -> None:
         match message["type"]:
             case "move_wanted":
+                self._book.note_move(message["request"])
                 self._turns.request_turn(
                     move_turns.MoveRequest(
                         message["request"], message["tokens"], granted
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/state_answers.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/state_answers.py
@@ -1,22 +1,26 @@
-"""Answers entries that ask for the present status of the engine.
+"""Answers entries that ask for the engine's present status, or claim room.
 
 An entry asks a few agents before it sends a generation, and chooses by their
-answers. It is connected to few of them, so it asks by datagrams, which need no
+answers; where room is controlled it claims room at the one that it chose. It
+is connected to few of them, so it asks by datagrams, which need no
 connection. A lost one costs it a few milliseconds.
 """
 
-from collections import abc
+import abc
+from collections import abc as collections_abc
 import typing
 
 import trio
 
+from gentianpoint_agent import room_claims
 from gentianpoint_core import codec
 from gentianpoint_core import datagram_socket
 from gentianpoint_core import logs
 from gentianpoint_core import option_types
+from gentianpoint_core.decisions import room_book
 from gentianpoint_core.generated import events
 
-__all__ = ("StateAnswers",)
+__all__ = ("RoomSource", "StateAnswers")
 
 _MAX_DATAGRAM_BYTES: typing.Final = 1024
 """Longest request that is read."""
@@ -24,12 +28,29 @@
 """Requests that are answered at the same time; others are dropped. That many
 come only from a faulty sender."""
 
-ReadState = abc.Callable[
-    [], abc.Awaitable[typing.Optional[abc.Mapping[str, typing.Any]]]
+ReadState = collections_abc.Callable[
+    [],
+    collections_abc.Awaitable[
+        typing.Optional[collections_abc.Mapping[str, typing.Any]]
+    ],
 ]
 """Returns the message with the engine's status, None if there is none."""
 
 
+class RoomSource(abc.ABC):
+    """Gives room at the engine, and takes it back."""
+
+    @abc.abstractmethod
+    async def claim_room(
+        self, claim: room_book.RoomClaim
+    ) -> typing.Optional[room_claims.RoomReply]:
+        """Grant or refuse a claim; None if the engine is not known yet."""
+
+    @abc.abstractmethod
+    def give_room_back(self, request_id: str) -> None:
+        """End the lease of a request that its entry does not send."""
+
+
 class StateAnswers:
     """Answers datagrams at one address."""
 
@@ -37,13 +58,15 @@
         self,
         address: str,
         read_state: ReadState,
-        get_identity: abc.Callable[[], str],
+        get_identity: collections_abc.Callable[[], str],
+        rooms: RoomSource,
     ) -> None:
         """Listen at ``address``, and answer what ``read_state`` returns.
 
         ``get_identity`` returns the identifier of the engine's start, empty
-        if it is not known.
+        if it is not known. Claims of room go to ``rooms``.
         """
+        self._rooms: typing.Final = rooms
         self._get_identity: typing.Final = get_identity
         # The port is the one that was bound, once that was done.
         self.address: tuple[str, int] = option_types.split_address(address)
@@ -75,17 +98,10 @@
             decoded = codec.decode_message(data, sender[0])
             # Anyone can send datagrams here, so a log line for each invalid
             # one would drown the others.
-            if decoded.is_error() or decoded.ok["type"] != "state_wanted":
+            if decoded.is_error():
                 return
-            state = await self._read_state()
-            if state is not None:
-                answer: dict[str, typing.Any] = {
-                    "type": "state_found",
-                    "probe": decoded.ok["probe"],
-                    "state": state,
-                }
-                if self._get_identity():
-                    answer["target"] = self._get_identity()
+            answer = await self._find_answer(decoded.ok)
+            if answer is not None:
                 socket.send(codec.encode_message(answer), sender)
         except OSError as error:
             logs.log_event(
@@ -96,3 +112,32 @@
             )
         finally:
             self._pending -= 1
+
+    async def _find_answer(
+        self, message: codec.MessageMap
+    ) -> typing.Optional[codec.MessageMap]:
+        match message["type"]:
+            case "state_wanted":
+                state = await self._read_state()
+                if state is None:
+                    return None
+                answer: dict[str, typing.Any] = {
+                    "type": "state_found",
+                    "probe": message["probe"],
+                    "state": state,
+                }
+                if self._get_identity():
+                    answer["target"] = self._get_identity()
+                return answer
+            case "room_wanted":
+                reply = await self._rooms.claim_room(
+                    room_claims.make_claim(message)
+                )
+                if reply is None:
+                    return None
+                return room_claims.make_message(
+                    message["claim"], reply, self._get_identity()
+                )
+            case "room_returned":
+                self._rooms.give_room_back(message["request"])
+        return None
