Measure the pace of engines at their agents

Cause: engines of one service differ in speed by more than two, and have phases of 600 ms in which work takes 2.5 times as long. Reports name neither, so entries take all engines to be alike.

Change: `decisions/engine_pace` learns the time of a decoding step and the prefill time from consecutive statuses, and agents report both in `engine_state`.

--- a/packages/gentianpoint-agent/src/gentianpoint_agent/engine_feed.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/engine_feed.py
@@ -19,6 +19,7 @@
 from gentianpoint_core import logs
 from gentianpoint_core import peer_connections
 from gentianpoint_core import ports
+from gentianpoint_core.decisions import engine_pace
 from gentianpoint_core.generated import events
 
 __all__ = ("POLL_INTERVAL_S", "EngineFeed")
@@ -65,6 +66,7 @@
         self._polling: typing.Final = trio.Lock()
         self._changed = trio.Event()
         self._turns: typing.Final = move_turns.MoveTurns()
+        self._pace: typing.Final = engine_pace.EnginePace()
 
     @property
     def identity(self) -> str:
@@ -137,6 +139,7 @@
         self._is_silent = False
         self._number += 1
         self._polled_at = trio.current_time()
+        self._pace.note_status(status, self._polled_at)
         if is_changed:
             self._notify()
 
@@ -188,6 +191,7 @@
     def _make_message(
         self, status: ports.EngineStatus
     ) -> abc.Mapping[str, typing.Any]:
+        pace = self._pace.measure(trio.current_time())
         leaves_in_ms = status.leaves_in_ms
         age_ms = round((trio.current_time() - self._polled_at) * 1000)
         if leaves_in_ms is not None:
@@ -208,6 +212,8 @@
             "silent": self._is_silent,
             "run": self._run,
             "number": self._number,
+            "step_us": pace.step_us,
+            "prefill_us_per_k": pace.prefill_us_per_k,
         }
 
 
