Choose targets by predicted times where their paces differ

Cause: the choice of a target weighs prompts and generations the same at each, so slow engines get as much as fast ones, and what runs there is late.

There `choose_target` scores these times over the request's objectives, and running generations by the time that the prompt delays them. Elsewhere the choice is as before.

--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_choice.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_choice.py
@@ -18,6 +18,7 @@
 from gentianpoint_core import logs
 from gentianpoint_core import ports
 from gentianpoint_core.decisions import request_turns
+from gentianpoint_core.decisions import target_times
 from gentianpoint_core.decisions import waiting_order
 from gentianpoint_core.generated import events
 from gentianpoint_entry.forwarding import arrivals
@@ -43,6 +44,9 @@
 estimated."""
 _PROBED_TARGETS: typing.Final = 4
 """Engines whose present state is asked for before one of them is chosen."""
+_PACES_KEPT_S: typing.Final = 0.1
+"""Seconds after which the paces of a service's targets are compared again, as
+often as agents poll their engines."""
 
 
 class TargetChoice:
@@ -80,6 +84,10 @@
         self._probes: typing.Final = probes
         self._loans: typing.Final = loans
         self._arrival_rate: typing.Final = arrivals.ArrivalRate()
+        # By service: the paces of its targets, and until when they count.
+        self._paces: typing.Final[
+            dict[str, tuple[target_times.ServicePaces, float]]
+        ] = {}
 
     async def find_target(
         self,
@@ -229,7 +237,39 @@
             self.count_entries(),
             trio.current_time(),
             self.rng,
+            paces=self._find_paces(request.service),
+        )
+
+    def _find_paces(
+        self, service: routes.Service
+    ) -> typing.Optional[target_times.ServicePaces]:
+        """Return the paces of a service's engines, compared lately."""
+        if service.engine is None:
+            return None
+        now = trio.current_time()
+        paces, kept_until = self._paces.get(
+            service.name, (target_times.ServicePaces(), -math.inf)
         )
+        if now < kept_until:
+            return paces
+        self._paces[service.name] = (paces, now + _PACES_KEPT_S)
+        working = [
+            target
+            for target in self.registry.list_by_service(service.name)
+            if target.accepts_work()
+        ]
+        if paces.update(target_selection.list_paces(working)):
+            spread = paces.spread
+            logs.log_event(
+                events.TARGET_PACES_CHANGED,
+                service=service.name,
+                differ=paces.differ,
+                step_us_lower=spread.lower.step_us,
+                step_us_upper=spread.upper.step_us,
+                prefill_us_per_k_lower=spread.lower.prefill_us_per_k,
+                prefill_us_per_k_upper=spread.upper.prefill_us_per_k,
+            )
+        return paces
 
     def promise_opening_ms(self, request: requests.CallerRequest) -> float:
         """Return in how many milliseconds a refused request can be served.
@@ -330,6 +370,7 @@
             now,
             self.rng,
             other_arrivals_per_s=self._estimate_other_arrivals_per_s(now),
+            paces=self._find_paces(request.service),
         )
 
     def _estimate_other_arrivals_per_s(self, now: float) -> float:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_selection.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_selection.py
@@ -10,12 +10,17 @@
 distributed over the best targets first, by water-filling, and a target is
 drawn with its share of them as weight. With fresh reports or few requests that
 is the best target, otherwise one of several that are nearly as good.
+
+Where the paces of a service's targets differ, prompts and pauses are scored by
+the times that are predicted for a request, over its objectives.
 """
 
 from collections import abc
 import random
 import typing
 
+from gentianpoint_core.decisions import engine_pace
+from gentianpoint_core.decisions import target_times
 from gentianpoint_entry.forwarding import requests
 from gentianpoint_entry.forwarding import targets
 
@@ -25,6 +30,7 @@
     "choose_copy_destination",
     "choose_target",
     "count_tokens",
+    "list_paces",
     "score_target",
 )
 
@@ -58,6 +64,22 @@
 _UNREAD_TOKENS_SCALE: typing.Final = 7000.0
 """Prompt tokens awaiting prefill that score like all slots taken. At fourteen
 tokens a millisecond they delay the next first token by half a second."""
+_FIRST_EVENT_COST: typing.Final = 1.0
+"""Score of a first event that takes as long as its objective, equal to that of
+all slots taken, where paces differ."""
+_LATE_FIRST_EVENT_COST: typing.Final = 2.0
+"""Additional score of each further objective's length. A late first event
+loses most of an answer's worth, unlike a later one that is still on time."""
+_LONG_PAUSE_COST: typing.Final = 2.0
+"""Score of pauses at twice what counts as on time, where paces differ."""
+_PAUSE_SHARE: typing.Final = 0.5
+"""Share of the longest good pause from which a predicted one costs. Engines
+have phases in which their work takes more than twice as long."""
+_LONG_ANSWER_EVENTS: typing.Final = 40.0
+"""Events from which an answer is likely to have the predicted pause. One of
+three events takes a tenth of a second and seldom meets a prompt."""
+_USUAL_OBJECTIVE_MS: typing.Final = 1500.0
+"""Time to the first event for a route without an objective."""
 MAX_USED_SHARE_FOR_BACKUPS: typing.Final = 0.4
 """Share of a target's memory up to which it accepts copies of generations that
 may never be needed. The rest is for generations that run there or move
@@ -90,11 +112,14 @@
     entry_count: int,
     now: float,
     distance_cost: float = _DISTANCE_COST,
+    paces: typing.Optional[target_times.ServicePaces] = None,
 ) -> float:
     """Return the load score of a target; lower is better.
 
-    An idle target in ``data_centre`` scores 0. A target whose slots are all
-    taken scores 1 for that, and the other terms are weighed against it.
+    An idle target in ``data_centre`` scores 0, unless ``paces`` is given. A
+    target whose slots are all taken scores 1 for that, and the other terms
+    are weighed against it. ``paces`` is given where the paces of the targets
+    differ.
     """
     score = 0.0
     if target.entry.data_centre != data_centre:
@@ -107,12 +132,65 @@
         score += _SILENT_COST
     score += _score_slots(target, entry_count)
     if request.service.engine is not None:
-        score += _count_pending_prefill_tokens(target) / _UNREAD_TOKENS_SCALE
         score += _score_memory(target, request, entry_count)
-        score += _count_running(target) / _RUNNING_SCALE
+        if paces is None:
+            unread = _count_pending_prefill_tokens(target)
+            score += unread / _UNREAD_TOKENS_SCALE
+            score += _count_running(target) / _RUNNING_SCALE
+        else:
+            score += _score_times(target, request, paces)
     return score
 
 
+def _score_times(
+    target: targets.Target,
+    request: requests.CallerRequest,
+    paces: target_times.ServicePaces,
+) -> float:
+    """Return the score of the times predicted for a request at a target.
+
+    The request's prompt also delays each generation that runs there, by the
+    time of its prefill.
+    """
+    pace = paces.complete(_get_pace(target))
+    engine = request.service.engine
+    assert engine is not None
+    first_ms = target_times.predict_first_event_ms(
+        pace,
+        _count_pending_prefill_tokens(target),
+        request.prompt_tokens,
+        engine.event_tokens,
+    )
+    first = first_ms / (request.route.objective_ms or _USUAL_OBJECTIVE_MS)
+    score = _FIRST_EVENT_COST * first
+    score += _LATE_FIRST_EVENT_COST * max(0.0, first - 1.0)
+    longest_ms = request.route.gap_objective_ms
+    if longest_ms:
+        pause_ms = target_times.predict_longest_pause_ms(
+            pace, engine.event_tokens
+        )
+        events = request.likely_output_tokens / engine.event_tokens
+        over = max(0.0, pause_ms / longest_ms - _PAUSE_SHARE)
+        likely = min(1.0, events / _LONG_ANSWER_EVENTS)
+        score += _LONG_PAUSE_COST * over * likely
+    slowness = paces.compare_prefill(pace)
+    return score + slowness * _count_running(target) / _RUNNING_SCALE
+
+
+def _get_pace(target: targets.Target) -> engine_pace.Pace:
+    report = target.report
+    if report is None:
+        return engine_pace.Pace()
+    return engine_pace.Pace(report.step_us, report.prefill_us_per_k)
+
+
+def list_paces(
+    candidates: abc.Iterable[targets.Target],
+) -> abc.Sequence[engine_pace.Pace]:
+    """Return the paces that targets have by their reports."""
+    return [_get_pace(target) for target in candidates]
+
+
 def _count_pending_prefill_tokens(target: targets.Target) -> int:
     """Return the prompt tokens that an engine has yet to process.
 
@@ -171,18 +249,28 @@
     distance_cost: float = _DISTANCE_COST,
     other_arrivals_per_s: float = 0.0,
     avoided: abc.Collection[str] = (),
+    paces: typing.Optional[target_times.ServicePaces] = None,
 ) -> typing.Optional[targets.Target]:
     """Return one of the best targets that take work, or None.
 
     ``other_arrivals_per_s`` is how many such requests other entries send a
     second. ``avoided`` names targets that are chosen only if they are much
-    better.
+    better. ``paces`` are those of all targets of the service; they matter
+    only where they differ.
     """
+    if paces is not None and not paces.differ:
+        paces = None
     working = [target for target in candidates if target.accepts_work()]
     scored = [
         (
             score_target(
-                target, request, data_centre, entry_count, now, distance_cost
+                target,
+                request,
+                data_centre,
+                entry_count,
+                now,
+                distance_cost,
+                paces,
             )
             + (
                 _RESERVED_DESTINATION_COST
@@ -200,7 +288,7 @@
     unseen = other_arrivals_per_s * _measure_report_age_s(scored, now)
     level = _find_water_level(
         [score for score, _ in scored],
-        unseen * _estimate_request_cost(request),
+        unseen * _estimate_request_cost(request, paces),
     )
     weights = [max(0.0, level - score) for score, _ in scored]
     if not any(weights):
@@ -238,13 +326,26 @@
     return sum(ages) / len(ages) if ages else 0.0
 
 
-def _estimate_request_cost(request: requests.CallerRequest) -> float:
-    """Return how much a request like this one adds to a target's score."""
+def _estimate_request_cost(
+    request: requests.CallerRequest,
+    paces: typing.Optional[target_times.ServicePaces],
+) -> float:
+    """Return how much a request like this one adds to a target's score.
+
+    Where paces differ, that is what it adds at a target of median pace.
+    """
     engine = request.service.engine
     if engine is None:
         return _PLAIN_REQUEST_COST
+    prompt_cost = request.prompt_tokens / _UNREAD_TOKENS_SCALE
+    if paces is not None:
+        first_ms = target_times.predict_first_event_ms(
+            paces.spread.median, 0, request.prompt_tokens, 0
+        )
+        objective_ms = request.route.objective_ms or _USUAL_OBJECTIVE_MS
+        prompt_cost = _FIRST_EVENT_COST * first_ms / objective_ms
     return (
-        request.prompt_tokens / _UNREAD_TOKENS_SCALE
+        prompt_cost
         + count_tokens(request) / max(1, engine.memory_tokens)
         + 1 / _RUNNING_SCALE
         + 1 / max(1, engine.slots)
