Replay engines of three speeds, and time the choice of an engine

Change: the load "uneven speeds" has three speeds and phases of slowness; the policy "even paces" chooses as if all engines had the same pace. Replayed agents feed `engine_pace`. `bench.decision_times` times the choice with paces that differ and without.

--- a/bench/decision_times.py
+++ b/bench/decision_times.py
@@ -3,13 +3,15 @@
 ``python -m bench.decision_times`` times the admission of a call against the
 number of running streams, the choice in the queue against its length, the
 estimate for a call and the state behind it against the number of customers, a
-token against the number of running streams, and placement against the number
-of targets. Each figure is the median over rounds of the processor time of
-one decision. One JSON line for each, then a table.
+token against the number of running streams, and placement and the choice of a
+target against the number of targets. Each figure is the median over rounds of
+the processor time of one decision. One JSON line for each, then a table.
 """
 
 from collections import abc
+import functools
 import json
+import random
 import statistics
 import sys
 import time
@@ -25,16 +27,22 @@
 from gentianpoint_core import deadlines
 from gentianpoint_core import ports
 from gentianpoint_core.decisions import memory_forecasts
+from gentianpoint_core.decisions import target_times
 from gentianpoint_core.generated import messages
 from gentianpoint_entry import agent_links
 from gentianpoint_entry import link_settings
 from gentianpoint_entry import placement
+from gentianpoint_entry.forwarding import requests
+from gentianpoint_entry.forwarding import routes
+from gentianpoint_entry.forwarding import target_selection
+from gentianpoint_entry.forwarding import targets
 
 _ROUNDS: typing.Final = 15
 _RUNNING: typing.Final = (16, 64, 256, 1024)
 _QUEUED: typing.Final = (16, 256, 4096)
 _CUSTOMERS: typing.Final = (100, 5_000, 48_000)
 _TARGETS: typing.Final = (8, 64, 512)
+_ENGINES: typing.Final = (25, 200)
 _PROMPT: typing.Final = "word " * 800
 _PREFIXES: typing.Final = 64
 _BLOCK_TOKENS: typing.Final = 16
@@ -300,6 +308,112 @@
         yield _time_rounds("target of a call", "targets", size, 20, choose)
 
 
+def _make_engine(number: int) -> targets.Target:
+    """Return an engine of one of three speeds, with some load."""
+    speed = (0.7, 0.7, 1.7)[number % 3]
+    data_centre = "north" if number % 2 else "south"
+    name = f"engine-{number}"
+    entry = targets.TargetEntry(
+        name, "s", name, data_centre, 24, False, 0.0, 1, "v1"
+    )
+    target = targets.Target(entry, 0.0)
+    report = targets.EngineReport(
+        sampled_at=0.0,
+        running=number * 7 % 13,
+        waiting=0,
+        used_tokens=number * 7 % 13 * 1500,
+        total_tokens=27_020,
+        is_leaving=False,
+        leaves_at=None,
+        is_silent=False,
+        pending_prefill_tokens=number * 5 % 4 * 2500,
+        step_us=round(9000 * speed),
+        prefill_us_per_k=round(150_000 * speed),
+    )
+    target.take_report(report)
+    return target
+
+
+def _make_generation() -> requests.CallerRequest:
+    engine = routes.EngineSpec(24, 27_020, True, True, 4)
+    route = routes.Route(
+        name="long",
+        host="host.example",
+        path_prefix="/",
+        shares=(routes.ServiceShare("s", 1.0),),
+        kind=routes.RouteKind.STREAM,
+        may_resume=False,
+        timeout_ms=39_000.0,
+        objective_ms=1800.0,
+        gap_objective_ms=180.0,
+        max_attempts=1,
+        priority=1,
+        is_public=True,
+        is_generation=True,
+    )
+    return requests.CallerRequest(
+        request_id="request-1",
+        method=b"POST",
+        path=b"/",
+        headers=(),
+        body=b"",
+        route=route,
+        service=routes.Service("s", "/health", 500, engine),
+        customer=None,
+        caller_deadline=_NEVER,
+        deadline=_NEVER,
+        prompt_tokens=3079,
+        likely_output_tokens=744,
+        most_output_tokens=1780,
+        last_event_id="",
+        content="content-1",
+    )
+
+
+def measure_target_choice() -> abc.Iterator[DecisionTime]:
+    """Time the choice of an engine, with paces that differ and without."""
+    request = _make_generation()
+    for size in _ENGINES:
+        engines = [_make_engine(number) for number in range(size)]
+        rng = random.Random(1)
+        paces = target_times.ServicePaces()
+        paces.update(target_selection.list_paces(engines))
+
+        def choose(
+            engines: abc.Sequence[targets.Target] = engines,
+            rng: random.Random = rng,
+            paces: typing.Optional[target_times.ServicePaces] = None,
+        ) -> None:
+            target_selection.choose_target(
+                engines,
+                request,
+                "north",
+                28,
+                0.2,
+                rng,
+                other_arrivals_per_s=40.0,
+                paces=paces,
+            )
+
+        def compare(
+            engines: abc.Sequence[targets.Target] = engines,
+            paces: target_times.ServicePaces = paces,
+        ) -> None:
+            paces.update(target_selection.list_paces(engines))
+
+        yield _time_rounds("engine, paces alike", "engines", size, 20, choose)
+        yield _time_rounds(
+            "engine, paces differ",
+            "engines",
+            size,
+            20,
+            functools.partial(choose, paces=paces),
+        )
+        yield _time_rounds(
+            "whether paces differ", "engines", size, 20, compare
+        )
+
+
 async def measure_all() -> abc.Sequence[DecisionTime]:
     """Return all figures; in a trio run, whose clock the code reads."""
     return [
@@ -307,6 +421,7 @@
         *measure_queue(),
         *measure_call_estimates(),
         *measure_placement(),
+        *measure_target_choice(),
     ]
 
 
--- a/bench/replay/engine.py
+++ b/bench/replay/engine.py
@@ -12,6 +12,7 @@
 
 from bench.replay import links
 from bench.replay import shapes
+from gentianpoint_core.decisions import engine_pace
 
 __all__ = ("Copy", "Engine", "Work")
 
@@ -79,7 +80,8 @@
         self.ended: typing.Final = trio.Event()
         self.preemptions = 0
         self.reread_tokens = 0
-        self._slowness: typing.Final = slowness
+        self.slowness = slowness
+        self.pace: typing.Final = engine_pace.EnginePace()
         self._has_work = trio.Event()
 
     @property
@@ -148,7 +150,7 @@
         costs = self.costs
         step_ms = costs.step_ms + costs.slot_ms * len(self.batch)
         step_ms += chunk / costs.read_tokens_per_ms
-        return step_ms * self._slowness / 1000
+        return step_ms * self.slowness / 1000
 
     def _admit(self) -> None:
         planned = sum(work.all_tokens for work in self.batch)
--- a/bench/replay/fleet.py
+++ b/bench/replay/fleet.py
@@ -11,6 +11,7 @@
 from gentianpoint_agent import move_turns
 from gentianpoint_core import deadlines
 from gentianpoint_core import peer_connections
+from gentianpoint_core import ports
 from gentianpoint_entry.forwarding import agent_turns
 from gentianpoint_entry.forwarding import engine_probes
 from gentianpoint_entry.forwarding import targets
@@ -96,6 +97,8 @@
         for number in range(self._load.engines):
             is_slow = number < self._load.slow_engines
             slowness = self._load.slow_factor if is_slow else 1.0
+            if self._load.speeds:
+                slowness = self._load.speeds[number % len(self._load.speeds)]
             self._start_engine(slowness, known_after_s=0.0)
         if self._load.gone_at >= 0:
             self._nursery.start_soon(self._lose_half)
@@ -179,12 +182,28 @@
         item = engine.Engine(f"engine-{number}", centre, self._costs, slowness)
         self.engines[address] = item
         self._nursery.start_soon(item.run)
+        if self._load.slow_phases.share:
+            source = random.Random(number)
+            self._nursery.start_soon(self._slow_down, item, source)
         if self._load.crashes != shapes.Crashes():
             self._nursery.start_soon(self._replace_when_crashed, item)
         self._nursery.start_soon(
             self._list_engine, item, address, known_after_s
         )
 
+    async def _slow_down(
+        self, item: engine.Engine, source: random.Random
+    ) -> None:
+        """Let an engine have its phases of slowness, for ever."""
+        phases = self._load.slow_phases
+        usual = item.slowness
+        between_s = phases.length_s * (1 / phases.share - 1)
+        while not item.is_gone:
+            await trio.sleep(source.expovariate(1 / between_s))
+            item.slowness = usual * phases.factor
+            await trio.sleep(phases.length_s)
+            item.slowness = usual
+
     async def _list_engine(
         self, item: engine.Engine, address: str, known_after_s: float
     ) -> None:
@@ -227,6 +246,7 @@
         is_noticed = False
         while not item.is_gone:
             turns.grant_next()
+            item.pace.note_status(_make_status(item), trio.current_time())
             report = _make_report(item)
             self._nursery.start_soon(self._deliver, report, seen)
             if report.is_leaving and not is_noticed:
@@ -259,6 +279,7 @@
 
 def _make_report(item: engine.Engine) -> targets.EngineReport:
     is_leaving = item.leaves_at < 1e9
+    pace = item.pace.measure(trio.current_time())
     return targets.EngineReport(
         sampled_at=trio.current_time(),
         running=len(item.batch),
@@ -269,6 +290,52 @@
         leaves_at=deadlines.Deadline(item.leaves_at) if is_leaving else None,
         is_silent=False,
         pending_prefill_tokens=_count_unread(item),
+        step_us=pace.step_us,
+        prefill_us_per_k=pace.prefill_us_per_k,
+    )
+
+
+def _make_status(item: engine.Engine) -> ports.EngineStatus:
+    """Return the status that an agent reads, as far as paces need it.
+
+    An engine works on one prompt at a time, which has its memory as a whole
+    from the beginning, and lists a generation once that has an event.
+    """
+    generating = [
+        work
+        for work in item.batch
+        if work.is_running and work.made_tokens >= item.costs.event_tokens
+    ]
+    reading = [work for work in item.batch if not work.is_running]
+    in_progress = len(item.batch) - max(0, len(reading) - 1)
+    waiting = [*reading[1:], *item.waiting]
+    generating_tokens = sum(work.tokens for work in generating)
+    unfinished_tokens = sum(
+        work.all_tokens
+        for work in item.batch
+        if work not in generating and work not in reading[1:]
+    )
+    return ports.EngineStatus(
+        running=in_progress,
+        waiting=len(waiting),
+        used_tokens=generating_tokens + unfinished_tokens,
+        total_tokens=item.costs.memory_tokens,
+        copy_tokens=0,
+        next_prompt_tokens=waiting[0].all_tokens if waiting else 0,
+        generating=len(generating),
+        generating_tokens=generating_tokens,
+        born_ms=1,
+        is_leaving=item.leaves_at < 1e9,
+        leaves_in_ms=None,
+        runs=tuple(
+            ports.EngineRun(
+                work.generation.request_id,
+                work.tokens,
+                work.made_tokens // item.costs.event_tokens,
+                5,
+            )
+            for work in generating
+        ),
     )
 
 
--- a/bench/replay/loads.py
+++ b/bench/replay/loads.py
@@ -113,7 +113,45 @@
     crashes=shapes.Crashes(contents=2),
 )
 
+_WAVE: typing.Final = (
+    _REPORT._replace(
+        per_s=12.2,
+        answer_events=186,
+        most_events=445,
+        worth=190,
+        late_worth=28,
+    ),
+    _TAG._replace(
+        per_s=13.6,
+        prompt_tokens=2550,
+        answer_events=3,
+        most_events=10,
+        worth=26,
+        late_worth=3.9,
+    ),
+)
+_UNEVEN_LOAD: typing.Final = shapes.Load(
+    "uneven speeds",
+    "a wave of load on engines of three speeds with phases of slowness",
+    _WAVE,
+    engines=25,
+    entries=28,
+    leaving=_STAYING,
+    length_s=17.0,
+    slots=24,
+    memory_tokens=27_020,
+    report_lag_s=0.15,
+    speeds=(0.7, 0.7, 1.7),
+    slow_phases=shapes.SlowPhases(share=0.15),
+    surges=(
+        shapes.Surge(2.0, 13.0, 1.2),
+        shapes.Surge(4.0, 9.0, 1.4),
+        shapes.Surge(6.0, 5.0, 1.55),
+    ),
+)
+
 _ALL: typing.Final = (
+    _UNEVEN_LOAD,
     shapes.Load(
         "leaving",
         "an engine leaves every three seconds, two seconds after its notice",
--- a/bench/replay/policies.py
+++ b/bench/replay/policies.py
@@ -7,9 +7,11 @@
 
 import trio
 
+from gentianpoint_core.decisions import target_times
 from gentianpoint_entry import crash_suspects
 from gentianpoint_entry.forwarding import forwarder
 from gentianpoint_entry.forwarding import requests
+from gentianpoint_entry.forwarding import routes
 from gentianpoint_entry.forwarding import target_selection
 from gentianpoint_entry.forwarding import targets
 
@@ -159,6 +161,15 @@
         return 0.0
 
 
+class _EvenPaces(forwarder.Forwarder):
+    """Our choice, as if all engines had the same pace."""
+
+    def _find_paces(
+        self, service: routes.Service
+    ) -> typing.Optional[target_times.ServicePaces]:
+        return None
+
+
 class _NeverRefused(forwarder.Forwarder):
     """Our choice, without knowing under which requests engines end."""
 
@@ -210,6 +221,7 @@
     "own prompts": _OwnPrompts,
     "shared destinations": _SharedDestinations,
     "best of all": _BestOfAll,
+    "even paces": _EvenPaces,
     "reports alone": _ReportsAlone,
     "asking two": _AskedTwo,
     "asking three": _AskedThree,
--- a/bench/replay/shapes.py
+++ b/bench/replay/shapes.py
@@ -9,6 +9,7 @@
     "Generation",
     "Leaving",
     "Load",
+    "SlowPhases",
     "StreamKind",
     "Surge",
 )
@@ -105,6 +106,17 @@
     """Time until another engine has started in place of one that ended."""
 
 
+class SlowPhases(typing.NamedTuple):
+    """Phases in which an engine works slower, at random times."""
+
+    share: float = 0.0
+    """Share of the time; 0 for none."""
+    length_s: float = 0.6
+    """Length of each phase."""
+    factor: float = 2.5
+    """Times that work takes longer."""
+
+
 class Surge(typing.NamedTuple):
     """A span in which a kind comes more often."""
 
@@ -143,6 +155,11 @@
     """Engines of the start that work slower all the while."""
     slow_factor: float = 4.0
     """Times that their steps take longer."""
+    speeds: tuple[float, ...] = ()
+    """Times that steps of the engines of the start take longer, in turns;
+    empty if all are alike."""
+    slow_phases: SlowPhases = SlowPhases()
+    """Phases in which each engine works slower."""
     crashes: Crashes = Crashes()
     """Engines that end without notice."""
     gone_at: float = -1.0
