--- a/packages/gentianpoint-core/features/steps/target_times_steps.py
+++ b/packages/gentianpoint-core/features/steps/target_times_steps.py
@@ -46,8 +46,7 @@
     " {prefill_us:d} us"
 )
 def complete(context, step_us, prefill_us):
-    pace = engine_pace.Pace(step_us, prefill_us)
-    context.completed = context.paces.complete(pace)
+    context.completed = context.paces.complete(step_us, prefill_us).pace
 
 
 @behave.then(
--- a/packages/gentianpoint-core/src/gentianpoint_core/decisions/target_times.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/decisions/target_times.py
@@ -15,6 +15,7 @@
 from gentianpoint_core.decisions import engine_pace
 
 __all__ = (
+    "CompletePace",
     "PaceSpread",
     "ServicePaces",
     "measure_spread",
@@ -83,6 +84,15 @@
     return (found[last // 4], median, found[last - last // 4])
 
 
+class CompletePace(typing.NamedTuple):
+    """A target's pace, and how it compares with others."""
+
+    pace: engine_pace.Pace
+    """The pace, of which no time is unknown that is known of others."""
+    slowness: float
+    """How many times as long as at the median target its prefill takes."""
+
+
 class ServicePaces:
     """Whether the paces of a service's targets differ, with hysteresis."""
 
@@ -90,9 +100,12 @@
         """Start with targets that are alike."""
         self.differ = False
         self.spread = PaceSpread()
+        # Several choices are made between two comparisons.
+        self._completed: typing.Final[dict[tuple[int, int], CompletePace]] = {}
 
     def update(self, paces: abc.Iterable[engine_pace.Pace]) -> bool:
         """Take the targets' present paces; True if the answer changed."""
+        self._completed.clear()
         self.spread = measure_spread(paces)
         limit = _ALIKE_UNTIL if self.differ else _DIFFERENT_FROM
         differ = self.spread.ratio > limit
@@ -100,30 +113,31 @@
         self.differ = differ
         return is_changed
 
-    def complete(self, pace: engine_pace.Pace) -> engine_pace.Pace:
-        """Return a pace whose unknown times are those of the median.
+    def complete(self, step_us: int, prefill_us_per_k: int) -> CompletePace:
+        """Return a target's pace, with unknown times as at the median.
 
         If one of its times is known, the other is as far from the median.
         """
-        median = self.spread.median
-        if pace.step_us > 0 and pace.prefill_us_per_k > 0:
-            return pace
-        if pace.step_us > 0 and median.step_us:
-            prefill_us = median.prefill_us_per_k * pace.step_us
-            return engine_pace.Pace(pace.step_us, prefill_us // median.step_us)
-        if pace.prefill_us_per_k > 0 and median.prefill_us_per_k:
-            step_us = median.step_us * pace.prefill_us_per_k
-            return engine_pace.Pace(
-                step_us // median.prefill_us_per_k, pace.prefill_us_per_k
-            )
-        return median
-
-    def compare_prefill(self, pace: engine_pace.Pace) -> float:
-        """Return how many times as long as at the median prefill takes."""
-        median = self.spread.median
-        if median.prefill_us_per_k:
-            return pace.prefill_us_per_k / median.prefill_us_per_k
-        return pace.step_us / median.step_us if median.step_us else 1.0
+        key = (step_us, prefill_us_per_k)
+        found = self._completed.get(key)
+        if found is None:
+            found = self._completed[key] = self._complete(*key)
+        return found
+
+    def _complete(self, step_us: int, prefill_us: int) -> CompletePace:
+        median_step_us, median_prefill_us = self.spread.median
+        if step_us <= 0 and prefill_us > 0 and median_prefill_us:
+            step_us = median_step_us * prefill_us // median_prefill_us
+        elif prefill_us <= 0 and step_us > 0 and median_step_us:
+            prefill_us = median_prefill_us * step_us // median_step_us
+        step_us = step_us if step_us > 0 else median_step_us
+        prefill_us = prefill_us if prefill_us > 0 else median_prefill_us
+        slowness = 1.0
+        if median_prefill_us:
+            slowness = prefill_us / median_prefill_us
+        elif median_step_us:
+            slowness = step_us / median_step_us
+        return CompletePace(engine_pace.Pace(step_us, prefill_us), slowness)
 
 
 def predict_first_event_ms(
--- a/packages/gentianpoint-entry/features/forwarding/target_paces.feature
+++ b/packages/gentianpoint-entry/features/forwarding/target_paces.feature
@@ -9,7 +9,7 @@
 
     Examples:
       | speeds                        | rate | slow | most |
-      | 0.7 0.7 1.7 0.7 0.7 1.7       | 12   | 1.7  | 45   |
+      | 0.7 0.7 1.7 0.7 0.7 1.7       | 12   | 1.7  | 20   |
       | 0.7 0.7 1.7 0.7 0.7 10.0 1.7  | 12   | 10.0 | 3    |
       | 1.0 1.0 1.0 10.0              | 6    | 10.0 | 3    |
 
