--- a/packages/gentianpoint-agent/src/gentianpoint_agent/engine_feed.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/engine_feed.py
@@ -22,6 +22,7 @@
 from gentianpoint_core import logs
 from gentianpoint_core import peer_connections
 from gentianpoint_core import ports
+from gentianpoint_core.decisions import engine_pace
 from gentianpoint_core.decisions import room_book
 from gentianpoint_core.generated import events
 
@@ -74,6 +75,7 @@
         self._turns: typing.Final = move_turns.MoveTurns()
         self._book: typing.Final = room_book.RoomBook()
         self._room_log: typing.Final = room_claims.RoomLog(self._book)
+        self._pace: typing.Final = engine_pace.EnginePace()
 
     @property
     def identity(self) -> str:
@@ -177,6 +179,7 @@
         self._number += 1
         self._polled_at = trio.current_time()
         self._book.note_status(status, self._polled_at)
+        self._pace.note_status(status, self._polled_at)
         if is_changed:
             self._notify()
 
@@ -229,6 +232,7 @@
     def _make_message(
         self, status: ports.EngineStatus
     ) -> abc.Mapping[str, typing.Any]:
+        pace = self._pace.measure(trio.current_time())
         leaves_in_ms = status.leaves_in_ms
         age_ms = round((trio.current_time() - self._polled_at) * 1000)
         if leaves_in_ms is not None:
@@ -249,6 +253,8 @@
             "silent": self._is_silent,
             "run": self._run,
             "number": self._number,
+            "step_us": pace.step_us,
+            "prefill_us_per_k": pace.prefill_us_per_k,
         }
 
 
