Claim room for generations, and let them wait for it

Cause: memory that several entries see as free is taken by the first generation that is sent there; the next ones preempt others, and urgent ones wait behind long ones that have time to spare.

Change: with `RoomWaits` a forwarder sends a generation only where `room_claims` was granted room, after asking three targets at most, and lets it wait in a `RoomQueue` otherwise. Those that can't be served in their time are refused at once as not run, and told when room is expected. Streams with events and moves don't wait. Room of requests that are not sent is given back. Without `RoomWaits` nothing changes.

--- a/packages/gentianpoint-entry/features/steps/summary_steps.py
+++ b/packages/gentianpoint-entry/features/steps/summary_steps.py
@@ -40,6 +40,21 @@
         end("refused_503", status=503),
     ],
     "was refused as no target accepted it": [end("refused_503", status=503)],
+    "was refused as no target had room": [
+        ("room_refused", {"opens_in_ms": 8000}),
+        end("refused_503", status=503),
+    ],
+    "ended with its entry while it waited for room": [
+        ("room_wait_began", {"ahead": 2}),
+        ("room_wait_ended", {"waited_ms": 900}),
+        end("refused_503", status=503),
+    ],
+    "was late as it had waited for room": [
+        ("room_wait_began", {"ahead": 2}),
+        ("room_wait_ended", {"waited_ms": 900}),
+        _SENT,
+        end("answered", late="start"),
+    ],
     "lost its answer": [_SENT, _FAILED, end("refused_502", status=502)],
     "was late because of a pause": [_SENT, end("answered", late="pause")],
     "was late because of a pause and had moved": [
--- a/packages/gentianpoint-entry/features/summary.feature
+++ b/packages/gentianpoint-entry/features/summary.feature
@@ -27,6 +27,9 @@
       | had no answer by its deadline                  | timed out                        |
       | lost its answer with the retry budget spent    | answer from the target lost      |
       | was abandoned by its caller                    | caller left                      |
+      | was refused as no target had room              | refused, no room at targets      |
+      | ended with its entry while it waited for room  | refused, no room at targets      |
+      | was late as it had waited for room             | late, waited for room            |
 
   Scenario: a request identifier that was used at two entries
     A caller lost its first entry and sent the request again with the same
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/agent_connections.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/agent_connections.py
@@ -226,6 +226,7 @@
             return
         was_leaving = target.report is not None and target.report.is_leaving
         target.take_report(report)
+        self._registry.note_report(target)
         if report.is_leaving and not was_leaving:
             self._check_now.set()
             self._registry.note_leaving_notice(trio.current_time())
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/attempts.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/attempts.py
@@ -129,6 +129,8 @@
         if self.may_have_run:
             return refusals.refuse_outcome_unknown(unknown_outcome_reason)
         reason = "no target took the request"
+        if self._shared.lacks_room(self._request):
+            reason = "no target has room for the request in its time"
         opening_ms = self._shared.promise_opening_ms(self._request)
         wait_ms = max(self._retry_after_ms, opening_ms)
         refusal = refusals.refuse_not_run(reason, wait_ms)
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/entry_metrics.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/entry_metrics.py
@@ -51,6 +51,19 @@
             "ms",
             "Time between two events of a stream.",
         )
+        self._waiting_for_room: typing.Final = meter.create_up_down_counter(
+            "gentianpoint.waiting_for_room",
+            description="Requests that wait for room at targets, by route.",
+        )
+        self._room_wait: typing.Final = meter.create_histogram(
+            "gentianpoint.room_wait_time",
+            "ms",
+            "Time that requests waited for room at targets.",
+        )
+        self._room_refusals: typing.Final = meter.create_counter(
+            "gentianpoint.room_refusals",
+            description="Requests refused for want of room, by route.",
+        )
 
     def record_request(
         self, route: str, outcome: str, status: int, took_ms: float
@@ -78,6 +91,18 @@
         if gap_ms > allowed_ms > 0:
             self._stall_time.add(gap_ms - allowed_ms, {"route": route})
 
+    def count_waiting_for_room(self, route: str, change: int) -> None:
+        """Count a request that begins to wait for room, or has ended to."""
+        self._waiting_for_room.add(change, {"route": route})
+
+    def record_room_wait(self, route: str, took_ms: float) -> None:
+        """Record how long a request has waited for room."""
+        self._room_wait.record(took_ms, {"route": route})
+
+    def record_room_refusal(self, route: str) -> None:
+        """Record a request that is refused for want of room."""
+        self._room_refusals.add(1, {"route": route})
+
 
 def make_entry_metrics() -> EntryMetrics:
     """Return metrics that :func:`render_metrics` renders."""
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
@@ -22,6 +22,7 @@
 from gentianpoint_entry.forwarding import request_permits
 from gentianpoint_entry.forwarding import requests
 from gentianpoint_entry.forwarding import retry_limits
+from gentianpoint_entry.forwarding import room_waits
 from gentianpoint_entry.forwarding import stream_records
 from gentianpoint_entry.forwarding import target_calls
 from gentianpoint_entry.forwarding import target_choice
@@ -70,6 +71,7 @@
         loans: typing.Optional[turn_loans.TurnLoans] = None,
         notices: typing.Optional[leaving_notices.LeavingNotices] = None,
         load: typing.Optional[loop_load.LoopLoad] = None,
+        rooms: typing.Optional[room_waits.RoomWaits] = None,
     ) -> None:
         """Serve from ``data_centre`` as one of ``count_entries()`` entries.
 
@@ -81,10 +83,18 @@
         reports alone. Without ``origins`` no caller can take a stream up, and
         without ``loans`` this entry has its own part of each limit only.
         ``notices`` are told of targets that say that they leave. ``load``
-        measures how busy this entry is; by default it counts as idle.
+        measures how busy this entry is; by default it counts as idle. With
+        ``rooms`` generations are sent only where their room was claimed.
         """
         super().__init__(
-            registry, data_centre, count_entries, rng, permits, probes, loans
+            registry,
+            data_centre,
+            count_entries,
+            rng,
+            permits,
+            probes,
+            loans,
+            rooms,
         )
         self.calls: typing.Final = calls
         self.limits: typing.Final = limits
@@ -135,12 +145,14 @@
         ):
             # Known only since this send was planned.
             self._permits.give_back(permit)
+            self.give_back(target, request)
             raise target_choice.make_send_error(
                 target, "targets ended under such requests"
             )
         tokens = target_selection.count_tokens(request)
         now = trio.current_time()
         target.open_request(now, tokens)
+        has_room = self.settle_claim(target, request)
         needs_prefill = options.copy is None
         target.note_sent(
             now, tokens, request.prompt_tokens if needs_prefill else 0
@@ -166,11 +178,15 @@
                 self._note_leaving(target, answer)
                 if answer.is_refusal():
                     self._ends.trials.give_back(request.request_id)
+                    if has_room:
+                        self.give_back_room(target, request)
                 yield answer
         except ports.PortError as error:
             if not error.took_effect:
                 self._permits.give_back(permit)
                 self._ends.trials.give_back(request.request_id)
+                if has_room:
+                    self.give_back_room(target, request)
             raise
         finally:
             target.close_request(tokens)
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/peer_datagrams.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/peer_datagrams.py
@@ -87,6 +87,10 @@
 
     async def send(self, address: tuple[str, int], message: _Message) -> None:
         """Send a message; see the base class."""
+        self.post(address, message)
+
+    def post(self, address: tuple[str, int], message: _Message) -> None:
+        """Send a message without a checkpoint, also while cancelled."""
         if self._socket is None:
             return
         try:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/request_handling.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/request_handling.py
@@ -102,6 +102,7 @@
                 outcome = await self._serve_in_time(call, request, answer)
             finally:
                 self._shared.end_trial(request)
+                self._shared.give_back_unsent(request)
                 outcome = outcome or self._classify_cancellation(answer)
                 took_ms = round((trio.current_time() - began) * 1000)
                 self._shared.metrics.record_request(
@@ -154,13 +155,18 @@
             finally:
                 del self._running[scope]
         if scope.cancelled_caught and not answer.is_started:
-            # The request may still run, so the answer makes no promise.
             is_over = request.deadline.remaining_ms() <= 0
-            refusal = refusals.refuse_timeout(
+            reason = (
                 "no answer within its time"
                 if is_over
                 else "this entry ends before the answer"
             )
+            if self._shared.controls_room(request) and not call.attempts.tried:
+                # It has waited for room, and was sent to no target.
+                refusal = refusals.refuse_not_run(reason, 0.0)
+            else:
+                # The request may still run, so the answer makes no promise.
+                refusal = refusals.refuse_timeout(reason)
         if refusal is not None:
             await self._refuse(request, answer, refusal)
             return f"refused_{refusal.status}"
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/requests.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/requests.py
@@ -69,6 +69,8 @@
     """All services of its route, of which a stream keeps to one."""
     urgency: typing.Optional[int] = None
     """Urgency that engines are told; None if they are told nothing."""
+    received_at: typing.Optional[float] = None
+    """Trio time in seconds at which it came; None if not known."""
 
     def list_contents(self) -> abc.Sequence[str]:
         """Return the digests under which an end of its target counts."""
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_choice.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_choice.py
@@ -4,6 +4,9 @@
 its present state. Where all targets have limits, requests wait for the next
 turns in order of urgency, and those for which no turn comes in time are told
 when one does.
+
+Where room is controlled, a generation is sent only where its room was claimed;
+see ``room_waits`` for those that wait.
 """
 
 from collections import abc
@@ -25,6 +28,7 @@
 from gentianpoint_entry.forwarding import move_destinations
 from gentianpoint_entry.forwarding import request_permits
 from gentianpoint_entry.forwarding import requests
+from gentianpoint_entry.forwarding import room_waits
 from gentianpoint_entry.forwarding import routes
 from gentianpoint_entry.forwarding import target_selection
 from gentianpoint_entry.forwarding import targets
@@ -43,6 +47,17 @@
 estimated."""
 _PROBED_TARGETS: typing.Final = 4
 """Engines whose present state is asked for before one of them is chosen."""
+_MAX_CLAIMS: typing.Final = 3
+"""Targets at which room is claimed before a request waits. Each claim takes
+the time of a reply, and more would refuse others for room that is not used."""
+
+
+class _ClaimedRoom(typing.NamedTuple):
+    """Room that a request has at a target to which it was not sent yet."""
+
+    target: targets.Target
+    tokens: int
+    at: float
 
 
 class TargetChoice:
@@ -60,13 +75,15 @@
         permits: typing.Optional[request_permits.RequestPermits],
         probes: typing.Optional[engine_probes.EngineProbes],
         loans: typing.Optional[turn_loans.TurnLoans] = None,
+        rooms: typing.Optional[room_waits.RoomWaits] = None,
     ) -> None:
         """Choose for ``data_centre`` as one of ``count_entries()`` entries.
 
         ``permits`` limits the requests to targets that are cold or have named
         limits; by default this entry has the whole of each limit. Without
         ``loans`` it has its own part only. Without ``probes`` engines are
-        chosen by their reports alone.
+        chosen by their reports alone. ``rooms`` claims room for generations;
+        without it they are sent wherever it is best.
         """
         self.registry: typing.Final = registry
         self.data_centre: typing.Final = data_centre
@@ -80,6 +97,13 @@
         self._probes: typing.Final = probes
         self._loans: typing.Final = loans
         self._arrival_rate: typing.Final = arrivals.ArrivalRate()
+        self._rooms: typing.Final = rooms
+        # Requests that have claimed room and are about to be sent, by
+        # request and target.
+        self._claimed: typing.Final[dict[tuple[str, str], _ClaimedRoom]] = {}
+        self._services: typing.Final[dict[str, routes.Service]] = {}
+        if rooms is not None:
+            registry.handle_report = self._note_report
 
     async def find_target(
         self,
@@ -88,9 +112,10 @@
     ) -> typing.Optional[targets.Target]:
         """Return the best target, after a short wait for one with a limit.
 
-        It is reserved for the request, which has to be sent there next, or
-        the target given back. None if there is none, or none within the time
-        that a wait may take.
+        Where room is controlled, a generation may wait for room too. The
+        target is reserved for the request, which has to be sent there next,
+        or the target given back. None if there is none, or none within the
+        time that a wait may take.
         """
         began = trio.current_time()
         if request.service.engine is not None:
@@ -118,6 +143,8 @@
                     )
                     await trio.sleep_until(opens_at)
                     continue
+                if self.controls_room(request):
+                    return await self._find_room(request, excluded)
                 target = await self._choose_by_present_state(request, excluded)
                 # Others may have taken the permit while agents were asked.
                 if target is not None and self.reserve(target, request):
@@ -126,6 +153,205 @@
         finally:
             order.leave(place)
 
+    # Room at targets.
+
+    def controls_room(self, request: requests.CallerRequest) -> bool:
+        """Tell whether a request needs room to be sent."""
+        return self._rooms is not None and request.service.engine is not None
+
+    def lacks_room(self, request: requests.CallerRequest) -> bool:
+        """Tell whether a request was refused for want of room."""
+        return self._rooms is not None and self._rooms.lacks_room(request)
+
+    async def _find_room(
+        self,
+        request: requests.CallerRequest,
+        excluded: abc.Collection[str],
+    ) -> typing.Optional[targets.Target]:
+        """Return a target with room, reserved; None if there is none.
+
+        A stream that has events goes first: it does not wait, since its
+        caller would notice the pause.
+        """
+        assert self._rooms is not None
+        self._services[request.service.name] = request.service
+        search = _RoomSearch(self, request, excluded)
+        if request.origin is None:
+            return await self._rooms.wait(request, search)
+        target = await search.claim()
+        return target or await search.choose_by_reports()
+
+    async def claim_room(
+        self,
+        request: requests.CallerRequest,
+        excluded: abc.Collection[str],
+    ) -> typing.Optional[targets.Target]:
+        """Claim room at one of the best targets, and reserve it, or None.
+
+        Where no agent replies, there is room if the reports say so.
+        """
+        assert self._rooms is not None
+        room = self._rooms.find_room(request.service.name)
+        candidates = [
+            target
+            for target in self._list_permitted(request, excluded)
+            if target.accepts_work()
+        ]
+        with_room = [
+            target
+            for target in candidates
+            if self._has_room(target, request)
+            and room.may_claim(target, request, self.count_free(target))
+        ]
+        if not with_room:
+            return await self._ask_for_opening(request, candidates)
+        chosen = self._choose_several(request, with_room)
+        room.asked.update(target.target_id for target in chosen)
+        found: abc.Collection[targets.Target] = ()
+        if self._probes is not None:
+            found = await self._probes.refresh(chosen)
+        # An engine whose agent does not answer is likely to be lost too.
+        left = list(found or chosen)
+        for _ in range(_MAX_CLAIMS):
+            target = self._choose_among(
+                request,
+                [item for item in left if self._has_room(item, request)],
+            )
+            if target is None:
+                break
+            if await self._claim_at(target, request):
+                return target
+            left.remove(target)
+        return None
+
+    async def _ask_for_opening(
+        self,
+        request: requests.CallerRequest,
+        candidates: abc.Collection[targets.Target],
+    ) -> typing.Optional[targets.Target]:
+        """Claim room at the best target although reports show none.
+
+        Its agent knows better than the reports, and tells when it expects
+        room, which decides how long it is of use to wait.
+        """
+        assert self._rooms is not None
+        await trio.lowlevel.checkpoint()
+        room = self._rooms.find_room(request.service.name)
+        target = self._choose_among(
+            request,
+            [
+                item
+                for item in candidates
+                if room.may_claim(item, request, self.count_free(item))
+            ],
+        )
+        if target is None or not room.take_question():
+            return None
+        room.asked.add(target.target_id)
+        return target if await self._claim_at(target, request) else None
+
+    async def _claim_at(
+        self, target: targets.Target, request: requests.CallerRequest
+    ) -> bool:
+        """Claim room at a target, and reserve it; True if both succeed."""
+        assert self._rooms is not None
+        if not self.reserve(target, request):
+            return False
+        is_kept = False
+        try:
+            reply = await self._rooms.claims.claim(target, request)
+            is_kept = target.accepts_work() and (
+                reply.is_granted
+                if reply is not None
+                else self._has_room(target, request)
+            )
+        finally:
+            if not is_kept:
+                self.give_back(target, request)
+        if is_kept:
+            self._claimed[request.request_id, target.target_id] = _ClaimedRoom(
+                target,
+                target_selection.count_tokens(request),
+                trio.current_time(),
+            )
+        elif reply is None or reply.is_granted:
+            self._rooms.claims.give_back(target, request)
+        if reply is not None and not reply.is_granted:
+            self._rooms.find_room(request.service.name).note_refused(
+                target, request, self.count_free(target), reply.opens_at
+            )
+        return is_kept
+
+    async def choose_without_room(
+        self,
+        request: requests.CallerRequest,
+        excluded: abc.Collection[str],
+    ) -> typing.Optional[targets.Target]:
+        """Choose a target as if room was not controlled, and reserve it."""
+        target = await self._choose_by_present_state(request, excluded)
+        if target is not None and self.reserve(target, request):
+            return target
+        return None
+
+    def list_working(
+        self,
+        request: requests.CallerRequest,
+        excluded: abc.Collection[str],
+    ) -> abc.Sequence[targets.Target]:
+        """Return the targets that take work and may run a request."""
+        return self._list_working(request, excluded)
+
+    def count_free(self, target: targets.Target) -> int:
+        """Return the free memory of an engine, less what was claimed here."""
+        service = self._services.get(target.entry.service)
+        if service is None or service.engine is None:
+            return 0
+        claimed = sum(
+            item.tokens
+            for item in self._claimed.values()
+            if item.target is target
+        )
+        free = target_selection.count_free_tokens(
+            target, service.engine, self.count_entries()
+        )
+        return free - claimed
+
+    def _has_room(
+        self, target: targets.Target, request: requests.CallerRequest
+    ) -> bool:
+        return target_selection.may_hold(
+            target, request, self.count_free(target)
+        )
+
+    def _note_report(self, target: targets.Target) -> None:
+        assert self._rooms is not None
+        self._rooms.note_room(target, self.count_free(target))
+
+    def settle_claim(
+        self, target: targets.Target, request: requests.CallerRequest
+    ) -> bool:
+        """Note that a request is sent; True if it has claimed its room."""
+        key = (request.request_id, target.target_id)
+        return self._claimed.pop(key, None) is not None
+
+    def give_back_room(
+        self, target: targets.Target, request: requests.CallerRequest
+    ) -> None:
+        """Give back the room for a request that is not sent to a target."""
+        if self._rooms is not None:
+            self._rooms.claims.give_back(target, request)
+
+    def give_back_unsent(self, request: requests.CallerRequest) -> None:
+        """Give back the room that an ended request has claimed and not used.
+
+        A caller may leave while its request is about to be sent.
+        """
+        if not self._claimed:
+            return
+        for key, item in list(self._claimed.items()):
+            if key[0] == request.request_id:
+                self.give_back(item.target, request)
+
     async def _borrow(
         self,
         request: requests.CallerRequest,
@@ -190,6 +416,8 @@
         permit, _ = self._reserved.pop(key, (None, 0.0))
         if permit is not None:
             self._permits.give_back(permit)
+        if self.settle_claim(target, request):
+            self.give_back_room(target, request)
 
     async def _choose_by_present_state(
         self,
@@ -222,22 +450,55 @@
             for target in self._list_permitted(request, excluded)
             if target.target_id in names
         ]
+        return self._choose_among(request, permitted)
+
+    def _choose_among(
+        self,
+        request: requests.CallerRequest,
+        candidates: abc.Iterable[targets.Target],
+        other_arrivals_per_s: float = 0.0,
+    ) -> typing.Optional[targets.Target]:
+        """Return the best of some targets, or None."""
         return target_selection.choose_target(
-            permitted,
+            candidates,
             request,
             self.data_centre,
             self.count_entries(),
             trio.current_time(),
             self.rng,
+            other_arrivals_per_s=other_arrivals_per_s,
         )
 
+    def _choose_several(
+        self,
+        request: requests.CallerRequest,
+        candidates: abc.Iterable[targets.Target],
+    ) -> abc.Sequence[targets.Target]:
+        """Return a few good targets by their reports."""
+        rate = self._estimate_other_arrivals_per_s(trio.current_time())
+        left = list(candidates)
+        chosen: list[targets.Target] = []
+        while left and len(chosen) < self._probed_targets:
+            target = self._choose_among(request, left, rate)
+            if target is None:
+                break
+            chosen.append(target)
+            left.remove(target)
+        return chosen
+
     def promise_opening_ms(self, request: requests.CallerRequest) -> float:
         """Return in how many milliseconds a refused request can be served.
 
         0 if it can at once, or if that is not known. The requests that wait
         go first, and the caller counts as one of them until then, so that no
-        other is told the same time.
+        other is told the same time. A request that was refused for want of
+        room is told when room is expected.
         """
+        if self._rooms is not None:
+            room_at = self._rooms.take_opening(request)
+            if room_at is not None:
+                left_s = room_at - trio.current_time()
+                return 0.0 if math.isinf(left_s) else max(0.0, left_s * 1000)
         order = self._find_order(request)
         priority = _rank_urgency(request)
         now = trio.current_time()
@@ -320,16 +581,10 @@
         excluded: abc.Collection[str] = (),
     ) -> typing.Optional[targets.Target]:
         """Return the best target for a request, or None."""
-        candidates = self._list_permitted(request, excluded)
-        now = trio.current_time()
-        return target_selection.choose_target(
-            candidates,
+        return self._choose_among(
             request,
-            self.data_centre,
-            self.count_entries(),
-            now,
-            self.rng,
-            other_arrivals_per_s=self._estimate_other_arrivals_per_s(now),
+            self._list_permitted(request, excluded),
+            self._estimate_other_arrivals_per_s(trio.current_time()),
         )
 
     def _estimate_other_arrivals_per_s(self, now: float) -> float:
@@ -429,12 +684,14 @@
                 target, request.service, now
             )
             if permitted_at > request.deadline.at:
+                self.give_back(target, request)
                 raise make_send_error(target, "its limit is used up")
             await trio.sleep_until(permitted_at)
             self.reserve(target, request)
         permit, _ = self._reserved.pop(key)
         if target.is_evacuated:
             self._permits.give_back(permit)
+            self.give_back(target, request)
             raise make_send_error(target, "the data centre is evacuated")
         return permit
 
@@ -445,6 +702,39 @@
         for key, (_, at) in list(self._reserved.items()):
             if now - at > _RESERVED_S:
                 del self._reserved[key]
+        for key, claimed in list(self._claimed.items()):
+            if now - claimed.at > _RESERVED_S:
+                del self._claimed[key]
+        if self._rooms is not None:
+            self._rooms.forget_unlisted(self.registry.list_all())
+
+
+class _RoomSearch(room_waits.RoomSearch):
+    """Finds room for one request among the targets of a choice."""
+
+    def __init__(
+        self,
+        choice: TargetChoice,
+        request: requests.CallerRequest,
+        excluded: abc.Collection[str],
+    ) -> None:
+        self._choice: typing.Final = choice
+        self._request: typing.Final = request
+        self._excluded: typing.Final = excluded
+
+    async def claim(self) -> typing.Optional[targets.Target]:
+        """Return a target where room is claimed; see the base class."""
+        return await self._choice.claim_room(self._request, self._excluded)
+
+    async def choose_by_reports(self) -> typing.Optional[targets.Target]:
+        """Return a target without room control; see the base class."""
+        return await self._choice.choose_without_room(
+            self._request, self._excluded
+        )
+
+    def list_targets(self) -> abc.Sequence[targets.Target]:
+        """Return the targets that take work; see the base class."""
+        return self._choice.list_working(self._request, self._excluded)
 
 
 def _make_own_permits() -> request_permits.RequestPermits:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_selection.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_selection.py
@@ -17,6 +17,7 @@
 import typing
 
 from gentianpoint_entry.forwarding import requests
+from gentianpoint_entry.forwarding import routes
 from gentianpoint_entry.forwarding import targets
 
 __all__ = (
@@ -24,7 +25,11 @@
     "MAX_USED_SHARE_FOR_MOVES",
     "choose_copy_destination",
     "choose_target",
+    "count_free_tokens",
+    "count_pending_prefill_tokens",
+    "count_running",
     "count_tokens",
+    "may_hold",
     "score_target",
 )
 
@@ -107,13 +112,13 @@
         score += _SILENT_COST
     score += _score_slots(target, entry_count)
     if request.service.engine is not None:
-        score += _count_pending_prefill_tokens(target) / _UNREAD_TOKENS_SCALE
+        score += count_pending_prefill_tokens(target) / _UNREAD_TOKENS_SCALE
         score += _score_memory(target, request, entry_count)
-        score += _count_running(target) / _RUNNING_SCALE
+        score += count_running(target) / _RUNNING_SCALE
     return score
 
 
-def _count_pending_prefill_tokens(target: targets.Target) -> int:
+def count_pending_prefill_tokens(target: targets.Target) -> int:
     """Return the prompt tokens that an engine has yet to process.
 
     If each entry counted only its own prompts, all entries would keep sending
@@ -130,7 +135,7 @@
     slots = max(1, target.entry.slots)
     if target.report is None:
         return target.open_requests * entry_count / slots
-    return _count_running(target) / slots
+    return count_running(target) / slots
 
 
 def count_tokens(request: requests.CallerRequest) -> int:
@@ -151,14 +156,47 @@
     """Return the share of memory in use once the request is added."""
     engine = request.service.engine
     assert engine is not None
+    used, total = _count_memory(target, engine, entry_count)
+    return (used + count_tokens(request)) / max(1, total)
+
+
+def _count_memory(
+    target: targets.Target, engine: routes.EngineSpec, entry_count: int
+) -> tuple[int, int]:
+    """Return the memory in use and the whole memory, in tokens."""
     report = target.report
     if report is None or not report.total_tokens:
+        return target.open_tokens * entry_count, engine.memory_tokens
+    return (
+        report.used_tokens + target.tokens_since_report,
+        report.total_tokens,
+    )
+
+
+def count_free_tokens(
+    target: targets.Target, engine: routes.EngineSpec, entry_count: int
+) -> int:
+    """Return the memory that is free by a target's report, in tokens."""
+    used, total = _count_memory(target, engine, entry_count)
+    return total - used
+
+
+def may_hold(
+    target: targets.Target,
+    request: requests.CallerRequest,
+    free_tokens: int,
+) -> bool:
+    """Tell whether a request fits into the free memory of a target.
+
+    The length of a response is an estimate, so a request that is larger than
+    the whole memory fits into one that is empty.
+    """
+    report = target.report
+    total = 0 if report is None else report.total_tokens
+    engine = request.service.engine
+    if not total and engine is not None:
         total = engine.memory_tokens
-        used = target.open_tokens * entry_count
-    else:
-        total = report.total_tokens
-        used = report.used_tokens + target.tokens_since_report
-    return (used + count_tokens(request)) / max(1, total)
+    return free_tokens >= min(count_tokens(request), total)
 
 
 def choose_target(
@@ -321,13 +359,13 @@
     if copy_ms <= 0:
         return _DISTANCE_COST
     left_ms = max(0.0, (runner.leaves_at.at - now) * 1000)
-    running = _count_running(runner)
+    running = count_running(runner)
     near = min(running, left_ms / copy_ms)
     far = min(running, left_ms / (copy_ms * DISTANCE_COPY_FACTOR))
     return _DISTANCE_COST + _LOST_GENERATION_COST * (near - far)
 
 
-def _count_running(target: targets.Target) -> int:
+def count_running(target: targets.Target) -> int:
     """Return the requests at a target, as far as this entry knows."""
     report = target.report
     if report is None:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
@@ -285,6 +285,8 @@
         self.is_said_to_leave: abc.Callable[[Target], bool] = lambda target: (
             False
         )
+        # Called with each target that has a new report.
+        self.handle_report: abc.Callable[[Target], None] = lambda target: None
         self._evacuated: frozenset[str] = frozenset()
         self._targets: typing.Final[dict[str, Target]] = {}
         self._by_service: typing.Final[dict[str, list[Target]]] = {}
@@ -300,6 +302,10 @@
         """
         self.last_leaving_notice_at = now
 
+    def note_report(self, target: Target) -> None:
+        """Tell that a target has a new report, for requests that wait."""
+        self.handle_report(target)
+
     def set_evacuated(
         self, data_centres: abc.Collection[str], now: float
     ) -> None:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/lost_worth.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/lost_worth.py
@@ -24,6 +24,7 @@
         outcome_summary.Cause.LATE_MOVE,
         outcome_summary.Cause.LATE_PAUSE,
         outcome_summary.Cause.LATE_AFTER_FAILURE,
+        outcome_summary.Cause.LATE_ROOM,
         outcome_summary.Cause.LATE_START,
     )
 )
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/outcome_summary.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/outcome_summary.py
@@ -44,12 +44,14 @@
     TARGET_LOST: typing.Final = "broken off, target lost"
     SERVER_ERROR: typing.Final = "server error from the target"
     NO_RETRY: typing.Final = "refused, retry budget spent"
+    NO_ROOM: typing.Final = "refused, no room at targets"
     REFUSED: typing.Final = "refused"
     LOST_ANSWER: typing.Final = "answer from the target lost"
     TIMED_OUT: typing.Final = "timed out"
     LATE_MOVE: typing.Final = "late, paused during a move"
     LATE_PAUSE: typing.Final = "late, paused"
     LATE_AFTER_FAILURE: typing.Final = "late, after a failed attempt"
+    LATE_ROOM: typing.Final = "late, waited for room"
     LATE_START: typing.Final = "late, waited for the target"
 
 
@@ -210,8 +212,14 @@
     if outcome == "refused_502":
         # The target may have run it, whether or not retries were left.
         return Cause.LOST_ANSWER
+    if request.find("room_refused") is not None:
+        return Cause.NO_ROOM
     if request.find("retry_budget_spent") is not None:
         return Cause.NO_RETRY
+    waited = request.find("room_wait_began") is not None
+    if waited and request.find("request_sent") is None:
+        # Its time was over, or its entry ended, while it waited.
+        return Cause.NO_ROOM
     return Cause.REFUSED
 
 
@@ -232,6 +240,8 @@
         return Cause.LATE_PAUSE if moved is None else Cause.LATE_MOVE
     if request.find("attempt_failed") is not None:
         return Cause.LATE_AFTER_FAILURE
+    if request.find("room_wait_ended") is not None:
+        return Cause.LATE_ROOM
     return Cause.LATE_START
 
 
