Try smaller requests and streams' targets while there is always news

Cause: each report during a trial made the first request be tried again, so that a smaller one behind it was not; and a stream with events left its targets marked as asked, so that their reports were no news.

Change: smaller ones are tried before the first one again, and targets count as asked only while a request has the turn.

--- a/packages/gentianpoint-entry/features/forwarding/room_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/room_builders.py
@@ -31,6 +31,7 @@
         self.free: typing.Final[dict[str, int]] = {}
         self.leases: typing.Final[dict[tuple[str, str], int]] = {}
         self.opens_in_s = math.inf
+        self.delay_s = 0.002
         self.silent: typing.Final[set[str]] = set()
         self.asked: typing.Final[list[tuple[str, str]]] = []
         self.given_back: typing.Final[list[tuple[str, str]]] = []
@@ -44,7 +45,7 @@
         if name in self.silent:
             await trio.sleep(0.025)
             return None
-        await trio.sleep(0.002)
+        await trio.sleep(self.delay_s)
         tokens = request.prompt_tokens + request.likely_output_tokens
         if tokens > self.free[name]:
             opens_at = trio.current_time() + self.opens_in_s
--- a/packages/gentianpoint-entry/features/forwarding/room_waits.feature
+++ b/packages/gentianpoint-entry/features/forwarding/room_waits.feature
@@ -107,6 +107,25 @@
     And there is room for half a generation after 1 s, which a report shows
     Then the generation sent is number 2
 
+  Scenario: a smaller generation while there is always news
+    Guards against a smaller generation that is never tried, since each report
+    makes the first one be tried again.
+    Given 1 entry that knows engine a, with room for 0 generations
+    And agents take 50 ms to reply
+    When 2 generations come one after the other, the second one smaller
+    And there is room for half a generation after 1 s, which a report shows
+    And from then on a report comes every 20 ms
+    Then the generation sent is number 2
+    And it is sent within 1.3 s
+
+  Scenario: a stream with events asks for room, beside one that waits
+    Guards against reports that are not seen as news by those that wait, since
+    the stream has asked for the same engine's state.
+    Given 1 entry that knows engine a, with room for 0 generations
+    When 2 generations come one after the other, of which the second has events
+    And there is room for 1 more after 0.2 s, which a report shows
+    Then 2 of them is sent within 0.22 s
+
   Scenario: a stream that has events already
     Guards against a pause of a running stream because engines are full.
     Given 1 entry that knows engine a, with room for 0 generations
--- a/packages/gentianpoint-entry/features/forwarding/steps/room_waits_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/room_waits_steps.py
@@ -145,12 +145,15 @@
     request_at_each(context, origin=origin)
 
 
-def request_in_turn(context, sizes, urgencies):
+def request_in_turn(context, sizes, urgencies, origins=(None,) * 9):
     async def act(play, place):
         await trio.sleep(place * 0.05)
         await play.entries[0].request(
             room_builders.make_generation(
-                str(place + 1), sizes[place], urgency=urgencies[place]
+                str(place + 1),
+                sizes[place],
+                urgency=urgencies[place],
+                origin=origins[place],
             )
         )
 
@@ -194,6 +197,41 @@
     context.play.actions.append(act_other)
 
 
+@behave.when(
+    "2 generations come one after the other, of which the second has events"
+)
+def request_one_begun(context):
+    origin = stream_origins.StreamOrigin(
+        forwarding_builders.SERVICE, "a/1", "v1"
+    )
+    request_in_turn(context, [_TOKENS] * 2, [None] * 2, [None, origin])
+
+
+@behave.given("agents take {delay_ms:d} ms to reply")
+def slow_agents(context, delay_ms):
+    def change(play):
+        play.room.delay_s = delay_ms / 1000
+
+    context.play.settings.append(change)
+
+
+@behave.when("from then on a report comes every {interval_ms:d} ms")
+def report_often(context, interval_ms):
+    async def act(play):
+        await trio.sleep(1.0)
+        used = room_builders.MEMORY - _TOKENS // 2
+        while not play.entries[0].sent:
+            play.entries[0].report("a", used)
+            await trio.sleep(interval_ms / 1000)
+
+    context.play.actions.append(act)
+
+
+@behave.then("it is sent within {within_s:g} s")
+def check_sent_once(context, within_s):
+    check_sent(context, 1, within_s)
+
+
 def open_room(context, tokens, after_s, *, is_reported):
     async def act(play):
         await trio.sleep(after_s)
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/room_waits.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/room_waits.py
@@ -168,7 +168,8 @@
     def note_room(self, target: targets.Target, free_tokens: int) -> None:
         """Try the first request if a report shows room for any."""
         waiting = self.queue.list_waiting()
-        if target.target_id in self.asked or not waiting:
+        is_asked = self._turn is not None and target.target_id in self.asked
+        if is_asked or not waiting:
             return
         if free_tokens >= min(place.tokens for place in waiting):
             self.try_first()
@@ -190,11 +191,14 @@
         has_news = self._has_news
         tried = self._tried
         self._end_turn()
-        if has_news:
-            self.try_first()
-        elif smaller is not None:
+        if smaller is not None:
+            # The first is tried again after these: under load there is
+            # always news, and smaller ones would never have their turn.
             self._tried = tried
+            self._has_news = has_news
             self._give_turn(smaller)
+        elif has_news:
+            self.try_first()
 
     def try_if_due(self) -> None:
         """Try the first request if none was tried for a while."""
@@ -216,6 +220,7 @@
 
     def _give_turn(self, place: room_queue.WaitingRequest) -> None:
         self._turn = place
+        self.asked.clear()
         self._tried += 1
         self.tried_at = trio.current_time()
         self._turns[place].set()
@@ -226,7 +231,6 @@
         self._turn = None
         self._tried = 0
         self._has_news = False
-        self.asked.clear()
 
 
 class RoomWaits:
