Sum what customers use of engines' memory over all entries

Cause: requests that wait for room are to be ordered by their customers' usage. A customer that sends a little through each of many entries would count as a small one at all of them, if each entry knew its own usage only.

`option_types.parse_weights` reads weights of customers.

--- a/packages/gentianpoint-core/src/gentianpoint_core/option_types.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/option_types.py
@@ -4,12 +4,20 @@
 name service that can be relied on during an outage.
 """
 
+from collections import abc
 import ipaddress
+import math
 import re
 import typing
 import urllib.parse
 
-__all__ = ("parse_address", "parse_digest", "parse_url", "split_address")
+__all__ = (
+    "parse_address",
+    "parse_digest",
+    "parse_url",
+    "parse_weights",
+    "split_address",
+)
 
 
 _DIGEST: typing.Final = re.compile("[0-9a-f]{64}")
@@ -59,6 +67,31 @@
     return value.rstrip("/")
 
 
+def parse_weights(value: str) -> abc.Mapping[str, float]:
+    """Return the weights in a text such as ``a=2,b=0.5``.
+
+    Empty text stands for none. A name may contain ``=``, but no comma. Raises
+    ValueError, which quotes the wrong part, if a part is no name with a
+    positive finite weight, or names what an earlier one has named.
+    """
+    weights: dict[str, float] = {}
+    for part in value.split(",") if value.strip() else ():
+        name, _, number = (text.strip() for text in part.rpartition("="))
+        if not name:
+            raise ValueError(f"{part!r} does not have the form name=weight")
+        if name in weights:
+            raise ValueError(f"{part!r} names {name!r} a second time")
+        try:
+            weights[name] = float(number)
+        except ValueError as error:
+            raise ValueError(f"{part!r} has no number as weight") from error
+        if not 0 < weights[name] < math.inf:
+            raise ValueError(
+                f"{part!r} has a weight that is not positive and finite"
+            )
+    return weights
+
+
 def parse_digest(value: str) -> str:
     """Return a valid SHA-256 digest in hex; else raise ValueError.
 
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
@@ -14,6 +14,7 @@
 from gentianpoint_core import loop_load
 from gentianpoint_core import ports
 from gentianpoint_core.decisions import answer_ends
+from gentianpoint_core.decisions import customer_usage
 from gentianpoint_core.decisions import stream_origins
 from gentianpoint_core.generated import events
 from gentianpoint_entry.forwarding import engine_probes
@@ -70,6 +71,7 @@
         loans: typing.Optional[turn_loans.TurnLoans] = None,
         notices: typing.Optional[leaving_notices.LeavingNotices] = None,
         load: typing.Optional[loop_load.LoopLoad] = None,
+        usage: typing.Optional[customer_usage.CustomerUsage] = None,
     ) -> None:
         """Serve from ``data_centre`` as one of ``count_entries()`` entries.
 
@@ -82,6 +84,7 @@
         without ``loans`` this entry has its own part of each limit only.
         ``notices`` are told of targets that say that they leave. ``load``
         measures how busy this entry is; by default it counts as idle.
+        ``usage`` counts the memory that customers' generations hold.
         """
         super().__init__(
             registry, data_centre, count_entries, rng, permits, probes, loans
@@ -93,6 +96,9 @@
         )
         self.metrics: typing.Final = metrics
         self.load: typing.Final = load or loop_load.LoopLoad()
+        self.usage: typing.Final = (
+            customer_usage.CustomerUsage() if usage is None else usage
+        )
         self._ends: typing.Final = ends
         self._origins: typing.Final = origins
         self._notices: typing.Final = (
@@ -139,8 +145,11 @@
                 target, "targets ended under such requests"
             )
         tokens = target_selection.count_tokens(request)
+        held = _estimate_held(request)
+        customer = "" if request.customer is None else request.customer.name
         now = trio.current_time()
         target.open_request(now, tokens)
+        self.usage.begin(customer, held, now)
         needs_prefill = options.copy is None
         target.note_sent(
             now, tokens, request.prompt_tokens if needs_prefill else 0
@@ -174,6 +183,7 @@
             raise
         finally:
             target.close_request(tokens)
+            self.usage.end(customer, held, trio.current_time())
 
     def receive_body(
         self,
@@ -394,6 +404,16 @@
         return False
 
 
+def _estimate_held(request: requests.CallerRequest) -> int:
+    """Return the mean memory of a generation while it runs, in tokens.
+
+    That is its prompt and half of its output. 0 if it is no generation.
+    """
+    if request.service.engine is None:
+        return 0
+    return request.prompt_tokens + request.likely_output_tokens // 2
+
+
 def _describe_size(request: requests.CallerRequest) -> dict[str, int]:
     """Return the size and urgency of a generation for a log line."""
     if request.service.engine is None:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/gossip_state.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/gossip_state.py
@@ -16,8 +16,11 @@
 from gentianpoint_core import change_log
 from gentianpoint_core import deadlines
 from gentianpoint_core import limit_table
+from gentianpoint_core import logs
 from gentianpoint_core import ports
+from gentianpoint_core.decisions import customer_usage
 from gentianpoint_core.decisions import request_turns
+from gentianpoint_core.generated import events
 from gentianpoint_entry import crash_suspects
 from gentianpoint_entry.forwarding import engine_reports
 from gentianpoint_entry.forwarding import leaving_notices
@@ -36,6 +39,8 @@
 than the other end knows to be sent again."""
 _NEVER_CONFIRMED_MS: typing.Final = -1
 """Value of ``confirmed_ms_ago`` for a topic that was never confirmed."""
+_USAGE_LOG_INTERVAL_S: typing.Final = 10.0
+"""Seconds, at least, between two log lines about customers' usage."""
 _Message = abc.Mapping[str, typing.Any]
 
 HandleReport = abc.Callable[[str, targets.EngineReport], None]
@@ -59,6 +64,7 @@
         self.ends_seen = 0
         self.limits_seen = 0
         self.notices_seen = 0
+        self.usage_seen = 0
         # What the other end knows: heartbeat counters by member, runs and
         # report numbers by agent, progress by topic.
         self.beats: typing.Final[dict[str, int]] = {}
@@ -71,6 +77,8 @@
         self.limits: typing.Final[set[str]] = set()
         # Keys of leaving targets that it has told since then.
         self.notices: typing.Final[set[str]] = set()
+        # Members and numbers of the usage that it has told since then.
+        self.usage: typing.Final[set[tuple[str, int]]] = set()
 
 
 class GossipState:
@@ -82,12 +90,13 @@
         suspects: crash_suspects.CrashSuspects,
         limits: typing.Optional[limit_table.LimitTable] = None,
         notices: typing.Optional[leaving_notices.LeavingNotices] = None,
+        usage: typing.Optional[customer_usage.CustomerUsage] = None,
     ) -> None:
         """Start with the members of ``table`` and no reports or topics.
 
-        The ends of targets in ``suspects``, the ``limits`` of targets and the
-        ``notices`` of those that leave are passed on, and those that others
-        tell are added to them.
+        The ends of targets in ``suspects``, the ``limits`` of targets, the
+        ``notices`` of those that leave and the ``usage`` of customers are
+        passed on, and those that others tell are added to them.
         """
         self.members: typing.Final = table
         self.suspects: typing.Final = suspects
@@ -110,6 +119,12 @@
             else notices
         )
         self.notices.notify_urgent = self.notify_urgent
+        self.usage: typing.Final = (
+            customer_usage.CustomerUsage(table.address)
+            if usage is None
+            else usage
+        )
+        self._usage_logged_at = deadlines.NEVER
 
     def add_topic(self, follower: topic_follower.TopicFollower) -> None:
         """Gossip the progress of ``follower``."""
@@ -144,10 +159,13 @@
     def tick(self) -> None:
         """Increment the heartbeat counter if due, and drop old reports.
 
-        Must be called several times a second.
+        The usage of this entry's customers is told if it is due. Must be
+        called several times a second.
         """
         now = trio.current_time()
         self.members.tick(now)
+        if self.usage.tell(now):
+            self._log_usage(now)
         for agent, report in self._reports.list_all():
             if now - report.sampled_at > _REPORT_KEPT_S:
                 self._reports.drop(agent)
@@ -178,12 +196,12 @@
         ends = self._collect_ends(link, now)
         limits = self._collect_limits(link, now)
         notices = self._collect_notices(link, now)
+        usage = self._collect_usage(link, now)
         members_changed = bool(new_members or beats)
-        if not (
-            members_changed or reports or topics or ends or limits or notices
-        ):
+        others_changed = bool(ends or limits or notices or usage)
+        if not (members_changed or reports or topics or others_changed):
             return None
-        return {
+        message = {
             "type": "gossip",
             "address": self.members.address,
             "clock_ms": round(now * 1000),
@@ -196,6 +214,10 @@
             "limits": limits,
             "leaving_targets": notices,
         }
+        if usage:
+            # Left out otherwise, as most deployments never have it.
+            message["usage"] = usage
+        return message
 
     def _collect_members(
         self, link: LinkState
@@ -317,6 +339,36 @@
         link.notices.clear()
         return rows
 
+    def _collect_usage(
+        self, link: LinkState, now: float
+    ) -> abc.Sequence[_Message]:
+        rows = [
+            {
+                "member": row.member,
+                "number": row.number,
+                "customers": row.customers,
+            }
+            for row in self.usage.list_since(link.usage_seen, now)
+            if (row.member, row.number) not in link.usage
+        ]
+        link.usage_seen = self.usage.changes
+        link.usage.clear()
+        return rows
+
+    def _log_usage(self, now: float) -> None:
+        """Log whose requests go last while requests wait for room."""
+        if now - self._usage_logged_at < _USAGE_LOG_INTERVAL_S:
+            return
+        self._usage_logged_at = now
+        logs.log_event(
+            events.CUSTOMER_USAGE,
+            usage={
+                name: round(usage)
+                for name, usage in self.usage.list_largest(now)
+            },
+            others=self.usage.count_others(),
+        )
+
     def apply_message(
         self, link: LinkState, message: _Message
     ) -> abc.Sequence[tuple[str, topic_follower.TopicProgress]]:
@@ -342,6 +394,7 @@
         self._apply_ends(link, message.get("ended_targets", ()), sent_at)
         self._apply_limits(link, message.get("limits", ()), sent_at)
         self._apply_notices(link, message.get("leaving_targets", ()), sent_at)
+        self._apply_usage(link, message.get("usage", ()), sent_at)
         if not link.delay.is_settled(now):
             # The age of the progress is not known yet. If it were taken as
             # fresh, it would keep this entry from polling the log itself.
@@ -413,6 +466,19 @@
         if is_any_new:
             self.notify_urgent()
 
+    def _apply_usage(
+        self, link: LinkState, rows: abc.Iterable[_Message], sent_at: float
+    ) -> None:
+        """Apply what customers use; this is passed on, but not at once.
+
+        Rows of many members then go on in one message.
+        """
+        now = trio.current_time()
+        for fields in rows:
+            row = customer_usage.MemberRow(**fields)
+            link.usage.add((row.member, row.number))
+            self.usage.merge(row, sent_at, now)
+
     @staticmethod
     def _apply_progress(
         link: LinkState, row: _Message, sent_at: float
