--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/gossip_state.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/gossip_state.py
@@ -124,6 +124,7 @@
             if usage is None
             else usage
         )
+        self._usage_told_at = deadlines.NEVER
         self._usage_logged_at = deadlines.NEVER
 
     def add_topic(self, follower: topic_follower.TopicFollower) -> None:
@@ -356,8 +357,13 @@
         return rows
 
     def _log_usage(self, now: float) -> None:
-        """Log whose requests go last while requests wait for room."""
-        if now - self._usage_logged_at < _USAGE_LOG_INTERVAL_S:
+        """Log whose requests go last while requests wait for room.
+
+        Not with the first row: others' rows come within a second or two.
+        """
+        is_first = now - self._usage_told_at > _USAGE_LOG_INTERVAL_S
+        self._usage_told_at = now
+        if is_first or now - self._usage_logged_at < _USAGE_LOG_INTERVAL_S:
             return
         self._usage_logged_at = now
         logs.log_event(
@@ -475,7 +481,9 @@
         """
         now = trio.current_time()
         for fields in rows:
-            row = customer_usage.MemberRow(**fields)
+            row = customer_usage.MemberRow(
+                fields["member"], fields["number"], fields["customers"]
+            )
             link.usage.add((row.member, row.number))
             self.usage.merge(row, sent_at, now)
 
