Keep sums of customers' usage scaled to one time

Cause: a row of another entry with 8 customers took 53 us (median, 380 members), as each customer's sum was brought to the present twice.

Change: all usage halves together, so sums are kept scaled to one time and change only with a row. Where all members are lost at once they are cleared rather than subtracted row by row.

--- a/packages/gentianpoint-core/features/customer_usage.feature
+++ b/packages/gentianpoint-core/features/customer_usage.feature
@@ -57,6 +57,12 @@
     Then it counts until 4 s after
     And no rounding error is left of it
 
+  Scenario: a member that tells its usage for hours
+    Guards against sums that exceed a float, or drift from what was told, in
+    an entry that runs for long.
+    When 3 members tell the same usage each second for 3 hours
+    Then their sum is three times as much
+
   Scenario: a member that starts again
     Guards against an entry that is not heard, since the numbers of its rows
     begin anew.
--- a/packages/gentianpoint-core/features/steps/customer_usage_steps.py
+++ b/packages/gentianpoint-core/features/steps/customer_usage_steps.py
@@ -148,6 +148,25 @@
     assert usage.list_largest(100.0) == []
 
 
+@behave.when(
+    "{count:d} members tell the same usage each second for {hours:d} hours"
+)
+def tell_for_hours(context, count, hours):
+    context.usage = customer_usage.CustomerUsage(OWN)
+    for now in range(1, hours * 3600):
+        for member in range(count):
+            row = make_row(now, {"a": 5000}, f"10.0.1.{member}:80")
+            assert context.usage.merge(row, now, now)
+    context.now = now
+    context.told = 5000
+
+
+@behave.then("their sum is three times as much")
+def check_sum(context):
+    found = context.usage.find_usage("a", context.now)
+    assert abs(found / context.told - 3) < 1e-9, found
+
+
 @behave.when("row {number:d} of an earlier run of this entry arrives")
 def merge_own(context, number):
     context.usage = customer_usage.CustomerUsage(OWN)
--- a/packages/gentianpoint-core/src/gentianpoint_core/decisions/customer_usage.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/decisions/customer_usage.py
@@ -41,6 +41,9 @@
 """Members whose rows are kept."""
 _MAX_NAME_LENGTH: typing.Final = 256
 """Longest name of a member or customer that another entry may tell."""
+_MAX_SCALED_S: typing.Final = 500.0
+"""Seconds after which sums are scaled to a later time. Floats hold the scale
+of ten times as long."""
 _MAX_COUNT: typing.Final = 2**52
 """Highest usage and number that another entry may tell; floats hold it."""
 
@@ -66,16 +69,16 @@
     """When it is dropped."""
 
 
-class _Level(typing.NamedTuple):
-    """Usage of one customer at a time."""
+class _OwnUsage(typing.NamedTuple):
+    """Usage of one customer through this entry."""
 
     usage: float
     """Token-seconds at ``at``."""
     at: float
     """Time to which ``usage`` applies, in seconds of the own clock."""
-    holders: int
-    """Running generations of this entry, or members that told the usage."""
-    tokens: int = 0
+    running: int
+    """Running generations."""
+    tokens: int
     """Tokens held by the running generations."""
 
     def measure(self, now: float) -> float:
@@ -84,6 +87,16 @@
         return self.usage * left + self.tokens * _MEAN_LIFE_S * (1 - left)
 
 
+class _Sum(typing.NamedTuple):
+    """Usage of one customer through other entries."""
+
+    usage: float
+    """Token-seconds, scaled to a time that all sums share. As they all halve
+    together, a sum changes only when a row comes or is dropped."""
+    members: int
+    """Members whose rows have the customer."""
+
+
 def _is_never_wanted() -> bool:
     return False
 
@@ -113,8 +126,10 @@
         """
         self._own_address: typing.Final = own
         self._weights: typing.Final = dict(weights or {})
-        self._own: typing.Final[dict[str, _Level]] = {}
-        self._others: typing.Final[dict[str, _Level]] = {}
+        self._own: typing.Final[dict[str, _OwnUsage]] = {}
+        self._others: typing.Final[dict[str, _Sum]] = {}
+        # Time to which the sums are scaled.
+        self._scaled_to = 0.0
         self._parts: typing.Final = change_log.ChangeLog[_Part]()
         self._number = 0
         self._told_at = deadlines.NEVER
@@ -140,22 +155,23 @@
     ) -> None:
         if not tokens:
             return
-        level = self._own.get(customer, _Level(0.0, now, 0))
-        self._own[customer] = _Level(
-            level.measure(now),
+        known = self._own.get(customer, _OwnUsage(0.0, now, 0, 0))
+        self._own[customer] = _OwnUsage(
+            known.measure(now),
             now,
-            level.holders + count,
-            level.tokens + tokens,
+            known.running + count,
+            known.tokens + tokens,
         )
 
     def find_usage(self, customer: str, now: float) -> float:
         """Return a customer's usage over its weight, in token-seconds."""
         self.prune(now)
-        usage = sum(
-            levels[customer].measure(now)
-            for levels in (self._own, self._others)
-            if customer in levels
-        )
+        usage = 0.0
+        if customer in self._own:
+            usage += self._own[customer].measure(now)
+        if customer in self._others:
+            left = _compute_left(self._scaled_to, now)
+            usage += self._others[customer].usage * left
         return usage / self._weights.get(customer, 1.0)
 
     def list_largest(self, now: float) -> abc.Sequence[tuple[str, float]]:
@@ -169,9 +185,8 @@
 
     def count_others(self) -> int:
         """Return how many other members have told their usage."""
-        return sum(
-            name != self._own_address for name, _ in self._parts.list_all()
-        )
+        tells = self._parts.find(self._own_address) is not None
+        return len(self._parts) - tells
 
     def tell(self, now: float) -> bool:
         """Make a row of this entry's usage if one is due; True if so.
@@ -182,15 +197,18 @@
         if now - self._told_at < _TELL_INTERVAL_S or not self.is_wanted():
             return False
         self._told_at = now
-        for customer, level in list(self._own.items()):
-            if not level.holders and level.measure(now) < 1:
-                del self._own[customer]
         used = {
-            customer: round(level.measure(now))
-            for customer, level in self._own.items()
+            customer: own.measure(now) for customer, own in self._own.items()
         }
+        for customer, usage in used.items():
+            if usage < 1 and not self._own[customer].running:
+                del self._own[customer]
         largest = heapq.nlargest(_MAX_TOLD, used, key=used.__getitem__)
-        customers = {name: used[name] for name in largest if used[name]}
+        customers = {
+            customer: round(used[customer])
+            for customer in largest
+            if used[customer] >= 1
+        }
         if not customers:
             return False
         self._number += 1
@@ -229,13 +247,15 @@
         if known is not None and row.number <= known.row.number:
             return False
         if known is not None:
-            self._subtract(known, now)
+            self._subtract(known)
         self._put(row, heard_at)
-        left = _compute_left(heard_at, now)
+        if now - self._scaled_to > _MAX_SCALED_S:
+            self._rescale(now)
+        scale = _compute_left(self._scaled_to, heard_at)
         for customer, usage in row.customers.items():
-            level = self._others.get(customer, _Level(0.0, now, 0))
-            self._others[customer] = _Level(
-                level.measure(now) + usage * left, now, level.holders + 1
+            others = self._others.get(customer, _Sum(0.0, 0))
+            self._others[customer] = _Sum(
+                others.usage + usage / scale, others.members + 1
             )
         return True
 
@@ -243,31 +263,46 @@
         """Drop the rows of members that have told nothing for 4 s."""
         if now < self._prune_at:
             return
-        self._prune_at = math.inf
-        for member, part in self._parts.list_all():
-            if now < part.ends_at:
-                self._prune_at = min(self._prune_at, part.ends_at)
-                continue
+        parts = self._parts.list_all()
+        dropped = [item for item in parts if now >= item[1].ends_at]
+        self._prune_at = min(
+            (part.ends_at for _, part in parts if now < part.ends_at),
+            default=math.inf,
+        )
+        for member, _ in dropped:
             self._parts.drop(member)
+        if not self.count_others():
+            # Subtracting each row took 9 ms where 380 members are lost at
+            # once, as to an entry that was paused.
+            self._others.clear()
+            return
+        for member, part in dropped:
             if member != self._own_address:
-                self._subtract(part, now)
+                self._subtract(part)
 
     def _put(self, row: MemberRow, heard_at: float) -> None:
         part = _Part(row, heard_at, heard_at + _KEPT_S)
         self._parts.put(row.member, part)
         self._prune_at = min(self._prune_at, part.ends_at)
 
-    def _subtract(self, part: _Part, now: float) -> None:
+    def _subtract(self, part: _Part) -> None:
         """Take the usage of a row out of the sums."""
-        left = _compute_left(part.heard_at, now)
+        scale = _compute_left(self._scaled_to, part.heard_at)
         for customer, usage in part.row.customers.items():
-            level = self._others[customer]
-            if level.holders == 1:
+            others = self._others[customer]
+            if others.members == 1:
                 # Rounding errors do not outlast the last row.
                 del self._others[customer]
                 continue
-            rest = max(0.0, level.measure(now) - usage * left)
-            self._others[customer] = _Level(rest, now, level.holders - 1)
+            rest = max(0.0, others.usage - usage / scale)
+            self._others[customer] = _Sum(rest, others.members - 1)
+
+    def _rescale(self, now: float) -> None:
+        """Scale the sums to a time, so that they stay in a float's range."""
+        left = _compute_left(self._scaled_to, now)
+        for customer, others in self._others.items():
+            self._others[customer] = others._replace(usage=others.usage * left)
+        self._scaled_to = now
 
 
 def _compute_left(start: float, now: float) -> float:
