--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/gossip_state.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/gossip_state.py
@@ -16,9 +16,12 @@
 from gentianpoint_core import change_log
 from gentianpoint_core import deadlines
 from gentianpoint_core import limit_table
+from gentianpoint_core import logs
 from gentianpoint_core import ports
+from gentianpoint_core.decisions import customer_usage
 from gentianpoint_core.decisions import request_turns
 from gentianpoint_core.decisions import target_outages
+from gentianpoint_core.generated import events
 from gentianpoint_entry import crash_suspects
 from gentianpoint_entry.forwarding import engine_reports
 from gentianpoint_entry.forwarding import leaving_notices
@@ -37,6 +40,8 @@
 than the other end knows to be sent again."""
 _NEVER_CONFIRMED_MS: typing.Final = -1
 """Value of ``confirmed_ms_ago`` for a topic that was never confirmed."""
+_USAGE_LOG_INTERVAL_S: typing.Final = 10.0
+"""Seconds, at least, between two log lines about customers' usage."""
 _Message = abc.Mapping[str, typing.Any]
 
 HandleReport = abc.Callable[[str, targets.EngineReport], None]
@@ -61,6 +66,7 @@
         self.limits_seen = 0
         self.notices_seen = 0
         self.outages_seen = 0
+        self.usage_seen = 0
         # What the other end knows: heartbeat counters by member, runs and
         # report numbers by agent, progress by topic.
         self.beats: typing.Final[dict[str, int]] = {}
@@ -75,6 +81,8 @@
         self.notices: typing.Final[set[str]] = set()
         # Outages that it has told since then.
         self.outages: typing.Final[set[tuple[str, bool]]] = set()
+        # Members and numbers of the usage that it has told since then.
+        self.usage: typing.Final[set[tuple[str, int]]] = set()
 
 
 class GossipState:
@@ -86,12 +94,13 @@
         suspects: crash_suspects.CrashSuspects,
         limits: typing.Optional[limit_table.LimitTable] = None,
         notices: typing.Optional[leaving_notices.LeavingNotices] = None,
+        usage: typing.Optional[customer_usage.CustomerUsage] = None,
     ) -> None:
         """Start with the members of ``table`` and no reports or topics.
 
-        The ends of targets in ``suspects``, the ``limits`` of targets and the
-        ``notices`` of those that leave are passed on, and those that others
-        tell are added to them.
+        The ends of targets in ``suspects``, the ``limits`` of targets, the
+        ``notices`` of those that leave and the ``usage`` of customers are
+        passed on, and those that others tell are added to them.
         """
         self.members: typing.Final = table
         self.suspects: typing.Final = suspects
@@ -115,6 +124,13 @@
         )
         self.notices.notify_urgent = self.notify_urgent
         self.outages: typing.Optional[target_outages.TargetOutages] = None
+        self.usage: typing.Final = (
+            customer_usage.CustomerUsage(table.address)
+            if usage is None
+            else usage
+        )
+        self._usage_told_at = deadlines.NEVER
+        self._usage_logged_at = deadlines.NEVER
 
     def add_topic(self, follower: topic_follower.TopicFollower) -> None:
         """Gossip the progress of ``follower``."""
@@ -149,10 +165,13 @@
     def tick(self) -> None:
         """Increment the heartbeat counter if due, and drop old reports.
 
-        Must be called several times a second.
+        The usage of this entry's customers is told if it is due. Must be
+        called several times a second.
         """
         now = trio.current_time()
         self.members.tick(now)
+        if self.usage.tell(now):
+            self._log_usage(now)
         for agent, report in self._reports.list_all():
             if now - report.sampled_at > _REPORT_KEPT_S:
                 self._reports.drop(agent)
@@ -184,8 +203,9 @@
         limits = self._collect_limits(link, now)
         notices = self._collect_notices(link, now)
         outages = self._collect_outages(link, now)
+        usage = self._collect_usage(link, now)
         parts = (new_members, beats, reports, topics, ends, limits, notices)
-        if not any((*parts, outages)):
+        if not any((*parts, outages, usage)):
             return None
         message = {
             "type": "gossip",
@@ -200,8 +220,11 @@
             "limits": limits,
             "leaving_targets": notices,
         }
+        # Left out otherwise, as most deployments never have them.
         if outages:
             message["outages"] = outages
+        if usage:
+            message["usage"] = usage
         return message
 
     def _collect_members(
@@ -342,6 +365,41 @@
         link.outages.clear()
         return rows
 
+    def _collect_usage(
+        self, link: LinkState, now: float
+    ) -> abc.Sequence[_Message]:
+        rows = [
+            {
+                "member": row.member,
+                "number": row.number,
+                "customers": row.customers,
+            }
+            for row in self.usage.list_since(link.usage_seen, now)
+            if (row.member, row.number) not in link.usage
+        ]
+        link.usage_seen = self.usage.changes
+        link.usage.clear()
+        return rows
+
+    def _log_usage(self, now: float) -> None:
+        """Log whose requests go last while requests wait for room.
+
+        Not with the first row: others' rows come within a second or two.
+        """
+        is_first = now - self._usage_told_at > _USAGE_LOG_INTERVAL_S
+        self._usage_told_at = now
+        if is_first or now - self._usage_logged_at < _USAGE_LOG_INTERVAL_S:
+            return
+        self._usage_logged_at = now
+        logs.log_event(
+            events.CUSTOMER_USAGE,
+            usage={
+                name: round(usage)
+                for name, usage in self.usage.list_largest(now)
+            },
+            others=self.usage.count_others(),
+        )
+
     def apply_message(
         self, link: LinkState, message: _Message
     ) -> abc.Sequence[tuple[str, topic_follower.TopicProgress]]:
@@ -368,6 +426,7 @@
         self._apply_limits(link, message.get("limits", ()), sent_at)
         self._apply_notices(link, message.get("leaving_targets", ()), sent_at)
         self._apply_outages(link, message.get("outages", ()), sent_at)
+        self._apply_usage(link, message.get("usage", ()), sent_at)
         if not link.delay.is_settled(now):
             # The age of the progress is not known yet. If it were taken as
             # fresh, it would keep this entry from polling the log itself.
@@ -457,6 +516,21 @@
         if is_any_new:
             self.notify_urgent()
 
+    def _apply_usage(
+        self, link: LinkState, rows: abc.Iterable[_Message], sent_at: float
+    ) -> None:
+        """Apply what customers use; this is passed on, but not at once.
+
+        Rows of many members then go on in one message.
+        """
+        now = trio.current_time()
+        for fields in rows:
+            row = customer_usage.MemberRow(
+                fields["member"], fields["number"], fields["customers"]
+            )
+            link.usage.add((row.member, row.number))
+            self.usage.merge(row, sent_at, now)
+
     @staticmethod
     def _apply_progress(
         link: LinkState, row: _Message, sent_at: float
