Find the next room from part of the forecast, and time claims

Evidence: the survival of every generation was computed anew at 13 horizons, and the forecast was listed twice.

Change: at most eight generations stand for all when a slot is expected, by a binary search over the horizons; the forecast's levels are listed once, up to the last horizon that any stream reaches. `bench.decision_times` times claims and reports.

--- a/bench/decision_times.py
+++ b/bench/decision_times.py
@@ -3,12 +3,14 @@
 ``python -m bench.decision_times`` times the admission of a call against the
 number of running streams, the choice in the queue against its length, the
 estimate for a call and the state behind it against the number of customers, a
-token against the number of running streams, and placement against the number
-of targets. Each figure is the median over rounds of the processor time of
-one decision. One JSON line for each, then a table.
+token against the number of running streams, placement against the number of
+targets, and room for a claim against the number of running generations. Each
+figure is the median over rounds of the processor time of one decision. One
+JSON line for each, then a table.
 """
 
 from collections import abc
+import itertools
 import json
 import statistics
 import sys
@@ -25,6 +27,7 @@
 from gentianpoint_core import deadlines
 from gentianpoint_core import ports
 from gentianpoint_core.decisions import memory_forecasts
+from gentianpoint_core.decisions import room_book
 from gentianpoint_core.generated import messages
 from gentianpoint_entry import agent_links
 from gentianpoint_entry import link_settings
@@ -35,6 +38,7 @@
 _QUEUED: typing.Final = (16, 256, 4096)
 _CUSTOMERS: typing.Final = (100, 5_000, 48_000)
 _TARGETS: typing.Final = (8, 64, 512)
+_GENERATIONS: typing.Final = (8, 24)
 _PROMPT: typing.Final = "word " * 800
 _PREFIXES: typing.Final = 64
 _BLOCK_TOKENS: typing.Final = 16
@@ -300,6 +304,94 @@
         yield _time_rounds("target of a call", "targets", size, 20, choose)
 
 
+def _make_status(runs: abc.Sequence[ports.EngineRun]) -> ports.EngineStatus:
+    tokens = sum(run.tokens for run in runs)
+    return ports.EngineStatus(
+        running=len(runs),
+        waiting=0,
+        used_tokens=tokens,
+        total_tokens=max(1, len(runs)) * 3400,
+        copy_tokens=0,
+        next_prompt_tokens=0,
+        generating=len(runs),
+        generating_tokens=tokens,
+        born_ms=1,
+        is_leaving=False,
+        leaves_in_ms=None,
+        runs=tuple(runs),
+    )
+
+
+def measure_room() -> abc.Iterator[DecisionTime]:
+    """Time a claim that the forecast refuses, the dearest one, and a report.
+
+    Lengths change with each claim, as after a generation that has ended, and
+    urgent claims have come before it, so that room is reserved.
+    """
+    for size in _GENERATIONS:
+        book = room_book.RoomBook()
+        now = 1000.0
+        reports = [
+            _make_status(
+                [
+                    ports.EngineRun(f"run-{index}", 3000 + made * 4, made, 5)
+                    for index in range(size)
+                ]
+            )
+            for made in range(60, 100, 10)
+        ]
+        for report in reports:
+            now += 0.1
+            book.note_status(report, now)
+        for index in range(20):
+            urgent = room_book.RoomClaim(f"u-{index}", 2550, 0, 4, 1000, 0)
+            book.claim(urgent, now)
+            book.give_back(urgent.request_id)
+        claim = room_book.RoomClaim("claim", 3000, 0, 4, 1000, 5)
+        full = claim._replace(slots=1)
+        is_granted = book.claim(claim, now).is_granted
+        if is_granted:
+            raise RuntimeError("the claim that is timed has to be refused")
+        lengths = book.find_distribution(5)
+
+        def refuse(
+            book: room_book.RoomBook = book,
+            claim: room_book.RoomClaim = claim,
+            now: float = now,
+            lengths: typing.Any = lengths,
+        ) -> None:
+            lengths.add_end(30)
+            book.claim(claim, now)
+
+        times = itertools.count(1)
+
+        def report_next(
+            book: room_book.RoomBook = book,
+            reports: abc.Sequence[ports.EngineStatus] = reports,
+            times: "itertools.count[int]" = times,
+            now: float = now,
+        ) -> None:
+            number = next(times)
+            report = reports[number % len(reports)]
+            book.note_status(report, now + number * 0.1)
+
+        for name, wanted in (("", claim), (", no slot", full)):
+
+            def decide(wanted: room_book.RoomClaim = wanted) -> None:
+                refuse(claim=wanted)
+
+            yield _time_rounds(
+                f"room for a claim{name}",
+                "generations",
+                size,
+                50,
+                decide,
+            )
+        yield _time_rounds(
+            "report for the room", "generations", size, 50, report_next
+        )
+
+
 async def measure_all() -> abc.Sequence[DecisionTime]:
     """Return all figures; in a trio run, whose clock the code reads."""
     return [
@@ -307,6 +399,7 @@
         *measure_queue(),
         *measure_call_estimates(),
         *measure_placement(),
+        *measure_room(),
     ]
 
 
--- a/packages/gentianpoint-core/src/gentianpoint_core/decisions/memory_forecasts.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/decisions/memory_forecasts.py
@@ -130,16 +130,25 @@
             variances[index] += mean * blocks * (1 - probability)
             bounds[index] += sign * blocks
 
-    def find_peak(self, deviations: float) -> float:
-        return max(self.iterate_levels(deviations))
-
-    def iterate_levels(self, deviations: float) -> abc.Iterator[float]:
-        return (
-            min(mean + deviations * math.sqrt(max(variance, 0.0)), bound)
-            for mean, variance, bound in zip(
-                self._means, self._variances, self._bounds, strict=True
-            )
-        )
+    def list_levels(self, deviations: float) -> list[float]:
+        """Return the forecast at each horizon up to the last that any reaches.
+
+        Of the time of a refusal most is spent here, so this calls only the
+        square root.
+        """
+        levels = []
+        for mean, variance, bound in zip(
+            self._means, self._variances, self._bounds, strict=True
+        ):
+            if not bound:
+                # Streams reach consecutive horizons, so none reaches a later
+                # one either.
+                break
+            level = mean
+            if variance > 0.0:
+                level += deviations * math.sqrt(variance)
+            levels.append(level if level < bound else float(bound))
+        return levels
 
 
 class MemoryForecast:
@@ -154,20 +163,21 @@
 
     def find_peak(self, deviations: float) -> float:
         """Return the peak in blocks, ``deviations`` above the mean."""
-        return self._sums.find_peak(deviations)
+        return max(self._sums.list_levels(deviations), default=0.0)
 
     def find_peak_with(self, stream: StreamMemory, deviations: float) -> float:
         """Return the peak in blocks if ``stream`` started now."""
         sums = self._sums.copy()
         sums.add(_Term(stream, stream.distribution.get_survival(), 0.0))
-        return sums.find_peak(deviations)
+        return max(sums.list_levels(deviations), default=0.0)
 
     def list_levels(self, deviations: float) -> abc.Sequence[float]:
-        """Return the forecast at each horizon, in blocks.
+        """Return the forecast in blocks at the horizons from the first on.
 
-        ``deviations`` is as for :meth:`find_peak`.
+        ``deviations`` is as for :meth:`find_peak`. At the horizons that are
+        left out no stream is expected to be running.
         """
-        return tuple(self._sums.iterate_levels(deviations))
+        return self._sums.list_levels(deviations)
 
     def add(
         self, key: abc.Hashable, stream: StreamMemory, refresh_at_ms: float
--- a/packages/gentianpoint-core/src/gentianpoint_core/decisions/room_book.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/decisions/room_book.py
@@ -16,7 +16,9 @@
 - copies of other engines' generations as they are.
 """
 
+import bisect
 from collections import abc
+import itertools
 import math
 import typing
 
@@ -94,6 +96,9 @@
 """Horizons at which the number of running generations is forecast, each twice
 the one before."""
 
+_MAX_SAMPLED: typing.Final = 8
+"""Most generations by which the time of a free slot is estimated."""
+
 _Key = abc.Hashable
 
 
@@ -378,9 +383,10 @@
         reserved = self.find_reserved(claim.urgency, now)
         if peak <= free - reserved:
             return None
-        own = peak - record.forecast.find_peak(deviations)
-        horizon = self._find_memory_horizon(
-            free - reserved - max(own, least), deviations
+        levels = record.forecast.list_levels(deviations)
+        own = peak - max(levels, default=0.0)
+        horizon = _find_memory_horizon(
+            levels, free - reserved - max(own, least)
         )
         return self._refuse(
             RESERVED if peak <= free else MEMORY,
@@ -396,31 +402,37 @@
         copies = 0 if self._status is None else self._status.copy_tokens
         return copies + self._record.other_tokens
 
-    def _find_memory_horizon(
-        self, limit: float, deviations: float
-    ) -> typing.Optional[int]:
-        """Return after how many tokens the forecast stays within a limit."""
-        found = None
-        levels = self._record.forecast.list_levels(deviations)
-        for horizon, level in zip(
-            reversed(memory_forecasts.HORIZONS), reversed(levels), strict=True
-        ):
-            if level > limit:
-                break
-            found = horizon
-        return found
-
     def _find_slot_horizon(self, slots: int) -> typing.Optional[int]:
-        """Return after how many tokens a slot is expected to be free."""
-        streams = self._record.streams.values()
-        uncounted = self._record.unclaimed - len(self._record.unclaimed_tokens)
-        for horizon in _SLOT_HORIZONS:
-            running = sum(
-                _find_survival(stream, horizon) for stream in streams
+        """Return after how many tokens a slot is expected to be free.
+
+        Some of the generations stand for all, as the time of a decision has
+        to be the same for any number of them.
+        """
+        record = self._record
+        count = len(record.streams)
+        uncounted = record.unclaimed - len(record.unclaimed_tokens)
+        wanted = slots - 1 - uncounted
+        if wanted < 0 or not count:
+            return None
+        step = -(count // -_MAX_SAMPLED)
+        sample = [
+            _Survivor(stream)
+            for stream in itertools.islice(
+                record.streams.values(), 0, None, step
             )
-            if running + uncounted <= slots - 1:
-                return horizon
-        return None
+        ]
+        share = wanted / count
+        place = bisect.bisect_left(
+            _SLOT_HORIZONS,
+            True,
+            key=lambda horizon: (
+                sum(item.find_survival(horizon) for item in sample)
+                <= share * len(sample)
+            ),
+        )
+        if place == len(_SLOT_HORIZONS):
+            return None
+        return _SLOT_HORIZONS[place]
 
     def _find_time(
         self, horizon: typing.Optional[int], now: float
@@ -571,20 +583,37 @@
     return status.waiting + max(0, status.running - status.generating)
 
 
-def _find_survival(
-    stream: memory_forecasts.StreamMemory, horizon: int
-) -> float:
-    """Return the probability that a stream still runs after a horizon."""
-    length = stream.tokens + horizon
-    if stream.max_tokens and length > stream.max_tokens:
-        return 0.0
-    survival = stream.distribution.get_survival()
-    positions = [
-        length_distributions.find_position(tokens)
-        for tokens in (stream.tokens, length)
-    ]
-    reached, later = (
-        length_distributions.interpolate_survival(survival, position)
-        for position in positions
-    )
-    return later / reached if reached > later else 1.0
+def _find_memory_horizon(
+    levels: abc.Sequence[float], limit: float
+) -> typing.Optional[int]:
+    """Return after how many tokens a forecast stays within a limit."""
+    if limit < 0:
+        return None
+    place = len(levels)
+    while place and levels[place - 1] <= limit:
+        place -= 1
+    if place == len(memory_forecasts.HORIZONS):
+        return None
+    return memory_forecasts.HORIZONS[place]
+
+
+class _Survivor:
+    """A stream whose probability to be still running is asked repeatedly."""
+
+    def __init__(self, stream: memory_forecasts.StreamMemory) -> None:
+        self._tokens: typing.Final = stream.tokens
+        self._limit: typing.Final = stream.max_tokens or math.inf
+        self._survival: typing.Final = stream.distribution.get_survival()
+        self._reached: typing.Final = self._interpolate(stream.tokens)
+
+    def _interpolate(self, tokens: int) -> float:
+        return length_distributions.interpolate_survival(
+            self._survival, length_distributions.find_position(tokens)
+        )
+
+    def find_survival(self, horizon: int) -> float:
+        """Return the probability to still run after a number of tokens."""
+        length = self._tokens + horizon
+        if length > self._limit or not self._reached:
+            return 0.0
+        return self._interpolate(length) / self._reached
