Learn no ends at engines that don't list what they run

Cause: a lease that expires unlisted counts as a short generation. An engine whose report lists nothing would teach that all are short.

Change: such ends count once the engine has listed a generation.

Measured: room_book.feature, 27 scenarios passed; the new one failed on the code before.

--- a/packages/gentianpoint-core/features/room_book.feature
+++ b/packages/gentianpoint-core/features/room_book.feature
@@ -135,6 +135,12 @@
     When 200 leases expire without a report that lists their requests
     Then the mean length is 4 to 100 tokens
 
+  Scenario: an engine that does not list what it runs
+    Guards against generations of unknown length that all count as short.
+    Given an engine that runs 0 generations of 3000 tokens
+    When 200 leases expire without a report that lists their requests
+    Then no end of a generation was counted
+
   Scenario: room reserved for urgent generations
     Guards against a burst of long generations that leaves no room for the
     urgent ones after it, and against room that stays reserved.
--- a/packages/gentianpoint-core/features/steps/room_book_steps.py
+++ b/packages/gentianpoint-core/features/steps/room_book_steps.py
@@ -397,3 +397,8 @@
 def check_reset(context):
     assert context.book.find_reserved(9, context.now) == 0
     assert context.book.find_distribution(5).count_ended() == 0
+
+
+@behave.then("no end of a generation was counted")
+def check_no_end(context):
+    assert context.book.find_distribution(5).count_ended() == 0
--- a/packages/gentianpoint-core/src/gentianpoint_core/decisions/room_book.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/decisions/room_book.py
@@ -199,6 +199,8 @@
         # What the forecast holds, by the same keys.
         self.streams: dict[_Key, memory_forecasts.StreamMemory] = {}
         self.lengths = run_lengths.RunLengths()
+        # Engines may not list what they run; then no end is known.
+        self.has_listed = False
         self.reserved = reserved_room.ReservedRoom()
         self.steps = _StepTimes()
         # Requests not begun that have no lease, and the tokens of each of
@@ -244,6 +246,7 @@
                 record.settled[request_id] = lease
         begun = [key for key in runs if key not in record.runs]
         record.runs = runs
+        record.has_listed = record.has_listed or bool(runs)
         was_leaving = last is not None and last.is_leaving
         record.lengths.note_report(
             {key: self._make_length(run) for key, run in runs.items()},
@@ -501,7 +504,7 @@
                 return
             self._drop_lease(request_id)
             self._expired += 1
-            if not self._status.is_leaving:
+            if record.has_listed and not self._status.is_leaving:
                 record.lengths.note_unlisted_end(
                     lease.claim.urgency, lease.claim.event_tokens
                 )
