Expect the next room with half of the forecast's deviations

Cause: the time at which room is expected was too late, so that entries would refuse requests that could have waited.

Change: the time is found with half of the standard deviations.

--- a/packages/gentianpoint-core/src/gentianpoint_core/decisions/room_book.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/decisions/room_book.py
@@ -96,6 +96,10 @@
 """Horizons at which the number of running generations is forecast, each twice
 the one before."""
 
+_OPENING_SHARE: typing.Final = 0.5
+"""Share of the standard deviations with which the time of the next room is
+found, as part of the uncertainty is gone by then. With all of them, room was
+expected 0.65 s after a refusal in the mean, and was there after 0.39 s."""
 _MAX_SAMPLED: typing.Final = 8
 """Most generations by which the time of a free slot is estimated."""
 
@@ -386,7 +390,7 @@
         reserved = self.find_reserved(claim.urgency, now)
         if peak <= free - reserved:
             return None
-        levels = record.forecast.list_levels(deviations)
+        levels = record.forecast.list_levels(_OPENING_SHARE * deviations)
         own = peak - max(levels, default=0.0)
         horizon = _find_memory_horizon(
             levels, free - reserved - max(own, least)
