--- a/packages/gentianpoint-agent/features/steps/room_answers_steps.py
+++ b/packages/gentianpoint-agent/features/steps/room_answers_steps.py
@@ -279,7 +279,7 @@
     " memory"
 )
 def check_refused_lines(context, least, most, count):
-    lines = collect_lines(context, events.ROOM_REFUSED)
+    lines = collect_lines(context, events.ROOM_CLAIMS_REFUSED)
     assert least <= len(lines) <= most, lines
     assert sum(line["refused"]["memory"] for line in lines) == count, lines
 
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/engine_feed.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/engine_feed.py
@@ -74,6 +74,7 @@
         self._changed = trio.Event()
         self._turns: typing.Final = move_turns.MoveTurns()
         self.room_book: typing.Final = room_book.RoomBook()
+        self._has_claims = False
         self._room_log: typing.Final = room_claims.RoomLog(self.room_book)
         self._pace: typing.Final = engine_pace.EnginePace()
 
@@ -133,6 +134,11 @@
         if state is None:
             return None
         now = trio.current_time()
+        if not self._has_claims and self._status is not None:
+            # Until a claim comes no entry asks for room, and the book would
+            # only take processor time.
+            self._has_claims = True
+            self.room_book.note_status(self._status, self._polled_at)
         answer = self.room_book.claim(claim, now)
         opens_in_ms = room_claims.find_delay_ms(answer.opens_at, now)
         if not answer.is_granted:
@@ -178,7 +184,8 @@
         self._is_silent = False
         self._number += 1
         self._polled_at = trio.current_time()
-        self.room_book.note_status(status, self._polled_at)
+        if self._has_claims:
+            self.room_book.note_status(status, self._polled_at)
         self._pace.note_status(status, self._polled_at)
         if is_changed:
             self._notify()
