Let streams with events go on as before if they find no room

Cause: a stream with events that found no room tried one target by its reports and gave up if others took the permit meanwhile, where it tries again without the control of room.

Change: it takes the same path as without the control of room then.

--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_choice.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_choice.py
@@ -144,7 +144,9 @@
                     await trio.sleep_until(opens_at)
                     continue
                 if self.controls_room(request):
-                    return await self._find_room(request, excluded)
+                    is_over, target = await self._find_room(request, excluded)
+                    if is_over:
+                        return target
                 target = await self._choose_by_present_state(request, excluded)
                 # Others may have taken the permit while agents were asked.
                 if target is not None and self.reserve(target, request):
@@ -167,19 +169,20 @@
         self,
         request: requests.CallerRequest,
         excluded: abc.Collection[str],
-    ) -> typing.Optional[targets.Target]:
-        """Return a target with room, reserved; None if there is none.
+    ) -> tuple[bool, typing.Optional[targets.Target]]:
+        """Return whether the search is over, and the target with room.
 
-        A stream that has events goes first: it does not wait, since its
-        caller would notice the pause.
+        It is over without a target for a request that is refused. A stream
+        that has events does not wait, since its caller would notice the
+        pause; it goes on as if room was not controlled.
         """
         assert self._rooms is not None
         self._services[request.service.name] = request.service
+        if request.origin is not None:
+            target = await self.claim_room(request, excluded)
+            return target is not None, target
         search = _RoomSearch(self, request, excluded)
-        if request.origin is None:
-            return await self._rooms.wait(request, search)
-        target = await search.claim()
-        return target or await search.choose_by_reports()
+        return True, await self._rooms.wait(request, search)
 
     async def claim_room(
         self,
