--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_choice.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_choice.py
@@ -155,7 +155,9 @@
                     await trio.sleep_until(opens_at)
                     continue
                 if self.controls_room(request):
-                    return await self._find_room(request, excluded)
+                    is_over, target = await self._find_room(request, excluded)
+                    if is_over:
+                        return target
                 target = await self._choose_by_present_state(request, excluded)
                 # Others may have taken the permit while agents were asked.
                 if target is not None and self.reserve(target, request):
@@ -178,19 +180,20 @@
         self,
         request: requests.CallerRequest,
         excluded: abc.Collection[str],
-    ) -> typing.Optional[targets.Target]:
-        """Return a target with room, reserved; None if there is none.
+    ) -> tuple[bool, typing.Optional[targets.Target]]:
+        """Return whether the search is over, and the target with room.
 
-        A stream that has events goes first: it does not wait, since its
-        caller would notice the pause.
+        It is over without a target for a request that is refused. A stream
+        that has events does not wait, since its caller would notice the
+        pause; it goes on as if room was not controlled.
         """
         assert self._rooms is not None
         self._services[request.service.name] = request.service
+        if request.origin is not None:
+            target = await self.claim_room(request, excluded)
+            return target is not None, target
         search = _RoomSearch(self, request, excluded)
-        if request.origin is None:
-            return await self._rooms.wait(request, search)
-        target = await search.claim()
-        return target or await search.choose_by_reports()
+        return True, await self._rooms.wait(request, search)
 
     async def claim_room(
         self,
@@ -203,17 +206,17 @@
         """
         assert self._rooms is not None
         room = self._rooms.find_room(request.service.name)
-        candidates = [
-            target
-            for target in self._list_permitted(request, excluded)
-            if target.accepts_work()
-        ]
-        with_room = [
-            target
-            for target in candidates
-            if self._has_room(target, request)
-            and room.may_claim(target, request, self.count_free(target))
-        ]
+        candidates = []
+        with_room = []
+        for item in self._list_permitted(request, excluded):
+            free_tokens = self.count_free(item)
+            if not item.accepts_work() or not room.may_claim(
+                item, request, free_tokens
+            ):
+                continue
+            candidates.append(item)
+            if target_selection.may_hold(item, request, free_tokens):
+                with_room.append(item)
         if not with_room:
             return await self._ask_for_opening(request, candidates)
         chosen = self._choose_several(request, with_room)
@@ -240,7 +243,7 @@
         request: requests.CallerRequest,
         candidates: abc.Collection[targets.Target],
     ) -> typing.Optional[targets.Target]:
-        """Claim room at the best target although reports show none.
+        """Claim room at the best candidate although reports show none.
 
         Its agent knows better than the reports, and tells when it expects
         room, which decides how long it is of use to wait.
@@ -248,15 +251,10 @@
         assert self._rooms is not None
         await trio.lowlevel.checkpoint()
         room = self._rooms.find_room(request.service.name)
-        target = self._choose_among(
-            request,
-            [
-                item
-                for item in candidates
-                if room.may_claim(item, request, self.count_free(item))
-            ],
-        )
-        if target is None or not room.take_question():
+        if not candidates or not room.take_question():
+            return None
+        target = self._choose_among(request, candidates)
+        if target is None:
             return None
         room.asked.add(target.target_id)
         return target if await self._claim_at(target, request) else None
@@ -317,15 +315,16 @@
         service = self._services.get(target.entry.service)
         if service is None or service.engine is None:
             return 0
-        claimed = sum(
+        free = target_selection.count_free_tokens(
+            target, service.engine, self.count_entries
+        )
+        if not self._claimed:
+            return free
+        return free - sum(
             item.tokens
             for item in self._claimed.values()
             if item.target is target
         )
-        free = target_selection.count_free_tokens(
-            target, service.engine, self.count_entries()
-        )
-        return free - claimed
 
     def _has_room(
         self, target: targets.Target, request: requests.CallerRequest
