--- a/bench/replay/ablations.py
+++ b/bench/replay/ablations.py
@@ -121,6 +121,7 @@
     Ablation("cost of full memory", _set("_MEMORY_OVERFLOW_COST", 0.0)),
     Ablation("cost of distance", _drop_distance),
     Ablation("near in haste", _set("_LOST_GENERATION_COST", 0.0)),
+    Ablation("paces of targets", policy="even paces"),
     Ablation("memory of failures", _set("_FAILURE_COST", 0.0)),
     Ablation("noise between equals", _set("_TIE_BREAK_NOISE", 0.0)),
 )
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_selection.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_selection.py
@@ -70,6 +70,8 @@
 _LATE_FIRST_EVENT_COST: typing.Final = 2.0
 """Additional score of each further objective's length. A late first event
 loses most of an answer's worth, unlike a later one that is still on time."""
+_TIMELY_SHARE: typing.Final = 1.0
+"""Share of the objective from which a first event may be late."""
 _LONG_PAUSE_COST: typing.Final = 2.0
 """Score of pauses at twice what counts as on time, where paces differ."""
 _PAUSE_SHARE: typing.Final = 0.5
@@ -188,8 +190,8 @@
         )
         first = first_ms / self._objective_ms
         score = _FIRST_EVENT_COST * first
-        if first > 1.0:
-            score += _LATE_FIRST_EVENT_COST * (first - 1.0)
+        if first > _TIMELY_SHARE:
+            score += _LATE_FIRST_EVENT_COST * (first - _TIMELY_SHARE)
         if self._longest_ms:
             pause_ms = target_times.predict_longest_pause_ms(
                 pace, self._event_tokens
