--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/gossip_state.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/gossip_state.py
@@ -38,6 +38,10 @@
 _MIN_CONFIRMED_STEP_S: typing.Final = 0.15
 """Seconds by which a topic without new records must have been confirmed later
 than the other end knows to be sent again."""
+_MAX_USAGE_MEMBERS: typing.Final = 64
+"""Members up to which the usage of all is passed on. In a larger fleet each
+entry tells its neighbours of its own, a sample that gives the same order, so
+that the bytes do not grow with the square of the members."""
 _NEVER_CONFIRMED_MS: typing.Final = -1
 """Value of ``confirmed_ms_ago`` for a topic that was never confirmed."""
 _USAGE_LOG_INTERVAL_S: typing.Final = 10.0
@@ -368,6 +372,8 @@
     def _collect_usage(
         self, link: LinkState, now: float
     ) -> abc.Sequence[_Message]:
+        live = len(self.members.list_live())
+        relays_all = live <= _MAX_USAGE_MEMBERS
         rows = [
             {
                 "member": row.member,
@@ -376,6 +382,7 @@
             }
             for row in self.usage.list_since(link.usage_seen, now)
             if (row.member, row.number) not in link.usage
+            and (relays_all or row.member == self.members.address)
         ]
         link.usage_seen = self.usage.changes
         link.usage.clear()
