Take no prefill time from generations that shrink

Cause: a status in which a generation's memory is lower by a number beyond floating point raised OverflowError in the agent.

Change: the steps of such an interval count as unknown, and random statuses with such numbers are a scenario.

--- a/packages/gentianpoint-core/features/engine_pace.feature
+++ b/packages/gentianpoint-core/features/engine_pace.feature
@@ -89,6 +89,14 @@
       | 3000                             | unknown |
       | 3000 3010                        | unknown |
 
+  Scenario: statuses of random numbers
+    Guards against an exception that ends the agent, and a pace beyond any
+    engine.
+    Given an engine that takes 1.0 times as long, with prompts in prefill for 0.5 of the time
+    When it works for 4 s
+    And 3000 random statuses come
+    Then its pace is unknown or possible
+
   Scenario: an engine that stands still
     Guards against a step time without bound, or of zero.
     When statuses tell of 3000 tokens for 20 s
--- a/packages/gentianpoint-core/features/steps/engine_pace_steps.py
+++ b/packages/gentianpoint-core/features/steps/engine_pace_steps.py
@@ -1,10 +1,14 @@
 """Steps for the pace of an engine."""
 
+import random
+
 import behave
 import pace_builders
 
 from gentianpoint_core.decisions import engine_pace
 
+NUMBERS = (0, 1, 3, 8, 1000, 1010, 3000, -1, -3000, 2**62, 10**400, -(10**400))
+
 
 @behave.given(
     "an engine that takes {speed:g} times as long, with prompts in prefill"
@@ -87,6 +91,36 @@
     context.step_us = pace.measure(now).step_us
 
 
+@behave.when("{count:d} random statuses come")
+def send_random(context, count):
+    engine = context.engine
+    source = random.Random(7)
+    names = ["a", "b", "run-9"]
+    context.paces = []
+    for _ in range(count):
+        engine.now += source.choice((0.0, 0.06, 0.1, 0.6, 5.0))
+        status = pace_builders.make_status(
+            {
+                name: source.choice(NUMBERS)
+                for name in names[: source.randrange(4)]
+            },
+            source.choice(NUMBERS),
+        )
+        changes = {
+            name: source.choice(NUMBERS)
+            for name in ("running", "waiting", "generating", "copy_tokens")
+            if source.random() < 0.3
+        }
+        engine.pace.note_status(status._replace(**changes), engine.now)
+        context.paces.append(engine.pace.measure(engine.now))
+
+
+@behave.then("its pace is unknown or possible")
+def check_possible(context):
+    for number in (number for pace in context.paces for number in pace):
+        assert number == 0 or 10 <= number <= 60_000_000, number
+
+
 @behave.then("its step time is known within {share:g}")
 def check_step(context, share):
     engine = context.engine
--- a/packages/gentianpoint-core/src/gentianpoint_core/decisions/engine_pace.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/decisions/engine_pace.py
@@ -278,7 +278,9 @@
         steps = _count_steps(last, status)
         step_s = self._steps.find(now) / 1e6
         ratio = self._find_ratio()
-        if steps is None or ratio <= _LEAST_TELLING_RATIO or not step_s:
+        if steps is None or steps < 0:
+            return elapsed_s / 2
+        if ratio <= _LEAST_TELLING_RATIO or not step_s:
             return elapsed_s / 2
         longer = elapsed_s / step_s - min(steps, elapsed_s * 1e6)
         part = longer * step_s * ratio / (ratio - 1)
