Keep long answers off engines whose slow phases pause them too long

Cause: at an engine of factor 1.7 the usual pause is on time, but not one in a slow phase, which every long answer meets. The cost of a pause counted the usual one.

Change: a pause costs by its length in a slow phase. So that fast engines do not fill up instead, memory costs more from three quarters on.

--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_selection.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_selection.py
@@ -78,10 +78,16 @@
 _TIMELY_SHARE: typing.Final = 1.0
 """Share of the objective from which a first event may be late."""
 _LONG_PAUSE_COST: typing.Final = 2.0
-"""Score of pauses at twice what counts as on time, where paces differ."""
-_PAUSE_SHARE: typing.Final = 0.5
-"""Share of the longest good pause from which a predicted one costs. Engines
-have phases in which their work takes more than twice as long."""
+"""Score of pauses in a slow phase at twice what counts as on time, where paces
+differ."""
+_SLOW_PHASE_FACTOR: typing.Final = 2.5
+"""Factor by which pauses are longer in a slow phase. An engine has one every
+few seconds, so that a long answer meets it."""
+_NEARLY_FULL_SHARE: typing.Final = 0.75
+"""Share of the memory from which more costs, where paces differ. Otherwise
+long answers would fill the fast engines, and be preempted there."""
+_NEARLY_FULL_COST: typing.Final = 4.0
+"""Score of all of the memory above that share, times the share itself."""
 _LONG_ANSWER_EVENTS: typing.Final = 40.0
 """Events from which an answer is likely to have the predicted pause. One of
 three events takes a tenth of a second and seldom meets a prompt."""
@@ -144,6 +150,8 @@
         running = count_running(target)
         if times is not None:
             score += times.score(target, unread, running)
+            share = _estimate_used_share(target, request, entry_count)
+            score += _NEARLY_FULL_COST * max(0.0, share - _NEARLY_FULL_SHARE)
             return score + _score_memory(target, request, entry_count)
         score += unread / _UNREAD_TOKENS_SCALE
         score += _score_memory(target, request, entry_count)
@@ -201,7 +209,7 @@
             pause_ms = target_times.predict_longest_pause_ms(
                 pace, self._event_tokens
             )
-            over = pause_ms / self._longest_ms - _PAUSE_SHARE
+            over = _SLOW_PHASE_FACTOR * pause_ms / self._longest_ms - 1.0
             if over > 0.0:
                 score += self._pause_cost * over
         return score + found.slowness * running / _RUNNING_SCALE
