Replay urgency, speeds, customers and peaks, with figures by kind

Simulated engines knew no urgency and one speed each, callers had no customer, and the figures did not tell which kind or customer was served worst.

Change: engines admit by urgency and preempt the newest of the least urgent. "room short" has 16,000 tokens of memory instead of 27,020, as five preemptions in a replay are too few to compare. Prompts are prefilled in the order of admission, as before. `--by kind|customer` prints their figures.

--- a/bench/replay/callers.py
+++ b/bench/replay/callers.py
@@ -1,6 +1,7 @@
 """Callers of a replay: what they send, and what they see of the answer."""
 
 from collections import abc
+import math
 import random
 import typing
 
@@ -14,7 +15,13 @@
 from gentianpoint_entry.forwarding import requests
 from gentianpoint_entry.forwarding import routes
 
-__all__ = ("Caller", "Outcome", "draw_generations", "send_refusal")
+__all__ = (
+    "Caller",
+    "Outcome",
+    "draw_generations",
+    "make_table",
+    "send_refusal",
+)
 
 _RETRIES: typing.Final = 1
 """Times that a caller comes back."""
@@ -84,11 +91,18 @@
     drawn: list[shapes.Generation] = []
     for kind in load.kinds:
         most = max([1.0, *(surge.factor for surge in load.surges)])
+        most *= 1 + load.wave.depth
         at = source.expovariate(kind.per_s * most)
         while at < load.length_s:
-            if source.random() * most < _find_factor(load, kind, at):
+            centre = 0
+            if load.wave.is_apart:
+                centre = source.randrange(load.data_centres)
+            surge = _find_surge(load, kind, at)
+            factor = surge.factor * _find_wave_factor(load, at, centre)
+            if source.random() * most < factor:
                 name = f"{kind.name}-{len(drawn)}"
-                drawn.append(_draw(load, costs, kind, name, at, source))
+                item = _draw(load, costs, kind, name, at, source)
+                drawn.append(_place(load, item, surge, centre, source))
             at += source.expovariate(kind.per_s * most)
     drawn += _draw_fatal(load, costs, source)
     return sorted(drawn, key=lambda item: item.at)
@@ -111,15 +125,47 @@
     return drawn
 
 
-def _find_factor(
+_NO_SURGE: typing.Final = shapes.Surge(0.0, 0.0, 1.0)
+
+
+def _find_surge(
     load: shapes.Load, kind: shapes.StreamKind, at: float
-) -> float:
-    factor = 1.0
-    for surge in load.surges:
-        is_on = surge.at <= at < surge.at + surge.for_s
-        if is_on and surge.kind in ("", kind.name):
-            factor = max(factor, surge.factor)
-    return factor
+) -> shapes.Surge:
+    """Return the strongest surge of a kind at a moment."""
+    found = [
+        surge
+        for surge in load.surges
+        if surge.at <= at < surge.at + surge.for_s
+        and surge.kind in ("", kind.name)
+    ]
+    return max([_NO_SURGE, *found], key=lambda surge: surge.factor)
+
+
+def _find_wave_factor(load: shapes.Load, at: float, centre: int) -> float:
+    turns = at / load.wave.period_s
+    if load.wave.is_apart:
+        turns += centre / load.data_centres
+    return 1 + load.wave.depth * math.sin(2 * math.pi * turns)
+
+
+def _place(
+    load: shapes.Load,
+    item: shapes.Generation,
+    surge: shapes.Surge,
+    centre: int,
+    source: random.Random,
+) -> shapes.Generation:
+    """Draw the customer, and an entry of the caller's data centre."""
+    if load.wave.is_apart:
+        near = range(centre, load.entries, load.data_centres)
+        item = item._replace(entry=source.choice(near))
+    if not load.customer_shares:
+        return item
+    numbers = range(len(load.customer_shares))
+    [number] = source.choices(numbers, load.customer_shares)
+    if surge.customer >= 0 and source.random() * surge.factor >= 1.0:
+        number = surge.customer
+    return item._replace(customer=f"customer-{number}")
 
 
 def _draw(
@@ -161,18 +207,21 @@
         handlings: abc.Sequence[request_handling.RequestHandler],
         costs: shapes.EngineCosts,
         service: routes.Service,
+        table: routes.RouteTable,
         source: random.Random,
         lost_at: float,
     ) -> None:
         """Send ``generation`` through one of the entries' ``handlings``.
 
-        All entries are killed at ``lost_at``, on trio's clock.
+        Engines are told the urgency that ``table`` finds. All entries are
+        killed at ``lost_at``, on trio's clock.
         """
         self._lost_at: typing.Final = lost_at
         self._generation: typing.Final = generation
         self._handlings: typing.Final = handlings
         self._costs: typing.Final = costs
         self._service: typing.Final = service
+        self._table: typing.Final = table
         self._source: typing.Final = source
         self._times: typing.Final[list[float]] = []
         self._refused_after_ms = 0.0
@@ -210,7 +259,12 @@
             number = self._source.randrange(len(self._handlings))
         answer = _Answer()
         request = _make_request(
-            generation, self._costs, self._service, deadline, len(self._times)
+            generation,
+            self._costs,
+            self._service,
+            self._table,
+            deadline,
+            len(self._times),
         )
         leave_at = min(deadline.at, self._lost_at)
         if generation.is_impatient:
@@ -240,29 +294,51 @@
         return "refused"
 
 
-def _make_request(
-    generation: shapes.Generation,
-    costs: shapes.EngineCosts,
-    service: routes.Service,
-    deadline: deadlines.Deadline,
-    events: int,
-) -> requests.CallerRequest:
-    kind = generation.kind
-    route = routes.Route(
+def _make_route(kind: shapes.StreamKind, service: str) -> routes.Route:
+    return routes.Route(
         name=kind.name,
         host="host.example",
         path_prefix="/",
-        shares=(routes.ServiceShare(service.name, 1.0),),
+        shares=(routes.ServiceShare(service, 1.0),),
         kind=routes.RouteKind.STREAM,
         may_resume=kind.may_resume,
         timeout_ms=kind.deadline_ms,
         objective_ms=kind.objective_ms,
         gap_objective_ms=kind.pause_ms,
         max_attempts=kind.max_attempts,
-        priority=0,
+        priority=kind.priority,
         is_public=True,
         is_generation=True,
     )
+
+
+def make_table(
+    kinds: abc.Sequence[shapes.StreamKind], service: routes.Service
+) -> routes.RouteTable:
+    """Return the configuration with one route for each kind."""
+    return routes.RouteTable(
+        1,
+        [_make_route(kind, service.name) for kind in kinds],
+        [service],
+        {},
+        routes.CallerLimits(0, 0, 0.0, 0.0),
+        requires_keys=False,
+    )
+
+
+def _make_request(
+    generation: shapes.Generation,
+    costs: shapes.EngineCosts,
+    service: routes.Service,
+    table: routes.RouteTable,
+    deadline: deadlines.Deadline,
+    events: int,
+) -> requests.CallerRequest:
+    kind = generation.kind
+    route = _make_route(kind, service.name)
+    customer = None
+    if generation.customer:
+        customer = routes.Customer(generation.customer, None)
     return requests.CallerRequest(
         request_id=generation.request_id,
         method=b"POST",
@@ -271,7 +347,7 @@
         body=b"",
         route=route,
         service=service,
-        customer=None,
+        customer=customer,
         caller_deadline=deadline,
         deadline=deadline,
         prompt_tokens=generation.prompt_tokens,
@@ -279,6 +355,7 @@
         most_output_tokens=kind.most_events * costs.event_tokens,
         last_event_id=str(events) if events else "",
         content=generation.fatal_content or generation.request_id,
+        urgency=table.find_urgency(route, service, customer),
     )
 
 
--- a/bench/replay/engine.py
+++ b/bench/replay/engine.py
@@ -1,10 +1,13 @@
 """An engine on a virtual clock: a batch that steps, and its memory.
 
 All that run gain a token in each step; one prompt at a time is read in chunks
-between the steps, which makes those steps longer. When memory runs out, the
-newest generation gives its memory up and is read again.
+between the steps, which makes those steps longer. More urgent generations are
+admitted first, and take the memory of the newest of the least urgent ones if
+there is no room. When memory runs out, the newest of the least urgent gives
+its memory up. What gives its memory up is read again.
 """
 
+from collections import abc
 import math
 import typing
 
@@ -12,6 +15,8 @@
 
 from bench.replay import links
 from bench.replay import shapes
+from bench.replay import slowness
+from gentianpoint_core.decisions import engine_urgency
 
 __all__ = ("Copy", "Engine", "Work")
 
@@ -20,10 +25,15 @@
     """One generation at one engine."""
 
     def __init__(
-        self, generation: shapes.Generation, made_tokens: int, has_read: int
+        self,
+        generation: shapes.Generation,
+        made_tokens: int,
+        has_read: int,
+        urgency: int = engine_urgency.DEFAULT_URGENCY,
     ) -> None:
         """Start with what is made and read already."""
         self.generation: typing.Final = generation
+        self.urgency: typing.Final = urgency
         self.made_tokens = made_tokens
         self.unread = generation.prompt_tokens + made_tokens - has_read
         self.is_stopped = False
@@ -64,7 +74,7 @@
         name: str,
         data_centre: str,
         costs: shapes.EngineCosts,
-        slowness: float = 1.0,
+        pace: slowness.Slowness = slowness.EVEN,
     ) -> None:
         """Start empty."""
         self.name: typing.Final = name
@@ -79,7 +89,7 @@
         self.ended: typing.Final = trio.Event()
         self.preemptions = 0
         self.reread_tokens = 0
-        self._slowness: typing.Final = slowness
+        self._pace: typing.Final = pace
         self._has_work = trio.Event()
 
     @property
@@ -98,9 +108,22 @@
         if is_first:
             self.batch.append(work)
         else:
-            self.waiting.append(work)
+            self._queue(work, is_first=False)
         self._has_work.set()
 
+    def _queue(self, work: Work, *, is_first: bool) -> None:
+        """Queue a generation, first or last among the equally urgent.
+
+        One that has lost its memory must not go before a more urgent one that
+        waits for it: it would take the memory back at once.
+        """
+        place = sum(
+            other.urgency < work.urgency
+            or (not is_first and other.urgency == work.urgency)
+            for other in self.waiting
+        )
+        self.waiting.insert(place, work)
+
     def remove(self, work: Work) -> None:
         """Stop working on a generation."""
         work.is_stopped = True
@@ -148,17 +171,47 @@
         costs = self.costs
         step_ms = costs.step_ms + costs.slot_ms * len(self.batch)
         step_ms += chunk / costs.read_tokens_per_ms
-        return step_ms * self._slowness / 1000
+        factor = self._pace.find_factor(
+            trio.current_time(), self.used_tokens / costs.memory_tokens
+        )
+        return step_ms * factor / 1000
 
     def _admit(self) -> None:
-        planned = sum(work.all_tokens for work in self.batch)
+        while self.waiting:
+            first = self.waiting[0]
+            if not self._fits(first, self.batch):
+                staying = [
+                    work
+                    for work in self.batch
+                    if work.urgency <= first.urgency
+                ]
+                if not self._fits(first, staying):
+                    return
+                while not self._fits(first, self.batch):
+                    self._preempt(self._find_victim())
+            self.waiting.remove(first)
+            self.batch.append(first)
+
+    def _fits(self, work: Work, batch: abc.Sequence[Work]) -> bool:
+        """Tell whether a generation can be admitted beside ``batch``."""
+        planned = sum(other.all_tokens for other in batch)
         planned += sum(copy.tokens for copy in self.copies.values())
-        while self.waiting and len(self.batch) < self.costs.slots:
-            tokens = self.waiting[0].all_tokens
-            if planned + tokens > self.costs.memory_tokens:
-                return
-            planned += tokens
-            self.batch.append(self.waiting.pop(0))
+        has_memory = planned + work.all_tokens <= self.costs.memory_tokens
+        return has_memory and len(batch) < self.costs.slots
+
+    def _find_victim(self) -> Work:
+        """Return the newest of the least urgent generations."""
+        least = max(work.urgency for work in self.batch)
+        return next(
+            work for work in reversed(self.batch) if work.urgency == least
+        )
+
+    def _preempt(self, work: Work) -> None:
+        self.batch.remove(work)
+        self.preemptions += 1
+        self.reread_tokens += work.tokens
+        work.unread = work.all_tokens
+        self._queue(work, is_first=True)
 
     def _make_tokens(self) -> None:
         for work in list(self.batch):
@@ -178,9 +231,4 @@
 
     def _make_room(self) -> None:
         while self.used_tokens > self.costs.memory_tokens:
-            newest = self.batch[-1]
-            self.batch.remove(newest)
-            self.preemptions += 1
-            self.reread_tokens += newest.tokens
-            newest.unread = newest.all_tokens
-            self.waiting.insert(0, newest)
+            self._preempt(self._find_victim())
--- a/bench/replay/engine_calls.py
+++ b/bench/replay/engine_calls.py
@@ -11,6 +11,7 @@
 from bench.replay import shapes
 from gentianpoint_core import deadlines
 from gentianpoint_core import ports
+from gentianpoint_core.decisions import engine_urgency
 from gentianpoint_entry.forwarding import requests
 from gentianpoint_entry.forwarding import target_calls
 from gentianpoint_entry.forwarding import targets
@@ -52,6 +53,12 @@
             )
 
 
+def _find_urgency(request: requests.CallerRequest) -> int:
+    if request.urgency is None:
+        return engine_urgency.DEFAULT_URGENCY
+    return request.urgency
+
+
 class EngineCalls(target_calls.TargetCalls):
     """Reaches the engines of one replay by their addresses."""
 
@@ -109,21 +116,22 @@
         generation = self._generations[request.request_id]
         last = int(options.last_event_id or 0)
         if options.copy is not None:
-            return self._go_on(there, generation, options.copy.name, last)
+            return self._go_on(there, request, options.copy.name, last)
         if len(there.waiting) >= there.costs.queue:
             return None
         made = last * there.costs.event_tokens
-        work = engine.Work(generation, made, 0)
+        work = engine.Work(generation, made, 0, _find_urgency(request))
         there.add(work, is_first=False)
         return work
 
     def _go_on(
         self,
         there: engine.Engine,
-        generation: shapes.Generation,
+        request: requests.CallerRequest,
         name: str,
         last: int,
     ) -> typing.Optional[engine.Work]:
+        generation = self._generations[request.request_id]
         made = last * there.costs.event_tokens
         copy = there.copies.pop(name, None)
         if copy is not None and copy.tokens:
@@ -133,7 +141,7 @@
         else:
             return None
         self._stopped_at.pop(name, None)
-        work = engine.Work(generation, made, has_read)
+        work = engine.Work(generation, made, has_read, _find_urgency(request))
         there.add(work, is_first=True)
         return work
 
--- a/bench/replay/figures.py
+++ b/bench/replay/figures.py
@@ -7,7 +7,7 @@
 
 from bench.replay import callers
 
-__all__ = ("ReplayFigures", "add_up")
+__all__ = ("GroupFigures", "ReplayFigures", "add_up", "find_groups")
 
 
 class ReplayFigures(typing.NamedTuple):
@@ -39,6 +39,62 @@
     """Tokens copied between engines."""
     crashed: int
     """Engines that ended without notice."""
+    goodput: float
+    """Tokens of answers on time, for each second in which requests arrive."""
+
+
+class GroupFigures(typing.NamedTuple):
+    """What the generations of one kind, or of one customer, came to."""
+
+    name: str
+    """Name of the kind or customer."""
+    generations: int
+    """Generations whose callers stayed."""
+    on_time: float
+    """Share that was answered on time."""
+    served: float
+    """Share that was answered whole."""
+    worth: float
+    """Worth earned over worth asked for."""
+
+
+def find_groups(
+    outcomes: abc.Sequence[callers.Outcome], by: str
+) -> abc.Sequence[GroupFigures]:
+    """Return the figures of each ``kind`` or ``customer``, by name.
+
+    Requests that end engines are not among ``outcomes``.
+    """
+    groups: dict[str, list[callers.Outcome]] = {}
+    for item in outcomes:
+        if item.end != "left":
+            generation = item.generation
+            name = generation.customer or "none"
+            if by == "kind":
+                name = generation.kind.name
+            groups.setdefault(name, []).append(item)
+    return [
+        GroupFigures(
+            name,
+            len(found),
+            _find_share(found, ("on time",)),
+            _find_share(found, ("on time", "late")),
+            _find_worth_share(found),
+        )
+        for name, found in sorted(groups.items())
+    ]
+
+
+def _find_share(
+    outcomes: abc.Sequence[callers.Outcome], ends: abc.Collection[str]
+) -> float:
+    count = sum(item.end in ends for item in outcomes)
+    return count / max(1, len(outcomes))
+
+
+def _find_worth_share(outcomes: abc.Sequence[callers.Outcome]) -> float:
+    asked = sum(_weigh(item, item.generation.kind.worth) for item in outcomes)
+    return sum(_find_worth(item) for item in outcomes) / max(1e-9, asked)
 
 
 def add_up(
@@ -47,9 +103,12 @@
     reread_tokens: int,
     moved_tokens: int,
     crashed: int,
+    tokens_per_event_s: float,
 ) -> ReplayFigures:
     """Return the figures of all that callers saw.
 
+    ``tokens_per_event_s`` is the tokens of an event, over the seconds in which
+    requests arrive.
     Requests that end engines are not among ``outcomes``.
     """
     owed = [item for item in outcomes if item.end != "left"]
@@ -62,11 +121,13 @@
         for item in owed
         for pause in item.pauses_ms
     ]
-    asked = sum(_weigh(item, item.generation.kind.worth) for item in owed)
+    good_events = sum(
+        item.generation.answer_events for item in owed if item.end == "on time"
+    )
     return ReplayFigures(
         served=(ends.count("on time") + ends.count("late")) / count,
         on_time=ends.count("on time") / count,
-        worth=sum(_find_worth(item) for item in owed) / max(1e-9, asked),
+        worth=_find_worth_share(owed),
         stall_ms=sum(stalls) / count,
         pause_ms=float(numpy.percentile(pauses, 99)) if pauses else 0.0,
         broken=ends.count("broken"),
@@ -78,6 +139,7 @@
         reread_tokens=reread_tokens,
         moved_tokens=moved_tokens,
         crashed=crashed,
+        goodput=good_events * tokens_per_event_s,
     )
 
 
--- a/bench/replay/fleet.py
+++ b/bench/replay/fleet.py
@@ -8,6 +8,7 @@
 
 from bench.replay import engine
 from bench.replay import shapes
+from bench.replay import slowness
 from gentianpoint_agent import move_turns
 from gentianpoint_core import deadlines
 from gentianpoint_core import peer_connections
@@ -86,6 +87,7 @@
             targets.TargetRegistry() for _ in range(load.entries)
         ]
         self.crashed = 0
+        self._began: typing.Final = trio.current_time()
         self._load: typing.Final = load
         self._costs: typing.Final = costs
         self._source: typing.Final = source
@@ -95,8 +97,8 @@
         """Start the engines, and let them come and go for ever."""
         for number in range(self._load.engines):
             is_slow = number < self._load.slow_engines
-            slowness = self._load.slow_factor if is_slow else 1.0
-            self._start_engine(slowness, known_after_s=0.0)
+            factor = self._load.slow_factor if is_slow else 1.0
+            self._start_engine(factor, known_after_s=0.0)
         if self._load.gone_at >= 0:
             self._nursery.start_soon(self._lose_half)
         if self._load.evacuated_at >= 0:
@@ -172,11 +174,39 @@
         for registry in self.registries:
             registry.drop(item.name)
 
-    def _start_engine(self, slowness: float, known_after_s: float) -> None:
+    def _make_pace(self, number: int, factor: float) -> slowness.Slowness:
+        load = self._load
+        # Dealt within each data centre, so that no data centre is slow as a
+        # whole where there are as many speeds as data centres.
+        place = number // load.data_centres % len(load.speeds)
+        # Of all engines that are like this, each data centre has its part.
+        every = load.nearly_full.every
+        is_like_this = every and number // load.data_centres % every == 0
+        phases = load.slow_phases
+        offset_s = 0.0
+        if phases.share:
+            period_s = phases.length_s / phases.share
+            offset_s = self._source.uniform(0.0, period_s)
+        return slowness.Slowness(
+            factor=factor * load.speeds[place],
+            later_factor=factor * load.speeds[-1 - place],
+            swapped_at=self._began + load.swapped_at,
+            phases=phases,
+            phase_offset_s=offset_s,
+            full_share=load.nearly_full.used_share if is_like_this else 2.0,
+            full_factor=load.nearly_full.factor,
+        )
+
+    def _start_engine(self, factor: float, known_after_s: float) -> None:
         number = len(self.engines)
         centre = f"centre-{number % self._load.data_centres}"
         address = f"10.0.{number // 250}.{number % 250}:1"
-        item = engine.Engine(f"engine-{number}", centre, self._costs, slowness)
+        item = engine.Engine(
+            f"engine-{number}",
+            centre,
+            self._costs,
+            self._make_pace(number, factor),
+        )
         self.engines[address] = item
         self._nursery.start_soon(item.run)
         if self._load.crashes != shapes.Crashes():
--- a/bench/replay/loads.py
+++ b/bench/replay/loads.py
@@ -103,6 +103,73 @@
     report_lag_s=0.15,
 )
 
+_BURST_SHORT: typing.Final = _TRIAGE._replace(
+    name="short",
+    per_s=9.25,
+    answer_events=2,
+    most_events=6,
+    worth=58,
+    late_worth=3.5,
+    priority=0,
+)
+_BURST_LONG: typing.Final = _ASSESSMENT._replace(
+    name="long",
+    per_s=4.75,
+    answer_events=187,
+    answer_spread=1.344,
+    most_events=445,
+    objective_ms=4000,
+    worth=110,
+    late_worth=26,
+    priority=2,
+)
+_WAVE_SHORT: typing.Final = _BURST_SHORT._replace(
+    per_s=6.8, answer_events=3, most_events=8, worth=26, late_worth=3.9
+)
+_WAVE_LONG: typing.Final = _BURST_LONG._replace(
+    per_s=6.1,
+    answer_events=186,
+    objective_ms=1800,
+    worth=190,
+    late_worth=28,
+    priority=1,
+)
+_BURSTS_LOAD: typing.Final = shapes.Load(
+    "short after long",
+    "a burst of long generations, and 4 s after its end one of short ones",
+    (_BURST_LONG, _BURST_SHORT),
+    engines=12,
+    data_centres=4,
+    entries=13,
+    length_s=20.0,
+    leaving=_AS_ANNOUNCED._replace(at_once=2, notice_s=(1.5, 2.1)),
+    surges=(
+        shapes.Surge(3, 6, 2.35, "long"),
+        shapes.Surge(13, 3.5, 1.7, "short"),
+    ),
+    slots=24,
+    memory_tokens=26_903,
+    report_lag_s=0.15,
+)
+"""The first customer of docs/LOAD-CONTROL.md, with half of its rates, engines
+and entries."""
+_WAVE_LOAD: typing.Final = shapes.Load(
+    "wave",
+    "one wave over all data centres",
+    (_WAVE_LONG, _WAVE_SHORT),
+    engines=12,
+    data_centres=3,
+    entries=14,
+    length_s=25.0,
+    leaving=_STAYING,
+    wave=shapes.Wave(0.55),
+    slots=24,
+    memory_tokens=27_020,
+    report_lag_s=0.15,
+)
+"""The second customer of docs/LOAD-CONTROL.md, with half of its rates,
+engines and entries."""
+
 _FATAL_LOAD: typing.Final = shapes.Load(
     "fatal requests",
     "two requests come again and again and end the engines that run them",
@@ -288,6 +355,46 @@
         answers="the same with half of the memory",
         memory_tokens=10_900,
     ),
+    _BURSTS_LOAD,
+    _BURSTS_LOAD._replace(
+        name="large customers",
+        answers="the same, where two of eight customers send most of it",
+        customer_shares=(0.34, 0.24, 0.07, 0.07, 0.07, 0.07, 0.07, 0.07),
+        surges=(
+            shapes.Surge(3, 6, 2.35, "long", customer=0),
+            shapes.Surge(13, 3.5, 1.7, "short", customer=1),
+        ),
+    ),
+    _BURSTS_LOAD._replace(
+        name="peaks apart",
+        answers="the same customer, whose data centres peak one by one",
+        surges=(),
+        wave=shapes.Wave(0.6, is_apart=True),
+    ),
+    # With all of the customer's memory there are about five preemptions in a
+    # replay, too few to compare.
+    _WAVE_LOAD._replace(
+        name="room short",
+        answers="one wave over all data centres, on engines of little memory",
+        memory_tokens=16_000,
+    ),
+    _WAVE_LOAD._replace(
+        name="uneven speeds",
+        answers="the wave on engines of three speeds, with slow phases",
+        speeds=(0.7, 0.7, 1.7),
+        slow_phases=shapes.SlowPhases(0.15, 2.5),
+    ),
+    _WAVE_LOAD._replace(
+        name="slow when nearly full",
+        answers="the same, where a third of the engines slows down when full",
+        nearly_full=shapes.NearlyFull(every=3),
+    ),
+    _WAVE_LOAD._replace(
+        name="half slow, then swapped",
+        answers="the same, where a slow half turns fast as the other slows",
+        speeds=(0.7, 1.6),
+        swapped_at=12.5,
+    ),
     shapes.Load(
         "impatient",
         "a quarter of the callers leave after half of the objective",
--- a/bench/replay/playing.py
+++ b/bench/replay/playing.py
@@ -25,7 +25,7 @@
 from gentianpoint_entry.forwarding import routes
 from gentianpoint_entry.forwarding import target_ends
 
-__all__ = ("play", "play_outcomes")
+__all__ = ("play", "play_groups", "play_outcomes")
 
 _RETRY_RATIO: typing.Final = 0.2
 _RETRY_WINDOW_S: typing.Final = 10.0
@@ -45,6 +45,15 @@
     return play_outcomes(load_name, policy, seed)[1]
 
 
+def play_groups(
+    load_name: str, policy: str, seed: int, by: str
+) -> tuple[figures.ReplayFigures, abc.Sequence[figures.GroupFigures]]:
+    """Return also the figures of each ``kind`` or ``customer``."""
+    outcomes, total = play_outcomes(load_name, policy, seed)
+    harmless = [item for item in outcomes if not item.generation.fatal_content]
+    return total, figures.find_groups(harmless, by)
+
+
 def play_outcomes(
     load_name: str, policy: str, seed: int
 ) -> tuple[list[callers.Outcome], figures.ReplayFigures]:
@@ -57,9 +66,10 @@
     structlog.configure(
         wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL)
     )
+    load = loads.LOADS[load_name]
     played = trio.run(
         _run,
-        loads.LOADS[load_name],
+        load,
         policy,
         seed,
         clock=trio.testing.MockClock(autojump_threshold=0),
@@ -74,6 +84,7 @@
         sum(item.reread_tokens for item in engines),
         played.moved_tokens,
         played.engines.crashed,
+        shapes.EngineCosts().event_tokens / load.length_s,
     )
     return played.outcomes, total
 
@@ -104,7 +115,7 @@
             )
             for number in range(load.entries)
         ]
-        await _call_all(load, drawn, handlings, costs, outcomes, seed)
+        await _call_all(load, policy, drawn, handlings, costs, outcomes, seed)
         nursery.cancel_scope.cancel()
     return _Played(outcomes, engines, calls.moved_tokens)
 
@@ -158,6 +169,7 @@
 
 async def _call_all(
     load: shapes.Load,
+    policy: str,
     drawn: list[shapes.Generation],
     handlings: list[request_handling.RequestHandler],
     costs: shapes.EngineCosts,
@@ -174,6 +186,8 @@
         link_mbps=costs.link_mbps,
     )
     service = routes.Service(fleet.SERVICE, "/health", 500, shape)
+    tells_urgency = policy not in policies.WITHOUT_URGENCY
+    table = callers.make_table(load.kinds if tells_urgency else (), service)
     source = random.Random(seed + 2)
     began = trio.current_time()
     lost_at = began + load.lost_at
@@ -181,7 +195,7 @@
     async def serve(generation: shapes.Generation) -> None:
         await trio.sleep_until(began + generation.at)
         caller = callers.Caller(
-            generation, handlings, costs, service, source, lost_at
+            generation, handlings, costs, service, table, source, lost_at
         )
         outcomes.append(await caller.call())
 
--- a/bench/replay/policies.py
+++ b/bench/replay/policies.py
@@ -13,7 +13,7 @@
 from gentianpoint_entry.forwarding import target_selection
 from gentianpoint_entry.forwarding import targets
 
-__all__ = ("OWN_ENDS", "POLICIES")
+__all__ = ("BEFORE", "OWN_ENDS", "POLICIES", "WITHOUT_URGENCY")
 
 
 class _MovesAlone(forwarder.Forwarder):
@@ -196,6 +196,12 @@
 
 OWN_ENDS: typing.Final = "own ends"
 """Ours, with each entry knowing only what it has seen itself."""
+BEFORE: typing.Final = "before"
+"""Ours without urgency, room control and paces."""
+NO_URGENCY: typing.Final = "no urgency"
+"""Ours, with engines that are told nothing of urgency."""
+WITHOUT_URGENCY: typing.Final = (BEFORE, NO_URGENCY)
+"""Policies that tell engines nothing of urgency."""
 
 POLICIES: typing.Final[abc.Mapping[str, type[forwarder.Forwarder]]] = {
     "ours": forwarder.Forwarder,
@@ -216,4 +222,6 @@
     "asking six": _AskedSix,
     "fewest outstanding": _FewestOutstanding,
     "round robin": _RoundRobin,
+    NO_URGENCY: forwarder.Forwarder,
+    BEFORE: forwarder.Forwarder,
 }
--- a/bench/replay/shapes.py
+++ b/bench/replay/shapes.py
@@ -9,8 +9,11 @@
     "Generation",
     "Leaving",
     "Load",
+    "NearlyFull",
+    "SlowPhases",
     "StreamKind",
     "Surge",
+    "Wave",
 )
 
 
@@ -72,6 +75,43 @@
     """True when it may be run again."""
     max_attempts: int
     """Targets that one attempt may be sent to."""
+    priority: int = 0
+    """Priority of its route; 0 is the highest."""
+
+
+class SlowPhases(typing.NamedTuple):
+    """Phases in which an engine's work takes longer."""
+
+    share: float = 0.0
+    """Share of the time that they take; 0 for none."""
+    factor: float = 1.0
+    """Times that work takes longer in a phase."""
+    length_s: float = 0.6
+    """Length of a phase."""
+
+
+class NearlyFull(typing.NamedTuple):
+    """Engines whose work takes longer while their memory is nearly full."""
+
+    every: int = 0
+    """One engine of so many is like this; 0 for none."""
+    used_share: float = 0.85
+    """Share of the memory in use from which work takes longer."""
+    factor: float = 2.0
+    """Times that work takes longer then."""
+
+
+class Wave(typing.NamedTuple):
+    """Arrivals that rise above their mean and fall below it."""
+
+    depth: float = 0.0
+    """Difference between the highest rate and the mean, as a share of the
+    mean; 0 for no wave."""
+    period_s: float = 17.0
+    """Time from one peak to the next."""
+    is_apart: bool = False
+    """True when each data centre has its peak at another time. Callers then
+    send to the entries of their own data centre."""
 
 
 class Leaving(typing.NamedTuple):
@@ -116,6 +156,9 @@
     """Times the usual rate."""
     kind: str = ""
     """The kind; all if empty."""
+    customer: int = -1
+    """Number of the customer that sends what exceeds the usual rate; negative
+    if all send more."""
 
 
 class Load(typing.NamedTuple):
@@ -164,6 +207,19 @@
     lost_at: float = math.inf
     """When all entries are killed at once, with every stream that they pass
     on; infinite for never."""
+    speeds: tuple[float, ...] = (1.0,)
+    """Factors of the time that engines take, dealt round robin within each
+    data centre."""
+    swapped_at: float = math.inf
+    """When the factors are dealt in reverse order; infinite for never."""
+    slow_phases: SlowPhases = SlowPhases()
+    """Phases in which each engine is slow."""
+    nearly_full: NearlyFull = NearlyFull()
+    """Engines that are slow while their memory is nearly full."""
+    customer_shares: tuple[float, ...] = ()
+    """Shares of the customers in all generations; empty for no customers."""
+    wave: Wave = Wave()
+    """How the rate of arrivals swings."""
 
 
 class Generation(typing.NamedTuple):
@@ -188,3 +244,5 @@
     fatal_content: str = ""
     """Content that ends each engine that begins to run it; empty if this is
     no such request."""
+    customer: str = ""
+    """Customer that sends it; empty for none."""
