--- a/bench/features/steps/replay_steps.py
+++ b/bench/features/steps/replay_steps.py
@@ -104,3 +104,35 @@
 @behave.then("ours refuses nothing")
 def check_refused(context):
     assert add_up(context.ours, "refused") == 0, context.ours
+
+
+@behave.when(
+    '"{load}" is replayed by kind with seeds {first:d} to {last:d} by'
+    ' "{policy}"'
+)
+def replay_by_kind(context, load, first, last, policy):
+    context.kinds = [
+        item
+        for seed in range(first, last + 1)
+        for item in playing.play_groups(load, policy, seed, "kind")[1]
+    ]
+
+
+@behave.then('"{kind}" is on time for at least {least:f}')
+def check_kind(context, kind, least):
+    found = [item for item in context.kinds if item.name == kind]
+    count = sum(item.generations for item in found)
+    share = sum(item.on_time * item.generations for item in found) / count
+    assert share >= least, share
+
+
+@behave.then("ours preempts at most a third as often")
+def check_preemptions(context):
+    found = add_up(context.ours, "preemptions")
+    assert found * 3 <= add_up(context.others, "preemptions"), found
+
+
+@behave.then("ours has at least {least:f} of the goodput")
+def check_goodput(context, least):
+    share = add_up(context.ours, "goodput") / add_up(context.others, "goodput")
+    assert share >= least, share
