--- a/bench/replay/engine.py
+++ b/bench/replay/engine.py
@@ -16,6 +16,7 @@
 from bench.replay import links
 from bench.replay import shapes
 from bench.replay import slowness
+from gentianpoint_core.decisions import engine_pace
 from gentianpoint_core.decisions import engine_urgency
 
 __all__ = ("Copy", "Engine", "Work")
@@ -74,7 +75,7 @@
         name: str,
         data_centre: str,
         costs: shapes.EngineCosts,
-        pace: slowness.Slowness = slowness.EVEN,
+        slow: slowness.Slowness = slowness.EVEN,
     ) -> None:
         """Start empty."""
         self.name: typing.Final = name
@@ -89,7 +90,8 @@
         self.ended: typing.Final = trio.Event()
         self.preemptions = 0
         self.reread_tokens = 0
-        self._pace: typing.Final = pace
+        self.pace: typing.Final = engine_pace.EnginePace()
+        self._slowness: typing.Final = slow
         self._has_work = trio.Event()
 
     @property
@@ -171,7 +173,7 @@
         costs = self.costs
         step_ms = costs.step_ms + costs.slot_ms * len(self.batch)
         step_ms += chunk / costs.read_tokens_per_ms
-        factor = self._pace.find_factor(
+        factor = self._slowness.find_factor(
             trio.current_time(), self.used_tokens / costs.memory_tokens
         )
         return step_ms * factor / 1000
--- a/bench/replay/fleet.py
+++ b/bench/replay/fleet.py
@@ -7,6 +7,7 @@
 import trio
 
 from bench.replay import engine
+from bench.replay import engine_statuses
 from bench.replay import shapes
 from bench.replay import slowness
 from gentianpoint_agent import move_turns
@@ -174,7 +175,7 @@
         for registry in self.registries:
             registry.drop(item.name)
 
-    def _make_pace(self, number: int, factor: float) -> slowness.Slowness:
+    def _make_slowness(self, number: int, factor: float) -> slowness.Slowness:
         load = self._load
         # Dealt within each data centre, so that no data centre is slow as a
         # whole where there are as many speeds as data centres.
@@ -205,7 +206,7 @@
             f"engine-{number}",
             centre,
             self._costs,
-            self._make_pace(number, factor),
+            self._make_slowness(number, factor),
         )
         self.engines[address] = item
         self._nursery.start_soon(item.run)
@@ -257,6 +258,8 @@
         is_noticed = False
         while not item.is_gone:
             turns.grant_next()
+            now = trio.current_time()
+            item.pace.note_status(engine_statuses.make_status(item), now)
             report = _make_report(item)
             self._nursery.start_soon(self._deliver, report, seen)
             if report.is_leaving and not is_noticed:
@@ -289,6 +292,7 @@
 
 def _make_report(item: engine.Engine) -> targets.EngineReport:
     is_leaving = item.leaves_at < 1e9
+    pace = item.pace.measure(trio.current_time())
     return targets.EngineReport(
         sampled_at=trio.current_time(),
         running=len(item.batch),
@@ -299,6 +303,8 @@
         leaves_at=deadlines.Deadline(item.leaves_at) if is_leaving else None,
         is_silent=False,
         pending_prefill_tokens=_count_unread(item),
+        step_us=pace.step_us,
+        prefill_us_per_k=pace.prefill_us_per_k,
     )
 
 
