--- a/packages/gentianpoint-agent/src/gentianpoint_agent/room_claims.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/room_claims.py
@@ -112,7 +112,7 @@
             self._claims_logged_at + _CLAIM_LOG_INTERVAL_S
         ):
             logs.log_event(
-                events.ROOM_REFUSED,
+                events.ROOM_CLAIMS_REFUSED,
                 refused=dict(self._refused),
                 granted=self._granted,
                 leases=self._book.count_leases(),
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_selection.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_selection.py
@@ -22,6 +22,7 @@
 from gentianpoint_core.decisions import engine_pace
 from gentianpoint_core.decisions import target_times
 from gentianpoint_entry.forwarding import requests
+from gentianpoint_entry.forwarding import routes
 from gentianpoint_entry.forwarding import targets
 
 __all__ = (
@@ -29,8 +30,12 @@
     "MAX_USED_SHARE_FOR_MOVES",
     "choose_copy_destination",
     "choose_target",
+    "count_free_tokens",
+    "count_pending_prefill_tokens",
+    "count_running",
     "count_tokens",
     "list_paces",
+    "may_hold",
     "score_target",
 )
 
@@ -134,9 +139,9 @@
     if request.service.engine is not None:
         score += _score_memory(target, request, entry_count)
         if paces is None:
-            unread = _count_pending_prefill_tokens(target)
+            unread = count_pending_prefill_tokens(target)
             score += unread / _UNREAD_TOKENS_SCALE
-            score += _count_running(target) / _RUNNING_SCALE
+            score += count_running(target) / _RUNNING_SCALE
         else:
             score += _score_times(target, request, paces)
     return score
@@ -157,7 +162,7 @@
     assert engine is not None
     first_ms = target_times.predict_first_event_ms(
         pace,
-        _count_pending_prefill_tokens(target),
+        count_pending_prefill_tokens(target),
         request.prompt_tokens,
         engine.event_tokens,
     )
@@ -174,7 +179,7 @@
         likely = min(1.0, events / _LONG_ANSWER_EVENTS)
         score += _LONG_PAUSE_COST * over * likely
     slowness = paces.compare_prefill(pace)
-    return score + slowness * _count_running(target) / _RUNNING_SCALE
+    return score + slowness * count_running(target) / _RUNNING_SCALE
 
 
 def _get_pace(target: targets.Target) -> engine_pace.Pace:
@@ -191,7 +196,7 @@
     return [_get_pace(target) for target in candidates]
 
 
-def _count_pending_prefill_tokens(target: targets.Target) -> int:
+def count_pending_prefill_tokens(target: targets.Target) -> int:
     """Return the prompt tokens that an engine has yet to process.
 
     If each entry counted only its own prompts, all entries would keep sending
@@ -208,7 +213,7 @@
     slots = max(1, target.entry.slots)
     if target.report is None:
         return target.open_requests * entry_count / slots
-    return _count_running(target) / slots
+    return count_running(target) / slots
 
 
 def count_tokens(request: requests.CallerRequest) -> int:
@@ -229,14 +234,47 @@
     """Return the share of memory in use once the request is added."""
     engine = request.service.engine
     assert engine is not None
+    used, total = _count_memory(target, engine, entry_count)
+    return (used + count_tokens(request)) / max(1, total)
+
+
+def _count_memory(
+    target: targets.Target, engine: routes.EngineSpec, entry_count: int
+) -> tuple[int, int]:
+    """Return the memory in use and the whole memory, in tokens."""
     report = target.report
     if report is None or not report.total_tokens:
+        return target.open_tokens * entry_count, engine.memory_tokens
+    return (
+        report.used_tokens + target.tokens_since_report,
+        report.total_tokens,
+    )
+
+
+def count_free_tokens(
+    target: targets.Target, engine: routes.EngineSpec, entry_count: int
+) -> int:
+    """Return the memory that is free by a target's report, in tokens."""
+    used, total = _count_memory(target, engine, entry_count)
+    return total - used
+
+
+def may_hold(
+    target: targets.Target,
+    request: requests.CallerRequest,
+    free_tokens: int,
+) -> bool:
+    """Tell whether a request fits into the free memory of a target.
+
+    The length of a response is an estimate, so a request that is larger than
+    the whole memory fits into one that is empty.
+    """
+    report = target.report
+    total = 0 if report is None else report.total_tokens
+    engine = request.service.engine
+    if not total and engine is not None:
         total = engine.memory_tokens
-        used = target.open_tokens * entry_count
-    else:
-        total = report.total_tokens
-        used = report.used_tokens + target.tokens_since_report
-    return (used + count_tokens(request)) / max(1, total)
+    return free_tokens >= min(count_tokens(request), total)
 
 
 def choose_target(
@@ -422,13 +460,13 @@
     if copy_ms <= 0:
         return _DISTANCE_COST
     left_ms = max(0.0, (runner.leaves_at.at - now) * 1000)
-    running = _count_running(runner)
+    running = count_running(runner)
     near = min(running, left_ms / copy_ms)
     far = min(running, left_ms / (copy_ms * DISTANCE_COPY_FACTOR))
     return _DISTANCE_COST + _LOST_GENERATION_COST * (near - far)
 
 
-def _count_running(target: targets.Target) -> int:
+def count_running(target: targets.Target) -> int:
     """Return the requests at a target, as far as this entry knows."""
     report = target.report
     if report is None:
