Claim room at simulated engines

Change: each simulated engine has the book of room of its agent, which reads its status every 100 ms and at each claim. "no room control" and "before" claim none.

--- a/bench/replay/callers.py
+++ b/bench/replay/callers.py
@@ -356,6 +356,7 @@
         last_event_id=str(events) if events else "",
         content=generation.fatal_content or generation.request_id,
         urgency=table.find_urgency(route, service, customer),
+        received_at=trio.current_time(),
     )
 
 
--- a/bench/replay/engine.py
+++ b/bench/replay/engine.py
@@ -18,6 +18,7 @@
 from bench.replay import slowness
 from gentianpoint_core.decisions import engine_pace
 from gentianpoint_core.decisions import engine_urgency
+from gentianpoint_core.decisions import room_book
 
 __all__ = ("Copy", "Engine", "Work")
 
@@ -90,7 +91,9 @@
         self.ended: typing.Final = trio.Event()
         self.preemptions = 0
         self.reread_tokens = 0
+        # What the agent beside it learns from its status.
         self.pace: typing.Final = engine_pace.EnginePace()
+        self.room: typing.Final = room_book.RoomBook()
         self._slowness: typing.Final = slow
         self._has_work = trio.Event()
 
--- a/bench/replay/fleet.py
+++ b/bench/replay/fleet.py
@@ -17,7 +17,7 @@
 from gentianpoint_entry.forwarding import engine_probes
 from gentianpoint_entry.forwarding import targets
 
-__all__ = ("SERVICE", "Fleet", "FleetProbes")
+__all__ = ("SERVICE", "Fleet", "FleetProbes", "make_report")
 
 SERVICE: typing.Final = "engines"
 _REPORT_S: typing.Final = 0.1
@@ -33,8 +33,11 @@
 class _TurnConnection:
     """An entry's connection to an agent, as far as turns need one."""
 
-    def __init__(self, turns: move_turns.MoveTurns) -> None:
+    def __init__(
+        self, turns: move_turns.MoveTurns, item: engine.Engine
+    ) -> None:
         self._turns: typing.Final = turns
+        self._engine: typing.Final = item
         send, receive = trio.open_memory_channel[str](1000)
         self._given: typing.Final = send
         self.given: typing.Final = receive
@@ -46,6 +49,7 @@
         if message["type"] == "move_done":
             self._turns.release_turn(request)
             return
+        self._engine.room.note_move(request)
         self._turns.request_turn(
             move_turns.MoveRequest(request, message["tokens"], self._given)
         )
@@ -67,7 +71,7 @@
         for target in chosen:
             item = self._engines[target.entry.address]
             if not item.is_gone:
-                target.take_report(_make_report(item))
+                target.take_report(make_report(item))
                 found.append(target)
         return found
 
@@ -235,14 +239,17 @@
         seen = []
         for registry in self.registries:
             target = registry.put_entry(entry, trio.current_time())
-            self._connect_turns(target, turns)
+            self._connect_turns(target, turns, item)
             seen.append(target)
         await self._report(item, seen, turns)
 
     def _connect_turns(
-        self, target: targets.Target, turns: move_turns.MoveTurns
+        self,
+        target: targets.Target,
+        turns: move_turns.MoveTurns,
+        item: engine.Engine,
     ) -> None:
-        connection = _TurnConnection(turns)
+        connection = _TurnConnection(turns, item)
         target.turns = agent_turns.AgentTurns(
             typing.cast(peer_connections.PeerConnection, connection)
         )
@@ -259,8 +266,10 @@
         while not item.is_gone:
             turns.grant_next()
             now = trio.current_time()
-            item.pace.note_status(engine_statuses.make_status(item), now)
-            report = _make_report(item)
+            status = engine_statuses.make_status(item)
+            item.pace.note_status(status, now)
+            item.room.note_status(status, now)
+            report = make_report(item)
             self._nursery.start_soon(self._deliver, report, seen)
             if report.is_leaving and not is_noticed:
                 is_noticed = True
@@ -273,8 +282,11 @@
         seen: abc.Sequence[targets.Target],
     ) -> None:
         await trio.sleep(self._load.report_lag_s)
-        for target in seen:
+        for registry, target in zip(self.registries, seen, strict=True):
+            if self._load.controls_room and _is_older(report, target.report):
+                continue
             target.take_report(report)
+            registry.note_report(target)
 
     async def _note_notice(self) -> None:
         noticed_at = trio.current_time()
@@ -290,7 +302,8 @@
         turns.mark_granted(request)
 
 
-def _make_report(item: engine.Engine) -> targets.EngineReport:
+def make_report(item: engine.Engine) -> targets.EngineReport:
+    """Return what an agent reports of its engine now."""
     is_leaving = item.leaves_at < 1e9
     pace = item.pace.measure(trio.current_time())
     return targets.EngineReport(
@@ -308,6 +321,13 @@
     )
 
 
+def _is_older(
+    report: targets.EngineReport,
+    known: typing.Optional[targets.EngineReport],
+) -> bool:
+    return known is not None and report.sampled_at < known.sampled_at
+
+
 def _count_unread(item: engine.Engine) -> int:
     """Return what an agent would tell: prompts under way count whole."""
     return sum(
--- a/bench/replay/loads.py
+++ b/bench/replay/loads.py
@@ -150,6 +150,7 @@
     slots=24,
     memory_tokens=26_903,
     report_lag_s=0.15,
+    controls_room=True,
 )
 """The first customer of docs/LOAD-CONTROL.md, with half of its rates, engines
 and entries."""
@@ -166,6 +167,7 @@
     slots=24,
     memory_tokens=27_020,
     report_lag_s=0.15,
+    controls_room=True,
 )
 """The second customer of docs/LOAD-CONTROL.md, with half of its rates,
 engines and entries."""
--- a/bench/replay/playing.py
+++ b/bench/replay/playing.py
@@ -14,6 +14,7 @@
 from bench.replay import engine_calls
 from bench.replay import figures
 from bench.replay import fleet
+from bench.replay import fleet_rooms
 from bench.replay import loads
 from bench.replay import policies
 from bench.replay import shapes
@@ -22,6 +23,7 @@
 from gentianpoint_entry.forwarding import forwarder
 from gentianpoint_entry.forwarding import request_handling
 from gentianpoint_entry.forwarding import retry_limits
+from gentianpoint_entry.forwarding import room_waits
 from gentianpoint_entry.forwarding import routes
 from gentianpoint_entry.forwarding import target_ends
 
@@ -140,6 +142,11 @@
         calls.check_listening,
         share,
     )
+    rooms = None
+    if load.controls_room and policy not in policies.WITHOUT_ROOM_CONTROL:
+        rooms = room_waits.RoomWaits(
+            fleet_rooms.FleetRoomClaims(engines.engines, fleet.make_report)
+        )
     shared: forwarder.Forwarder = policies.POLICIES[policy](
         engines.registries[number],
         calls,
@@ -150,6 +157,7 @@
         entry_metrics.EntryMetrics(metrics.NoOpMeterProvider()),
         ends,
         probes=fleet.FleetProbes(engines.engines),
+        rooms=rooms,
     )
     nursery.start_soon(ends.run)
     nursery.start_soon(shared.release_unused_copies)
--- a/bench/replay/policies.py
+++ b/bench/replay/policies.py
@@ -15,7 +15,13 @@
 from gentianpoint_entry.forwarding import target_selection
 from gentianpoint_entry.forwarding import targets
 
-__all__ = ("BEFORE", "OWN_ENDS", "POLICIES", "WITHOUT_URGENCY")
+__all__ = (
+    "BEFORE",
+    "OWN_ENDS",
+    "POLICIES",
+    "WITHOUT_ROOM_CONTROL",
+    "WITHOUT_URGENCY",
+)
 
 
 class _MovesAlone(forwarder.Forwarder):
@@ -213,6 +219,10 @@
 """Ours, with engines that are told nothing of urgency."""
 WITHOUT_URGENCY: typing.Final = (BEFORE, NO_URGENCY)
 """Policies that tell engines nothing of urgency."""
+NO_ROOM_CONTROL: typing.Final = "no room control"
+"""Ours, with entries that claim no room and let nothing wait for it."""
+WITHOUT_ROOM_CONTROL: typing.Final = (BEFORE, NO_ROOM_CONTROL)
+"""Policies that claim no room."""
 
 POLICIES: typing.Final[abc.Mapping[str, type[forwarder.Forwarder]]] = {
     "ours": forwarder.Forwarder,
@@ -235,5 +245,6 @@
     "fewest outstanding": _FewestOutstanding,
     "round robin": _RoundRobin,
     NO_URGENCY: forwarder.Forwarder,
+    NO_ROOM_CONTROL: forwarder.Forwarder,
     BEFORE: _EvenPaces,
 }
--- a/bench/replay/shapes.py
+++ b/bench/replay/shapes.py
@@ -220,6 +220,9 @@
     """Shares of the customers in all generations; empty for no customers."""
     wave: Wave = Wave()
     """How the rate of arrivals swings."""
+    controls_room: bool = False
+    """True when entries claim room, unless the policy leaves that out, and
+    keep what a reply said against older reports."""
 
 
 class Generation(typing.NamedTuple):
