Replay the shares of customers, and list the new ablations

Change: entries of loads with customers tell each other what these use, and requests wait for room in that order. The ablations have rows for urgency, room control, reserved room, fair order and paces, and `--rows` names those to replay.

Measured: ablations.feature passes; the rows themselves have not been replayed.

--- a/bench/replay/ablations.py
+++ b/bench/replay/ablations.py
@@ -14,6 +14,8 @@
 
 from bench.replay import loads
 from bench.replay import playing
+from gentianpoint_core.decisions import customer_usage
+from gentianpoint_core.decisions import room_book
 from gentianpoint_entry.forwarding import agent_turns
 from gentianpoint_entry.forwarding import generation_moves
 from gentianpoint_entry.forwarding import target_selection
@@ -90,6 +92,20 @@
         _replace(function, "__defaults__", (0.0, *others))
 
 
+def _drop_reserved_room() -> None:
+    def find_reserved(*args: typing.Any) -> int:
+        return 0
+
+    _replace(room_book.RoomBook, "find_reserved", find_reserved)
+
+
+def _drop_fair_order() -> None:
+    def find_usage(*args: typing.Any) -> float:
+        return 0.0
+
+    _replace(customer_usage.CustomerUsage, "find_usage", find_usage)
+
+
 def _set(name: str, value: float) -> abc.Callable[[], None]:
     """Return what replaces one constant of the choice."""
     return functools.partial(_replace, target_selection, name, value)
@@ -123,6 +139,11 @@
     Ablation("near in haste", _set("_LOST_GENERATION_COST", 0.0)),
     Ablation("memory of failures", _set("_FAILURE_COST", 0.0)),
     Ablation("noise between equals", _set("_TIE_BREAK_NOISE", 0.0)),
+    Ablation("urgency", policy="no urgency"),
+    Ablation("room control", policy="no room control"),
+    Ablation("reserved room", _drop_reserved_room),
+    Ablation("fair order", _drop_fair_order),
+    Ablation("paces", policy="even paces"),
 )
 """What can be switched off, with nothing off first."""
 
@@ -146,11 +167,16 @@
     parser.add_argument("--seeds", type=int, default=8)
     parser.add_argument("--first-seed", type=int, default=101)
     parser.add_argument("--at-once", type=int, default=4)
+    parser.add_argument(
+        "--rows", nargs="+", help="names of the rows; by default all"
+    )
     options = parser.parse_args()
     seeds = range(options.first_seed, options.first_seed + options.seeds)
     print("| off | " + " | ".join(options.loads) + " |")
     print("|---" * (len(options.loads) + 1) + "|")
     for number, ablation in enumerate(ABLATIONS):
+        if options.rows and ablation.name not in options.rows:
+            continue
         cells = []
         for load in options.loads:
             # Processes end with the pool, and what they replaced with them.
--- a/bench/replay/fleet.py
+++ b/bench/replay/fleet.py
@@ -268,7 +268,8 @@
             now = trio.current_time()
             status = engine_statuses.make_status(item)
             item.pace.note_status(status, now)
-            item.room.note_status(status, now)
+            if self._load.controls_room:
+                item.room.note_status(status, now)
             report = make_report(item)
             self._nursery.start_soon(self._deliver, report, seen)
             if report.is_leaving and not is_noticed:
--- a/bench/replay/playing.py
+++ b/bench/replay/playing.py
@@ -18,6 +18,8 @@
 from bench.replay import loads
 from bench.replay import policies
 from bench.replay import shapes
+from bench.replay import usage_gossip
+from gentianpoint_core.decisions import customer_usage
 from gentianpoint_entry import crash_suspects
 from gentianpoint_entry.forwarding import entry_metrics
 from gentianpoint_entry.forwarding import forwarder
@@ -111,11 +113,25 @@
         suspects = [
             crash_suspects.CrashSuspects() for _ in range(load.entries)
         ]
+        usages = [
+            customer_usage.CustomerUsage(f"entry-{number}")
+            for number in range(load.entries)
+        ]
+        if load.customer_shares:
+            nursery.start_soon(usage_gossip.share_usage, usages)
         handlings = [
             _make_entry(
-                load, policy, engines, calls, number, seed, suspects, nursery
+                load,
+                policy,
+                engines,
+                calls,
+                number,
+                seed,
+                suspects,
+                usage,
+                nursery,
             )
-            for number in range(load.entries)
+            for number, usage in enumerate(usages)
         ]
         await _call_all(load, policy, drawn, handlings, costs, outcomes, seed)
         nursery.cancel_scope.cancel()
@@ -130,6 +146,7 @@
     number: int,
     seed: int,
     suspects: typing.Sequence[crash_suspects.CrashSuspects],
+    usage: customer_usage.CustomerUsage,
     nursery: trio.Nursery,
 ) -> request_handling.RequestHandler:
     def share(contents: abc.Collection[str]) -> None:
@@ -145,8 +162,10 @@
     rooms = None
     if load.controls_room and policy not in policies.WITHOUT_ROOM_CONTROL:
         rooms = room_waits.RoomWaits(
-            fleet_rooms.FleetRoomClaims(engines.engines, fleet.make_report)
+            fleet_rooms.FleetRoomClaims(engines.engines, fleet.make_report),
+            lambda customer: usage.find_usage(customer, trio.current_time()),
         )
+        usage.is_wanted = lambda: rooms.count_waiting() > 0
     shared: forwarder.Forwarder = policies.POLICIES[policy](
         engines.registries[number],
         calls,
@@ -158,6 +177,7 @@
         ends,
         probes=fleet.FleetProbes(engines.engines),
         rooms=rooms,
+        usage=usage,
     )
     nursery.start_soon(ends.run)
     nursery.start_soon(shared.release_unused_copies)
