--- a/bench/replay/fleet.py
+++ b/bench/replay/fleet.py
@@ -7,16 +7,17 @@
 import trio
 
 from bench.replay import engine
+from bench.replay import engine_statuses
 from bench.replay import shapes
+from bench.replay import slowness
 from gentianpoint_agent import move_turns
 from gentianpoint_core import deadlines
 from gentianpoint_core import peer_connections
-from gentianpoint_core import ports
 from gentianpoint_entry.forwarding import agent_turns
 from gentianpoint_entry.forwarding import engine_probes
 from gentianpoint_entry.forwarding import targets
 
-__all__ = ("SERVICE", "Fleet", "FleetProbes")
+__all__ = ("SERVICE", "Fleet", "FleetProbes", "make_report")
 
 SERVICE: typing.Final = "engines"
 _REPORT_S: typing.Final = 0.1
@@ -32,8 +33,11 @@
 class _TurnConnection:
     """An entry's connection to an agent, as far as turns need one."""
 
-    def __init__(self, turns: move_turns.MoveTurns) -> None:
+    def __init__(
+        self, turns: move_turns.MoveTurns, item: engine.Engine
+    ) -> None:
         self._turns: typing.Final = turns
+        self._engine: typing.Final = item
         send, receive = trio.open_memory_channel[str](1000)
         self._given: typing.Final = send
         self.given: typing.Final = receive
@@ -45,6 +49,7 @@
         if message["type"] == "move_done":
             self._turns.release_turn(request)
             return
+        self._engine.room.note_move(request)
         self._turns.request_turn(
             move_turns.MoveRequest(request, message["tokens"], self._given)
         )
@@ -66,7 +71,7 @@
         for target in chosen:
             item = self._engines[target.entry.address]
             if not item.is_gone:
-                target.take_report(_make_report(item))
+                target.take_report(make_report(item))
                 found.append(target)
         return found
 
@@ -87,6 +92,7 @@
             targets.TargetRegistry() for _ in range(load.entries)
         ]
         self.crashed = 0
+        self._began: typing.Final = trio.current_time()
         self._load: typing.Final = load
         self._costs: typing.Final = costs
         self._source: typing.Final = source
@@ -96,10 +102,8 @@
         """Start the engines, and let them come and go for ever."""
         for number in range(self._load.engines):
             is_slow = number < self._load.slow_engines
-            slowness = self._load.slow_factor if is_slow else 1.0
-            if self._load.speeds:
-                slowness = self._load.speeds[number % len(self._load.speeds)]
-            self._start_engine(slowness, known_after_s=0.0)
+            factor = self._load.slow_factor if is_slow else 1.0
+            self._start_engine(factor, known_after_s=0.0)
         if self._load.gone_at >= 0:
             self._nursery.start_soon(self._lose_half)
         if self._load.evacuated_at >= 0:
@@ -175,35 +179,47 @@
         for registry in self.registries:
             registry.drop(item.name)
 
-    def _start_engine(self, slowness: float, known_after_s: float) -> None:
+    def _make_slowness(self, number: int, factor: float) -> slowness.Slowness:
+        load = self._load
+        # Dealt within each data centre, so that no data centre is slow as a
+        # whole where there are as many speeds as data centres.
+        place = number // load.data_centres % len(load.speeds)
+        # Of all engines that are like this, each data centre has its part.
+        every = load.nearly_full.every
+        is_like_this = every and number // load.data_centres % every == 0
+        phases = load.slow_phases
+        offset_s = 0.0
+        if phases.share:
+            period_s = phases.length_s / phases.share
+            offset_s = self._source.uniform(0.0, period_s)
+        return slowness.Slowness(
+            factor=factor * load.speeds[place],
+            later_factor=factor * load.speeds[-1 - place],
+            swapped_at=self._began + load.swapped_at,
+            phases=phases,
+            phase_offset_s=offset_s,
+            full_share=load.nearly_full.used_share if is_like_this else 2.0,
+            full_factor=load.nearly_full.factor,
+        )
+
+    def _start_engine(self, factor: float, known_after_s: float) -> None:
         number = len(self.engines)
         centre = f"centre-{number % self._load.data_centres}"
         address = f"10.0.{number // 250}.{number % 250}:1"
-        item = engine.Engine(f"engine-{number}", centre, self._costs, slowness)
+        item = engine.Engine(
+            f"engine-{number}",
+            centre,
+            self._costs,
+            self._make_slowness(number, factor),
+        )
         self.engines[address] = item
         self._nursery.start_soon(item.run)
-        if self._load.slow_phases.share:
-            source = random.Random(number)
-            self._nursery.start_soon(self._slow_down, item, source)
         if self._load.crashes != shapes.Crashes():
             self._nursery.start_soon(self._replace_when_crashed, item)
         self._nursery.start_soon(
             self._list_engine, item, address, known_after_s
         )
 
-    async def _slow_down(
-        self, item: engine.Engine, source: random.Random
-    ) -> None:
-        """Let an engine have its phases of slowness, for ever."""
-        phases = self._load.slow_phases
-        usual = item.slowness
-        between_s = phases.length_s * (1 / phases.share - 1)
-        while not item.is_gone:
-            await trio.sleep(source.expovariate(1 / between_s))
-            item.slowness = usual * phases.factor
-            await trio.sleep(phases.length_s)
-            item.slowness = usual
-
     async def _list_engine(
         self, item: engine.Engine, address: str, known_after_s: float
     ) -> None:
@@ -223,14 +239,17 @@
         seen = []
         for registry in self.registries:
             target = registry.put_entry(entry, trio.current_time())
-            self._connect_turns(target, turns)
+            self._connect_turns(target, turns, item)
             seen.append(target)
         await self._report(item, seen, turns)
 
     def _connect_turns(
-        self, target: targets.Target, turns: move_turns.MoveTurns
+        self,
+        target: targets.Target,
+        turns: move_turns.MoveTurns,
+        item: engine.Engine,
     ) -> None:
-        connection = _TurnConnection(turns)
+        connection = _TurnConnection(turns, item)
         target.turns = agent_turns.AgentTurns(
             typing.cast(peer_connections.PeerConnection, connection)
         )
@@ -246,8 +265,12 @@
         is_noticed = False
         while not item.is_gone:
             turns.grant_next()
-            item.pace.note_status(_make_status(item), trio.current_time())
-            report = _make_report(item)
+            now = trio.current_time()
+            status = engine_statuses.make_status(item)
+            item.pace.note_status(status, now)
+            if self._load.controls_room:
+                item.room.note_status(status, now)
+            report = make_report(item)
             self._nursery.start_soon(self._deliver, report, seen)
             if report.is_leaving and not is_noticed:
                 is_noticed = True
@@ -260,8 +283,11 @@
         seen: abc.Sequence[targets.Target],
     ) -> None:
         await trio.sleep(self._load.report_lag_s)
-        for target in seen:
+        for registry, target in zip(self.registries, seen, strict=True):
+            if self._load.controls_room and _is_older(report, target.report):
+                continue
             target.take_report(report)
+            registry.note_report(target)
 
     async def _note_notice(self) -> None:
         noticed_at = trio.current_time()
@@ -277,7 +303,8 @@
         turns.mark_granted(request)
 
 
-def _make_report(item: engine.Engine) -> targets.EngineReport:
+def make_report(item: engine.Engine) -> targets.EngineReport:
+    """Return what an agent reports of its engine now."""
     is_leaving = item.leaves_at < 1e9
     pace = item.pace.measure(trio.current_time())
     return targets.EngineReport(
@@ -295,48 +322,11 @@
     )
 
 
-def _make_status(item: engine.Engine) -> ports.EngineStatus:
-    """Return the status that an agent reads, as far as paces need it.
-
-    An engine works on one prompt at a time, which has its memory as a whole
-    from the beginning, and lists a generation once that has an event.
-    """
-    generating = [
-        work
-        for work in item.batch
-        if work.is_running and work.made_tokens >= item.costs.event_tokens
-    ]
-    reading = [work for work in item.batch if not work.is_running]
-    in_progress = len(item.batch) - max(0, len(reading) - 1)
-    waiting = [*reading[1:], *item.waiting]
-    generating_tokens = sum(work.tokens for work in generating)
-    unfinished_tokens = sum(
-        work.all_tokens
-        for work in item.batch
-        if work not in generating and work not in reading[1:]
-    )
-    return ports.EngineStatus(
-        running=in_progress,
-        waiting=len(waiting),
-        used_tokens=generating_tokens + unfinished_tokens,
-        total_tokens=item.costs.memory_tokens,
-        copy_tokens=0,
-        next_prompt_tokens=waiting[0].all_tokens if waiting else 0,
-        generating=len(generating),
-        generating_tokens=generating_tokens,
-        born_ms=1,
-        is_leaving=item.leaves_at < 1e9,
-        leaves_in_ms=None,
-        runs=tuple(
-            ports.EngineRun(
-                work.generation.request_id,
-                work.tokens,
-                work.made_tokens // item.costs.event_tokens,
-                5,
-            )
-            for work in generating
-        ),
-    )
+def _is_older(
+    report: targets.EngineReport,
+    known: typing.Optional[targets.EngineReport],
+) -> bool:
+    return known is not None and report.sampled_at < known.sampled_at
 
 
 def _count_unread(item: engine.Engine) -> int:
--- a/bench/replay/playing.py
+++ b/bench/replay/playing.py
@@ -14,18 +14,22 @@
 from bench.replay import engine_calls
 from bench.replay import figures
 from bench.replay import fleet
+from bench.replay import fleet_rooms
 from bench.replay import loads
 from bench.replay import policies
 from bench.replay import shapes
+from bench.replay import usage_gossip
+from gentianpoint_core.decisions import customer_usage
 from gentianpoint_entry import crash_suspects
 from gentianpoint_entry.forwarding import entry_metrics
 from gentianpoint_entry.forwarding import forwarder
 from gentianpoint_entry.forwarding import request_handling
 from gentianpoint_entry.forwarding import retry_limits
+from gentianpoint_entry.forwarding import room_waits
 from gentianpoint_entry.forwarding import routes
 from gentianpoint_entry.forwarding import target_ends
 
-__all__ = ("play", "play_outcomes")
+__all__ = ("play", "play_groups", "play_outcomes")
 
 _RETRY_RATIO: typing.Final = 0.2
 _RETRY_WINDOW_S: typing.Final = 10.0
@@ -45,6 +49,15 @@
     return play_outcomes(load_name, policy, seed)[1]
 
 
+def play_groups(
+    load_name: str, policy: str, seed: int, by: str
+) -> tuple[figures.ReplayFigures, abc.Sequence[figures.GroupFigures]]:
+    """Return also the figures of each ``kind`` or ``customer``."""
+    outcomes, total = play_outcomes(load_name, policy, seed)
+    harmless = [item for item in outcomes if not item.generation.fatal_content]
+    return total, figures.find_groups(harmless, by)
+
+
 def play_outcomes(
     load_name: str, policy: str, seed: int
 ) -> tuple[list[callers.Outcome], figures.ReplayFigures]:
@@ -57,9 +70,10 @@
     structlog.configure(
         wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL)
     )
+    load = loads.LOADS[load_name]
     played = trio.run(
         _run,
-        loads.LOADS[load_name],
+        load,
         policy,
         seed,
         clock=trio.testing.MockClock(autojump_threshold=0),
@@ -74,6 +88,7 @@
         sum(item.reread_tokens for item in engines),
         played.moved_tokens,
         played.engines.crashed,
+        shapes.EngineCosts().event_tokens / load.length_s,
     )
     return played.outcomes, total
 
@@ -98,13 +113,27 @@
         suspects = [
             crash_suspects.CrashSuspects() for _ in range(load.entries)
         ]
+        usages = [
+            customer_usage.CustomerUsage(f"entry-{number}")
+            for number in range(load.entries)
+        ]
+        if load.customer_shares:
+            nursery.start_soon(usage_gossip.share_usage, usages)
         handlings = [
             _make_entry(
-                load, policy, engines, calls, number, seed, suspects, nursery
+                load,
+                policy,
+                engines,
+                calls,
+                number,
+                seed,
+                suspects,
+                usage,
+                nursery,
             )
-            for number in range(load.entries)
+            for number, usage in enumerate(usages)
         ]
-        await _call_all(load, drawn, handlings, costs, outcomes, seed)
+        await _call_all(load, policy, drawn, handlings, costs, outcomes, seed)
         nursery.cancel_scope.cancel()
     return _Played(outcomes, engines, calls.moved_tokens)
 
@@ -117,6 +146,7 @@
     number: int,
     seed: int,
     suspects: typing.Sequence[crash_suspects.CrashSuspects],
+    usage: customer_usage.CustomerUsage,
     nursery: trio.Nursery,
 ) -> request_handling.RequestHandler:
     def share(contents: abc.Collection[str]) -> None:
@@ -129,6 +159,13 @@
         calls.check_listening,
         share,
     )
+    rooms = None
+    if load.controls_room and policy not in policies.WITHOUT_ROOM_CONTROL:
+        rooms = room_waits.RoomWaits(
+            fleet_rooms.FleetRoomClaims(engines.engines, fleet.make_report),
+            lambda customer: usage.find_usage(customer, trio.current_time()),
+        )
+        usage.is_wanted = lambda: rooms.count_waiting() > 0
     shared: forwarder.Forwarder = policies.POLICIES[policy](
         engines.registries[number],
         calls,
@@ -139,6 +176,8 @@
         entry_metrics.EntryMetrics(metrics.NoOpMeterProvider()),
         ends,
         probes=fleet.FleetProbes(engines.engines),
+        rooms=rooms,
+        usage=usage,
     )
     nursery.start_soon(ends.run)
     nursery.start_soon(shared.release_unused_copies)
@@ -158,6 +197,7 @@
 
 async def _call_all(
     load: shapes.Load,
+    policy: str,
     drawn: list[shapes.Generation],
     handlings: list[request_handling.RequestHandler],
     costs: shapes.EngineCosts,
@@ -174,6 +214,8 @@
         link_mbps=costs.link_mbps,
     )
     service = routes.Service(fleet.SERVICE, "/health", 500, shape)
+    tells_urgency = policy not in policies.WITHOUT_URGENCY
+    table = callers.make_table(load.kinds if tells_urgency else (), service)
     source = random.Random(seed + 2)
     began = trio.current_time()
     lost_at = began + load.lost_at
@@ -181,7 +223,7 @@
     async def serve(generation: shapes.Generation) -> None:
         await trio.sleep_until(began + generation.at)
         caller = callers.Caller(
-            generation, handlings, costs, service, source, lost_at
+            generation, handlings, costs, service, table, source, lost_at
         )
         outcomes.append(await caller.call())
 
--- a/bench/replay/policies.py
+++ b/bench/replay/policies.py
@@ -15,7 +15,13 @@
 from gentianpoint_entry.forwarding import target_selection
 from gentianpoint_entry.forwarding import targets
 
-__all__ = ("OWN_ENDS", "POLICIES")
+__all__ = (
+    "BEFORE",
+    "OWN_ENDS",
+    "POLICIES",
+    "WITHOUT_ROOM_CONTROL",
+    "WITHOUT_URGENCY",
+)
 
 
 class _MovesAlone(forwarder.Forwarder):
@@ -207,6 +213,16 @@
 
 OWN_ENDS: typing.Final = "own ends"
 """Ours, with each entry knowing only what it has seen itself."""
+BEFORE: typing.Final = "before"
+"""Ours without urgency, room control and paces."""
+NO_URGENCY: typing.Final = "no urgency"
+"""Ours, with engines that are told nothing of urgency."""
+WITHOUT_URGENCY: typing.Final = (BEFORE, NO_URGENCY)
+"""Policies that tell engines nothing of urgency."""
+NO_ROOM_CONTROL: typing.Final = "no room control"
+"""Ours, with entries that claim no room and let nothing wait for it."""
+WITHOUT_ROOM_CONTROL: typing.Final = (BEFORE, NO_ROOM_CONTROL)
+"""Policies that claim no room."""
 
 POLICIES: typing.Final[abc.Mapping[str, type[forwarder.Forwarder]]] = {
     "ours": forwarder.Forwarder,
@@ -228,4 +244,7 @@
     "asking six": _AskedSix,
     "fewest outstanding": _FewestOutstanding,
     "round robin": _RoundRobin,
+    NO_URGENCY: forwarder.Forwarder,
+    NO_ROOM_CONTROL: forwarder.Forwarder,
+    BEFORE: _EvenPaces,
 }
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_choice.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_choice.py
@@ -700,7 +700,13 @@
     def choose_backup(
         self, request: requests.CallerRequest, runner: targets.Target
     ) -> typing.Optional[targets.Target]:
-        """Return the target that keeps a copy of a generation, or None."""
+        """Return the target that keeps a copy of a generation, or None.
+
+        Where room is controlled memory is short, and copies that may never be
+        needed would take what generations wait for.
+        """
+        if self._rooms is not None:
+            return None
         quiet_s = trio.current_time() - self.registry.last_leaving_notice_at
         if quiet_s < target_selection.BACKUP_QUIET_PERIOD_S:
             return None
