Count missed answers of agents in one module

Cause: probes and claims of room each had the same code for agents that do not answer, and the urgency of a request was found in two places.

Change: `missed_answers` serves both; `room_claims.find_urgency` is the one place.

--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/engine_probes.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/engine_probes.py
@@ -17,6 +17,7 @@
 from gentianpoint_core import logs
 from gentianpoint_core import option_types
 from gentianpoint_core.generated import events
+from gentianpoint_entry.forwarding import missed_answers
 from gentianpoint_entry.forwarding import patience
 from gentianpoint_entry.forwarding import peer_datagrams
 from gentianpoint_entry.forwarding import targets
@@ -26,13 +27,6 @@
 _TIMEOUT_S: typing.Final = 0.025
 """Seconds allowed for all answers. Within a region they take a few
 milliseconds, and datagrams are lost now and then."""
-_MISSES_UNTIL_SKIPPED: typing.Final = 2
-"""Answers in a row that an agent has to miss to be skipped for a while."""
-_SKIPPED_S: typing.Final = 2.0
-"""Seconds for which an agent that does not answer is not asked."""
-_MAX_SKIPPED: typing.Final = 4096
-"""Agents that are remembered as not answering."""
-
 FindAgent = collections_abc.Callable[[targets.Target], typing.Optional[str]]
 """Returns the address of the agent beside a target, None if it has none."""
 TakeState = collections_abc.Callable[
@@ -55,13 +49,6 @@
         """
 
 
-class _Misses(typing.NamedTuple):
-    """Answers that an agent has missed in a row."""
-
-    answers: int
-    last_at: float
-
-
 class _Probe:
     """Requests to some agents, and the answers that are still missing."""
 
@@ -84,7 +71,7 @@
         self._take_state: typing.Final = take_state
         self._numbers: typing.Final = itertools.count(1)
         self._probes: typing.Final[dict[int, _Probe]] = {}
-        self._misses: typing.Final[dict[str, _Misses]] = {}
+        self._missed: typing.Final = missed_answers.MissedAnswers()
 
     async def run(self) -> None:
         """Receive answers until cancelled."""
@@ -129,7 +116,7 @@
         try:
             for target in chosen:
                 agent = self._find_agent(target)
-                if agent is None or self._is_skipped(agent):
+                if agent is None or self._missed.is_skipped(agent):
                     continue
                 number = next(self._numbers)
                 agents[number] = agent
@@ -144,19 +131,5 @@
             return probe.found
         finally:
             for number, agent in agents.items():
-                self._note_answer(agent, was_missed=number in probe.missing)
+                self._missed.note(agent, was_missed=number in probe.missing)
                 self._probes.pop(number, None)
-
-    def _is_skipped(self, agent: str) -> bool:
-        misses = self._misses.get(agent)
-        if misses is None or misses.answers < _MISSES_UNTIL_SKIPPED:
-            return False
-        return trio.current_time() - misses.last_at < _SKIPPED_S
-
-    def _note_answer(self, agent: str, *, was_missed: bool) -> None:
-        misses = self._misses.pop(agent, _Misses(0, 0.0))
-        if not was_missed:
-            return
-        self._misses[agent] = _Misses(misses.answers + 1, trio.current_time())
-        if len(self._misses) > _MAX_SKIPPED:
-            del self._misses[next(iter(self._misses))]
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/room_claims.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/room_claims.py
@@ -20,21 +20,16 @@
 from gentianpoint_core.decisions import engine_urgency
 from gentianpoint_core.generated import events
 from gentianpoint_entry.forwarding import engine_probes
+from gentianpoint_entry.forwarding import missed_answers
 from gentianpoint_entry.forwarding import patience
 from gentianpoint_entry.forwarding import peer_datagrams
 from gentianpoint_entry.forwarding import requests
 from gentianpoint_entry.forwarding import targets
 
-__all__ = ("DatagramRoomClaims", "RoomClaims", "RoomReply")
+__all__ = ("DatagramRoomClaims", "RoomClaims", "RoomReply", "find_urgency")
 
 _TIMEOUT_S: typing.Final = 0.025
 """Seconds allowed for a reply, as for an engine's present state."""
-_MISSES_UNTIL_SKIPPED: typing.Final = 2
-"""Replies in a row that an agent has to miss to be skipped for a while."""
-_SKIPPED_S: typing.Final = 2.0
-"""Seconds for which an agent that does not reply is not asked."""
-_MAX_SKIPPED: typing.Final = 4096
-"""Agents that are remembered as not replying."""
 
 
 class RoomReply(typing.NamedTuple):
@@ -80,13 +75,6 @@
         self.replied: typing.Final = trio.Event()
 
 
-class _Misses(typing.NamedTuple):
-    """Replies that an agent has missed in a row."""
-
-    replies: int
-    last_at: float
-
-
 class DatagramRoomClaims(RoomClaims):
     """Claims room by datagrams."""
 
@@ -103,7 +91,7 @@
         self._take_state: typing.Final = take_state
         self._numbers: typing.Final = itertools.count(1)
         self._claims: typing.Final[dict[int, _Claim]] = {}
-        self._misses: typing.Final[dict[str, _Misses]] = {}
+        self._missed: typing.Final = missed_answers.MissedAnswers()
 
     async def claim(
         self, target: targets.Target, request: requests.CallerRequest
@@ -115,7 +103,7 @@
             agent is None
             or engine is None
             or not self._datagrams.is_open
-            or self._is_skipped(agent)
+            or self._missed.is_skipped(agent)
         ):
             return None
         number = next(self._numbers)
@@ -131,7 +119,7 @@
                 "most_tokens": max(0, request.most_output_tokens),
                 "event_tokens": max(1, engine.event_tokens),
                 "slots": max(1, engine.slots),
-                "urgency": _find_urgency(request),
+                "urgency": find_urgency(request),
             },
         )
         is_over = False
@@ -143,7 +131,7 @@
             if not is_over:
                 # The request was cancelled, and the claim may be granted.
                 self.give_back(target, request)
-        self._note_reply(agent, was_missed=claim.reply is None)
+        self._missed.note(agent, was_missed=claim.reply is None)
         return claim.reply
 
     def give_back(
@@ -195,22 +183,8 @@
         claim.reply = RoomReply(is_granted, opens_at)
         claim.replied.set()
 
-    def _is_skipped(self, agent: str) -> bool:
-        misses = self._misses.get(agent)
-        if misses is None or misses.replies < _MISSES_UNTIL_SKIPPED:
-            return False
-        return trio.current_time() - misses.last_at < _SKIPPED_S
-
-    def _note_reply(self, agent: str, *, was_missed: bool) -> None:
-        misses = self._misses.pop(agent, _Misses(0, 0.0))
-        if not was_missed:
-            return
-        self._misses[agent] = _Misses(misses.replies + 1, trio.current_time())
-        if len(self._misses) > _MAX_SKIPPED:
-            del self._misses[next(iter(self._misses))]
-
 
-def _find_urgency(request: requests.CallerRequest) -> int:
+def find_urgency(request: requests.CallerRequest) -> int:
     """Return the urgency that engines assume for a request."""
     if request.urgency is None:
         return engine_urgency.DEFAULT_URGENCY
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/room_waits.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/room_waits.py
@@ -14,7 +14,6 @@
 import trio
 
 from gentianpoint_core import logs
-from gentianpoint_core.decisions import engine_urgency
 from gentianpoint_core.decisions import room_queue
 from gentianpoint_core.decisions import wait_limits
 from gentianpoint_core.generated import events
@@ -104,7 +103,7 @@
         until = min(now + _RETRY_S, max(opens_at, now + _MIN_RETRY_S))
         self._refused[target.target_id] = _Refused(
             target_selection.count_tokens(request),
-            find_urgency(request),
+            room_claims.find_urgency(request),
             free_tokens,
             until,
         )
@@ -127,7 +126,7 @@
             or free_tokens > refused.free_tokens
             or trio.current_time() >= refused.until
             or target_selection.count_tokens(request) < refused.tokens
-            or find_urgency(request) < refused.urgency
+            or room_claims.find_urgency(request) < refused.urgency
         )
 
     def take_question(self) -> bool:
@@ -477,19 +476,12 @@
         }
 
 
-def find_urgency(request: requests.CallerRequest) -> int:
-    """Return the urgency of a request, lower for more urgent ones."""
-    if request.urgency is None:
-        return engine_urgency.DEFAULT_URGENCY
-    return request.urgency
-
-
 def _make_place(
     request: requests.CallerRequest, search: RoomSearch, room: ServiceRoom
 ) -> room_queue.WaitingRequest:
     left_ms = (request.caller_deadline.at - _find_received_at(request)) * 1000
     return room_queue.WaitingRequest(
-        find_urgency(request),
+        room_claims.find_urgency(request),
         target_selection.count_tokens(request),
         _find_limits(request, room.find_pace(search.list_targets())),
         "" if request.customer is None else request.customer.name,
