--- a/packages/gentianpoint-core/src/gentianpoint_core/decisions/room_book.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/decisions/room_book.py
@@ -99,8 +99,8 @@
 
 _OPENING_SHARE: typing.Final = 0.5
 """Share of the standard deviations with which the time of the next room is
-found, as part of the uncertainty is gone by then. With all of them, room was
-expected 0.65 s after a refusal in the mean, and was there after 0.39 s."""
+found, as part of the uncertainty is gone by then. With all of them room would
+be expected later than it opens."""
 _MAX_SAMPLED: typing.Final = 8
 """Most generations by which the time of a free slot is estimated."""
 
