Find a request's customer name in one place

Cause: three modules had the same expression for it.

Change: `CallerRequest.get_customer_name` serves them. No behaviour changes.

Measured: cold_targets (9), room_waits (31) and customer_usage (13) pass; types and style are clean.

--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
@@ -161,7 +161,7 @@
             )
         tokens = target_selection.count_tokens(request)
         held = _estimate_held(request)
-        customer = "" if request.customer is None else request.customer.name
+        customer = request.get_customer_name()
         now = trio.current_time()
         if self.outages is not None:
             self.outages.note_sent(request_permits.make_key(target), now)
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/requests.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/requests.py
@@ -77,6 +77,10 @@
         parts = () if self.are_parts_proven else self.prompt_parts
         return (self.content, *parts)
 
+    def get_customer_name(self) -> str:
+        """Return the name of its customer, empty on public routes."""
+        return "" if self.customer is None else self.customer.name
+
     def takes_stream_up(self) -> bool:
         """Tell whether the caller has events of this stream already."""
         return bool(self.resumed_id or self.last_event_id)
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/room_waits.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/room_waits.py
@@ -484,7 +484,7 @@
         room_claims.find_urgency(request),
         target_selection.count_tokens(request),
         _find_limits(request, room.find_pace(search.list_targets())),
-        "" if request.customer is None else request.customer.name,
+        request.get_customer_name(),
         is_retry=wait_limits.is_retry(left_ms, request.route.timeout_ms),
     )
 
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_choice.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_choice.py
@@ -136,7 +136,7 @@
             await self._loans.prepare(request.service.name)
         wait_s = request.route.objective_ms * _PERMIT_WAIT_SHARE / 1000
         order = self._find_order(request)
-        place = order.join(_rank_urgency(request), _get_customer(request))
+        place = order.join(_rank_urgency(request), request.get_customer_name())
         try:
             while True:
                 ahead = order.count_ahead(place)
@@ -830,10 +830,6 @@
     return 2 * priority + (request.origin is None)
 
 
-def _get_customer(request: requests.CallerRequest) -> str:
-    return "" if request.customer is None else request.customer.name
-
-
 def make_send_error(target: targets.Target, reason: str) -> ports.PortError:
     """Return the error for a request that was not sent."""
     return ports.PortError(
