--- a/review/standins.py
+++ b/review/standins.py
@@ -945,7 +945,7 @@
             async with asyncio.timeout(115):
                 await fleet.store.open()
                 broken = await play(fleet)
-        except (CouldNotRunError, TimeoutError, OSError) as error:
+        except Exception as error:  # Exit status 1 says that a rule broke.
             fleet.record.note(f"could not run: {error!r}")
             print(f"could not run: {error!r}")
             return COULD_NOT_RUN
