--- a/review/standins.py
+++ b/review/standins.py
@@ -304,6 +304,10 @@
         self.is_unframed = lambda number: False
         # Seconds that the copy of a stopped run takes, by its request.
         self.move_s = {}
+        # False while it has no room for copies of other replicas' runs, and
+        # after how long it refuses to go on with one that it lacks.
+        self.has_copy_room = True
+        self.refuses_after_s = 0.0
         # Tells whether a second answer follows one that has been sent.
         self.sends_extra = lambda: False
         self.extra_after_s = 0.15
@@ -472,6 +476,7 @@
             if copied is None and origin.startswith(self.address):
                 copied = self.copies.pop(name, self.handles.pop(name, None))
             if copied is None:
+                await asyncio.sleep(self.refuses_after_s)
                 self.note(f"has no copy {origin}")
                 answer(
                     writer,
@@ -536,7 +541,7 @@
 
     def back_up(self, address, request_id, made):
         for replica in self.fleet.replicas:
-            if replica.address == address and replica.is_alive:
+            if replica.address == address and replica.has_copy_room:
                 replica.copies[request_id] = made
 
 
