Show streams that a leaving entry closes before their backup has refused

Cause: an entry closes the run at a draining replica 0.25 s after it has asked the backup to go on, also when the backup has not answered. If it refuses later, the entry reads on from the run that it has closed.

Nothing is fixed.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,71 +1,64 @@
-"""A stream that goes on at a second replica while its entry is leaving."""
+"""A stream that its leaving entry closes before a backup has refused it."""
 
 import asyncio
 import pathlib
 import signal
 import sys
+import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
 import standins
 
-EVENTS = 12
-STREAMS = 4
-RETRY_WINDOW_S = 10
+EVENTS = 150
+STREAMS = 6
+REFUSES_AFTER_S = 0.4
+GRACE_S = 8
+COUNTED_S = GRACE_S * 5 / 6
+"""Time after SIGTERM in which an end counts, see the rule."""
 
 
 async def play(fleet):
     fleet.put_configuration()
     fleet.plan_entries(2)
     for _ in range(3):
-        await fleet.add_replica(standins.MODEL, with_agent=True)
+        replica = await fleet.add_replica(standins.MODEL, with_agent=True)
+        # Their memory is needed for their own runs.
+        replica.has_copy_room = False
+        replica.refuses_after_s = REFUSES_AFTER_S
     for entry in fleet.entries:
         entry.start()
     await fleet.wait_until_ready()
-    # An entry that has just started makes few retries.
-    await asyncio.sleep(RETRY_WINDOW_S + 1)
+    await asyncio.sleep(2)
     leaving = fleet.entries[0]
-    leaving.signal(signal.SIGTERM)
-    # The platform still sends it new connections for two seconds.
-    await asyncio.sleep(1.9)
-    streams = [
-        asyncio.ensure_future(
-            fleet.ask(
-                leaving,
-                "POST",
-                f"/stream-tag/{number}?events={EVENTS}",
-                6000,
-                tokens=f"2200,{4 * EVENTS}",
-            )
+    ends = {}
+
+    async def ask(number):
+        reply = await fleet.ask(
+            leaving, "POST", f"/stream-report/{number}?events={EVENTS}", 39000
         )
-        for number in range(STREAMS)
-    ]
-    await asyncio.sleep(0.4)
-    began = {
-        request_id: replica.target_id
-        for replica in fleet.replicas
-        for _, request_id, _, _ in replica.arrivals
-    }
+        ends[reply.request_id] = (time.monotonic(), reply)
+
+    streams = [asyncio.ensure_future(ask(number)) for number in range(STREAMS)]
+    await asyncio.sleep(3)
+    leaving.signal(signal.SIGTERM)
+    stopped_at = time.monotonic()
+    await asyncio.sleep(0.5)
     if standins.TROUBLE:
-        max(fleet.replicas, key=lambda item: len(item.runs)).end()
-    broken = []
-    served = 0
-    for reply in await asyncio.gather(*streams):
-        seal = reply.headers.get(standins.SEAL.lower(), "")
-        first = began.get(reply.request_id)
+        # It goes on serving for many seconds.
+        fleet.replicas[0].drain()
+    await asyncio.gather(*streams)
+    cut = []
+    for request_id, (at, reply) in ends.items():
+        after_s = at - stopped_at
         fleet.record.note(
-            f"{reply.request_id}: status {reply.status}, begun by {first},"
-            f" seal {seal!r}, {reply.body.count(b'id:')} events"
+            f"{request_id}: {reply.body.count(b'id:')} of {EVENTS} events,"
+            f" {reply.end}, {after_s:.2f} s after SIGTERM"
         )
-        if reply.status != 200 or not reply.is_whole:
-            continue
-        served += 1
-        if seal != f"seal.{reply.request_id}.{first}":
-            broken.append(reply.request_id)
-    if not served:
-        raise standins.CouldNotRunError("no stream was served")
-    if broken:
-        return f"the seal is not that of the first replica: {broken}"
+        if not reply.is_whole and after_s < COUNTED_S:
+            cut.append(request_id)
+    if cut:
+        return f"{len(cut)} streams were cut though their replica was at work"
     return ""
 
 
