Show the known fault of a stream that is read on after a freeze

Cause: an entry that wakes after a replica was killed asks the replica's address whether it takes connections, and another start there does. A stream without a length or chunks counts as complete then.

Nothing is fixed.

--- a/review/standins.py
+++ b/review/standins.py
@@ -182,11 +182,20 @@
 
     def crash(self):
         """Refuse connections from now on, and reset the open ones."""
+        self._close_listener()
+        for writer in list(self.writers):
+            reset(writer)
+
+    def close_all(self):
+        """Refuse connections, and close the open ones as a kernel does."""
+        self._close_listener()
+        for writer in list(self.writers):
+            writer.close()
+
+    def _close_listener(self):
         if self._server is not None:
             self._server.close()
             self._server = None
-        for writer in list(self.writers):
-            reset(writer)
 
 
 # The store
@@ -357,11 +366,17 @@
         self.note("the store has acknowledged that it is draining")
 
     def end(self):
-        """End like a crashed process."""
+        """End, and reset the connections."""
         self.is_alive = False
         self.note("crashes")
         self.crash()
 
+    def end_killed(self):
+        """End like a killed process, whose connections the kernel closes."""
+        self.is_alive = False
+        self.note("is killed")
+        self.close_all()
+
     async def handle(self, request, reader, writer):
         if request.path == "/health":
             status = 200 if self.state == "in_service" else 503
@@ -751,6 +766,16 @@
             self.programs.append(program)
             self.entries.append(program)
 
+    async def start_again(self, ended):
+        """Start another replica at the address of one that has ended."""
+        replica = Replica(
+            self, ended.ip, ended.port, ended.service, ended.zone
+        )
+        self.replicas.append(replica)
+        await replica.start()
+        replica.note(f"starts at the address of {ended.target_id}")
+        return replica
+
     async def add_replica(self, service, with_agent=False):
         ip = self.take_ip()
         replica = Replica(self, ip, 8745, service, "zona-norte")
