Keep nothing for services that no configuration names

Cause: entries kept versions, and a marker in the log, for every service that the list names. The marker's key is the service's name, whose length takes one byte, so LogTopic.put raised ValueError (UnicodeEncodeError for a lone surrogate), and any error but PortError of that task ended the process. Evidence: the tracebacks of 16 and 17 ends in 40 s on; the third entry has a lower rank for the name, writes no marker and stays.

State is kept for the services of routes whose streams may be taken up.

--- a/packages/gentianpoint-entry/features/forwarding/engine_announcements.feature
+++ b/packages/gentianpoint-entry/features/forwarding/engine_announcements.feature
@@ -32,3 +32,17 @@
     And an agent that knows the first entry and that address
     When an engine at "somewhere" starts
     Then no entry uses the engine
+
+  Scenario Outline: an announcement with an unusable name
+    The name of an engine is sent in a header, and that of a data centre to
+    other entries. Guards against an engine to which each request crashes.
+    Given two entries that know each other, and an address without an entry
+    And an agent that knows the first entry and that address
+    When an engine <words> starts
+    Then no entry uses the engine
+
+    Examples:
+      | words                                 |
+      | whose identifier has a line end       |
+      | whose identifier has 256 bytes        |
+      | in a data centre of 256 bytes         |
--- a/packages/gentianpoint-entry/features/forwarding/steps/engine_announcements_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/engine_announcements_steps.py
@@ -23,9 +23,10 @@
 class FakeEngine(ports.EngineStatusSource):
     """An engine that passes its health check from a given check on."""
 
-    def __init__(self, healthy_at: int) -> None:
+    def __init__(self, healthy_at: int, identity: str = "engine-1") -> None:
         self.checks = 0
         self._healthy_at = healthy_at
+        self._identity = identity
 
     async def read_status(self) -> ports.EngineStatus:
         """Not used by these features."""
@@ -38,7 +39,7 @@
             raise ports.PortError(
                 "read engine status", "engine", "503", took_effect=False
             )
-        return "engine-1"
+        return self._identity
 
 
 class Entry:
@@ -87,12 +88,21 @@
     context.seeds = [context.first_address, context.unused_address]
 
 
-def start_engine(context, service, healthy_at=1, address=ENGINE_ADDRESS):
-    location = engine_announcement.EngineLocation(service, address, "north")
+def start_engine(
+    context,
+    service,
+    healthy_at=1,
+    address=ENGINE_ADDRESS,
+    identity="engine-1",
+    data_centre="north",
+):
+    location = engine_announcement.EngineLocation(
+        service, address, data_centre
+    )
 
     async def run():
         announcer = engine_announcement.EngineAnnouncer(
-            location, FakeEngine(healthy_at), context.seeds
+            location, FakeEngine(healthy_at, identity), context.seeds
         )
         async with trio.open_nursery() as nursery:
             for entry in context.entries:
@@ -130,6 +140,21 @@
     start_engine(context, forwarding_builders.SERVICE, address=address)
 
 
+@behave.when("an engine whose identifier has a line end starts")
+def start_with_line_end(context):
+    start_engine(context, forwarding_builders.SERVICE, identity="a\r\nb: c")
+
+
+@behave.when("an engine whose identifier has 256 bytes starts")
+def start_with_long_name(context):
+    start_engine(context, forwarding_builders.SERVICE, identity="x" * 256)
+
+
+@behave.when("an engine in a data centre of 256 bytes starts")
+def start_far_away(context):
+    start_engine(context, forwarding_builders.SERVICE, data_centre="x" * 256)
+
+
 @behave.then("both entries use the engine")
 def check_used(context):
     for entry in context.entries:
--- a/packages/gentianpoint-entry/features/forwarding/steps/stream_versions_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/stream_versions_steps.py
@@ -48,6 +48,13 @@
     context.changes.append((after, start))
 
 
+@behave.when("after {after:g} s the list names a target of another service")
+def list_foreign(context, after):
+    context.changes.append(
+        (after, lambda fleet, names: fleet.list_foreign_target("foreign"))
+    )
+
+
 @behave.when("after {after:g} s half of the answers are cut")
 def cut_answers(context, after):
     context.changes.append(
--- a/packages/gentianpoint-entry/features/forwarding/version_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/version_builders.py
@@ -147,6 +147,7 @@
             self.history,
             self.mail,
             option_types.split_address,
+            _list_windows_s,
         )
         self.origins.get_list_confirmed_at = self._confirm_list
         calls = _VersionCalls(park)
@@ -342,6 +343,14 @@
             return
         entry.registry.put_entry(start.entry, trio.current_time())
 
+    def list_foreign_target(self, service: str) -> None:
+        """Let the list name a target without a version, of any service."""
+        target = forwarding_builders.make_entry(
+            "foreign", service=service, software=""
+        )
+        for entry in self.entries:
+            entry.registry.put_entry(target, trio.current_time())
+
     def end_target(self, name: str) -> None:
         """End a target: its streams break off, and the list drops it."""
         self._park.pop(name).has_ended = True
@@ -438,13 +447,23 @@
     return f"{content}-{number}"
 
 
+def _make_route() -> routes.Route:
+    return forwarding_builders.make_route(
+        routes.RouteKind.STREAM, may_resume=True, max_attempts=2
+    )
+
+
+def _list_windows_s() -> abc.Mapping[str, float]:
+    """Return the configured service, and how long its streams may resume."""
+    window_s = _make_route().find_resume_window_s()
+    return {forwarding_builders.SERVICE: window_s}
+
+
 def _make_request(
     content: str, number: int, known: int, began_by: str
 ) -> requests.CallerRequest:
     """Return a caller's try, which has ``known`` events already."""
-    route = forwarding_builders.make_route(
-        routes.RouteKind.STREAM, may_resume=True, max_attempts=2
-    )
+    route = _make_route()
     engine = forwarding_builders.ENGINE._replace(
         can_move=False, can_back_up=False
     )
--- a/packages/gentianpoint-entry/features/forwarding/version_markers.feature
+++ b/packages/gentianpoint-entry/features/forwarding/version_markers.feature
@@ -48,3 +48,12 @@
     And after 5.2 s all entries start again
     Then no stream has events of two versions
     And the log names 1 services as mixed
+
+  Scenario: the list names a service that no configuration names
+    Guards against entries that write what they keep of each service under any
+    name that another program has put into the list.
+    Given 3 entries before 3 targets of v1
+    And entries keep in the log which services are mixed
+    When 5 streams a second begin for 4 seconds
+    And after 1 s the list names a target of another service
+    Then the log names 0 services as mixed
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/engine_announcements.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/engine_announcements.py
@@ -4,6 +4,7 @@
 import typing
 
 from gentianpoint_core import logs
+from gentianpoint_core import names
 from gentianpoint_core import option_types
 from gentianpoint_core.generated import events
 from gentianpoint_entry.forwarding import routes
@@ -30,7 +31,8 @@
 
         An engine of a service that is not configured, or is configured
         without engines, is not added before it is listed. One with an invalid
-        address is ignored, since connecting to it would end this process.
+        name or address is ignored, since sending to it would raise an error
+        that nobody handles.
         """
         table = self._read_table()
         if table is None:
@@ -39,6 +41,8 @@
         if service is None or service.engine is None:
             return
         try:
+            names.check_header_name(message["target"], "target")
+            names.check_name(message["data_centre"], "data_centre")
             option_types.split_address(message["address"])
         except ValueError as error:
             logs.log_event(
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/routes.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/routes.py
@@ -6,6 +6,7 @@
 
 from collections import abc
 import enum
+import itertools
 import random
 import typing
 
@@ -25,6 +26,12 @@
 )
 
 
+_RESUME_LIFETIMES: typing.Final = 2.0
+"""Multiple of a route's timeout within which a caller takes a stream up."""
+_DEFAULT_WINDOW_S: typing.Final = 300.0
+"""Seconds within which it does so where the route has no timeout."""
+
+
 class RouteKind(enum.Enum):
     """How often a request of a route may be run."""
 
@@ -81,6 +88,16 @@
             return self.may_resume
         return self.kind is RouteKind.IDEMPOTENT
 
+    def find_resume_window_s(self) -> float:
+        """Return for how long after its begin a stream may be taken up.
+
+        In seconds. A caller comes back within its deadline, and there may be
+        several attempts.
+        """
+        if not self.timeout_ms:
+            return _DEFAULT_WINDOW_S
+        return self.timeout_ms * _RESUME_LIFETIMES / 1000
+
 
 class Customer(typing.NamedTuple):
     """A customer, as found by one of its keys."""
@@ -181,6 +198,9 @@
             for name, found in ranks.items()
             if name in self.services and self.services[name].engine
         }
+        self.resume_windows_s: typing.Final = _find_resume_windows_s(
+            itertools.chain.from_iterable(self._by_host.values())
+        )
         for found in self._by_host.values():
             found.sort(key=lambda item: -len(item.path_prefix))
 
@@ -213,6 +233,22 @@
         return self._customers.get(key)
 
 
+def _find_resume_windows_s(
+    routes: abc.Iterable[Route],
+) -> abc.Mapping[str, float]:
+    """Return the services whose streams may be taken up, and for how long."""
+    windows_s: dict[str, float] = {}
+    for route in routes:
+        if not route.may_resume:
+            continue
+        window_s = route.find_resume_window_s()
+        for share in route.shares:
+            windows_s[share.service] = max(
+                window_s, windows_s.get(share.service, 0.0)
+            )
+    return windows_s
+
+
 def get_priority(route: Route, customer: typing.Optional[Customer]) -> int:
     """Return the priority of a request; the customer's goes first."""
     if customer is not None and customer.priority is not None:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_records.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_records.py
@@ -20,7 +20,6 @@
 from gentianpoint_entry.forwarding import origin_table
 from gentianpoint_entry.forwarding import peer_datagrams
 from gentianpoint_entry.forwarding import requests
-from gentianpoint_entry.forwarding import routes
 from gentianpoint_entry.forwarding import software_history
 from gentianpoint_entry.forwarding import targets
 
@@ -40,10 +39,6 @@
 _CURRENT_S: typing.Final = 1.5
 """Age in seconds up to which the list of targets counts as current; it is
 polled more often."""
-_LIFETIMES: typing.Final = 2.0
-"""Multiple of a route's timeout within which a caller takes a stream up."""
-_DEFAULT_WINDOW_S: typing.Final = 300.0
-"""Seconds within which it does so where the route has no timeout."""
 _KEPT_SLACK_S: typing.Final = 5.0
 """Seconds for which a record outlasts its caller's deadline."""
 _MAX_KEPT_S: typing.Final = 600.0
@@ -112,10 +107,14 @@
         history: software_history.SoftwareHistory,
         datagrams: peer_datagrams.PeerDatagrams,
         find_address: abc.Callable[[str], tuple[str, int]],
+        list_windows_s: abc.Callable[[], abc.Mapping[str, float]],
     ) -> None:
         """Be the entry ``address`` among ``list_members()``.
 
         ``find_address`` returns the address for datagrams of a member.
+        ``list_windows_s`` returns the configured services whose streams may
+        be taken up, and for how many seconds. The list of targets may name
+        any others, for which nothing is kept.
         """
         self._address: typing.Final = address
         self._list_members: typing.Final = list_members
@@ -123,6 +122,7 @@
         self._history: typing.Final = history
         self._datagrams: typing.Final = datagrams
         self._find_address: typing.Final = find_address
+        self._list_windows_s: typing.Final = list_windows_s
         # Returns when the list of targets was last known to be complete.
         self.get_list_confirmed_at: abc.Callable[[], float] = lambda: (
             deadlines.NEVER
@@ -130,7 +130,6 @@
         self._table: typing.Final = origin_table.OriginTable()
         # Streams that this entry began and that may be taken up elsewhere.
         self._begun: typing.Final = origin_table.OriginTable()
-        self._windows: typing.Final[dict[str, float]] = {}
         self._was_sole: typing.Final[dict[str, bool]] = {}
         self._questions: typing.Final[dict[int, _Question]] = {}
         self._numbers: typing.Final = itertools.count(1)
@@ -180,27 +179,23 @@
             self._update_ring()
             self._table.prune(now)
             self._begun.prune(now)
-            for service in self._registry.list_services():
-                self._note_listed(service, now)
-            for service, window_s in list(self._windows.items()):
-                is_sole = bool(self._history.find_sole(service, window_s, now))
+            windows_s = self._list_windows_s()
+            for service, window_s in windows_s.items():
+                is_sole = bool(self._look(service, window_s, now))
                 if self._was_sole.get(service, True) and not is_sole:
                     await self._tell(self._begun.list_by_service(service))
                 self._was_sole[service] = is_sole
+            for service in self._was_sole.keys() - windows_s.keys():
+                del self._was_sole[service]
             self._history.prune(now)
             await trio.sleep(_CHECK_S)
 
     def list_mixed(self) -> abc.Mapping[str, bool]:
-        """Return the services, and which of them had several versions.
-
-        Another entry may serve streams of a service that this one does not.
-        """
+        """Return the services, and which of them had several versions."""
         now = trio.current_time()
         return {
-            service: not self._look(
-                service, self._windows.get(service, _DEFAULT_WINDOW_S), now
-            )
-            for service in self._registry.list_services()
+            service: not self._look(service, window_s, now)
+            for service, window_s in self._list_windows_s().items()
             if self._registry.list_by_service(service)
         }
 
@@ -305,11 +300,11 @@
         The versions are those of the last check, a moment ago.
         """
         service = request.service.name
-        window_s = _find_window_s(request.route)
-        self._windows[service] = max(window_s, self._windows.get(service, 0.0))
         if len(request.route.shares) > 1:
             return ""
-        return self._history.find_sole(service, window_s, now)
+        return self._history.find_sole(
+            service, request.route.find_resume_window_s(), now
+        )
 
     def _look(self, service: str, window_s: float, now: float) -> str:
         """Note which versions serve now, and return the one that does."""
@@ -340,7 +335,7 @@
             "key": key,
             "member": self._address,
             "service": request.service.name,
-            "window_ms": round(_find_window_s(request.route) * 1000),
+            "window_ms": round(request.route.find_resume_window_s() * 1000),
         }
         try:
             for _ in range(_ASK_ROUNDS):
@@ -401,10 +396,3 @@
     return origin_table.make_key(
         "" if customer is None else customer.name, request_id
     )
-
-
-def _find_window_s(route: routes.Route) -> float:
-    """Return for how long before now a stream may have begun."""
-    if not route.timeout_ms:
-        return _DEFAULT_WINDOW_S
-    return route.timeout_ms * _LIFETIMES / 1000
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
@@ -365,7 +365,10 @@
         target = self._targets.pop(target_id, None)
         if target is not None:
             target.is_gone = True
-            self._by_service[target.entry.service].remove(target)
+            of_service = self._by_service[target.entry.service]
+            of_service.remove(target)
+            if not of_service:
+                del self._by_service[target.entry.service]
             starts = self._list_at_address(target)
             starts.remove(target)
             if not starts:
@@ -397,7 +400,7 @@
         return self._by_service.get(service, ())
 
     def list_services(self) -> abc.Sequence[str]:
-        """Return the services that have had targets."""
+        """Return the services that have targets."""
         return list(self._by_service)
 
     def list_all(self) -> abc.Sequence[Target]:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/version_markers.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/version_markers.py
@@ -8,6 +8,7 @@
 """
 
 from collections import abc
+import functools
 import typing
 
 import trio
@@ -64,7 +65,7 @@
             await trio.sleep(_CHECK_S)
         while True:
             await trio.sleep(_CHECK_S)
-            await self._try(self._write_changes)
+            await self._write_changes()
 
     async def _try(self, call: abc.Callable[[], abc.Awaitable[None]]) -> bool:
         """Make a call; False if it failed."""
@@ -91,16 +92,19 @@
             self._era = self._eras.newest
             self._marked.clear()
         for service, is_mixed in self._records.list_mixed().items():
-            if is_mixed == (service in self._marked):
-                continue
-            members = self._list_members()
-            if ranking.is_among_first(
-                self._address, service, members, _WRITERS
-            ):
-                value = _MARK if is_mixed else None
-                await self._topic.put(service, value, _CALL_TIMEOUT_MS)
-            # Others write it otherwise.
-            if is_mixed:
-                self._marked.add(service)
-            else:
-                self._marked.discard(service)
+            if is_mixed != (service in self._marked):
+                # One that can't be written must not hold up the others.
+                await self._try(
+                    functools.partial(self._write_change, service, is_mixed)
+                )
+
+    async def _write_change(self, service: str, is_mixed: bool) -> None:
+        members = self._list_members()
+        if ranking.is_among_first(self._address, service, members, _WRITERS):
+            value = _MARK if is_mixed else None
+            await self._topic.put(service, value, _CALL_TIMEOUT_MS)
+        # Others write it otherwise.
+        if is_mixed:
+            self._marked.add(service)
+        else:
+            self._marked.discard(service)
