Take no stream for complete that was told to stop

Cause: the entry gave the copy up after 0.9 s, read on, found the connection closed, and judge_end took the target, which listens, for one that ended the stream by itself. That a stop had been asked for was no input of the decision. Evidence: move_failed "no answer in time" followed by request_ended of a whole, undelimited answer; events 132 of 400 on.

A late copy is waited for while the source's stream is read, for half of the gap that callers bear; without an answer, and once the stream has ended, the generation is asked for by the copy made ahead. What nobody takes up is cut, within that gap.

--- a/packages/gentianpoint-core/src/gentianpoint_core/answer_bodies.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/answer_bodies.py
@@ -45,15 +45,19 @@
     find_content_end: abc.Callable[
         [], answer_ends.ContentEnd
     ] = answer_ends.find_no_content_end,
+    was_told_to_stop: abc.Callable[[], bool] = lambda: False,
 ) -> abc.AsyncIterator[bytes]:
     """Yield a body; raises :class:`ports.PortError` unless it is complete.
 
-    ``chunks`` raises if a length or chunks were not met. ``find_content_end``
-    is called once the body has ended, to tell what its content says.
+    ``chunks`` raises if a length or chunks were not met. Once the body has
+    ended, ``find_content_end`` tells what its content says, and
+    ``was_told_to_stop`` whether its sender may have been told to stop.
     """
     async for chunk in chunks:
         yield chunk
-    end = answer_ends.AnswerEnd(is_delimited, find_content_end())
+    end = answer_ends.AnswerEnd(
+        is_delimited, find_content_end(), was_told_to_stop()
+    )
     verdict = answer_ends.judge_end(end)
     if verdict is answer_ends.Verdict.ASK_SENDER:
         end = end._replace(sender=await _find_sender(ask_sender))
@@ -63,7 +67,8 @@
             "end body",
             peer,
             f"content end {end.content.name.lower()}, sender"
-            f" {end.sender.name.lower()}",
+            f" {end.sender.name.lower()}"
+            f"{', told to stop' if end.was_told_to_stop else ''}",
             took_effect=True,
             disconnected=not is_delimited,
         )
--- a/packages/gentianpoint-core/src/gentianpoint_core/decisions/answer_ends.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/decisions/answer_ends.py
@@ -4,7 +4,8 @@
 answer itself. Without either, an answer ends with its connection, which also
 ends when the sender breaks the answer off. Then the content may tell: a stream
 of events does not end inside an event. Where the content does not tell, an
-answer counts as complete only if its sender still listens.
+answer counts as complete only if its sender still listens, and was not told to
+stop: what was stopped ends like what is complete.
 """
 
 import enum
@@ -48,6 +49,8 @@
     """True when its length was met, or its last chunk arrived."""
     content: ContentEnd
     """What its content says."""
+    was_told_to_stop: bool = False
+    """True if its sender was told to stop, or may have been."""
     sender: Sender = Sender.NOT_ASKED
     """What is known of its sender since."""
 
@@ -70,10 +73,17 @@
     'BROKEN_OFF'
     >>> judge_end(AnswerEnd(False, ContentEnd.UNSAID)).name
     'ASK_SENDER'
+    >>> stopped = AnswerEnd(False, ContentEnd.UNSAID, was_told_to_stop=True)
+    >>> judge_end(stopped).name
+    'BROKEN_OFF'
     """
     if end.content is ContentEnd.MISSED:
         return Verdict.BROKEN_OFF
-    if end.is_delimited or end.sender is Sender.GOES_ON:
+    if end.is_delimited:
+        return Verdict.COMPLETE
+    if end.was_told_to_stop:
+        return Verdict.BROKEN_OFF
+    if end.sender is Sender.GOES_ON:
         return Verdict.COMPLETE
     if end.sender is Sender.NOT_ASKED:
         return Verdict.ASK_SENDER
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
@@ -215,11 +215,13 @@
         find_content_end: abc.Callable[
             [], answer_ends.ContentEnd
         ] = answer_ends.find_no_content_end,
+        was_told_to_stop: abc.Callable[[], bool] = lambda: False,
     ) -> abc.AsyncIterator[bytes]:
         """Yield the body of a target's answer, however it is framed.
 
         Raises ``ports.PortError`` unless it is complete.
-        ``find_content_end`` tells what the content says of its end.
+        ``find_content_end`` tells what the content says of its end, and
+        ``was_told_to_stop`` whether the target may have been told to stop.
         """
         return answer_bodies.receive_complete(
             answer.receive_body(),
@@ -227,6 +229,7 @@
             ask_sender=functools.partial(self.calls.check_listening, target),
             peer=target.entry.address,
             find_content_end=find_content_end,
+            was_told_to_stop=was_told_to_stop,
         )
 
     def _note_limit(
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/generation_moves.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/generation_moves.py
@@ -30,9 +30,9 @@
 _DEFAULT_PRECOPY_MS: typing.Final = 1600.0
 """Time for the pre-copy, in milliseconds, if it is not known when the target
 leaves. It is less than the usual notice of two seconds."""
-_FINAL_COPY_MS: typing.Final = 900.0
-"""Time for the copy after the stop, in milliseconds. It waits behind the
-copies of other generations."""
+_FINAL_COPY_S: typing.Final = 0.9
+"""Seconds for which the copy after the stop keeps the move's turn. It may take
+longer where it waits behind the copies of other generations."""
 _SWITCHOVER_MS: typing.Final = 90.0
 """Time from the end of the pre-copy until the generation runs elsewhere, in
 milliseconds: the wait for its next event, a call, and the copy of the
@@ -65,6 +65,9 @@
     """The copy, from which the source can continue as well."""
     is_at_destination: bool
     """False when only the source has all of the memory."""
+    is_certain: bool = True
+    """False when the source has not said that it stopped the generation. The
+    copy is then the one that was made before."""
 
 
 class GenerationMove:
@@ -94,6 +97,8 @@
         self._turns: typing.Optional[agent_turns.AgentTurns] = None
         self._stage = _Stage.COPYING
         self._handle = ""
+        # False once the source has said that it has not stopped it.
+        self.may_have_stopped = True
 
     def is_ready(self) -> bool:
         """Tell whether the generation can be stopped for the last copy."""
@@ -204,16 +209,15 @@
             self._turns.give_back(self._request_id)
             self._turns = None
 
-    async def stop_and_copy(self) -> typing.Optional[StoppedGeneration]:
-        """Stop the generation and copy what was added since.
+    async def stop_and_copy(
+        self, limit: deadlines.Deadline
+    ) -> typing.Optional[StoppedGeneration]:
+        """Stop the generation and copy what was added since, until ``limit``.
 
-        Returns None if the generation was not stopped, as far as is known; if
-        it was, its stream breaks off.
+        Returns None if the generation was not stopped, or if that is not
+        known and there is no copy of before.
         """
         assert self.destination is not None
-        limit = deadlines.make_deadline(_FINAL_COPY_MS)
-        if self._source.leaves_at is not None:
-            limit = limit.earlier(self._source.leaves_at)
         try:
             copy = await self._calls.copy_memory(
                 self._source,
@@ -224,12 +228,34 @@
             )
         except ports.PortError as error:
             self._fail(error.step, error.reason)
+            if not error.took_effect:
+                self.may_have_stopped = False
+            elif self._handle:
+                return self._make_stopped(
+                    self.take_unused_handle(), is_certain=False
+                )
             return None
         if not copy.is_complete:
             self._log_failure("copy the rest", "the destination has no room")
         self._handle = ""
-        place = requests.MemoryCopy(self._source.entry.address, copy.handle)
-        return StoppedGeneration(place, is_at_destination=copy.is_complete)
+        return self._make_stopped(
+            copy.handle, is_at_destination=copy.is_complete
+        )
+
+    async def release_turn_late(self) -> None:
+        """Give the turn back if the copy after the stop takes too long."""
+        await trio.sleep(_FINAL_COPY_S)
+        self.release_turn()
+
+    def _make_stopped(
+        self,
+        handle: str,
+        *,
+        is_at_destination: bool = True,
+        is_certain: bool = True,
+    ) -> StoppedGeneration:
+        place = requests.MemoryCopy(self._source.entry.address, handle)
+        return StoppedGeneration(place, is_at_destination, is_certain)
 
     def take_unused_handle(self) -> str:
         """Return and forget the handle of a copy that is not used."""
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/routes.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/routes.py
@@ -32,6 +32,14 @@
 """Seconds within which it does so where the route has no timeout."""
 
 
+_LEAST_GAP_S: typing.Final = 2.0
+"""Seconds for which callers of streams wait for an event at least."""
+_GAP_OBJECTIVES: typing.Final = 4.0
+"""Multiple of a route's objective for which they wait."""
+_GAP_PAUSES: typing.Final = 8.0
+"""Multiple of its longest pause on time for which they wait."""
+
+
 class RouteKind(enum.Enum):
     """How often a request of a route may be run."""
 
@@ -88,6 +96,17 @@
             return self.may_resume
         return self.kind is RouteKind.IDEMPOTENT
 
+    def find_longest_gap_s(self) -> float:
+        """Return for how long callers wait for an event, in seconds.
+
+        Those of streams leave after a longer gap.
+        """
+        return max(
+            _LEAST_GAP_S,
+            _GAP_OBJECTIVES * self.objective_ms / 1000,
+            _GAP_PAUSES * self.gap_objective_ms / 1000,
+        )
+
     def find_resume_window_s(self) -> float:
         """Return for how long after its begin a stream may be taken up.
 
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
@@ -9,11 +9,13 @@
 """
 
 from collections import abc
+import functools
 import math
 import typing
 
 import trio
 
+from gentianpoint_core import deadlines
 from gentianpoint_core import logs
 from gentianpoint_core import ports
 from gentianpoint_core.decisions import stream_origins
@@ -27,6 +29,7 @@
 from gentianpoint_entry.forwarding import requests
 from gentianpoint_entry.forwarding import routes
 from gentianpoint_entry.forwarding import stream_events
+from gentianpoint_entry.forwarding import stream_handovers
 from gentianpoint_entry.forwarding import stream_pacing
 from gentianpoint_entry.forwarding import stream_runs
 from gentianpoint_entry.forwarding import stream_timing
@@ -69,6 +72,9 @@
 _MAX_FAILURE_BYTES: typing.Final = 262144
 """Longest error answer of a target, in bytes, that is forwarded."""
 
+_COPY_SHARE: typing.Final = 0.5
+"""Part of the time for which callers wait for an event that the copy after a
+stop may take. The rest is for going on from it."""
 _STREAM_ERRORS: typing.Final = (
     ports.PortError,
     stream_events.EventOrderError,
@@ -103,6 +109,7 @@
         self.attempts = attempts.Attempts(shared, request)
         self._move: typing.Optional[generation_moves.GenerationMove] = None
         self._move_retry_at = 0.0
+        self._handover: typing.Optional[stream_handovers.StreamHandover] = None
         self._run: typing.Optional[stream_runs.StreamRun] = None
         self._had_no_room_after_stop = False
         self._handover_lead_ms: typing.Final = (
@@ -128,6 +135,7 @@
             if run is None:
                 plan = await self._plan_retry()
                 continue
+            self._run = run
             if run.answer.status >= 300:
                 return await self._forward_failure(run)
             broken = await self._forward_runs(run)
@@ -272,7 +280,6 @@
             await run.close()
             return None
         self.attempts.note_run(is_same_run=is_same_run)
-        self._run = run
         return run
 
     async def _forward_runs(
@@ -285,7 +292,7 @@
         """
         current: typing.Optional[stream_runs.StreamRun] = run
         while current is not None:
-            run = current
+            run = self._run = current
             try:
                 current = await self._forward_run(run)
             except ports.PortError as error:
@@ -296,6 +303,7 @@
                 return run
             finally:
                 self._end_move()
+                await self._end_handover()
                 await run.close()
         await self._finish_answer(run)
         return None
@@ -305,16 +313,25 @@
     ) -> typing.Optional[stream_runs.StreamRun]:
         """Forward a run's events; return the next run, or None at the end."""
         failure: typing.Optional[Exception] = None
+        is_whole = False
         next_run = None
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._give_up_when_silent, run)
             try:
-                next_run = await self._forward_events(run, nursery)
+                is_whole = await self._forward_events(run, nursery)
             except _STREAM_ERRORS as error:
                 # Raised below: a nursery would wrap it in an exception group.
                 failure = error
+            has_caller = not isinstance(
+                failure, caller_answers.CallerGoneError
+            )
+            if self._handover is not None and has_caller and not is_whole:
+                with trio.move_on_after(
+                    self._request.route.find_longest_gap_s()
+                ):
+                    next_run = await self._handover.take_next_run()
             nursery.cancel_scope.cancel()
-        if failure is not None:
+        if failure is not None and next_run is None:
             raise failure
         if next_run is None:
             self._shared.note_success(run.target)
@@ -381,15 +398,22 @@
 
     async def _forward_events(
         self, run: stream_runs.StreamRun, nursery: trio.Nursery
-    ) -> typing.Optional[stream_runs.StreamRun]:
-        """Forward events until the end, or until another run takes over."""
-        while (event := await run.receive_event()) is not None:
+    ) -> bool:
+        """Forward events until the end, or until another run takes over.
+
+        Returns whether the stream is whole.
+        """
+        while not self._has_next_run():
+            event = await run.receive_event()
+            if event is None:
+                return True
             await self._forward_together(run, (event, *run.take_read_events()))
-            next_run = await self._hand_over(run, nursery)
-            if next_run is not None:
-                return next_run
+            await self._hand_over(run, nursery)
             await self._pause_reading(run)
-        return None
+        return False
+
+    def _has_next_run(self) -> bool:
+        return self._handover is not None and self._handover.has_next_run()
 
     async def _forward_together(
         self,
@@ -487,26 +511,41 @@
 
     async def _hand_over(
         self, run: stream_runs.StreamRun, nursery: trio.Nursery
-    ) -> typing.Optional[stream_runs.StreamRun]:
-        """Return a run elsewhere if the target leaves, else None."""
+    ) -> None:
+        """Begin to go on elsewhere if the target leaves."""
+        if self._handover is not None:
+            if not self._handover.is_settled():
+                return
+            if self._handover.has_next_run():
+                return
+            self._handover = None
         target = run.target
         if target.accepts_work() or self._request.route.may_repeat():
             # A repeatable stream needs no handover: it is run again once it
             # breaks off.
-            return None
+            return
         if await self.attempts.is_suspect():
             # Another target could end under it.
-            return None
+            return
         left_ms = _find_time_left_ms(target)
         is_due = left_ms is None or left_ms <= self._handover_lead_ms
+        engine = self._request.service.engine
         if self._has_backup(run):
             # The backup already has a copy. A move would occupy links that
             # generations without a copy need.
-            return await self._continue_at_backup(run) if is_due else None
-        engine = self._request.service.engine
-        if engine is not None and engine.can_move:
-            return await self._advance_move(run, nursery, engine)
-        return None
+            if is_due:
+                self._continue_at_backup(run, nursery)
+        elif engine is not None and engine.can_move:
+            self._advance_move(run, nursery, engine)
+
+    def _start_handover(
+        self,
+        run: stream_runs.StreamRun,
+        nursery: trio.Nursery,
+        open_next: stream_handovers.OpenNextRun,
+    ) -> None:
+        self._handover = stream_handovers.StreamHandover(run, open_next)
+        nursery.start_soon(self._handover.run)
 
     def _has_backup(self, run: stream_runs.StreamRun) -> bool:
         """Tell whether the backup can be expected to hold a copy."""
@@ -514,10 +553,10 @@
             return False
         return trio.current_time() - run.began_at >= _BACKUP_READY_AGE_S
 
-    async def _continue_at_backup(
-        self, run: stream_runs.StreamRun
-    ) -> typing.Optional[stream_runs.StreamRun]:
-        """Continue the generation at the backup; return None if it refuses.
+    def _continue_at_backup(
+        self, run: stream_runs.StreamRun, nursery: trio.Nursery
+    ) -> None:
+        """Begin to continue the generation at the backup, unless it is full.
 
         The old target's stream is closed once the backup has accepted the
         generation or has had time to refuse it, so a refusal loses nothing.
@@ -525,8 +564,15 @@
         backup = run.backup
         assert backup is not None
         if not self._shared.reserve(backup, self._request):
-            return None
+            return
         run.backup = None
+        self._start_handover(
+            run, nursery, functools.partial(self._open_at_backup, run, backup)
+        )
+
+    async def _open_at_backup(
+        self, run: stream_runs.StreamRun, backup: targets.Target
+    ) -> typing.Optional[stream_runs.StreamRun]:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_close_after, run, _MAX_OVERLAP_S)
             next_run = await self._open(self._plan_from_backup(backup))
@@ -535,48 +581,84 @@
             self._log_move(run.target, backup, "backup")
         return next_run
 
-    async def _advance_move(
+    def _advance_move(
         self,
         run: stream_runs.StreamRun,
         nursery: trio.Nursery,
         engine: routes.EngineSpec,
-    ) -> typing.Optional[stream_runs.StreamRun]:
+    ) -> None:
         """Copy the memory while the generation runs, then switch targets."""
         if self._had_no_room_after_stop:
             # Each stop pauses the stream, and the destination of the last one
             # had no room.
-            return None
+            return
         now = trio.current_time()
         if self._move is not None and self._move.has_failed():
             if now < self._move_retry_at:
-                return None
+                return
             self._move = None
         if self._move is None:
             self._move_retry_at = now + _MOVE_RETRY_INTERVAL_S
             self._move = self._start_move(run.target, nursery, engine)
-            return None
+            return
         if not self._move.is_ready():
-            return None
+            return
         if not self._move.destination_accepts_work():
             self._move.abandon()
             self._release_unused_copy(run)
-            return None
+            return
         destination = self._move.destination
         assert destination is not None
         if not self._shared.reserve(destination, self._request):
             # The generation runs on until it may go on there.
-            return None
-        stopped = await self._move.stop_and_copy()
-        # Lets the next move use the links while this generation is taken over.
-        self._move.release_turn()
-        if stopped is None or not stopped.is_at_destination:
-            self._shared.give_back(destination, self._request)
-        if stopped is None:
-            # The generation continues at its source, or its stream breaks off.
-            return None
-        self._had_no_room_after_stop = not stopped.is_at_destination
+            return
+        nursery.start_soon(self._move.release_turn_late)
+        self._start_handover(
+            run,
+            nursery,
+            functools.partial(
+                self._stop_and_continue, run, self._move, destination
+            ),
+        )
+
+    async def _stop_and_continue(
+        self,
+        run: stream_runs.StreamRun,
+        move: generation_moves.GenerationMove,
+        destination: targets.Target,
+    ) -> typing.Optional[stream_runs.StreamRun]:
+        """Stop a generation, copy the rest of it, and continue from the copy.
+
+        The place at the destination that is reserved for it is given back if
+        it is not used.
+        """
+        longest_s = self._request.route.find_longest_gap_s()
+        limit = deadlines.make_deadline(longest_s * _COPY_SHARE * 1000)
+        run.was_told_to_stop = True
+        is_at_destination = False
+        try:
+            stopped = await move.stop_and_copy(
+                limit.earlier(self._request.deadline)
+            )
+            run.was_told_to_stop = move.may_have_stopped
+            # Lets the next move use the links while this generation is taken
+            # over.
+            move.release_turn()
+            if stopped is None:
+                return None
+            if not stopped.is_certain and not run.has_ended:
+                # It still runs at its source, as far as is known.
+                self._shared.schedule_copy_release(
+                    run.target, stopped.copy.name
+                )
+                return None
+            is_at_destination = stopped.is_at_destination
+        finally:
+            if not is_at_destination:
+                self._shared.give_back(destination, self._request)
+        self._had_no_room_after_stop = not is_at_destination
         candidates = [run.target]
-        if stopped.is_at_destination:
+        if is_at_destination:
             candidates.insert(0, destination)
         for target in candidates:
             plan = self._plan_from_copy(target, stopped.copy)
@@ -607,6 +689,11 @@
         nursery.start_soon(move.precopy)
         return move
 
+    async def _end_handover(self) -> None:
+        if self._handover is not None:
+            await self._handover.close()
+            self._handover = None
+
     def _end_move(self) -> None:
         if self._move is not None:
             self._move.release_turn()
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_runs.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_runs.py
@@ -48,6 +48,11 @@
         self.backup = plan.backup
         self.began_at = trio.current_time()
         self.has_events = False
+        # True once the target was told to stop the generation, or may have
+        # been: its stream then ends although it is not complete.
+        self.was_told_to_stop = False
+        # True once its stream has ended or broken off by itself.
+        self.has_ended = False
         self._first_event_at = math.inf
         self._reader: typing.Final = stream_events.EventReader()
         self._last_data_at = self.began_at
@@ -112,7 +117,11 @@
         """
         with trio.CancelScope() as scope:
             self._receiving = scope
-            event = await anext(self._events, None)
+            try:
+                event = await anext(self._events, None)
+            except ports.PortError:
+                self.has_ended = True
+                raise
         if scope.cancelled_caught:
             raise self.make_silence_error()
         return event
@@ -140,7 +149,10 @@
 
     async def _receive_chunks(self) -> abc.AsyncIterator[bytes]:
         chunks = self._shared.receive_body(
-            self.target, self.answer, self._reader.find_content_end
+            self.target,
+            self.answer,
+            self._reader.find_content_end,
+            lambda: self.was_told_to_stop,
         )
         async for chunk in chunks:
             self._last_data_at = trio.current_time()
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_calls.py
@@ -111,8 +111,8 @@
         Called again, it copies only what was added since. With ``stops_first``
         the generation is stopped before the copy, and its stream ends
         incomplete; otherwise the generation continues. Raises
-        ``ports.PortError``, after which a generation may have been stopped
-        with ``stops_first``.
+        ``ports.PortError``, with ``took_effect`` False only if the generation
+        was certainly not stopped.
         """
 
     @abc.abstractmethod
