Close a generation's run only once its backup has taken it over

Cause: the entry closed the run 0.25 s after it had asked the backup, whatever that answered. A refusal after 0.4 s left it reading the connection that it had closed, and trio.ClosedResourceError ended the request. Evidence: request_crashed with that error 0.25 s after request_sent to the backup, on.

The run is read on until the backup answers with a success, which says that the generation runs there, and is then closed at once, also while a slow caller is written to. A connection that another task closes raises PortError.

"two engines work on one generation for a limited time" asked that the run be closed 0.25 s after a backup was asked that never answers, which is the fault.

--- a/packages/gentianpoint-core/features/answer_bodies.feature
+++ b/packages/gentianpoint-core/features/answer_bodies.feature
@@ -41,3 +41,10 @@
     Given a sender that answers "unframed answer 1 and close" and then ends
     When the adapter of the log appends a record
     Then the body is broken off
+
+  Scenario: another task ends the exchange while its body is read
+    Guards against an error that the reader does not expect, as its run is
+    closed for one at another target.
+    Given a sender that answers "half of answer 1 and wait" and then listens
+    When the connection pool reads the body, and another task ends the exchange
+    Then the body is broken off
--- a/packages/gentianpoint-core/features/steps/answer_bodies_steps.py
+++ b/packages/gentianpoint-core/features/steps/answer_bodies_steps.py
@@ -4,6 +4,7 @@
 import httpx
 import scripted_target
 import trio
+import trio.testing
 
 from gentianpoint_core import connection_pools
 from gentianpoint_core import http_log
@@ -96,6 +97,35 @@
     run_reader(context, read_by_pool)
 
 
+async def read_by_pool_until_closed(address):
+    pool = connection_pools.ConnectionPool(address, CONNECT_MS)
+    request = connection_pools.ExchangeRequest(
+        b"GET", b"/", ((b"Host", b"a"),), b""
+    )
+    failures = []
+
+    async def read(exchange):
+        try:
+            await exchange.receive_whole_body()
+        except ports.PortError as error:
+            failures.append(error)
+
+    async with (
+        trio.open_nursery() as nursery,
+        pool.exchange(request) as exchange,
+    ):
+        nursery.start_soon(read, exchange)
+        await trio.testing.wait_all_tasks_blocked(0.05)
+    raise failures[0]
+
+
+@behave.when(
+    "the connection pool reads the body, and another task ends the exchange"
+)
+def read_until_closed(context):
+    run_reader(context, read_by_pool_until_closed)
+
+
 @behave.when("the adapter of plain services reads the body")
 def read_plain(context):
     run_reader(context, read_by_plain_service)
--- a/packages/gentianpoint-core/src/gentianpoint_core/connection_pools.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/connection_pools.py
@@ -262,6 +262,9 @@
                 raise self._make_error(
                     step, f"connection lost: {error}"
                 ) from error
+            except trio.ClosedResourceError as error:
+                # Another task of this process has ended the exchange.
+                raise self._make_error(step, "closed by this side") from error
             self._is_disconnected = not data
             try:
                 self._state.receive_data(data)
--- /dev/null
+++ b/packages/gentianpoint-entry/features/forwarding/steps/stream_backups_steps.py
@@ -0,0 +1,137 @@
+"""Steps for generations that go on at their backup."""
+
+import re
+
+import backup_builders
+import behave
+import forwarding_builders
+from structlog import testing
+import topic_builders
+import trio
+
+from gentianpoint_core import deadlines
+from gentianpoint_entry.forwarding import request_handling
+from gentianpoint_entry.forwarding import routes
+
+NOTICE_MS = 800
+
+
+class SlowAnswer(forwarding_builders.RecordedAnswer):
+    """Records what a caller receives, which stops reading for a while."""
+
+    pause_s = 0.0
+    pause_after = 0
+
+    async def send(self, data):
+        """Record a part of the body, and wait once."""
+        await super().send(data)
+        number = find_last(data)
+        if self.pause_s and number > self.pause_after:
+            pause_s, self.pause_s = self.pause_s, 0.0
+            await trio.sleep(pause_s)
+
+
+def find_last(data):
+    return int(re.findall(rb"^id: (\d+)$", data, re.MULTILINE)[-1])
+
+
+@behave.given(
+    "a generation that may run once, whose backup {reaction} after {seconds} s"
+)
+def make_generation(context, reaction, seconds):
+    context.reaction = reaction.removeprefix("answers ")
+    context.reacts_after_s = float(seconds)
+    context.last = backup_builders.EVENTS
+    context.answer = SlowAnswer()
+
+
+@behave.given("its target ends after event {last:d}")
+def set_end(context, last):
+    context.last = last
+
+
+@behave.given(
+    "a caller that reads nothing for {seconds:g} s after event {last:d}"
+)
+def set_slow_caller(context, seconds, last):
+    context.answer.pause_s = seconds
+    context.answer.pause_after = last
+
+
+@behave.when("it is served, and its target gets notice after event {number:d}")
+def serve(context, number, seconds=60.0):
+    async def give_notice(shared):
+        wanted = forwarding_builders.make_event(number)
+        while wanted not in context.answer.data:
+            await trio.sleep(0.01)
+        target = shared.registry.find("a")
+        target.entry = target.entry._replace(is_leaving=True)
+        target.leaves_at = deadlines.make_deadline(NOTICE_MS)
+
+    async def run():
+        context.calls = backup_builders.BackupCalls(
+            context.reaction, context.reacts_after_s, context.last
+        )
+        shared = forwarding_builders.make_forwarder(("a", "b"), context.calls)
+        request = forwarding_builders.make_request(
+            forwarding_builders.make_route(routes.RouteKind.STREAM),
+            forwarding_builders.ENGINE._replace(can_move=False),
+        )
+        handler = request_handling.RequestHandler(
+            shared, forwarding_builders.send_refusal
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(shared.release_unused_copies)
+            nursery.start_soon(give_notice, shared)
+            with trio.move_on_after(seconds):
+                await handler.serve(request, context.answer)
+            nursery.cancel_scope.cancel()
+        context.open_requests = [
+            target.open_requests - place * 4
+            for place, target in enumerate(shared.registry.list_all())
+        ]
+
+    with testing.capture_logs() as context.lines:
+        topic_builders.run_on_mock_clock(run)
+
+
+@behave.when(
+    "it is served for {seconds:g} s, and its target gets notice after"
+    " event {number:d}"
+)
+def serve_for(context, seconds, number):
+    serve(context, number, seconds)
+    assert [name for name, _ in context.calls.sends] == ["a", "b"]
+
+
+def list_numbers(context):
+    found = re.findall(rb"^id: (\d+)$", context.answer.data, re.MULTILINE)
+    return [int(number) for number in found]
+
+
+@behave.then("the caller has the whole report, each event once")
+def check_whole(context):
+    expected = list(range(1, backup_builders.EVENTS + 1))
+    assert list_numbers(context) == expected, list_numbers(context)
+    assert context.answer.is_finished
+
+
+@behave.then("the caller has events 1 to {last:d}, and then a cut")
+def check_cut(context, last):
+    assert list_numbers(context) == list(range(1, last + 1))
+    assert not context.answer.is_finished
+
+
+@behave.then("no connection is left open")
+def check_closed(context):
+    assert not context.calls.open, context.calls.open
+    assert context.open_requests == [0, 0], context.open_requests
+
+
+@behave.then(
+    "the run of its target was closed within {limit_ms:d} ms of the backup's"
+    " answer"
+)
+def check_overlap(context, limit_ms):
+    overlap_s = context.calls.closed_at["a"] - context.calls.reacted_at
+    assert 0 <= overlap_s <= limit_ms / 1000, overlap_s
--- a/packages/gentianpoint-entry/features/forwarding/stream_calls.feature
+++ b/packages/gentianpoint-entry/features/forwarding/stream_calls.feature
@@ -248,13 +248,14 @@
     Then the caller has events 1 to 40, each once, as a complete answer
 
   Scenario: two engines work on one generation for a limited time
-    While a backup takes a generation over, the engine that leaves may still
-    work on it, but for no more than a quarter of a second.
+    Once a backup has taken a generation over, the engine that leaves may still
+    work on it, but only until the entry has the backup's answer.
     Given a generation that may run once, with a copy at a second target
     And target a answers: events 1-90 then end
-    And target b answers: mute
+    And target b answers: events 20-90 then end
     When the request is served and a gets notice after event 20
-    Then the stream of a was closed a quarter of a second after b was asked
+    Then the stream of a was closed within 20 ms of b's answer
+    And the caller has events 1 to 90, each once, as a complete answer
 
   Scenario: the log line that ends a stream tells where it paused
     A caller complains of a pause in the middle of a report that arrived whole.
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
@@ -49,9 +49,6 @@
 _HANDOVER_JITTER_MS: typing.Final = 500.0
 """Range, in milliseconds, over which the handovers of one target's generations
 are spread, so that they do not all arrive at once."""
-_MAX_OVERLAP_S: typing.Final = 0.25
-"""Seconds for which a generation may still run at its old target while the new
-one takes it over; a refusal arrives within a few milliseconds."""
 _SILENCE_FACTOR: typing.Final = 6.0
 """Multiple of the route's longest acceptable gap between events after which a
 silent stream continues elsewhere. The pause of a preempted generation is
@@ -558,8 +555,8 @@
     ) -> None:
         """Begin to continue the generation at the backup, unless it is full.
 
-        The old target's stream is closed once the backup has accepted the
-        generation or has had time to refuse it, so a refusal loses nothing.
+        The backup answers with a success only once it has taken the generation
+        over, so a refusal loses nothing, however late it comes.
         """
         backup = run.backup
         assert backup is not None
@@ -573,10 +570,7 @@
     async def _open_at_backup(
         self, run: stream_runs.StreamRun, backup: targets.Target
     ) -> typing.Optional[stream_runs.StreamRun]:
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(_close_after, run, _MAX_OVERLAP_S)
-            next_run = await self._open(self._plan_from_backup(backup))
-            nursery.cancel_scope.cancel()
+        next_run = await self._open(self._plan_from_backup(backup))
         if next_run is not None:
             self._log_move(run.target, backup, "backup")
         return next_run
@@ -732,12 +726,6 @@
         )
 
 
-async def _close_after(run: stream_runs.StreamRun, wait_s: float) -> None:
-    """Close a run once another target has had time to refuse it."""
-    await trio.sleep(wait_s)
-    await run.close()
-
-
 def _find_time_left_ms(target: targets.Target) -> typing.Optional[int]:
     """Return the milliseconds until a target leaves; None if unknown."""
     if target.leaves_at is None:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_handovers.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_handovers.py
@@ -36,13 +36,18 @@
         self._settled: typing.Final = trio.Event()
 
     async def run(self) -> None:
-        """Open the next run, and then let the present one be read no more."""
+        """Open the next run, and then close the present one at once.
+
+        Two targets work on the generation until then. So that does not wait
+        for the caller, who may be slow to read.
+        """
         try:
             self._next_run = await self._open_next()
         finally:
             self._settled.set()
         if self._next_run is not None:
             self._run.give_up()
+            await self._run.close()
 
     def is_settled(self) -> bool:
         """Tell whether it is known if the generation goes on elsewhere."""
