Take no other start at an address for an answer's sender

Cause: whether an unframed answer is complete was decided by whether a process takes connections at the address, however late that was asked.

The decision gets whether the end was read late (a standstill, a suspended host, a slow caller), and tells "the same start goes on" from "some process listens". The first is proved by an older connection that is still open or by a later report of the agent; a later start in list or report proves the contrary; where nothing tells, the answer is cut.

Tests: "the end of a stream is read late" and "of a plain answer", ten of the 18 examples failed with the late ends and known successors not looked at; "who goes on at the address of a sender", over sockets.

--- a/packages/gentianpoint-core/features/answer_bodies.feature
+++ b/packages/gentianpoint-core/features/answer_bodies.feature
@@ -48,3 +48,18 @@
     Given a sender that answers "half of answer 1 and wait" and then listens
     When the connection pool reads the body, and another task ends the exchange
     Then the body is broken off
+
+  Scenario Outline: who goes on at the address of a sender
+    A process that ends closes all its connections. Guards against another one
+    at its address that is taken for it.
+    Given a process with a connection that was opened <when> an answer
+    When <what>
+    Then the connection pool finds that <finding>
+
+    Examples:
+      | when   | what                                           | finding                |
+      | before | nothing happens                                | the sender goes on     |
+      | after  | nothing happens                                | some process listens   |
+      | before | it ends, and another one listens at its address | some process listens  |
+      | after  | it ends, and another one listens at its address | some process listens  |
+      | before | it ends                                        | the sender has ended   |
--- a/packages/gentianpoint-core/features/steps/answer_bodies_steps.py
+++ b/packages/gentianpoint-core/features/steps/answer_bodies_steps.py
@@ -10,6 +10,7 @@
 from gentianpoint_core import http_log
 from gentianpoint_core import http_plain_service
 from gentianpoint_core import ports
+from gentianpoint_core.decisions import answer_ends
 
 SILENCE_MS = 5000
 CONNECT_MS = 2000
@@ -144,3 +145,58 @@
         return
     assert context.error is not None, context.body
     assert context.error.took_effect
+
+
+FINDINGS = {
+    "the sender goes on": answer_ends.Sender.GOES_ON,
+    "some process listens": answer_ends.Sender.LISTENS,
+    "the sender has ended": answer_ends.Sender.ENDED,
+}
+
+
+@behave.given("a process with a connection that was opened {when} an answer")
+def open_connection(context, when):
+    context.is_older = when == "before"
+
+
+@behave.when("nothing happens")
+def leave(context):
+    context.ends = context.is_succeeded = False
+
+
+@behave.when("it ends")
+def end(context):
+    context.ends, context.is_succeeded = True, False
+
+
+@behave.when("it ends, and another one listens at its address")
+def replace(context):
+    context.ends = context.is_succeeded = True
+
+
+@behave.then("the connection pool finds that {finding}")
+def check_sender(context, finding):
+    async def run():
+        first = await make_listener(0)
+        port = first.socket.getsockname()[1]
+        pool = connection_pools.ConnectionPool(f"127.0.0.1:{port}", CONNECT_MS)
+        assert await pool.check_listening()
+        accepted = await first.accept()
+        offset_s = 1.0 if context.is_older else -1.0
+        alive_at = trio.current_time() + offset_s
+        if context.ends:
+            await accepted.aclose()
+            await first.aclose()
+        second = await make_listener(port) if context.is_succeeded else None
+        await trio.sleep(0.05)
+        found = await pool.check_sender(alive_at)
+        pool.close()
+        if second is not None:
+            await second.aclose()
+        assert found is FINDINGS[finding], found
+
+    trio.run(run)
+
+
+async def make_listener(port):
+    return (await trio.open_tcp_listeners(port, host="127.0.0.1"))[0]
--- a/packages/gentianpoint-core/src/gentianpoint_core/connection_pools.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/connection_pools.py
@@ -22,6 +22,7 @@
 from gentianpoint_core import deadlines
 from gentianpoint_core import option_types
 from gentianpoint_core import ports
+from gentianpoint_core.decisions import answer_ends
 
 __all__ = ("ConnectionPool", "Exchange", "ExchangeRequest")
 
@@ -79,6 +80,8 @@
 
 class _Connection(typing.NamedTuple):
     stream: trio.SocketStream
+    opened_at: float
+    """When it was opened, on trio's clock."""
     expires_at: deadlines.Deadline
 
 
@@ -94,7 +97,7 @@
     ) -> None:
         """Prepare the exchange on ``stream`` without sending anything.
 
-        ``ask_sender`` tells whether ``peer`` listens.
+        ``ask_sender`` finds out whether the process at ``peer`` goes on.
         """
         self.status = 0
         self.headers: abc.Sequence[tuple[bytes, bytes]] = ()
@@ -339,14 +342,15 @@
         if no byte was sent. Leaving the context early closes the connection,
         which tells the server to stop.
         """
-        stream = self._take_idle()
-        if stream is None:
-            stream = await self._connect()
+        connection = self._take_idle()
+        if connection is None:
+            connection = await self._connect()
+        stream = connection.stream
         self.open_count += 1
         expires_at = None
         try:
             exchange = Exchange(
-                stream, self.address, request, self.check_listening
+                stream, self.address, request, self.check_sender
             )
             try:
                 await exchange.send()
@@ -366,7 +370,18 @@
             if expires_at is None:
                 _close_now(stream)
             else:
-                self._keep(stream, expires_at)
+                self._keep(connection._replace(expires_at=expires_at))
+
+    async def check_sender(self, alive_at: float) -> answer_ends.Sender:
+        """Find out whether the process goes on that was there at a time.
+
+        A process that ends closes all its connections. So it goes on if one
+        is open that was opened by then, ``alive_at`` on trio's clock.
+        """
+        self._close_unusable()
+        if any(item.opened_at <= alive_at for item in self._idle):
+            return answer_ends.Sender.GOES_ON
+        return answer_bodies.name_sender(await self.check_listening())
 
     async def check_listening(self) -> typing.Optional[bool]:
         """Tell whether a process listens; None if nothing answers.
@@ -376,47 +391,61 @@
         request.
         """
         try:
-            stream = self._take_idle() or await self._open_stream()
+            connection = self._take_idle() or await self._open()
         except ConnectionRefusedError:
             return False
         except (OSError, trio.TooSlowError):
             return None
-        self._keep(stream, deadlines.make_deadline(_IDLE_TIMEOUT_MS))
+        self._keep(connection)
         return True
 
-    def _keep(
-        self, stream: trio.SocketStream, expires_at: deadlines.Deadline
-    ) -> None:
+    def _keep(self, connection: _Connection) -> None:
         """Keep a connection for the next request, if one more may be kept."""
         if len(self._idle) < self._find_most_idle():
-            self._idle.append(_Connection(stream, expires_at))
+            self._idle.append(connection)
         else:
-            _close_now(stream)
+            _close_now(connection.stream)
 
     def close(self) -> None:
         """Close the idle connections."""
         while self._idle:
             _close_now(self._idle.pop().stream)
 
-    def _take_idle(self) -> typing.Optional[trio.SocketStream]:
+    def _take_idle(self) -> typing.Optional[_Connection]:
         while self._idle:
             connection = self._idle.pop()
-            is_expired = connection.expires_at.is_past()
-            if not is_expired and not _is_readable(connection.stream):
-                return connection.stream
-            # An idle connection is readable if the server has closed it or
-            # sent bytes that belong to no request.
+            if _is_usable(connection):
+                return connection
             _close_now(connection.stream)
         return None
 
-    async def _connect(self) -> trio.SocketStream:
+    def _close_unusable(self) -> None:
+        """Close the idle connections that can't be used any more."""
+        kept = []
+        for connection in self._idle:
+            if _is_usable(connection):
+                kept.append(connection)
+            else:
+                _close_now(connection.stream)
+        self._idle[:] = kept
+
+    async def _connect(self) -> _Connection:
         try:
-            return await self._open_stream()
+            return await self._open()
         except (OSError, trio.TooSlowError) as error:
             raise ports.PortError(
                 "connect", self.address, str(error), took_effect=False
             ) from error
 
+    async def _open(self) -> _Connection:
+        """Open a connection; raises as :meth:`_open_stream` does."""
+        stream = await self._open_stream()
+        return _Connection(
+            stream,
+            trio.current_time(),
+            deadlines.make_deadline(_IDLE_TIMEOUT_MS),
+        )
+
     async def _open_stream(self) -> trio.SocketStream:
         """Open a connection; raises as sockets do, or if it takes too long."""
         sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -466,6 +495,17 @@
     return _IDLE_TIMEOUT_MS
 
 
+def _is_usable(connection: _Connection) -> bool:
+    """Tell whether an idle connection can be used for a request.
+
+    It is readable if the server has closed it, or has sent bytes that belong
+    to no request.
+    """
+    if connection.expires_at.is_past():
+        return False
+    return not _is_readable(connection.stream)
+
+
 def _is_readable(stream: trio.SocketStream) -> bool:
     poll = select.poll()
     poll.register(stream.socket.fileno(), select.POLLIN)
--- a/packages/gentianpoint-core/src/gentianpoint_core/decisions/answer_ends.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/decisions/answer_ends.py
@@ -4,8 +4,10 @@
 answer itself. Without either, an answer ends with its connection, which also
 ends when the sender breaks the answer off. Then the content may tell: a stream
 of events does not end inside an event. Where the content does not tell, an
-answer counts as complete only if its sender still listens, and was not told to
-stop: what was stopped ends like what is complete.
+answer counts as complete only if the start of the target that sent it has
+ended it by itself: it was not told to stop, and still goes on. That a process
+listens at its address tells this only if the end was read as it came, since
+another start may have taken the address meanwhile.
 """
 
 import enum
@@ -35,9 +37,11 @@
 
     NOT_ASKED = enum.auto()
     GOES_ON = enum.auto()
-    """It takes connections."""
+    """The same start goes on."""
+    LISTENS = enum.auto()
+    """A process takes connections at its address, maybe another start."""
     ENDED = enum.auto()
-    """It refuses connections."""
+    """It refuses connections, or another start has its address."""
     UNKNOWN = enum.auto()
     """Nothing answers, as when a link is cut."""
 
@@ -51,6 +55,9 @@
     """What its content says."""
     was_told_to_stop: bool = False
     """True if its sender was told to stop, or may have been."""
+    is_late: bool = False
+    """True if the end may have come so long before it was read that another
+    start listens by now."""
     sender: Sender = Sender.NOT_ASKED
     """What is known of its sender since."""
 
@@ -61,7 +68,7 @@
     COMPLETE = enum.auto()
     BROKEN_OFF = enum.auto()
     ASK_SENDER = enum.auto()
-    """That depends on whether its sender still listens."""
+    """That depends on whether its sender goes on."""
 
 
 def judge_end(end: AnswerEnd) -> Verdict:
@@ -76,6 +83,9 @@
     >>> stopped = AnswerEnd(False, ContentEnd.UNSAID, was_told_to_stop=True)
     >>> judge_end(stopped).name
     'BROKEN_OFF'
+    >>> late = AnswerEnd(False, ContentEnd.UNSAID, is_late=True)
+    >>> judge_end(late._replace(sender=Sender.LISTENS)).name
+    'BROKEN_OFF'
     """
     if end.content is ContentEnd.MISSED:
         return Verdict.BROKEN_OFF
@@ -85,6 +95,8 @@
         return Verdict.BROKEN_OFF
     if end.sender is Sender.GOES_ON:
         return Verdict.COMPLETE
+    if end.sender is Sender.LISTENS and not end.is_late:
+        return Verdict.COMPLETE
     if end.sender is Sender.NOT_ASKED:
         return Verdict.ASK_SENDER
     return Verdict.BROKEN_OFF
--- a/packages/gentianpoint-core/src/gentianpoint_core/http_plain_service.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/http_plain_service.py
@@ -10,6 +10,7 @@
 from gentianpoint_core import answer_bodies
 from gentianpoint_core import named_limits
 from gentianpoint_core import ports
+from gentianpoint_core.decisions import answer_ends
 
 __all__ = ("HttpPlainService",)
 
@@ -25,16 +26,19 @@
         url: str,
         client: httpx.AsyncClient,
         silence_ms: int,
-        ask_sender: answer_bodies.AskSender,
+        check_listening: abc.Callable[
+            [], abc.Awaitable[typing.Optional[bool]]
+        ],
         handle_limit: named_limits.HandleLimit = named_limits.ignore_limit,
     ) -> None:
         """Use ``client`` for the service at ``url``.
 
         A call fails with an unknown outcome if no data arrives for
-        ``silence_ms`` milliseconds. ``ask_sender`` tells whether the service
-        listens. ``handle_limit`` is told of the limit that each answer names.
+        ``silence_ms`` milliseconds. ``check_listening`` tells whether the
+        service listens, None if nothing answers. ``handle_limit`` is told of
+        the limit that each answer names.
         """
-        self._ask_sender: typing.Final = ask_sender
+        self._check_listening: typing.Final = check_listening
         self._handle_limit: typing.Final = handle_limit
         self._url: typing.Final = url
         self._client: typing.Final = client
@@ -119,6 +123,10 @@
             peer=self._url,
         )
 
+    async def _ask_sender(self, alive_at: float) -> answer_ends.Sender:
+        """Find out whether a process listens; which one can't be told."""
+        return answer_bodies.name_sender(await self._check_listening())
+
     async def _iterate_chunks(
         self, response: httpx.Response
     ) -> abc.AsyncIterator[bytes]:
--- a/packages/gentianpoint-entry/features/forwarding/answer_ends.feature
+++ b/packages/gentianpoint-entry/features/forwarding/answer_ends.feature
@@ -83,3 +83,42 @@
     Then at least 0.9 of those that are cut go on, by each framing
     And at least 0.99 of those that are not cut are complete, by each framing
     And no answer looks complete that is not
+
+  Scenario Outline: the end of a stream is read late
+    Its target is killed meanwhile, and another start listens at the address;
+    or the stream ended by itself. Guards against an answer that looks complete
+    because any process listens there.
+    Given a generation that <way>
+    When a stream without length and chunks ends after event 2 while its entry <does>
+    And a process listens at its target's address, and <news>
+    Then the caller has events 1 to <last> in an answer that is <outcome>
+
+    Examples:
+      | way                          | does                  | news                              | last | outcome    |
+      | may run once, without copies | stands still for 4 s  | nothing else is known             | 2    | broken off |
+      | may run once, without copies | stands still for 4 s  | an older connection to it is open | 2    | complete   |
+      | may run once, without copies | stands still for 4 s  | an agent reports the same start   | 2    | complete   |
+      | may run once, without copies | stands still for 4 s  | an agent reports a later start    | 2    | broken off |
+      | may run once, without copies | stands still for 4 s  | an agent reports that it is silent | 2   | broken off |
+      | may run once, without copies | stands still for 4 s  | the list names another start      | 2    | broken off |
+      | may be resumed               | stands still for 4 s  | the list names another start      | 3    | complete   |
+      | may run once, with a copy at a second target | stands still for 4 s | nothing else is known | 3    | complete   |
+      | may run once, without copies | waits 4 s for its caller | nothing else is known          | 2    | broken off |
+      | may run once, without copies | waits 4 s for its caller | an older connection to it is open | 2 | complete   |
+      | may run once, without copies | is suspended for 4 s  | nothing else is known             | 2    | broken off |
+      | may run once, without copies | stands still for 0.1 s | nothing else is known            | 2    | complete   |
+      | may run once, without copies | goes on               | nothing else is known             | 2    | complete   |
+      | may run once, without copies | goes on               | the list names another start      | 2    | broken off |
+
+  Scenario Outline: the end of a plain answer is read late
+    Given a plain request that may <repeat>
+    When an answer of status 200 without length and chunks ends while its entry <does>
+    And a process listens at its target's address, and <news>
+    Then the caller is given the status <status> with the body of <body>
+
+    Examples:
+      | repeat        | does                 | news                              | status | body |
+      | run once only | stands still for 4 s | nothing else is known             | 502    | none |
+      | run once only | stands still for 4 s | an older connection to it is open | 200    | a    |
+      | be repeated   | stands still for 4 s | nothing else is known             | 200    | b    |
+      | run once only | goes on              | nothing else is known             | 200    | a    |
--- a/packages/gentianpoint-entry/features/forwarding/steps/answer_ends_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/answer_ends_steps.py
@@ -97,6 +97,48 @@
     context.framed = serve(context, cut._replace(is_delimited=True), status)
 
 
+@behave.when(
+    "a stream without length and chunks ends after event {count:d} while its"
+    " entry {does}"
+)
+def end_late(context, count, does):
+    at = len(b"".join(EVENTS[:count]))
+    context.late = end_builders.LateCut(at, does)
+
+
+@behave.when(
+    "an answer of status 200 without length and chunks ends while its entry"
+    " {does}"
+)
+def end_answer_late(context, does):
+    context.late = end_builders.LateCut(len(WHOLE), does)
+
+
+@behave.when("a process listens at its target's address, and {news}")
+def serve_late(context, news):
+    answer = end_builders.PausingAnswer()
+    calls = end_builders.LateCalls(context.late, answer, news)
+
+    async def run():
+        shared = forwarding_builders.make_forwarder(("a", "b"), calls)
+        calls.registry = shared.registry
+        request = forwarding_builders.make_request(
+            context.route, context.engine
+        )
+        handler = request_handling.RequestHandler(
+            shared, forwarding_builders.send_refusal
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(calls.tell_news)
+            await handler.serve(request, answer)
+            nursery.cancel_scope.cancel()
+
+    with testing.capture_logs() as lines:
+        topic_builders.run_on_mock_clock(run)
+    asked = [name for name, _ in calls.sends]
+    context.served = [Served(calls.cut, answer, 0.0, lines, asked)]
+
+
 @behave.when(
     "{count:d} streams are served in chunks and without framing, cut and whole"
 )
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
@@ -38,6 +38,14 @@
 """Seconds between checks for connections to targets that have gone."""
 _RELEASE_TIMEOUT_S: typing.Final = 0.3
 """Seconds allowed for releasing a copy, which expires by itself otherwise."""
+_NEWS_WITHIN_S: typing.Final = 1.5
+"""Seconds within which the list or an agent tells of another start. Targets
+write to the list every second or so, and busy engines' agents report several
+times a second."""
+_OLD_NEWS_S: typing.Final = 0.3
+"""Seconds after a standstill in which reports are read that came before."""
+_NEWS_CHECK_S: typing.Final = 0.05
+"""Seconds between two looks for such news."""
 _OUTCOME_MS: typing.Final = 1000.0
 """Milliseconds within which the outcome of most trials of a refused request
 is known."""
@@ -226,12 +234,33 @@
         return answer_bodies.receive_complete(
             answer.receive_body(),
             is_delimited=answer.is_delimited,
-            ask_sender=functools.partial(self.calls.check_listening, target),
+            ask_sender=functools.partial(self._ask_sender, target),
             peer=target.entry.address,
             find_content_end=find_content_end,
             was_told_to_stop=was_told_to_stop,
+            confirm_sender=functools.partial(self._confirm_start, target),
         )
 
+    async def _ask_sender(
+        self, target: targets.Target, alive_at: float
+    ) -> answer_ends.Sender:
+        if target.is_succeeded():
+            return answer_ends.Sender.ENDED
+        return await self.calls.check_sender(target, alive_at)
+
+    async def _confirm_start(
+        self, target: targets.Target
+    ) -> answer_ends.Sender:
+        """Wait until the list or an agent tells of a target's start."""
+        trusted_from = trio.current_time() + _OLD_NEWS_S
+        with trio.move_on_after(_NEWS_WITHIN_S):
+            while not target.is_succeeded():
+                if target.has_reported_since(trusted_from):
+                    return answer_ends.Sender.GOES_ON
+                await trio.sleep(_NEWS_CHECK_S)
+            return answer_ends.Sender.ENDED
+        return answer_ends.Sender.UNKNOWN
+
     def _note_limit(
         self,
         target: targets.Target,
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_calls.py
@@ -4,8 +4,10 @@
 from collections import abc as collections_abc
 import typing
 
+from gentianpoint_core import answer_bodies
 from gentianpoint_core import deadlines
 from gentianpoint_core import named_limits
+from gentianpoint_core.decisions import answer_ends
 from gentianpoint_entry.forwarding import requests
 from gentianpoint_entry.forwarding import targets
 
@@ -132,6 +134,15 @@
         Returns None if nothing answers, as when a link is cut. Never raises.
         """
 
+    async def check_sender(
+        self, target: targets.Target, alive_at: float
+    ) -> answer_ends.Sender:
+        """Find out whether a target goes on that was there at ``alive_at``.
+
+        That is a time on trio's clock. Never raises.
+        """
+        return answer_bodies.name_sender(await self.check_listening(target))
+
     @abc.abstractmethod
     def close_unlisted(
         self, listed: collections_abc.Collection[targets.Target]
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
@@ -201,6 +201,22 @@
             return False
         return self.report is None or not self.report.is_leaving
 
+    def is_succeeded(self) -> bool:
+        """Tell whether another start is known to be at its address."""
+        if self.is_replaced:
+            return True
+        return 0 < self.entry.started_ms < self.reported_start_ms
+
+    def has_reported_since(self, since: float) -> bool:
+        """Tell whether its agent has found this start alive after ``since``.
+
+        False as well if no time of a start is known to compare.
+        """
+        report = self.report
+        if report is None or report.is_silent or report.sampled_at < since:
+            return False
+        return 0 < report.started_ms == self.entry.started_ms
+
     def find_cold_until(self, cold_ms: float) -> float:
         """Return until when it counts as cold, on trio's clock.
 
