Keep in the log which version serves, before streams begin there

Cause: the log marked services with several versions only, so entries that came back took no mark for one version, whichever they saw by then. Absence came as well from a release that nobody saw, a mark not written yet, believed to be written by others, or lost by the log.

The log now has a mark for each service and version that serves, with its era and the longest time that a stream lasts. A version begins no stream that may be taken up before it is marked and has been known for 1.5 s, the lag of a list that counts as current: lists that lag joined a stream without any kill. Each entry writes a mark that stays missing; none is taken for written unseen.

Steps that named "mixed" services now name the versions, which is stricter.

--- a/bench/soak/platform_targets.py
+++ b/bench/soak/platform_targets.py
@@ -204,6 +204,15 @@
         await trio.sleep(_START_S)
         self._start()
 
+    async def replace(self, software: str) -> None:
+        """End at once, and start at once with another software version."""
+        name = self.target_id
+        self._end()
+        await self._log.append(platform_log.TARGETS, name, None)
+        self.next_software = software
+        self._start()
+        await self._write_entry()
+
     async def leave(self) -> None:
         """Give notice, serve it out, end, and start again."""
         if not self._is_up or self._is_leaving:
--- a/packages/gentianpoint-core/features/answer_bodies.feature
+++ b/packages/gentianpoint-core/features/answer_bodies.feature
@@ -49,6 +49,20 @@
     When the connection pool reads the body, and another task ends the exchange
     Then the body is broken off
 
+  Scenario Outline: a body that is read late
+    Another process may listen at the address by then, and no other connection
+    to the sender is open. Guards against taking it for the sender.
+    Given a sender that answers "<answer>" and then listens
+    When <reader> reads the body, and pauses for 0.4 s
+    Then the body is <outcome>
+
+    Examples:
+      | answer                       | reader                        | outcome    |
+      | unframed answer 1 and close  | the connection pool           | broken off |
+      | unframed answer 1 and close  | the adapter of plain services | broken off |
+      | answer 1                     | the connection pool           | whole      |
+      | answer 1                     | the adapter of plain services | whole      |
+
   Scenario Outline: who goes on at the address of a sender
     A process that ends closes all its connections. Guards against another one
     at its address that is taken for it.
--- a/packages/gentianpoint-core/features/steps/answer_bodies_steps.py
+++ b/packages/gentianpoint-core/features/steps/answer_bodies_steps.py
@@ -6,6 +6,7 @@
 import trio
 import trio.testing
 
+from gentianpoint_core import answer_bodies
 from gentianpoint_core import connection_pools
 from gentianpoint_core import http_log
 from gentianpoint_core import http_plain_service
@@ -120,6 +121,60 @@
     raise failures[0]
 
 
+PAUSE_S = 0.4
+
+
+async def read_by_pool_slowly(address):
+    pool = connection_pools.ConnectionPool(address, CONNECT_MS)
+    request = connection_pools.ExchangeRequest(
+        b"GET", b"/", ((b"Host", b"a"),), b""
+    )
+    try:
+        async with pool.exchange(request) as exchange:
+            chunks = answer_bodies.receive_complete(
+                exchange.receive_body(),
+                is_delimited=exchange.is_delimited,
+                ask_sender=pool.check_sender,
+                peer=address,
+            )
+            return await read_slowly(chunks)
+    finally:
+        pool.close()
+
+
+async def read_by_plain_service_slowly(address):
+    pool = connection_pools.ConnectionPool(address, CONNECT_MS)
+    async with httpx.AsyncClient(trust_env=False) as client:
+        service = http_plain_service.HttpPlainService(
+            f"http://{address}", client, SILENCE_MS, pool.check_listening
+        )
+        try:
+            async with service.send_call("GET", "/", [], b"") as answer:
+                return await read_slowly(answer.chunks)
+        finally:
+            pool.close()
+
+
+async def read_slowly(chunks):
+    body = b""
+    async for chunk in chunks:
+        body += chunk
+        await trio.sleep(PAUSE_S)
+    return body
+
+
+@behave.when("the connection pool reads the body, and pauses for 0.4 s")
+def read_pool_slowly(context):
+    run_reader(context, read_by_pool_slowly)
+
+
+@behave.when(
+    "the adapter of plain services reads the body, and pauses for 0.4 s"
+)
+def read_plain_slowly(context):
+    run_reader(context, read_by_plain_service_slowly)
+
+
 @behave.when(
     "the connection pool reads the body, and another task ends the exchange"
 )
--- a/packages/gentianpoint-entry/features/forwarding/steps/stream_versions_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/stream_versions_steps.py
@@ -1,5 +1,7 @@
 """Steps for streams that are taken up where several versions serve."""
 
+import json
+
 import behave
 import forwarding_builders
 from structlog import testing
@@ -7,6 +9,8 @@
 import trio
 import version_builders
 
+from gentianpoint_entry.forwarding import version_markers
+
 _SETTLED_S = 4.0
 _SHARE_OF_KILLED = 3
 
@@ -42,8 +46,7 @@
 @behave.when("after {after:g} s {count:d} targets of v2 start")
 def start_targets(context, after, count):
     def start(fleet, names):
-        for _ in range(count):
-            fleet.start_target("v2")
+        context.later = [fleet.start_target("v2") for _ in range(count)]
 
     context.changes.append((after, start))
 
@@ -62,10 +65,10 @@
     )
 
 
-@behave.when("after {after:g} s the targets of v1 end")
-def end_targets(context, after):
+@behave.when("after {after:g} s the targets of {software} end")
+def end_targets(context, after, software):
     def end(fleet, names):
-        for name in names:
+        for name in names if software == "v1" else context.later:
             fleet.end_target(name)
 
     context.changes.append((after, end))
@@ -94,52 +97,166 @@
 
 
 @behave.when(
-    "after {after:g} s all entries start again, and the log names no service"
-    " as mixed"
+    "after {after:g} s all entries start again, and the log names one version"
 )
 def restart_all(context, after):
-    context.changes.append((after, lambda fleet, names: fleet.restart_all(())))
+    context.changes.append(
+        (after, lambda fleet, names: fleet.restart_all(("v1",)))
+    )
 
 
 @behave.when(
-    "after {after:g} s all entries start again, and the log names the service"
-    " as mixed"
+    "after {after:g} s all entries start again, and the log names two versions"
 )
 def restart_all_mixed(context, after):
     def restart(fleet, names):
-        fleet.restart_all((forwarding_builders.SERVICE,))
+        fleet.restart_all(("v1", "v2"))
 
     context.changes.append((after, restart))
 
 
-@behave.given("entries keep in the log which services are mixed")
+@behave.given("entries keep in the log which versions serve")
 def keep_markers(context):
     context.topic = topic_builders.KeptTopic()
 
 
+def put_mark(context, software, window_s=0.0):
+    mark = {
+        "service": forwarding_builders.SERVICE,
+        "software": software,
+        "window_s": window_s,
+        "era": context.topic.eras.newest,
+    }
+    key = version_markers.make_key(mark["service"], software)
+    return {key: json.dumps(mark).encode()}
+
+
+@behave.given("the log names {software} for streams that last {seconds:g} s")
+def add_long_mark(context, software, seconds):
+    context.topic.values.update(put_mark(context, software, seconds))
+
+
+@behave.given("the log has a mark of an earlier release")
+def add_earlier_mark(context):
+    context.topic.values[forwarding_builders.SERVICE] = b"1"
+
+
+@behave.given("the log has marks that can't be read")
+def add_unreadable(context):
+    values = (
+        b"{",
+        b"7",
+        b"[]",
+        b'{"service": 1}',
+        b'{"service": "a", "software": "b", "window_s": 1e999, "era": 1}',
+        b'{"service": "a", "software": "b", "window_s": 1, "era": 1e999}',
+        b"\xff",
+        b"[" * 5000,
+    )
+    for number, value in enumerate(values):
+        context.topic.values[f"unreadable-{number}"] = value
+
+
+@behave.given("lists lag by up to {seconds:g} s")
+def set_lag(context, seconds):
+    def lag(fleet, names):
+        fleet.list_lag_s = seconds
+
+    context.changes.append((0.0, lag))
+
+
 @behave.when("after {after:g} s all entries start again")
 def restart_with_log(context, after):
     context.changes.append((after, lambda fleet, names: fleet.restart_all(())))
 
 
-@behave.when("after {after:g} s the log comes back from a copy without marks")
-def restore_log(context, after):
+@behave.when("after {after:g} s all entries are killed")
+def kill_all(context, after):
+    context.changes.append((after, lambda fleet, names: fleet.kill_all()))
+
+
+@behave.when("after {after:g} s all entries are back")
+def start_all(context, after):
+    context.changes.append(
+        (after, lambda fleet, names: fleet.start_again(fleet.count))
+    )
+
+
+@behave.when("after {after:g} s {count:d} entries are back")
+def start_some(context, after, count):
+    context.changes.append(
+        (after, lambda fleet, names: fleet.start_again(count))
+    )
+
+
+@behave.when("after {after:g} s the entries that would write are {lost}")
+def lose_writers(context, after, lost):
+    def lose(fleet, names):
+        writers = fleet.list_writers("v2")
+        if lost == "killed":
+            fleet.kill_some(writers)
+        for entry in writers:
+            entry.is_log_cut_off = True
+
+    context.changes.append((after, lose))
+
+
+@behave.when("after {after:g} s the log comes back from a copy {copy}")
+def restore_log(context, after, copy):
     def restore(fleet, names):
         assert context.topic.values
-        context.topic.restore({})
+        values = {}
+        if copy == "with the first one":
+            values = put_mark(context, "v1")
+        if copy.startswith("with a mark of "):
+            values = put_mark(context, copy.split()[-1])
+        context.topic.restore(values)
 
     context.changes.append((after, restore))
 
 
+@behave.when("after {after:g} s the log is out for {seconds:g} s")
+def take_log_out(context, after, seconds):
+    def take_out(fleet, names):
+        context.topic.out_until = trio.current_time() + seconds
+
+    context.changes.append((after, take_out))
+
+
 @behave.when("nothing comes for {seconds:g} s more")
 def rest(context, seconds):
     context.rest_s = seconds
 
 
-@behave.then("the log names {count:d} services as mixed")
-def check_marked(context, count):
+@behave.then("the log names the versions {names}")
+def check_marked(context, names):
     play(context)
-    assert len(context.topic.values) == count, context.topic.values
+    marks = [
+        json.loads(value)
+        for key, value in context.topic.values.items()
+        if len(key) == len(version_markers.make_key("", ""))
+    ]
+    services = {mark["service"] for mark in marks}
+    assert services == {forwarding_builders.SERVICE}, marks
+    found = sorted(mark["software"] for mark in marks)
+    assert found == names.split(", "), marks
+
+
+@behave.then("callers that come back wait for at most {seconds:g} s")
+def check_waits(context, seconds):
+    back = [stream for stream in play(context).streams if stream.taken_up]
+    assert len(back) >= 12, len(back)
+    longest_s = max(stream.wait_s for stream in back)
+    assert longest_s <= seconds, longest_s
+
+
+@behave.then("streams that begin after {after:g} s are whole")
+def check_later(context, after):
+    fleet = play(context)
+    began = min(stream.at for stream in fleet.streams)
+    later = [item for item in fleet.streams if item.at >= began + after]
+    assert len(later) >= 5, len(later)
+    assert all(stream.is_whole for stream in later), later
 
 
 @behave.when(
--- a/packages/gentianpoint-entry/features/forwarding/stream_backups.feature
+++ b/packages/gentianpoint-entry/features/forwarding/stream_backups.feature
@@ -62,8 +62,8 @@
   Scenario: a caller that reads slowly
     The entry waits for its caller as the backup takes over. Guards against two
     targets that work on one generation meanwhile.
-    Given a generation that may run once, whose backup takes over after 0.1 s
-    And a caller that reads nothing for 2 s after event 20
+    Given a generation that may run once, whose backup takes over after 0.4 s
+    And a caller that reads nothing for 2 s after event 22
     When it is served, and its target gets notice after event 20
     Then the run of its target was closed within 20 ms of the backup's answer
     And the caller has the whole report, each event once
--- a/packages/gentianpoint-entry/features/forwarding/stream_versions_many_entries.feature
+++ b/packages/gentianpoint-entry/features/forwarding/stream_versions_many_entries.feature
@@ -76,13 +76,13 @@
     long as a stream lasts, and against streams of a version that has gone.
     Given 3 entries before 3 targets of v1
     When 20 streams a second begin for 8 seconds
-    And after 5 s all entries start again, and the log names <services>
+    And after 5 s all entries start again, and the log names <versions>
     Then callers that come back <outcome>
 
     Examples:
-      | services                  | outcome                                         |
-      | no service as mixed       | are served 0.95 times as often as new ones      |
-      | the service as mixed      | are refused as not run, with no time to return  |
+      | versions     | outcome                                         |
+      | one version  | are served 0.95 times as often as new ones      |
+      | two versions | are refused as not run, with no time to return  |
 
   Scenario: datagrams that are lost
     Guards against records that are lost with one datagram.
--- a/packages/gentianpoint-entry/features/forwarding/version_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/version_builders.py
@@ -20,6 +20,7 @@
 from gentianpoint_core import codec
 from gentianpoint_core import option_types
 from gentianpoint_core import ports
+from gentianpoint_core.decisions import ranking
 from gentianpoint_entry.forwarding import refusals
 from gentianpoint_entry.forwarding import requests
 from gentianpoint_entry.forwarding import routes
@@ -135,6 +136,7 @@
             fleet.deliver, gossip.address
         )
         self.is_cut_off = False
+        self.is_log_cut_off = False
         self.list_age_s = 0.0
         self.cut_off_at = 0.0
         self._fleet: typing.Final = fleet
@@ -150,6 +152,8 @@
             _list_windows_s,
         )
         self.origins.get_list_confirmed_at = self._confirm_list
+        if fleet.topic is not None:
+            self.registry.find_streams_from = self.origins.find_streams_from
         calls = _VersionCalls(park)
         ends = target_ends.TargetEnds(
             gossip.suspects,
@@ -177,12 +181,13 @@
                 nursery.start_soon(self.origins.run)
                 if self._fleet.topic is not None:
                     markers = version_markers.VersionMarkers(
-                        self._fleet.topic,
+                        _EntryTopic(self, self._fleet.topic),
                         self.history,
                         self.origins,
                         self.gossip.address,
                         lambda: self._fleet.list_members(self.gossip),
                         self._fleet.topic.eras,
+                        is_first_start=self._fleet.is_first_start,
                     )
                     nursery.start_soon(markers.run)
 
@@ -193,6 +198,36 @@
         return trio.current_time() - self.list_age_s
 
 
+class _EntryTopic(ports.WritableTopic):
+    """The topic as one entry reaches it."""
+
+    def __init__(
+        self, entry: _VersionEntry, topic: topic_builders.KeptTopic
+    ) -> None:
+        self._entry: typing.Final = entry
+        self._topic: typing.Final = topic
+
+    async def read_newest(self, within_ms: float) -> ports.KeyedSlice:
+        self._check()
+        return await self._topic.read_newest(within_ms)
+
+    async def read_changes(
+        self, start: ports.LogPosition, wait_ms: int, within_ms: float
+    ) -> ports.KeyedSlice:
+        self._check()
+        return await self._topic.read_changes(start, wait_ms, within_ms)
+
+    async def put(
+        self, key: str, value: typing.Optional[bytes], within_ms: float
+    ) -> None:
+        self._check()
+        await self._topic.put(key, value, within_ms)
+
+    def _check(self) -> None:
+        if self._entry.is_log_cut_off:
+            raise ports.PortError("call", "log", "cut", took_effect=False)
+
+
 class VersionFleet:
     """Entries, targets of several versions, and callers."""
 
@@ -207,9 +242,10 @@
 
         In a large fleet they know each other from the start, and go on to
         count those that are killed. They keep in ``topic`` which services
-        have several versions; without it they know that from the start.
+        versions serve; without it they know that from the start.
         """
         self.topic: typing.Final = topic
+        self.is_first_start = True
         self.count: typing.Final = entries
         self.gossip: typing.Final = fleet_builders.Fleet(entries)
         self.gossip.start(nursery)
@@ -219,11 +255,14 @@
         self.streams: typing.Final[list[CalledStream]] = []
         self._park: typing.Final[dict[str, _Start]] = {}
         self.entries: typing.Final[list[_VersionEntry]] = []
+        self._down: typing.Final[list[fleet_builders.Entry]] = []
         self._all: typing.Final[list[_VersionEntry]] = []
         self._by_address: typing.Final[
             dict[tuple[str, int], _VersionEntry]
         ] = {}
         self.lost_share = 0.0
+        # Seconds by which the last entry lists a target later than the first.
+        self.list_lag_s = 0.0
         self._nursery: typing.Final = nursery
         self._numbers: typing.Final = itertools.count(1)
         self._rng: typing.Final = random.Random(seed)
@@ -231,7 +270,7 @@
             self._start_entry(gossip, ())
 
     def _start_entry(
-        self, gossip: fleet_builders.Entry, mixed: abc.Collection[str]
+        self, gossip: fleet_builders.Entry, earlier: abc.Collection[str]
     ) -> None:
         entry = _VersionEntry(self, gossip, self._park)
         self.entries.append(entry)
@@ -242,7 +281,9 @@
         now = trio.current_time()
         entry.history.note_start(now)
         if self.topic is None:
-            entry.history.note_earlier(mixed, now)
+            entry.history.note_earlier(
+                {forwarding_builders.SERVICE: earlier}, now
+            )
         self._nursery.start_soon(entry.run)
 
     def list_members(self, entry: fleet_builders.Entry) -> abc.Collection[str]:
@@ -315,28 +356,47 @@
         entry.cut_off_at = trio.current_time()
         self.gossip.cut_off.add(entry.gossip.address)
 
-    def restart_all(self, mixed: abc.Collection[str]) -> None:
+    def restart_all(self, earlier: abc.Collection[str]) -> None:
         """Kill all entries, and start them again.
 
-        The log names the ``mixed`` services as having had several versions.
+        Without a topic, they learn the ``earlier`` versions otherwise.
         """
-        entries = list(self.entries)
-        self.entries.clear()
-        for entry in entries:
-            entry.scope.cancel()
-            for scope in list(entry.scopes):
-                scope.cancel()
-            self._start_entry(entry.gossip, mixed)
+        self.kill_all()
+        self.start_again(len(self._down), earlier)
+
+    def kill_all(self) -> None:
+        """Kill all entries; they are down until they are started again."""
+        self.is_first_start = False
+        self.kill_some(self.entries)
+
+    def start_again(
+        self, count: int, earlier: abc.Collection[str] = ()
+    ) -> None:
+        """Start some of the entries that are down."""
+        for gossip in self._down[:count]:
+            self._start_entry(gossip, earlier)
+        del self._down[:count]
 
     def start_target(self, software: str) -> str:
         """Start a target, which all entries list at once."""
         name = f"t-{next(self._numbers)}"
         start = _Start(name, software)
         self._park[name] = start
-        for entry in self.entries:
-            self._list(entry, start)
+        for place, entry in enumerate(self.entries):
+            lag_s = self.list_lag_s * place / max(1, len(self.entries) - 1)
+            if lag_s:
+                self._nursery.start_soon(self._list_later, entry, start, lag_s)
+            else:
+                self._list(entry, start)
         return name
 
+    async def _list_later(
+        self, entry: _VersionEntry, start: _Start, lag_s: float
+    ) -> None:
+        await trio.sleep(lag_s)
+        if not start.has_ended:
+            self._list(entry, start)
+
     @staticmethod
     def _list(entry: _VersionEntry, start: _Start) -> None:
         if entry.is_cut_off:
@@ -357,6 +417,26 @@
         for entry in self.entries:
             entry.registry.drop(name)
 
+    def list_writers(self, software: str) -> abc.Sequence[_VersionEntry]:
+        """Return the entries that write the mark of a version at once."""
+        key = version_markers.make_key(forwarding_builders.SERVICE, software)
+        addresses = [entry.gossip.address for entry in self.entries]
+        ranked = ranking.rank_members(key, addresses)
+        return [
+            entry
+            for entry in self.entries
+            if entry.gossip.address in ranked[: version_markers.WRITERS]
+        ]
+
+    def kill_some(self, killed: abc.Collection[_VersionEntry]) -> None:
+        """Kill some entries; they are down until they are started again."""
+        for entry in list(killed):
+            entry.scope.cancel()
+            for scope in list(entry.scopes):
+                scope.cancel()
+            self._down.append(entry.gossip)
+            self.entries.remove(entry)
+
     def kill_entries(self, count: int) -> None:
         """Kill some entries at once; their answers break off."""
         for _ in range(count):
@@ -390,6 +470,9 @@
         longest_s = 0.0
         refusal = None
         for number in range(_MAX_TRIES):
+            while not self.entries:
+                # Some come back at once, others later.
+                await trio.sleep(self._rng.random())
             entry = self._rng.choice(self.entries)
             known = len(softwares)
             taken_up += known > 0
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/attempts.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/attempts.py
@@ -132,9 +132,10 @@
         if self._shared.lacks_room(self._request):
             reason = "no target has room for the request in its time"
         opening_ms = self._shared.promise_opening_ms(self._request)
-        wait_ms = max(self._retry_after_ms, opening_ms)
+        streams_ms = self._shared.find_streams_wait_ms(self._request)
+        wait_ms = max(self._retry_after_ms, opening_ms, streams_ms)
         refusal = refusals.refuse_not_run(reason, wait_ms)
-        if opening_ms:
+        if opening_ms or streams_ms:
             # It is known when there is room, unlike when load changes.
             return refusal._replace(max_retry_after_ms=math.inf)
         return refusal
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/requests.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/requests.py
@@ -1,6 +1,7 @@
 """A caller's decoded request, and what is added when it is sent on."""
 
 from collections import abc
+import math
 import typing
 
 from gentianpoint_core import deadlines
@@ -81,6 +82,14 @@
         """Return the name of its customer, empty on public routes."""
         return "" if self.customer is None else self.customer.name
 
+    def find_begin_by(self, now: float) -> float:
+        """Return until when its target must begin streams at the latest.
+
+        Only a stream that may be taken up needs a target that does so by now.
+        """
+        begins = self.route.may_resume and self.origin is None
+        return now if begins else math.inf
+
     def takes_stream_up(self) -> bool:
         """Tell whether the caller has events of this stream already."""
         return bool(self.resumed_id or self.last_event_id)
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_records.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_records.py
@@ -36,9 +36,6 @@
 """How often they are asked at most."""
 _CHECK_S: typing.Final = 0.25
 """Seconds between checks of which versions serve."""
-_CURRENT_S: typing.Final = 1.5
-"""Age in seconds up to which the list of targets counts as current; it is
-polled more often."""
 _KEPT_SLACK_S: typing.Final = 5.0
 """Seconds for which a record outlasts its caller's deadline."""
 _MAX_KEPT_S: typing.Final = 600.0
@@ -190,15 +187,25 @@
             self._history.prune(now)
             await trio.sleep(_CHECK_S)
 
-    def list_mixed(self) -> abc.Mapping[str, bool]:
-        """Return the services, and which of them had several versions."""
+    def list_serving(self) -> abc.Mapping[str, abc.Collection[str]]:
+        """Return the versions at which streams that may be taken up begin.
+
+        By service; a version that is not known is empty.
+        """
         now = trio.current_time()
         return {
-            service: not self._look(service, window_s, now)
-            for service, window_s in self._list_windows_s().items()
-            if self._registry.list_by_service(service)
+            service: self._list_softwares(service, now)
+            for service in self._list_windows_s()
         }
 
+    def list_windows_s(self) -> abc.Mapping[str, float]:
+        """Return for how long a service's streams may be taken up."""
+        return self._list_windows_s()
+
+    def is_list_current(self) -> bool:
+        """Tell whether the list of targets was read a moment ago."""
+        return self._is_current(trio.current_time())
+
     async def _tell(
         self, records: abc.Sequence[origin_table.OriginRecord]
     ) -> None:
@@ -312,13 +319,33 @@
         return self._history.find_sole(service, window_s, now)
 
     def _note_listed(self, service: str, now: float) -> None:
-        listed = self._registry.list_by_service(service)
-        self._history.note(
-            service, {target.software for target in listed}, now
+        self._history.note(service, self._list_softwares(service, now), now)
+        for target in self._registry.list_by_service(service):
+            target.streams_from = self.find_streams_from(target, now)
+
+    def _list_softwares(self, service: str, now: float) -> abc.Collection[str]:
+        """Return the versions of a service's targets.
+
+        An unknown one counts once streams may begin there: it may become
+        known before.
+        """
+        return {
+            target.software
+            for target in self._registry.list_by_service(service)
+            if target.software or target.streams_from <= now
+        }
+
+    def find_streams_from(self, target: targets.Target, now: float) -> float:
+        """Return from when streams that may be taken up begin at a target."""
+        if not target.software:
+            return target.added_at + software_history.UNKNOWN_WAIT_S
+        return self._history.find_begin_at(
+            target.entry.service, target.software, now
         )
 
     def _is_current(self, now: float) -> bool:
-        return now - self.get_list_confirmed_at() <= _CURRENT_S
+        list_age_s = now - self.get_list_confirmed_at()
+        return list_age_s <= software_history.LIST_LAG_S
 
     async def _ask(
         self,
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_choice.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_choice.py
@@ -389,6 +389,7 @@
         excluded: abc.Collection[str] = (),
     ) -> abc.Sequence[targets.Target]:
         """Return the targets that take work and may run a request."""
+        begins_by = request.find_begin_by(trio.current_time())
         return self._leave_out_outages(
             [
                 target
@@ -397,10 +398,30 @@
                 )
                 if target.target_id not in excluded
                 and target.accepts_work()
+                and target.streams_from <= begins_by
                 and target.may_go_on(request.origin)
             ]
         )
 
+    def find_streams_wait_ms(self, request: requests.CallerRequest) -> float:
+        """Return in how many milliseconds a stream may begin, 0 if now.
+
+        That is when the versions that serve are known to all entries.
+        """
+        now = trio.current_time()
+        begins_by = request.find_begin_by(now)
+        first_at = min(
+            (
+                target.streams_from
+                for target in self.registry.list_by_service(
+                    request.service.name
+                )
+                if target.accepts_work()
+            ),
+            default=-math.inf,
+        )
+        return 0.0 if first_at <= begins_by else (first_at - now) * 1000
+
     def _leave_out_outages(
         self, found: abc.Sequence[targets.Target]
     ) -> abc.Sequence[targets.Target]:
@@ -615,6 +636,7 @@
     ) -> abc.Sequence[targets.Target]:
         """Return the targets to which a request may be sent now."""
         now = trio.current_time()
+        begins_by = request.find_begin_by(now)
         return self._leave_out_outages(
             [
                 target
@@ -622,6 +644,7 @@
                     request.service.name
                 )
                 if target.target_id not in excluded
+                and target.streams_from <= begins_by
                 and target.may_go_on(request.origin)
                 and self._find_permitted_at(target, request.service, now)
                 <= now
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
@@ -118,6 +118,9 @@
     def __init__(self, entry: TargetEntry, now: float) -> None:
         """Start from the target's own entry; ``now`` is trio's time."""
         self.entry = entry
+        self.added_at: typing.Final = now
+        # From when streams that may be taken up begin here.
+        self.streams_from = -math.inf
         # Latest start of the engine that its agent has reported.
         self.reported_start_ms = 0
         # True once it has been removed from the registry.
@@ -301,6 +304,11 @@
         self.is_said_to_leave: abc.Callable[[Target], bool] = lambda target: (
             False
         )
+        # Returns from when streams that may be taken up begin at a target, at
+        # a time on trio's clock.
+        self.find_streams_from: abc.Callable[[Target, float], float] = (
+            lambda target, now: -math.inf
+        )
         # Called with each target that has a new report.
         self.handle_report: abc.Callable[[Target], None] = lambda target: None
         self._evacuated: frozenset[str] = frozenset()
@@ -362,6 +370,7 @@
             # another target's answer that it has ended.
             known.is_replaced = False
             known.position = max(known.position, position)
+            known.streams_from = self.find_streams_from(known, now)
             _mark_replaced(self._list_at_address(known))
             return known
         if known is not None:
@@ -370,6 +379,7 @@
         target.position = position
         target.is_said_to_leave = self.is_said_to_leave(target)
         target.is_evacuated = entry.data_centre in self._evacuated
+        target.streams_from = self.find_streams_from(target, now)
         self._targets[entry.target_id] = target
         self._by_service.setdefault(entry.service, []).append(target)
         self._list_at_address(target).append(target)
