Remember an unanswered stop beyond the next attempt to move

Found by reading the change. A generation whose stop was not answered could be told 404 by a later attempt, since it had stopped by then; that took back that it may have been stopped, and an unframed stream would have looked complete. No caller has met it. What one attempt leaves unknown stays so for the run.

A target that breaks off while its backup has not answered is counted as failed again once the backup goes on, as before handovers ran beside the stream.

stream_backups, stream_stops and stream_calls pass (72 scenarios).

--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
@@ -319,14 +319,8 @@
             except _STREAM_ERRORS as error:
                 # Raised below: a nursery would wrap it in an exception group.
                 failure = error
-            has_caller = not isinstance(
-                failure, caller_answers.CallerGoneError
-            )
-            if self._handover is not None and has_caller and not is_whole:
-                with trio.move_on_after(
-                    self._request.route.find_longest_gap_s()
-                ):
-                    next_run = await self._handover.take_next_run()
+            if not is_whole:
+                next_run = await self._take_next_run(run, failure)
             nursery.cancel_scope.cancel()
         if failure is not None and next_run is None:
             raise failure
@@ -337,6 +331,32 @@
         self._release_copies(run, next_run)
         return next_run
 
+    async def _take_next_run(
+        self,
+        run: stream_runs.StreamRun,
+        failure: typing.Optional[Exception],
+    ) -> typing.Optional[stream_runs.StreamRun]:
+        """Return the run that takes over, once it is known if there is one.
+
+        ``failure`` is why the present one is not read on, None if the next one
+        is open.
+        """
+        if self._handover is None or isinstance(
+            failure, caller_answers.CallerGoneError
+        ):
+            return None
+        is_broken = not (run.was_told_to_stop or self._has_next_run())
+        next_run = None
+        with trio.move_on_after(self._request.route.find_longest_gap_s()):
+            next_run = await self._handover.take_next_run()
+        if (
+            is_broken
+            and next_run is not None
+            and isinstance(failure, ports.PortError)
+        ):
+            self._shared.note_failure(run.target, failure, self._request)
+        return next_run
+
     def _release_copies(
         self,
         run: stream_runs.StreamRun,
@@ -628,13 +648,14 @@
         """
         longest_s = self._request.route.find_longest_gap_s()
         limit = deadlines.make_deadline(longest_s * _COPY_SHARE * 1000)
+        may_have_stopped = run.was_told_to_stop
         run.was_told_to_stop = True
         is_at_destination = False
         try:
             stopped = await move.stop_and_copy(
                 limit.earlier(self._request.deadline)
             )
-            run.was_told_to_stop = move.may_have_stopped
+            run.was_told_to_stop = may_have_stopped or move.may_have_stopped
             # Lets the next move use the links while this generation is taken
             # over.
             move.release_turn()
