Mark unknown versions where the log has lost what it had

Entries that come back to a log without marks know that they don't know all versions, and wrote marks of those that they saw. Others that started after them took these for complete: with all marks lost, a release meanwhile and two kills of all entries within the time for which streams are taken up, a stream of the first version would have gone on at the second.

An entry that does not know all versions of that time marks an unknown one beside, and one that starts reads it. Marks of an earlier era count as seen. Entries also look at the list at once when they have read the marks, so that streams begin without waiting for the next check.

--- a/packages/gentianpoint-entry/features/forwarding/steps/stream_versions_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/stream_versions_steps.py
@@ -157,6 +157,14 @@
         context.topic.values[f"unreadable-{number}"] = value
 
 
+@behave.given("callers stay away for {seconds:g} s after a break")
+def stay_away(context, seconds):
+    def set_time(fleet, names):
+        fleet.come_back_s = seconds
+
+    context.changes.append((0.0, set_time))
+
+
 @behave.given("lists lag by up to {seconds:g} s")
 def set_lag(context, seconds):
     def lag(fleet, names):
--- a/packages/gentianpoint-entry/features/forwarding/version_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/version_builders.py
@@ -39,7 +39,7 @@
 """Entries up to which they gossip; for more that takes too long."""
 _MAX_TRIES: typing.Final = 3
 _COME_BACK_S: typing.Final = 0.05
-"""Seconds from a break until its caller comes back."""
+"""Seconds from a break until its caller comes back, usually."""
 _RETRY_SLACK: typing.Final = 1e6
 _EVENT_PATTERN: typing.Final = re.compile(rb"id: (\d+)\ndata: (\S+)\n\n")
 
@@ -261,6 +261,8 @@
             dict[tuple[str, int], _VersionEntry]
         ] = {}
         self.lost_share = 0.0
+        # Seconds from a break until its caller comes back.
+        self.come_back_s = _COME_BACK_S
         # Seconds by which the last entry lists a target later than the first.
         self.list_lag_s = 0.0
         self._nursery: typing.Final = nursery
@@ -500,7 +502,7 @@
                 break
             if refusal is not None:
                 await trio.sleep(refusal.retry_after_ms / 1000)
-            await trio.sleep(_COME_BACK_S)
+            await trio.sleep(self.come_back_s)
         self.streams.append(
             CalledStream(
                 began,
--- a/packages/gentianpoint-entry/features/forwarding/version_markers.feature
+++ b/packages/gentianpoint-entry/features/forwarding/version_markers.feature
@@ -134,6 +134,23 @@
       | without marks     |
       | with the first one |
 
+  Scenario: the log loses all marks, and all entries are killed twice
+    Guards against entries that take for complete what the first ones to come
+    back have written, which knew no more than the list.
+    Given 3 entries before 2 targets of v1
+    And entries keep in the log which versions serve
+    And callers stay away for 4.5 s after a break
+    When 20 streams a second begin for 12 seconds
+    And after 5 s all entries are killed
+    And after 5.1 s the log comes back from a copy without marks
+    And after 5.3 s the targets of v1 end
+    And after 5.4 s 2 targets of v2 start
+    And after 6 s all entries are back
+    And after 8.7 s all entries are killed
+    And after 9.2 s all entries are back
+    Then no stream has events of two versions
+    And callers that come back wait for at most 1 s
+
   Scenario: a mark that was removed comes back
     Guards against a service that counts as mixed for ever after the log came
     back from a copy.
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/software_history.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/software_history.py
@@ -104,15 +104,19 @@
         is_marked = bool(software) and (service, software) in self._marked
         return known_at + (LIST_LAG_S if is_marked else UNKNOWN_WAIT_S)
 
+    def knows_all(self, service: str, window_s: float, now: float) -> bool:
+        """Tell whether all versions of the last ``window_s`` are known."""
+        if self._are_all_told or service in self._told:
+            return True
+        return now - self._watched_since >= window_s
+
     def find_sole(self, service: str, window_s: float, now: float) -> str:
         """Return the one version of the last ``window_s`` seconds.
 
         Empty if there were several, if one is not known, or if this entry
         has not watched, or does not remember, for so long.
         """
-        is_told = self._are_all_told or service in self._told
-        is_watched = now - self._watched_since >= window_s
-        if window_s > _KEPT_S or not (is_told or is_watched):
+        if window_s > _KEPT_S or not self.knows_all(service, window_s, now):
             return _UNKNOWN
         recent = [
             software
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_records.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_records.py
@@ -177,8 +177,9 @@
             self._table.prune(now)
             self._begun.prune(now)
             windows_s = self._list_windows_s()
+            self.note_listed()
             for service, window_s in windows_s.items():
-                is_sole = bool(self._look(service, window_s, now))
+                is_sole = bool(self._history.find_sole(service, window_s, now))
                 if self._was_sole.get(service, True) and not is_sole:
                     await self._tell(self._begun.list_by_service(service))
                 self._was_sole[service] = is_sole
@@ -187,6 +188,12 @@
             self._history.prune(now)
             await trio.sleep(_CHECK_S)
 
+    def note_listed(self) -> None:
+        """Note which versions serve now, and where streams may begin."""
+        now = trio.current_time()
+        for service in self._list_windows_s():
+            self._note_listed(service, now)
+
     def list_serving(self) -> abc.Mapping[str, abc.Collection[str]]:
         """Return the versions at which streams that may be taken up begin.
 
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/version_markers.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/version_markers.py
@@ -149,15 +149,19 @@
 
         Marks of an earlier era may lack others that the log has lost.
         """
+        now = trio.current_time()
         softwares: dict[str, list[str]] = {}
         for mark in self._known.values():
             if mark.era >= self._eras.newest:
                 softwares.setdefault(mark.service, []).append(mark.software)
+            else:
+                self._history.note(mark.service, (mark.software,), now)
         self._history.note_earlier(
             softwares,
-            trio.current_time(),
+            now,
             are_all_told=self._is_first_start and not self._known,
         )
+        self._records.note_listed()
 
     async def _keep(self) -> None:
         """Write the marks that are missing, and remove those not needed."""
@@ -180,12 +184,23 @@
                 await self._remove(key, mark)
 
     def _note_served(self) -> None:
-        """Look for marks anew of versions that have come, or come back."""
+        """Look for marks anew of versions that have come, or come back.
+
+        An unknown version is marked as well where others may have served
+        before the start: entries that start later must not take the known
+        ones for all.
+        """
+        now = trio.current_time()
         served = {
             (service, software)
             for service, found in self._records.list_serving().items()
             for software in found
         }
+        served |= {
+            (service, "")
+            for service, window_s in self._records.list_windows_s().items()
+            if not self._history.knows_all(service, window_s, now)
+        }
         for service, software in served - self._served:
             self._known.pop(make_key(service, software), None)
         self._served = served
