Keep the head of the first answer of a stream that is sent whole

Callers of an entry that leaves got a stream's events under the seal and headers of the target that only ended it: the entry holds a stream back that could outlast it, its first target crashed, and the stream went on elsewhere.

Cause: the held-back answer was sent with the head of the last run, where a stream that is passed on as it comes has that of the first.

The head of the answer that brought the first event is kept. Test: "a stream that is sent whole goes on at another target", of whose three examples the first failed before.

--- a/packages/gentianpoint-entry/features/forwarding/steps/stream_calls_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/stream_calls_steps.py
@@ -11,6 +11,7 @@
 from gentianpoint_core import deadlines
 from gentianpoint_entry.forwarding import request_handling
 from gentianpoint_entry.forwarding import routes
+from gentianpoint_entry.forwarding import stream_calls
 
 
 def start_stream(context, *, may_resume=False, copies=False):
@@ -151,6 +152,38 @@
     serve(context)
 
 
+@behave.when("the request is served, and the answer is sent whole")
+def serve_whole(context):
+    context.answer = forwarding_builders.RecordedAnswer()
+
+    def make_answer(words, target):
+        answer = forwarding_builders.ScriptedAnswer(words, target)
+        answer.headers = ((b"x-sent-by", target.target_id.encode()),)
+        return answer
+
+    context.calls.make_answer = make_answer
+
+    async def run():
+        shared = forwarding_builders.make_forwarder(
+            sorted(context.calls.scripts), context.calls
+        )
+        request = forwarding_builders.make_request(
+            context.route, context.engine
+        )
+        call = stream_calls.StreamCall(
+            shared, request, context.answer, must_be_whole=True
+        )
+        assert await call.serve() is None
+
+    with testing.capture_logs():
+        topic_builders.run_on_mock_clock(run)
+
+
+@behave.then("the answer has the headers of {name}")
+def check_headers(context, name):
+    assert context.answer.headers == ((b"x-sent-by", name.encode()),)
+
+
 @behave.when("its caller leaves as soon as it has the whole answer")
 def serve_leaving(context):
     context.leaves_after = True
--- a/packages/gentianpoint-entry/features/forwarding/stream_calls.feature
+++ b/packages/gentianpoint-entry/features/forwarding/stream_calls.feature
@@ -101,6 +101,22 @@
     Then the caller has events 1 to 4, each once, as a complete answer
     And target b was asked to continue after event 2 without a copy
 
+  Scenario Outline: a stream that is sent whole goes on at another target
+    An entry that leaves holds a stream back until its end. Guards against an
+    answer that bears the seal of the target that has only ended it.
+    Given a generation that may be resumed
+    And target a answers: <first>
+    And target b answers: <second>
+    When the request is served, and the answer is sent whole
+    Then the caller has events 1 to 4, each once, as a complete answer
+    And the answer has the headers of <target>
+
+    Examples:
+      | first                 | second              | target |
+      | events 1-2 then break | events 3-4 then end | a      |
+      | events 1-0 then break | events 1-4 then end | b      |
+      | events 1-4 then end   | refuse              | a      |
+
   Scenario: a target falls silent and leaves the list
     The target's host is suspended as the platform takes the target off its
     list. The target serves on for two seconds after that, and resumes with the
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
@@ -100,6 +100,9 @@
         self._answer: typing.Final = answer
         self._must_be_whole: typing.Final = must_be_whole
         self._buffered: typing.Final = bytearray()
+        # Head of the answer that brought the first event. A stream keeps it
+        # wherever it goes on.
+        self._head: typing.Optional[target_calls.TargetAnswer] = None
         self._order: typing.Final = stream_events.EventOrder(
             request.last_event_id
         )
@@ -464,6 +467,7 @@
     ) -> None:
         if not self._answer.is_started:
             if self._must_be_whole:
+                self._head = self._head or run.answer
                 self._buffered.extend(data)
                 return
             await self._answer.start(run.answer.status, run.answer.headers)
@@ -485,9 +489,9 @@
             await trio.sleep(wait_s)
 
     async def _finish_answer(self, run: stream_runs.StreamRun) -> None:
-        if self._buffered:
+        if self._head is not None:
             await self._answer.send_whole(
-                run.answer.status, run.answer.headers, bytes(self._buffered)
+                self._head.status, self._head.headers, bytes(self._buffered)
             )
             return
         if not self._answer.is_started:
