Write surviving marks again in each era of the log

Found by reading the change. A mark of an earlier era now counts as missing.

On the system's first start no version can have served before, whether or not other entries have marked theirs already; an entry that read some of these marks would have marked the other services as unknown.

--- a/packages/gentianpoint-entry/features/forwarding/steps/stream_versions_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/stream_versions_steps.py
@@ -13,6 +13,7 @@
 
 _SETTLED_S = 4.0
 _SHARE_OF_KILLED = 3
+WINDOW_S = 60.0
 
 
 @behave.given("{count:d} entries before {first:d} targets of v1")
@@ -120,7 +121,7 @@
     context.topic = topic_builders.KeptTopic()
 
 
-def put_mark(context, software, window_s=0.0):
+def put_mark(context, software, window_s=WINDOW_S):
     mark = {
         "service": forwarding_builders.SERVICE,
         "software": software,
--- a/packages/gentianpoint-entry/features/forwarding/version_markers.feature
+++ b/packages/gentianpoint-entry/features/forwarding/version_markers.feature
@@ -134,6 +134,18 @@
       | without marks     |
       | with the first one |
 
+  Scenario: the log comes back from a copy with all marks
+    Guards against callers that are refused ever after, since marks that the
+    log has kept count as those of an earlier era.
+    Given 3 entries before 3 targets of v1
+    And entries keep in the log which versions serve
+    When 20 streams a second begin for 10 seconds
+    And after 2 s the log comes back from a copy with the first one
+    And after 5 s all entries start again
+    Then no stream has events of two versions
+    And callers that come back are served 0.95 times as often as new ones
+    And the log names the versions v1
+
   Scenario: the log loses all marks, and all entries are killed twice
     Guards against entries that take for complete what the first ones to come
     back have written, which knew no more than the list.
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/version_markers.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/version_markers.py
@@ -159,7 +159,7 @@
         self._history.note_earlier(
             softwares,
             now,
-            are_all_told=self._is_first_start and not self._known,
+            are_all_told=self._is_first_start,
         )
         self._records.note_listed()
 
@@ -215,11 +215,14 @@
         missing = []
         for service, software in sorted(self._served):
             window_s = windows_s.get(service, 0.0)
+            wanted = _Mark(service, software, window_s, self._eras.newest)
             known = self._known.get(make_key(service, software))
-            if known is None or known.window_s < window_s:
-                missing.append(
-                    _Mark(service, software, window_s, self._eras.newest)
-                )
+            if (
+                known is None
+                or known.window_s < wanted.window_s
+                or known.era < wanted.era
+            ):
+                missing.append(wanted)
                 self._missing_since.setdefault((service, software), now)
             else:
                 self._missing_since.pop((service, software), None)
