Drop a lookup that nothing calls, and give notice in one builder

TargetRegistry.list_services has had no caller since state is kept for configured services only, and StreamRecords._look one caller; both are gone, what they did is the same. Three steps files had the same function that gives a target notice, two of them new; it is a builder now, and their assertions are as they were.

--- a/packages/gentianpoint-entry/features/forwarding/forwarding_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/forwarding_builders.py
@@ -110,6 +110,22 @@
     return f"id: {number}\ndata: piece {number}\n\n".encode()
 
 
+async def give_notice(
+    answer: "RecordedAnswer",
+    shared: forwarder.Forwarder,
+    number: int,
+    left_ms: float,
+) -> None:
+    """Give target a notice once its caller has the event ``number``."""
+    wanted = make_event(number)
+    while wanted not in answer.data:
+        await trio.sleep(0.01)
+    target = shared.registry.find("a")
+    assert target is not None
+    target.entry = target.entry._replace(is_leaving=True)
+    target.leaves_at = deadlines.make_deadline(left_ms)
+
+
 class GoodAnswer(target_calls.TargetAnswer):
     """The head of an answer of a target that serves."""
 
--- a/packages/gentianpoint-entry/features/forwarding/steps/stream_backups_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/stream_backups_steps.py
@@ -9,7 +9,6 @@
 import topic_builders
 import trio
 
-from gentianpoint_core import deadlines
 from gentianpoint_entry.forwarding import request_handling
 from gentianpoint_entry.forwarding import routes
 
@@ -60,14 +59,6 @@
 
 @behave.when("it is served, and its target gets notice after event {number:d}")
 def serve(context, number, seconds=60.0):
-    async def give_notice(shared):
-        wanted = forwarding_builders.make_event(number)
-        while wanted not in context.answer.data:
-            await trio.sleep(0.01)
-        target = shared.registry.find("a")
-        target.entry = target.entry._replace(is_leaving=True)
-        target.leaves_at = deadlines.make_deadline(NOTICE_MS)
-
     async def run():
         context.calls = backup_builders.BackupCalls(
             context.reaction, context.reacts_after_s, context.last
@@ -82,7 +73,13 @@
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(shared.release_unused_copies)
-            nursery.start_soon(give_notice, shared)
+            nursery.start_soon(
+                forwarding_builders.give_notice,
+                context.answer,
+                shared,
+                number,
+                NOTICE_MS,
+            )
             with trio.move_on_after(seconds):
                 await handler.serve(request, context.answer)
             nursery.cancel_scope.cancel()
--- a/packages/gentianpoint-entry/features/forwarding/steps/stream_calls_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/stream_calls_steps.py
@@ -70,12 +70,9 @@
 
 async def give_notice(context, shared, number, left_ms=2000):
     """Give target a notice once the caller has an event."""
-    wanted = forwarding_builders.make_event(number)
-    while wanted not in context.answer.data:
-        await trio.sleep(0.01)
-    target = shared.registry.find("a")
-    target.entry = target.entry._replace(is_leaving=True)
-    target.leaves_at = deadlines.make_deadline(left_ms)
+    await forwarding_builders.give_notice(
+        context.answer, shared, number, left_ms
+    )
 
 
 async def drop_target(context, shared, number):
--- a/packages/gentianpoint-entry/features/forwarding/steps/stream_stops_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/stream_stops_steps.py
@@ -9,7 +9,6 @@
 import topic_builders
 import trio
 
-from gentianpoint_core import deadlines
 from gentianpoint_entry.forwarding import request_handling
 from gentianpoint_entry.forwarding import routes
 
@@ -50,14 +49,6 @@
 def serve(context, number):
     context.answer = TimedAnswer()
 
-    async def give_notice(shared):
-        wanted = forwarding_builders.make_event(number)
-        while wanted not in context.answer.data:
-            await trio.sleep(0.01)
-        target = shared.registry.find("a")
-        target.entry = target.entry._replace(is_leaving=True)
-        target.leaves_at = deadlines.make_deadline(NOTICE_MS)
-
     async def run():
         calls = stop_builders.StoppingCalls(
             context.last_copy, is_delimited=context.is_delimited
@@ -72,7 +63,13 @@
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(shared.release_unused_copies)
-            nursery.start_soon(give_notice, shared)
+            nursery.start_soon(
+                forwarding_builders.give_notice,
+                context.answer,
+                shared,
+                number,
+                NOTICE_MS,
+            )
             await handler.serve(request, context.answer)
             context.ended_at = trio.current_time()
             nursery.cancel_scope.cancel()
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_records.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_records.py
@@ -320,11 +320,6 @@
             service, request.route.find_resume_window_s(), now
         )
 
-    def _look(self, service: str, window_s: float, now: float) -> str:
-        """Note which versions serve now, and return the one that does."""
-        self._note_listed(service, now)
-        return self._history.find_sole(service, window_s, now)
-
     def _note_listed(self, service: str, now: float) -> None:
         self._history.note(service, self._list_softwares(service, now), now)
         for target in self._registry.list_by_service(service):
@@ -390,11 +385,12 @@
         now = trio.current_time()
         origin = self._table.find(message["key"], now)
         window_ms = min(max(0, message["window_ms"]), _MAX_WINDOW_MS)
+        self._note_listed(message["service"], now)
         answer: dict[str, typing.Any] = {
             "type": "origin_found",
             "question": message["question"],
             "member": self._address,
-            "sole_software": self._look(
+            "sole_software": self._history.find_sole(
                 message["service"], window_ms / 1000, now
             ),
             "current": self._is_current(now),
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
@@ -425,10 +425,6 @@
         """Return the targets of a service."""
         return self._by_service.get(service, ())
 
-    def list_services(self) -> abc.Sequence[str]:
-        """Return the services that have targets."""
-        return list(self._by_service)
-
     def list_all(self) -> abc.Sequence[Target]:
         """Return all targets."""
         return list(self._targets.values())
