Show that work is cut at a replica that was called back

Cause: as before; a replica that exits soon after its notice has run out has requests at work that a late heartbeat has brought to it.

Change: the case's replica works 90 ms on a request and exits 0.7 s after its notice. The stand-ins gain versions, headers of clients and requests at work.

--- a/review/8/play.py
+++ b/review/8/play.py
@@ -16,16 +16,16 @@
 import fleet_standins as standins  # noqa: E402
 
 SERVICE = "wuno96b"
-WORK_S = 0.0225
+WORK_S = 0.09
 ENTRIES = 2
-CLIENTS = 8
-PAUSE_S = 0.1
+CLIENTS = 16
+PAUSE_S = 0.2
 NOTICE_AFTER_S = 3.1
 """Time from the lost answer to the report; ``contact_ms`` is 3 s."""
 LATE_S = 4 * standins.BEAT_S + 0.05
 """Time from the lost answer until the store executes the write: 1 to 6 s."""
-STAYS_ON_S = 2.0
-"""Time for which the replica serves on after ``drain_ms``."""
+STAYS_ON_S = 0.7
+"""Time for which the replica serves on after ``drain_ms``; then it exits."""
 
 
 async def send_requests(fleet, number, until, record, counts):
@@ -105,6 +105,7 @@
             if at > accepted_at + standins.DRAIN_S
         ]
         record.note("statuses", counts)
+        record.note("requests that were cut at its exit:", leaving.cut)
         record.note("requests after drain_ms:", len(late), late[:5])
         if not counts.get(200) or not leaving.arrivals:
             return None
--- a/review/fleet_standins.py
+++ b/review/fleet_standins.py
@@ -247,6 +247,8 @@
         self._handles = 0
         self.runs = {}
         self.state = "in_service"
+        # Version of its software.
+        self.version = "v1"
         self.leaves_at = None
         self.answers = 0
         # Called with the number of each whole answer; true if a second answer
@@ -279,7 +281,7 @@
             "service": self._service,
             "address": self.address,
             "zone": self._zone,
-            "version": "v1",
+            "version": self.version,
             "slots": 96,
             "state": self.state,
             "cold_left_ms": 0,
@@ -503,6 +505,9 @@
         self.address = f"{fleet.find_ip(number)}:{ENGINE_PORT}"
         self.state = "in_service"
         self.arrivals = []
+        # Requests that are at work, and those that were at its end.
+        self.at_work = set()
+        self.cut = []
         self.beats = 0
         self.beat_at = 0.0
         self._ip = fleet.find_ip(number)
@@ -553,6 +558,7 @@
 
     async def end(self):
         self._beat_task.cancel()
+        self.cut = sorted(self.at_work)
         self._server.close()
         for writer in list(self._writers):
             writer.transport.abort()
@@ -582,7 +588,11 @@
             return encode_json(421, {}, [*head, (NOT_EXECUTED, "1")])
         self.arrivals.append((time.monotonic(), name))
         self._record.note("replica", self.name, "runs", name)
-        await asyncio.sleep(self._work_s)
+        self.at_work.add(name)
+        try:
+            await asyncio.sleep(self._work_s)
+        finally:
+            self.at_work.discard(name)
         head = [(REQUEST_ID, name), (SEAL, f"seal.{name}")]
         return encode_answer(200, head, name.encode())
 
@@ -618,7 +628,9 @@
         return [event for event in self.events if event[1] != name]
 
 
-async def ask(address, path, name, tokens, answer, *, wait_s=30.0):
+async def ask(
+    address, path, name, tokens, answer, *, wait_s=30.0, more_headers=()
+):
     """Send one streaming request and read its answer to the end."""
     host, _, port = address.partition(":")
     try:
@@ -635,6 +647,7 @@
         f"X-Gentianpoint-Prompt-Prefix: {name[-8:]}:{tokens[0]}",
         f"X-Gentianpoint-Request-Deadline: {round(wait_s * 1000)}",
         f"Authorization: Bearer {KEY}",
+        *more_headers,
         "Content-Length: 2",
     ]
     writer.write("\r\n".join(lines).encode() + b"\r\n\r\n{}")
