Show that streams are not taken up after all entries were killed

Cause: which software version began a stream is kept in the memory of entries alone. While several versions serve, entries that start again refuse each stream that is taken up.

Change: a script in which all three entries are killed while two versions serve, and clients come back 3.5 s after the entries.

--- a/review/9/play.py
+++ b/review/9/play.py
@@ -1,13 +1,13 @@
-"""Crashes a replica while the backup of its generations is draining.
+"""Kills all entries while two software versions serve.
 
-From two seconds after the store has accepted that a replica is draining, no
-request may reach it.
+Clients whose streams broke off take them up again once the entries have been
+back for longer than ``contact_ms``.
 """
 
 import asyncio
 import pathlib
+import signal
 import sys
-import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
@@ -15,27 +15,50 @@
 import fleet_standins as standins  # noqa: E402
 
 SERVICE = "huvo11a"
-EVENT_S = 0.05
-TOKENS = (800, 700)
-STREAMS = 20
-REPLICAS = 6
-CRASH_AFTER_S = standins.DRAIN_S + 0.5
-"""Time from the notice of the backup to the crash of the runner."""
-STAYS_ON_S = 1.5
-"""Time for which the backup serves on after ``drain_ms``."""
-
-
-def choose_pair(engines):
-    """Return the runner and the backup with most generations in common."""
-    by_address = {engine.address: engine for engine in engines}
-    counts = {}
-    for engine in engines:
-        for run in engine.runs.values():
-            backup = by_address.get(run.backup)
-            if backup is not None:
-                pair = (engine, backup)
-                counts[pair] = counts.get(pair, 0) + 1
-    return max(counts, key=counts.get, default=(None, None))
+EVENT_S = 0.1
+TOKENS = (300, 800)
+ENTRIES = 3
+VERSIONS = ("v1", "v1", "v2", "v2")
+STREAMS = 24
+LEAST_TAKEN_UP = 12
+DOWN_S = 0.5
+CONTACT_S = 3.0
+OVER_S = 2.0
+"""Time over which clients come back, from ``contact_ms`` on."""
+
+
+class Client:
+    """A client with one stream, which it takes up if it breaks off."""
+
+    def __init__(self, fleet, number):
+        self.name = f"draft{number:08x}"
+        self.first = standins.Answer()
+        self.second = standins.Answer()
+        self._fleet = fleet
+        self._number = number
+        self.task = None
+
+    def begin(self):
+        self.task = asyncio.create_task(self._ask(self.name, self.first, 0))
+
+    def _ask(self, name, answer, turn, headers=()):
+        number = 1 + (self._number + turn) % ENTRIES
+        return standins.ask(
+            self._fleet.find_front(number), "/draft/a", name, TOKENS, answer,
+            more_headers=headers,
+        )  # fmt: skip
+
+    async def take_up(self):
+        headers = [
+            f"Last-Event-Id: {self.first.events[-1][0]}",
+            f"Resumes: {self.name}",
+        ]
+        await self._ask(f"again{self._number:08x}", self.second, 1, headers)
+
+    def goes_on(self):
+        """Tell whether the stream goes on where it broke off."""
+        events = self.second.events
+        return bool(events) and events[0][0] == self.first.events[-1][0] + 1
 
 
 async def play(record, has_trouble):
@@ -43,55 +66,72 @@
     try:
         await fleet.start_store()
         configuration = standins.make_configuration(
-            SERVICE, ["/draft/"], backups=True
+            SERVICE, ["/draft/"], backups=False
         )
+        configuration["routes"][0].update(resumable=True, max_attempts=2)
         fleet.store.put("keyed.op", "config", configuration)
-        engines = [
-            standins.add_engine(fleet, 20 + number, SERVICE, record, EVENT_S)
-            for number in range(REPLICAS)
-        ]
-        for engine in engines:
-            await engine.start()
-            fleet.make_agent(engine.ip, SERVICE).start()
-        fleet.make_entry(1).start()
-        if not await fleet.wait_until_ready(1):
-            return None
-        await asyncio.sleep(3.0)
-        answers = {f"draft{n:08x}": standins.Answer() for n in range(STREAMS)}
-        tasks = [
-            asyncio.create_task(
-                standins.ask(
-                    fleet.find_front(1), "/draft/a", name, TOKENS, answer
-                )
+        for number, version in enumerate(VERSIONS):
+            engine = standins.add_engine(
+                fleet, 20 + number, SERVICE, record, EVENT_S
             )
-            for name, answer in answers.items()
+            engine.version = version
+            await engine.start()
+            fleet.make_agent(engine.ip, SERVICE, ENTRIES).start()
+        entries = [
+            fleet.make_entry(number, ENTRIES)
+            for number in range(1, ENTRIES + 1)
         ]
-        await asyncio.sleep(2.5)
-        runner, backup = choose_pair(engines)
-        if runner is None:
-            return None
-        backup.give_notice(standins.DRAIN_S + STAYS_ON_S)
-        accepted_at = time.monotonic()
-        await asyncio.sleep(CRASH_AFTER_S)
+        for entry in entries:
+            entry.start()
+        for number in range(1, ENTRIES + 1):
+            if not await fleet.wait_until_ready(number):
+                return None
+        await asyncio.sleep(5.0)
+        clients = [Client(fleet, number) for number in range(STREAMS)]
+        for client in clients:
+            client.begin()
+        await asyncio.sleep(4.0)
         if has_trouble:
-            record.note("replica", runner.name, "crashes")
-            await runner.end(is_crash=True)
-        await asyncio.sleep(standins.DRAIN_S + STAYS_ON_S - CRASH_AFTER_S)
-        await backup.end()
-        await asyncio.gather(*tasks)
-        late = [
-            (name, round(at - accepted_at, 3))
-            for at, name in backup.arrivals
-            if at > accepted_at + standins.DRAIN_S
-        ]
-        for name, answer in answers.items():
+            for entry in entries:
+                entry.send(signal.SIGKILL)
+                entry.process.wait()
+            await asyncio.sleep(DOWN_S)
+            for entry in entries:
+                entry.start()
+            for number in range(1, ENTRIES + 1):
+                if not await fleet.wait_until_ready(number):
+                    return None
+        else:
+            for client in clients:
+                client.task.cancel()
+        await asyncio.gather(
+            *[client.task for client in clients], return_exceptions=True
+        )
+        await asyncio.sleep(CONTACT_S + 0.5)
+        broken = [item for item in clients if item.first.events]
+        new = [Client(fleet, STREAMS + number) for number in range(STREAMS)]
+        tasks = []
+        for client, other in zip(broken, new, strict=False):
+            tasks.append(asyncio.create_task(client.take_up()))
+            other.begin()
+            tasks.append(other.task)
+            await asyncio.sleep(OVER_S / STREAMS)
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for client in broken:
             record.note(
-                "client", name, "status", answer.status,
-                "whole" if answer.is_whole else "broken off", answer.error,
+                "client", client.name, "took its stream up after event",
+                client.first.events[-1][0], "status", client.second.status,
+                "goes on:", client.goes_on(), client.second.error,
             )  # fmt: skip
-        record.note("requests after drain_ms:", len(late), late[:5])
-        whole = sum(answer.is_whole for answer in answers.values())
-        return not late if whole else None
+        taken_up = sum(client.goes_on() for client in broken) / len(broken)
+        begun = sum(bool(item.first.events) for item in new) / len(new)
+        record.note(
+            "streams taken up", len(broken), "of which go on", taken_up
+        )
+        record.note("new streams", len(new), "of which begin", begun)
+        if len(broken) < LEAST_TAKEN_UP or not begun:
+            return None
+        return taken_up >= begun / 2
     finally:
         fleet.end()
 
