Roll the agent in the case of foreign memory instead of killing it

Cause: the case needed two disruptions, a late second answer and a killed agent, where a planned stop of the agent does as well.

--- a/review/6/play.py
+++ b/review/6/play.py
@@ -1,7 +1,8 @@
 """Sends a second answer late, while generations move from a replica.
 
-The replica's agent is killed, and the replica gives notice. Each generation
-has to go on from its own memory, and each client gets its own events.
+The replica's agent is stopped and started, and the replica gives notice. Each
+generation has to go on from its own memory, and each client gets its own
+events.
 """
 
 import asyncio
@@ -30,7 +31,20 @@
 TAGS_PAUSE_S = 0.1
 REPLICAS = 6
 ROUNDS = 8
-KILLS_AGENT = os.environ.get("KILLS_AGENT", "1") != "0"
+ROLLS_AGENT = os.environ.get("ROLLS_AGENT", "1") != "0"
+RESTART_S = 0.5
+"""Time from the end of a process to its next start."""
+
+
+async def roll_agent(agent):
+    """Stop and start an agent, as in a roll of its machine."""
+    if not ROLLS_AGENT:
+        return
+    agent.send(signal.SIGTERM)
+    while agent.process.poll() is None:
+        await asyncio.sleep(0.02)
+    await asyncio.sleep(RESTART_S)
+    agent.start()
 
 
 class Round:
@@ -69,11 +83,11 @@
             await asyncio.gather(*tasks)
             await asyncio.sleep(TAGS_PAUSE_S)
         record.note("the replica gave", ANSWERS_EACH, "answers or a few more")
-        if KILLS_AGENT and self._has_trouble:
-            agent.send(signal.SIGKILL)
+        roll = asyncio.create_task(roll_agent(agent))
         source.give_notice(standins.DRAIN_S)
         await asyncio.sleep(standins.DRAIN_S + 0.5)
         await source.end()
+        await roll
         await asyncio.gather(*long_tasks)
 
 
