Leave requests that get 421 out of the arrivals at model replicas

Cause: the rule on draining doesn't count them, and the stand-in noted them. Change: a request is noted once it is known to be for this start.

--- a/review/fleet_standins.py
+++ b/review/fleet_standins.py
@@ -412,12 +412,12 @@
 
     async def _generate(self, request, reader, writer):
         name = request.find(REQUEST_ID)
-        self.arrivals.append((time.monotonic(), name))
         if request.find("X-Gentianpoint-Expect-Instance") != self.name:
             head = [("X-Gentianpoint-Instance-Id", self.name)]
             head.append((NOT_EXECUTED, "1"))
             writer.write(encode_json(421, {}, head))
             return b""
+        self.arrivals.append((time.monotonic(), name))
         backup = request.find("X-Gentianpoint-Kv-Backup")
         source = request.find("Kv-From")
         after = int(request.find("Last-Event-Id") or 0)
