Read TROUBLE in each case of the second review

Cause: only the stand-ins that the cases share read TROUBLE, so that a reader of a case's folder found no use of it.

Change: run.sh sets its default and play.py reads it.

--- a/review/6/play.py
+++ b/review/6/play.py
@@ -152,4 +152,6 @@
         fleet.end()
 
 
-standins.run_case(play, FOLDER)
+standins.run_case(
+    play, FOLDER, has_trouble=os.environ.get("TROUBLE", "1") != "0"
+)
--- a/review/7/play.py
+++ b/review/7/play.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import os
 import pathlib
 import sys
 
@@ -94,4 +95,6 @@
         fleet.end()
 
 
-standins.run_case(play, FOLDER)
+standins.run_case(
+    play, FOLDER, has_trouble=os.environ.get("TROUBLE", "1") != "0"
+)
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,2 +1,4 @@
 #!/usr/bin/env bash
-cd "$(dirname "$0")" && exec python3 play.py
+# TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")" || exit 2
+TROUBLE="${TROUBLE:-1}" exec python3 play.py
--- a/review/8/play.py
+++ b/review/8/play.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import itertools
+import os
 import pathlib
 import sys
 import time
@@ -114,4 +115,6 @@
         fleet.end()
 
 
-standins.run_case(play, FOLDER)
+standins.run_case(
+    play, FOLDER, has_trouble=os.environ.get("TROUBLE", "1") != "0"
+)
--- a/review/9/play.py
+++ b/review/9/play.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import os
 import pathlib
 import signal
 import sys
@@ -136,4 +137,6 @@
         fleet.end()
 
 
-standins.run_case(play, FOLDER)
+standins.run_case(
+    play, FOLDER, has_trouble=os.environ.get("TROUBLE", "1") != "0"
+)
--- a/review/fleet_standins.py
+++ b/review/fleet_standins.py
@@ -939,7 +939,7 @@
     return made
 
 
-def run_case(play, folder):
+def run_case(play, folder, *, has_trouble):
     """Run a case and exit as the review asks.
 
     ``play`` is given the record and whether there is trouble, and returns
@@ -947,7 +947,6 @@
     not run.
     """
     record = Record(folder)
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
 
     def stop(*_):
         raise SystemExit(2)
