Break off early answers whose connection was reset

Callers on the users' platform got a part of an answer as a complete one, where a target answered a long upload at once with a 200 without length and chunks, sent a part of its body and reset the connection while the upload was still being written: plain answers got a content-length that fits the part, streams their last chunk.

Cause: Exchange.send goes on to read the answer when a write fails and something is there to read. The kernel tells a reset once, and the write had taken it, so the read after the part met the same end as that of a connection that its peer closed in order. The decision on whether such an answer is complete was never told of the reset; it asked whether the target goes on, and it did.

Evidence: broken_answers.feature, with real entries, agents and connections before a stand-in that answers marked requests itself.

Change: a reset is an input of judge_end, and an answer without framing whose connection was reset is broken off. Exchange.was_reset tells it by the write that failed, and by the state of the connection, which the kernel goes on to report whichever call took the error. It is looked at when the body has ended, and once more after the 50 ms in which the sender is asked, since a sender that is still sent parts of a request resets after its end. Whole bodies, streams, reports of engines, copies of memory and the log are read by the same decision.

Why it works: a length or a last chunk proves an end by itself, whatever became of the request, and no such answer is asked about resets. Without either, only the connection can prove the end, and one that was reset can't. An answer whose sender ends its own side and reads the request to its end has no reset.

--- /dev/null
+++ b/bench/broken_answers/__init__.py
@@ -0,0 +1,1 @@
+"""Targets that send broken answers, in front of which real entries serve."""
--- /dev/null
+++ b/bench/features/broken_answers.feature
@@ -0,0 +1,49 @@
+Feature: Targets in trouble send broken answers
+  Real entries serve callers, and targets answer requests in ways that break
+  HTTP, or before they have read the request.
+
+  Scenario Outline: a part of an answer without framing
+    The target resets the connection while a long request is still written to
+    it. Guards against a part that reaches its caller as a complete answer.
+    When targets on <interface> answer long requests, 3 times each, by
+      | answer                       |
+      | a part, a reset at once      |
+      | a part, a reset after 5 ms   |
+      | a part, a reset after 200 ms |
+      | a part, a close              |
+      | a part, an end, a reset      |
+    Then each of these answers was sent
+    And no caller gets an answer that looks complete and is not
+
+    Examples:
+      | interface            |
+      | the users' platform  |
+
+  Scenario Outline: a sound answer that comes early
+    Its length or its last chunk is met, or the target reads the request to its
+    end. Guards against losing an answer since its request could not be sent.
+    When targets on <interface> answer long requests, 3 times each, by
+      | answer              |
+      | its length, a reset |
+      | its length, a close |
+      | its chunks, a reset |
+      | the rest is read    |
+    Then each of these answers was sent
+    And every caller gets the whole answer
+
+    Examples:
+      | interface            |
+      | the users' platform  |
+
+  Scenario Outline: a framed answer that is cut early
+    Guards against a body that is shorter than its length and looks complete.
+    When targets on <interface> answer long requests, 2 times each, by
+      | answer                        |
+      | a part of its length, a reset |
+      | a part of its chunks, a reset |
+    Then each of these answers was sent
+    And no caller gets an answer that looks complete and is not
+
+    Examples:
+      | interface            |
+      | the users' platform  |
--- a/packages/gentianpoint-core/features/answer_bodies.feature
+++ b/packages/gentianpoint-core/features/answer_bodies.feature
@@ -29,6 +29,30 @@
       | the adapter of plain services | answer 1                   | whole      |
       | the adapter of plain services | half of answer 1 and close | broken off |
 
+  Scenario Outline: an answer comes while its request is being sent
+    The write of the request fails, and is told of the reset instead of the
+    reader. Guards against a part that is taken for a whole body, and against
+    losing a sound early answer.
+    Given a sender that answers "<answer>" and then listens
+    When <reader> sends a long request and reads the body
+    Then the body is <outcome>
+
+    Examples:
+      | answer                                  | reader              | outcome    |
+      | unframed answer 1 and reset             | the connection pool | broken off |
+      | unframed answer 1 and close             | the connection pool | broken off |
+      | unframed answer 1 and shutdown and reset | the connection pool | broken off |
+      | half of answer 1 and reset              | the connection pool | broken off |
+      | answer 1 and reset                      | the connection pool | whole      |
+      | answer 1 and close                      | the connection pool | whole      |
+
+  Scenario: a connection is reset after the end of an answer
+    The last write of the request has succeeded by then. Guards against an end
+    that is judged before the reset comes.
+    Given a sender that answers "unframed answer 1 and shutdown and reset" and then listens
+    When the connection pool reads the body
+    Then the body is broken off
+
   Scenario: an answer to another request ends with its connection
     Guards against waiting for an answer that can't follow any more.
     Given a sender that answers "unframed answer 7 and close" and then listens
--- a/packages/gentianpoint-core/features/scripted_target.py
+++ b/packages/gentianpoint-core/features/scripted_target.py
@@ -7,6 +7,8 @@
 import trio
 
 _BODY: typing.Final = b"body of "
+_LATE_RESET_S: typing.Final = 0.02
+"""Seconds from the end of the sending side to a reset."""
 
 
 def make_response(description: str) -> bytes:
@@ -63,6 +65,9 @@
                     await stream.send_all(b"\x00\x01 what is this\r\n\r\n")
                 elif "nothing" not in description:
                     await stream.send_all(make_response(description))
+                if "and shutdown" in description:
+                    await stream.send_eof()
+                    await trio.sleep(_LATE_RESET_S)
                 if description.endswith(("and close", "and reset")):
                     self._close(stream, resets=description.endswith("reset"))
                     return
--- a/packages/gentianpoint-core/features/steps/answer_bodies_steps.py
+++ b/packages/gentianpoint-core/features/steps/answer_bodies_steps.py
@@ -1,5 +1,7 @@
 """Steps for bodies of answers, as their readers see them."""
 
+import functools
+
 import behave
 import httpx
 import scripted_target
@@ -23,10 +25,10 @@
     context.ends = then == "ends"
 
 
-async def read_by_pool(address):
+async def read_by_pool(address, sent=b""):
     pool = connection_pools.ConnectionPool(address, CONNECT_MS)
     request = connection_pools.ExchangeRequest(
-        b"GET", b"/", ((b"Host", b"a"),), b""
+        b"POST" if sent else b"GET", b"/", ((b"Host", b"a"),), sent
     )
 
     def is_answer(exchange):
@@ -39,23 +41,24 @@
         pool.close()
 
 
-async def read_by_plain_service(address):
+async def read_by_plain_service(address, sent=b""):
     pool = connection_pools.ConnectionPool(address, CONNECT_MS)
     async with httpx.AsyncClient(trust_env=False) as client:
         service = http_plain_service.HttpPlainService(
             f"http://{address}", client, SILENCE_MS, pool.check_listening
         )
         try:
-            async with service.send_call("GET", "/", [], b"") as answer:
+            method = "POST" if sent else "GET"
+            async with service.send_call(method, "/", [], sent) as answer:
                 return b"".join([chunk async for chunk in answer.chunks])
         finally:
             pool.close()
 
 
-async def append_to_log(address):
+async def append_to_log(address, sent=b"record"):
     async with httpx.AsyncClient(trust_env=False) as client:
         log = http_log.HttpLog(f"http://{address}", client)
-        return await log.append_record("stream", b"record")
+        return await log.append_record("stream", sent)
 
 
 def run_reader(context, read):
@@ -182,6 +185,28 @@
     run_reader(context, read_by_pool_until_closed)
 
 
+LONG_REQUEST = bytes(8 << 20)
+
+
+@behave.when("the connection pool sends a long request and reads the body")
+def read_pool_long(context):
+    run_reader(context, functools.partial(read_by_pool, sent=LONG_REQUEST))
+
+
+@behave.when(
+    "the adapter of plain services sends a long request and reads the body"
+)
+def read_plain_long(context):
+    run_reader(
+        context, functools.partial(read_by_plain_service, sent=LONG_REQUEST)
+    )
+
+
+@behave.when("the adapter of the log appends a long record")
+def append_long(context):
+    run_reader(context, functools.partial(append_to_log, sent=LONG_REQUEST))
+
+
 @behave.when("the adapter of plain services reads the body")
 def read_plain(context):
     run_reader(context, read_by_plain_service)
--- a/packages/gentianpoint-core/src/gentianpoint_core/answer_bodies.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/answer_bodies.py
@@ -69,13 +69,15 @@
         [], answer_ends.ContentEnd
     ] = answer_ends.find_no_content_end,
     was_told_to_stop: abc.Callable[[], bool] = lambda: False,
+    was_reset: abc.Callable[[], bool] = lambda: False,
     confirm_sender: typing.Optional[ConfirmSender] = None,
 ) -> abc.AsyncIterator[bytes]:
     """Yield a body; raises :class:`ports.PortError` unless it is complete.
 
     ``chunks`` raises if a length or chunks were not met. Once the body has
-    ended, ``find_content_end`` tells what its content says, and
-    ``was_told_to_stop`` whether its sender may have been told to stop.
+    ended, ``find_content_end`` tells what its content says,
+    ``was_told_to_stop`` whether its sender may have been told to stop, and
+    ``was_reset`` whether its connection was reset by then.
     ``confirm_sender`` is asked where a process listens that may not be the
     sender; without it such an answer is broken off.
     """
@@ -92,7 +94,11 @@
             open_at = times.open_at
             is_late = times.may_be_late()
     end = answer_ends.AnswerEnd(
-        is_delimited, find_content_end(), was_told_to_stop(), is_late
+        is_delimited,
+        find_content_end(),
+        was_told_to_stop(),
+        is_late,
+        was_reset=not is_delimited and was_reset(),
     )
     verdict = answer_ends.judge_end(end)
     if verdict is answer_ends.Verdict.ASK_SENDER:
@@ -101,7 +107,8 @@
             end.is_late and confirm_sender is not None
         ):
             sender = await confirm_sender()
-        end = end._replace(sender=sender)
+        # A sender that gets more of the request after its end resets late.
+        end = end._replace(sender=sender, was_reset=was_reset())
         verdict = answer_ends.judge_end(end)
     if verdict is answer_ends.Verdict.BROKEN_OFF:
         raise ports.PortError(
@@ -181,6 +188,8 @@
     ]
     if end.was_told_to_stop:
         words.append("told to stop")
+    if end.was_reset:
+        words.append("connection reset")
     if end.is_late:
         words.append("read late")
     return ", ".join(words)
--- a/packages/gentianpoint-core/src/gentianpoint_core/connection_pools.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/connection_pools.py
@@ -20,6 +20,7 @@
 import trio
 
 from gentianpoint_core import answer_bodies
+from gentianpoint_core import connection_resets
 from gentianpoint_core import deadlines
 from gentianpoint_core import option_types
 from gentianpoint_core import ports
@@ -193,6 +194,7 @@
             is_delimited=self.is_delimited,
             ask_sender=self._ask_sender,
             peer=self._peer,
+            was_reset=self.was_reset,
         )
         body = bytearray()
         async for chunk in chunks:
@@ -205,7 +207,7 @@
         """Yield the body as it arrives, all that was read at once together.
 
         Raises if a length or chunks are not met. The end of a body without
-        either is for :mod:`answer_bodies` to judge.
+        either is for :mod:`answer_bodies` to judge, by :meth:`was_reset`.
         """
         step = "receive body"
         while True:
@@ -228,6 +230,16 @@
                 self._is_complete = True
                 return
 
+    def was_reset(self) -> bool:
+        """Tell whether the connection was reset, as far as it is known.
+
+        A write of the request that failed tells it, and so does the state of
+        the connection.
+        """
+        return self._is_cut_short or connection_resets.was_reset(
+            self._stream.socket
+        )
+
     def find_header(self, name: bytes) -> bytes:
         """Return the value of a header by its lower-case name, or ``b""``."""
         for candidate, value in self.headers:
--- a/packages/gentianpoint-core/src/gentianpoint_core/decisions/answer_ends.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/decisions/answer_ends.py
@@ -5,9 +5,10 @@
 ends when the sender breaks the answer off. Then the content may tell: a stream
 of events does not end inside an event. Where the content does not tell, an
 answer counts as complete only if the start of the target that sent it has
-ended it by itself: it was not told to stop, and still goes on. That a process
-listens at its address tells this only if the end was read as it came, since
-another start may have taken the address meanwhile.
+ended it by itself: its connection was not reset, it was not told to stop, and
+it still goes on. That a process listens at its address tells this only if the
+end was read as it came, since another start may have taken the address
+meanwhile.
 """
 
 import enum
@@ -58,6 +59,9 @@
     is_late: bool = False
     """True if the end may have come so long before it was read that another
     start listens by now."""
+    was_reset: bool = False
+    """True if its connection was reset, also where that failed a write of the
+    request and not a read of the answer."""
     sender: Sender = Sender.NOT_ASKED
     """What is known of its sender since."""
 
@@ -83,6 +87,10 @@
     >>> stopped = AnswerEnd(False, ContentEnd.UNSAID, was_told_to_stop=True)
     >>> judge_end(stopped).name
     'BROKEN_OFF'
+    >>> judge_end(AnswerEnd(False, ContentEnd.UNSAID, was_reset=True)).name
+    'BROKEN_OFF'
+    >>> judge_end(AnswerEnd(True, ContentEnd.UNSAID, was_reset=True)).name
+    'COMPLETE'
     >>> late = AnswerEnd(False, ContentEnd.UNSAID, is_late=True)
     >>> judge_end(late._replace(sender=Sender.LISTENS)).name
     'BROKEN_OFF'
@@ -93,6 +101,8 @@
         return Verdict.COMPLETE
     if end.was_told_to_stop:
         return Verdict.BROKEN_OFF
+    if end.was_reset:
+        return Verdict.BROKEN_OFF
     if end.sender is Sender.GOES_ON:
         return Verdict.COMPLETE
     if end.sender is Sender.LISTENS and not end.is_late:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
@@ -241,6 +241,7 @@
             peer=target.entry.address,
             find_content_end=find_content_end,
             was_told_to_stop=was_told_to_stop,
+            was_reset=answer.was_reset,
             confirm_sender=functools.partial(self._confirm_start, target),
         )
 
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_calls.py
@@ -62,6 +62,10 @@
             self.has_target_seal and self.status not in _NOT_EXECUTED_STATUSES
         )
 
+    def was_reset(self) -> bool:
+        """Tell whether the answer's connection was reset, if it is known."""
+        return False
+
     @abc.abstractmethod
     def receive_body(self) -> collections_abc.AsyncIterator[bytes]:
         """Yield the body as it arrives.
