Break off early answers of plain services that were reset

Callers of the project's own interface got a part of a plain service's answer as a complete one, where the service answered a long upload at once without length and chunks, sent a part and reset the connection.

Cause: the client library beneath the adapter does what Exchange.send did: it passes over a write that fails, reads the answer, and tells nobody. The write had taken the error, so the read met an end of file, and the agent found that the service listens.

Evidence: broken_answers.feature, with a real entry, agent and plain service behind the stand-in.

Change: the adapter reads the stream of a response itself, which leaves the connection open at its end, and gives the decision the state of the connection.

Why it works: the kernel reports a connection whose both directions are over for as long as it is open, whichever call was told of the reset; a peer that only ended its sending side leaves it half open.

The other readers of this client have no part of the fault: an engine's stream has an event that ends it, and the log, the host list, engines' reports and peers' states are documents or have a digest. The log's answer to a long record that is reset early has a scenario; it held before.

--- a/bench/features/broken_answers.feature
+++ b/bench/features/broken_answers.feature
@@ -16,8 +16,9 @@
     And no caller gets an answer that looks complete and is not
 
     Examples:
-      | interface            |
-      | the users' platform  |
+      | interface           |
+      | the users' platform |
+      | the own interface   |
 
   Scenario Outline: a sound answer that comes early
     Its length or its last chunk is met, or the target reads the request to its
@@ -32,8 +33,9 @@
     And every caller gets the whole answer
 
     Examples:
-      | interface            |
-      | the users' platform  |
+      | interface           |
+      | the users' platform |
+      | the own interface   |
 
   Scenario Outline: a framed answer that is cut early
     Guards against a body that is shorter than its length and looks complete.
@@ -45,5 +47,6 @@
     And no caller gets an answer that looks complete and is not
 
     Examples:
-      | interface            |
-      | the users' platform  |
+      | interface           |
+      | the users' platform |
+      | the own interface   |
--- a/packages/gentianpoint-core/features/answer_bodies.feature
+++ b/packages/gentianpoint-core/features/answer_bodies.feature
@@ -38,19 +38,36 @@
     Then the body is <outcome>
 
     Examples:
-      | answer                                  | reader              | outcome    |
-      | unframed answer 1 and reset             | the connection pool | broken off |
-      | unframed answer 1 and close             | the connection pool | broken off |
-      | unframed answer 1 and shutdown and reset | the connection pool | broken off |
-      | half of answer 1 and reset              | the connection pool | broken off |
-      | answer 1 and reset                      | the connection pool | whole      |
-      | answer 1 and close                      | the connection pool | whole      |
-
-  Scenario: a connection is reset after the end of an answer
+      | answer                                   | reader                        | outcome    |
+      | unframed answer 1 and reset              | the connection pool           | broken off |
+      | unframed answer 1 and close              | the connection pool           | broken off |
+      | unframed answer 1 and shutdown and reset | the connection pool           | broken off |
+      | half of answer 1 and reset               | the connection pool           | broken off |
+      | answer 1 and reset                       | the connection pool           | whole      |
+      | answer 1 and close                       | the connection pool           | whole      |
+      | unframed answer 1 and reset              | the adapter of plain services | broken off |
+      | unframed answer 1 and close              | the adapter of plain services | broken off |
+      | unframed answer 1 and shutdown and reset | the adapter of plain services | broken off |
+      | half of answer 1 and reset               | the adapter of plain services | broken off |
+      | answer 1 and reset                       | the adapter of plain services | whole      |
+      | answer 1 and close                       | the adapter of plain services | whole      |
+
+  Scenario Outline: a connection is reset after the end of an answer
     The last write of the request has succeeded by then. Guards against an end
     that is judged before the reset comes.
     Given a sender that answers "unframed answer 1 and shutdown and reset" and then listens
-    When the connection pool reads the body
+    When <reader> reads the body
+    Then the body is broken off
+
+    Examples:
+      | reader                        |
+      | the connection pool           |
+      | the adapter of plain services |
+
+  Scenario: the log answers while a long record is being sent
+    Guards against half a document that is taken for the log's answer.
+    Given a sender that answers "unframed answer 1 and reset" and then listens
+    When the adapter of the log appends a long record
     Then the body is broken off
 
   Scenario: an answer to another request ends with its connection
--- a/packages/gentianpoint-core/src/gentianpoint_core/http_plain_service.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/http_plain_service.py
@@ -8,6 +8,7 @@
 import trio
 
 from gentianpoint_core import answer_bodies
+from gentianpoint_core import connection_resets
 from gentianpoint_core import named_limits
 from gentianpoint_core import ports
 from gentianpoint_core.decisions import answer_ends
@@ -121,6 +122,7 @@
             ),
             ask_sender=self._ask_sender,
             peer=self._url,
+            was_reset=lambda: _was_reset(response),
         )
 
     async def _ask_sender(self, alive_at: float) -> answer_ends.Sender:
@@ -130,10 +132,26 @@
     async def _iterate_chunks(
         self, response: httpx.Response
     ) -> abc.AsyncIterator[bytes]:
+        # Unlike the response's own iterators, its stream leaves the connection
+        # open at the end, so that its state can be read.
+        stream = response.stream
+        assert isinstance(stream, httpx.AsyncByteStream)
         try:
-            async for chunk in response.aiter_raw():
+            async for chunk in stream:
                 yield chunk
         except httpx.HTTPError as error:
             raise ports.PortError(
                 "read answer", self._url, repr(error), took_effect=True
             ) from error
+
+
+def _was_reset(response: httpx.Response) -> bool:
+    """Tell whether a response's connection was reset.
+
+    The client passes over a write of the request that fails, and tells
+    nobody, but the state of the connection does.
+    """
+    stream = response.extensions.get("network_stream")
+    if stream is None:
+        return False
+    return connection_resets.was_reset(stream.get_extra_info("socket"))
