Keep tests of broken answers that don't reach callers

Cause that they hold: h11 reads all heads, of the users' platform as well as beneath the client library of the own interface. It takes no status under 100, and none but token characters in a name.

Evidence: broken_answers.feature, real entries before a stand-in that sends each of these answers: status 000 and 099; a blank or a tab in a name, in that of the length too, a blank after it; the bytes 00, 01, 0b, 0d and 7f; no name.

An engine that answers a long prompt early, and whose reset a write has taken, leaves a stream without the event that ends it, which the agent resumes. That held before too, and has a scenario.

--- a/bench/features/broken_answers.feature
+++ b/bench/features/broken_answers.feature
@@ -50,3 +50,40 @@
       | interface           |
       | the users' platform |
       | the own interface   |
+
+  Scenario Outline: a status that is none
+    Guards against an answer whose status a caller can't understand.
+    When targets on <interface> answer requests by
+      | answer     |
+      | status 000 |
+      | status 099 |
+    Then each of these answers was sent
+    And no caller gets any of them as an answer
+
+    Examples:
+      | interface           |
+      | the users' platform |
+      | the own interface   |
+
+  Scenario Outline: the name of a field holds what no name may hold
+    Guards against a line that is passed on, and against a body whose length is
+    read from another line than its target meant.
+    When targets on <interface> answer requests by
+      | answer                       |
+      | a blank in a name            |
+      | a blank in the length's name |
+      | a blank after a name         |
+      | a tab in a name              |
+      | byte 00 in a name            |
+      | byte 01 in a name            |
+      | byte 0b in a name            |
+      | byte 0d in a name            |
+      | byte 7f in a name            |
+      | no name                      |
+    Then each of these answers was sent
+    And no caller gets any of them as an answer
+
+    Examples:
+      | interface           |
+      | the users' platform |
+      | the own interface   |
--- a/packages/gentianpoint-core/features/answer_bodies.feature
+++ b/packages/gentianpoint-core/features/answer_bodies.feature
@@ -64,6 +64,12 @@
       | the connection pool           |
       | the adapter of plain services |
 
+  Scenario: an engine answers while a long prompt is being sent
+    Guards against a part of a stream that is taken for the whole one.
+    Given a sender that answers "unframed answer 1 and reset" and then listens
+    When the adapter of engines starts a stream with a long prompt
+    Then no event ends the stream
+
   Scenario: the log answers while a long record is being sent
     Guards against half a document that is taken for the log's answer.
     Given a sender that answers "unframed answer 1 and reset" and then listens
--- a/packages/gentianpoint-core/features/steps/answer_bodies_steps.py
+++ b/packages/gentianpoint-core/features/steps/answer_bodies_steps.py
@@ -10,6 +10,7 @@
 
 from gentianpoint_core import answer_bodies
 from gentianpoint_core import connection_pools
+from gentianpoint_core import http_engine
 from gentianpoint_core import http_log
 from gentianpoint_core import http_plain_service
 from gentianpoint_core import ports
@@ -207,6 +208,28 @@
     run_reader(context, functools.partial(append_to_log, sent=LONG_REQUEST))
 
 
+async def start_stream(address):
+    async with httpx.AsyncClient(trust_env=False) as client:
+        engine = http_engine.HttpEngine(
+            f"http://{address}", client, SILENCE_MS
+        )
+        prompt = "a" * len(LONG_REQUEST)
+        request = ports.StreamRequest("a", prompt, 10, 0, "", "", "")
+        async with engine.start_stream(request) as events:
+            return [event async for event in events]
+
+
+@behave.when("the adapter of engines starts a stream with a long prompt")
+def start_long_stream(context):
+    run_reader(context, start_stream)
+
+
+@behave.then("no event ends the stream")
+def check_no_end(context):
+    assert context.error is None, context.error
+    assert not any(event.end for event in context.body), context.body
+
+
 @behave.when("the adapter of plain services reads the body")
 def read_plain(context):
     run_reader(context, read_by_plain_service)
