Refuse answers in which a line continues a field

Callers on the users' platform got an answer whose seal had another line in it, where a target in trouble sent a blank before the name of a field: the seal was followed by " Content-Length: 9" or by a tab and "X-Note: 1".

Cause: such a line continues the field before it, and the parser of heads joins the two by a blank. The joined value was passed on as the seal, and a length that was hidden so was not read: the body ended with its connection.

Change: Exchange compares what the parser held before and after a head, and refuses the answer if a line of that part begins with a blank or a tab.

Why it works: RFC 9112, section 5.2, lets a gateway refuse an answer with such a line or replace the line's start by blanks. The second changes a seal, which has to be passed on as it is; the first can't. No field of a sound target continues on another line: senders must not generate that.

The own interface is unchanged: its client library replaces the start by a blank, which the same section allows, and nothing there is a seal.

--- a/bench/features/broken_answers.feature
+++ b/bench/features/broken_answers.feature
@@ -87,3 +87,13 @@
       | interface           |
       | the users' platform |
       | the own interface   |
+
+  Scenario: a blank before the name of a field
+    Such a line continues the field before it. Guards against a seal that is
+    passed on with another line in it, and against a length that is not read.
+    When targets on the users' platform answer requests by
+      | answer                |
+      | a blank before a name |
+      | a tab before a name   |
+    Then each of these answers was sent
+    And no caller gets any of them as an answer
--- a/packages/gentianpoint-core/features/connection_pools.feature
+++ b/packages/gentianpoint-core/features/connection_pools.feature
@@ -38,6 +38,7 @@
       | half of answer 1 and reset      | closed        |
       | unframed answer 1 and reset     | closed        |
       | bytes that are no answer        | did not close |
+      | answer 1 folded                 | did not close |
       | nothing and close               | closed        |
       | late answer 7, late answer 7, late answer 7 | did not close |
 
--- a/packages/gentianpoint-core/features/scripted_target.py
+++ b/packages/gentianpoint-core/features/scripted_target.py
@@ -27,6 +27,8 @@
         return head + b"".join(chunks) + b"0\r\n\r\n"
     if "unframed" in description:
         return head + b"\r\n" + body
+    if "folded" in description:
+        head += b"X: 1\r\n Y: 2\r\n"
     if "saying close" in description:
         head += b"Connection: close\r\n"
     if "saying timeout of" in description:
--- a/packages/gentianpoint-core/src/gentianpoint_core/connection_pools.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/connection_pools.py
@@ -29,6 +29,9 @@
 __all__ = ("ConnectionPool", "Exchange", "ExchangeRequest")
 
 _CONTROL_CHARACTER: typing.Final = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+_CONTINUED_LINE: typing.Final = re.compile(rb"\n[ \t]")
+"""Start of a line that continues the field before it (RFC 9112, section
+5.2)."""
 _READ_BYTES: typing.Final = 65536
 """Largest read from a socket, in bytes."""
 _FORWARDED_READ_BYTES: typing.Final = 8192
@@ -335,14 +338,33 @@
 
     def _take_event(self, step: str) -> typing.Any:
         """Return the next part of a response, NEED_DATA if it was not read."""
+        unread = b""
+        if self._state.their_state is h11.SEND_RESPONSE:
+            unread, _ = self._state.trailing_data
         try:
             event = self._state.next_event()
         except h11.RemoteProtocolError as error:
             raise self._make_protocol_error(step, error) from error
+        if isinstance(event, (h11.InformationalResponse, h11.Response)):
+            self._check_lines(step, unread)
         if isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
             raise self._make_error(step, "connection closed")
         return event
 
+    def _check_lines(self, step: str, unread: bytes) -> None:
+        """Raise if a line of the head that was just read continues a field.
+
+        The parser joins the two, and the field, which may be the target's
+        seal, would be passed on with another line in it. ``unread`` is what
+        the parser held before.
+        """
+        left, _ = self._state.trailing_data
+        head = unread[: len(unread) - len(left)]
+        if _CONTINUED_LINE.search(head):
+            raise self._make_error(
+                step, "not an HTTP response: a field is continued"
+            )
+
     def _make_protocol_error(
         self, step: str, error: h11.RemoteProtocolError
     ) -> ports.PortError:
