Name the answers of the stand-in by what comes first and what then

Cause: names like "its length, a reset" did not tell a newcomer what was sent and what happened next. Change: "its whole length, then a reset" and so on; the delay before an end has a name.

--- a/bench/broken_answers/answers.py
+++ b/bench/broken_answers/answers.py
@@ -13,6 +13,7 @@
 """The part that broken answers bring; it ends between two events."""
 WHOLE: typing.Final = b"".join(_EVENTS)
 """The whole body."""
+_ENDS_AFTER_S: typing.Final = 0.005
 
 
 class Framing(enum.Enum):
@@ -47,7 +48,7 @@
     """How its body is framed."""
     sent: bytes = WHOLE
     """What it brings of the whole body."""
-    ends_after_s: float = 0.005
+    ends_after_s: float = _ENDS_AFTER_S
     """Time from the body to the end, in seconds."""
     status: bytes = b"200"
     """Status in its head."""
@@ -81,25 +82,27 @@
 
 
 ANSWERS: typing.Final = {
-    "a part, a reset at once": Answer(
+    "a part, then a reset at once": Answer(
         Ending.RESET, sent=PART, ends_after_s=0.0
     ),
-    "a part, a reset after 5 ms": Answer(Ending.RESET, sent=PART),
-    "a part, a reset after 200 ms": Answer(
+    "a part, then a reset after 5 ms": Answer(Ending.RESET, sent=PART),
+    "a part, then a reset after 200 ms": Answer(
         Ending.RESET, sent=PART, ends_after_s=0.2
     ),
-    "a part, a close": Answer(Ending.CLOSE, sent=PART),
-    "a part, an end, a reset": Answer(Ending.SHUTDOWN_THEN_RESET, sent=PART),
-    "a part of its length, a reset": Answer(
+    "a part, then a close": Answer(Ending.CLOSE, sent=PART),
+    "a part, then a shutdown and a reset": Answer(
+        Ending.SHUTDOWN_THEN_RESET, sent=PART
+    ),
+    "a part of its length, then a reset": Answer(
         Ending.RESET, Framing.LENGTH, sent=PART
     ),
-    "a part of its chunks, a reset": Answer(
+    "a part in chunks, then a reset": Answer(
         Ending.RESET, Framing.CHUNKS, sent=PART
     ),
-    "its length, a reset": Answer(Ending.RESET, Framing.LENGTH),
-    "its length, a close": Answer(Ending.CLOSE, Framing.LENGTH),
-    "its chunks, a reset": Answer(Ending.RESET, Framing.CHUNKS),
-    "the rest is read": Answer(Ending.SHUTDOWN_THEN_READ),
+    "its whole length, then a reset": Answer(Ending.RESET, Framing.LENGTH),
+    "its whole length, then a close": Answer(Ending.CLOSE, Framing.LENGTH),
+    "all its chunks, then a reset": Answer(Ending.RESET, Framing.CHUNKS),
+    "a whole body, then a shutdown": Answer(Ending.SHUTDOWN_THEN_READ),
     "status 000": _make_bad_head(status=b"000"),
     "status 099": _make_bad_head(status=b"099"),
     "a blank in a name": _make_bad_head(b"X Note: 1"),
--- a/bench/features/broken_answers.feature
+++ b/bench/features/broken_answers.feature
@@ -6,12 +6,12 @@
     The target resets the connection while a long request is still written to
     it. Guards against a part that reaches its caller as a complete answer.
     When targets on <interface> answer long requests, 3 times each, by
-      | answer                       |
-      | a part, a reset at once      |
-      | a part, a reset after 5 ms   |
-      | a part, a reset after 200 ms |
-      | a part, a close              |
-      | a part, an end, a reset      |
+      | answer                              |
+      | a part, then a reset at once        |
+      | a part, then a reset after 5 ms     |
+      | a part, then a reset after 200 ms   |
+      | a part, then a close                |
+      | a part, then a shutdown and a reset |
     Then each of these answers was sent
     And no caller gets an answer that looks complete and is not
 
@@ -24,11 +24,11 @@
     Its length or its last chunk is met, or the target reads the request to its
     end. Guards against losing an answer since its request could not be sent.
     When targets on <interface> answer long requests, 3 times each, by
-      | answer              |
-      | its length, a reset |
-      | its length, a close |
-      | its chunks, a reset |
-      | the rest is read    |
+      | answer                         |
+      | its whole length, then a reset |
+      | its whole length, then a close |
+      | all its chunks, then a reset   |
+      | a whole body, then a shutdown  |
     Then each of these answers was sent
     And every caller gets the whole answer
 
@@ -40,9 +40,9 @@
   Scenario Outline: a framed answer that is cut early
     Guards against a body that is shorter than its length and looks complete.
     When targets on <interface> answer long requests, 2 times each, by
-      | answer                        |
-      | a part of its length, a reset |
-      | a part of its chunks, a reset |
+      | answer                             |
+      | a part of its length, then a reset |
+      | a part in chunks, then a reset     |
     Then each of these answers was sent
     And no caller gets an answer that looks complete and is not
 
