Start configured fleets in one place, and read marks from heads alone

Cause: the play of broken answers started a fleet with its first configuration by the same lines as that of rejoined streams, and had the fourth copy of a wrapper around the start of all parts. Its relay read the start of bodies for a mark that only heads bear.

Change: fleet.start_configured serves both plays; the wrapper goes, since a nursery can start the method itself; the relay reads to the end of the head.

No check has changed.

--- a/bench/broken_answers/answers.py
+++ b/bench/broken_answers/answers.py
@@ -20,8 +20,11 @@
     """What the head of an answer says of the end of its body."""
 
     CONNECTION = enum.auto()
+    """Nothing: it ends with the connection."""
     LENGTH = enum.auto()
+    """The length of the whole body, also where only a part is sent."""
     CHUNKS = enum.auto()
+    """Chunks; the last one follows a whole body only."""
 
 
 class Ending(enum.Enum):
--- a/bench/broken_answers/playing.py
+++ b/bench/broken_answers/playing.py
@@ -14,13 +14,11 @@
 from bench.broken_answers import answers
 from bench.broken_answers import relays
 from bench.soak import callers
-from bench.soak import configurations
 from bench.soak import dialects
 from bench.soak import facts as seen
 from bench.soak import fleet
 from bench.soak import http_serving
 from bench.soak import kinds
-from bench.soak import platform_log
 from bench.soak import platform_targets
 from gentianpoint_core import connection_pools
 from gentianpoint_entry import authentication
@@ -132,35 +130,25 @@
             served_elsewhere=range(count),
         )
         async with trio.open_nursery() as nursery:
-            await nursery.start(_run_parts, parts)
-            relay_list = [
+            opened = [
                 await _open_target(parts, number, nursery)
                 for number in range(count)
             ]
-            balancer = callers.Balancer(
-                parts.entries, dialects.PlatformDialect()
-            )
-            nursery.start_soon(balancer.run)
-            await parts.log.append(
-                platform_log.CONFIGURATION,
-                "config",
-                configurations.make_configuration(1),
-            )
+            await fleet.start_configured(nursery, parts)
             with trio.fail_after(_READY_S):
-                await balancer.wait_all_ready()
                 for place in parts.entries:
                     await _wait_until_served(place)
-            numbered = list(enumerate(kinds.KINDS))
-            for name, _, (number, kind) in itertools.product(
-                names, range(times), numbered
+            places = itertools.cycle(parts.entries)
+            for name, _, kind in itertools.product(
+                names, range(times), kinds.KINDS
             ):
-                place = parts.entries[number % _ENTRIES]
+                place = next(places)
                 request = _mark(
                     _make_platform_call(kind), name, is_long=is_long
                 )
                 outcome = await _call(place.front, request)
                 results.note(name, kind.name, outcome)
-            for relay in relay_list:
+            for relay in opened:
                 results.sent.update(relay.sent)
             nursery.cancel_scope.cancel()
     finally:
@@ -168,12 +156,6 @@
     return results
 
 
-async def _run_parts(
-    parts: fleet.Fleet, task_status: typing.Any = trio.TASK_STATUS_IGNORED
-) -> None:
-    await parts.run(task_status)
-
-
 async def _open_target(
     parts: fleet.Fleet, number: int, nursery: trio.Nursery
 ) -> relays.AnsweringRelay:
--- a/bench/broken_answers/relays.py
+++ b/bench/broken_answers/relays.py
@@ -15,11 +15,14 @@
 __all__ = ("AnsweringRelay", "make_mark")
 
 _MARK: typing.Final = re.compile(rb"answered by ([^;]+);")
-_CONNECTION_FIELD: typing.Final = re.compile(rb"\r\nconnection:[^\r]*", re.I)
-_LENGTH_FIELD: typing.Final = re.compile(rb"\r\ncontent-length: *(\d+)", re.I)
+_CONNECTION_FIELD: typing.Final = re.compile(
+    rb"\r\nconnection:[^\r]*", re.IGNORECASE
+)
+_HEAD_END: typing.Final = b"\r\n\r\n"
 _READ_BYTES: typing.Final = 65536
-_BODY_START_BYTES: typing.Final = 4096
-"""Bytes of a body in which the mark may be."""
+_READ_HEAD_BYTES: typing.Final = 4096
+"""Largest read, in bytes, until the head of a request has come. The rest of a
+long request is left unread."""
 _RECEIVE_BUFFER_BYTES: typing.Final = 16384
 """Buffer in the kernel, so small that a long request is still being sent
 while its answer comes."""
@@ -58,13 +61,14 @@
     async def _serve(self, near: trio.SocketStream) -> None:
         """Serve one request; the connection ends with it."""
         try:
-            began = await _receive_start(near)
-            mark = _MARK.search(began)
+            began = await _receive_head(near)
+            head, _, body = began.partition(_HEAD_END)
+            mark = _MARK.search(head)
             if mark is not None:
                 name = mark[1].decode()
-                await self._answer(near, began, answers.ANSWERS[name], name)
-            elif began:
-                await self._pass_on(near, began)
+                await self._answer(near, head, name)
+            elif head:
+                await self._pass_on(near, head, body)
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
             # The other side is gone, as it may be at any time.
             return
@@ -72,14 +76,10 @@
             near.socket.close()
 
     async def _answer(
-        self,
-        near: trio.SocketStream,
-        began: bytes,
-        answer: answers.Answer,
-        name: str,
+        self, near: trio.SocketStream, head: bytes, name: str
     ) -> None:
-        fields = self._make_fields(began.partition(b"\r\n\r\n")[0])
-        await near.send_all(answer.encode(fields))
+        answer = answers.ANSWERS[name]
+        await near.send_all(answer.encode(self._make_fields(head)))
         self.sent[name] += 1
         match answer.ending:
             case answers.Ending.RESET:
@@ -98,35 +98,25 @@
             case answers.Ending.STAY:
                 await _receive_all(near)
 
-    async def _pass_on(self, near: trio.SocketStream, began: bytes) -> None:
+    async def _pass_on(
+        self, near: trio.SocketStream, head: bytes, body: bytes
+    ) -> None:
         """Pass one request on, and its answer back."""
-        head, _, body = began.partition(b"\r\n\r\n")
         head = _CONNECTION_FIELD.sub(b"", head) + b"\r\nConnection: close"
         far = await trio.open_tcp_stream(*self._to)
         async with far, trio.open_nursery() as nursery:
-            await far.send_all(head + b"\r\n\r\n" + body)
+            await far.send_all(head + _HEAD_END + body)
             nursery.start_soon(_copy, near, far)
             while data := await far.receive_some(_READ_BYTES):
                 await near.send_all(data)
             nursery.cancel_scope.cancel()
 
 
-async def _receive_start(near: trio.SocketStream) -> bytes:
-    """Return the head of a request and the start of its body.
-
-    It is empty if there is none.
-    """
+async def _receive_head(near: trio.SocketStream) -> bytes:
+    """Return the head of a request and what came with it, empty if none."""
     began = b""
-    while b"\r\n\r\n" not in began:
-        data = await near.receive_some(_BODY_START_BYTES)
-        if not data:
-            return b""
-        began += data
-    length = _LENGTH_FIELD.search(began)
-    body_bytes = min(_BODY_START_BYTES, int(length[1]) if length else 0)
-    most = began.index(b"\r\n\r\n") + len(b"\r\n\r\n") + body_bytes
-    while len(began) < most:
-        data = await near.receive_some(most - len(began))
+    while _HEAD_END not in began:
+        data = await near.receive_some(_READ_HEAD_BYTES)
         if not data:
             return b""
         began += data
--- a/bench/crowds/playing.py
+++ b/bench/crowds/playing.py
@@ -145,7 +145,7 @@
         source = random.Random(self._options.seed)
         with self._open_parts(source) as (parts, player):
             async with trio.open_nursery() as nursery:
-                await nursery.start(_run_parts, parts)
+                await nursery.start(parts.run)
                 verdict = await self._play_crowd(
                     parts, player, nursery, source
                 )
@@ -376,9 +376,3 @@
             is_success = outcome.is_whole and outcome.status == _OK
             if is_success and not call.is_served():
                 yield f"{call.request_id} got another answer"
-
-
-async def _run_parts(
-    parts: players.Parts, task_status: typing.Any = trio.TASK_STATUS_IGNORED
-) -> None:
-    await parts.run(task_status)
--- a/bench/features/rejoin_builders.py
+++ b/bench/features/rejoin_builders.py
@@ -10,12 +10,10 @@
 import trio
 
 from bench.soak import callers
-from bench.soak import configurations
 from bench.soak import dialects
 from bench.soak import facts as seen
 from bench.soak import fleet
 from bench.soak import kinds
-from bench.soak import platform_log
 from gentianpoint_core import connection_pools
 from gentianpoint_core import ports
 
@@ -29,7 +27,6 @@
 _PAUSE_S: typing.Final = 0.1
 _WITHIN_S: typing.Final = 12.0
 _CONNECT_MS: typing.Final = 1000.0
-_READY_WITHIN_S: typing.Final = 30.0
 _BETWEEN_KILLS_S: typing.Final = 7.0
 _EVENT: typing.Final = re.compile(rb"id: (\d+)\ndata: [^/]+/\d+/\d+/(\w+)\n")
 
@@ -91,17 +88,8 @@
             random.Random(1),
             relays_targets=False,
         )
-        balancer = callers.Balancer(parts.entries, dialects.PlatformDialect())
         async with trio.open_nursery() as nursery:
-            await nursery.start(_run_parts, parts)
-            nursery.start_soon(balancer.run)
-            await parts.log.append(
-                platform_log.CONFIGURATION,
-                "config",
-                configurations.make_configuration(1),
-            )
-            with trio.fail_after(_READY_WITHIN_S):
-                await balancer.wait_all_ready()
+            balancer = await fleet.start_configured(nursery, parts)
             for number in range(_CALLERS):
                 source = random.Random(number)
                 nursery.start_soon(_call_for_ever, balancer, source, found)
@@ -112,12 +100,6 @@
     return found
 
 
-async def _run_parts(
-    parts: fleet.Fleet, task_status: typing.Any = trio.TASK_STATUS_IGNORED
-) -> None:
-    await parts.run(task_status)
-
-
 async def _kill_entries(plan: RejoinPlan, parts: fleet.Fleet) -> None:
     for number in range(plan.kills):
         await trio.sleep(_BETWEEN_KILLS_S)
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -15,6 +15,8 @@
 import trio
 
 from bench.soak import callers
+from bench.soak import configurations
+from bench.soak import dialects
 from bench.soak import facts as seen
 from bench.soak import http_serving
 from bench.soak import kinds
@@ -25,7 +27,13 @@
 from gentianpoint_core import option_types
 from gentianpoint_standins import relay
 
-__all__ = ("Fleet", "FleetSize", "NetworkSlot", "open_relay")
+__all__ = (
+    "Fleet",
+    "FleetSize",
+    "NetworkSlot",
+    "open_relay",
+    "start_configured",
+)
 
 _FIRST_SLOT: typing.Final = 40
 _LAST_SLOT: typing.Final = 250
@@ -40,6 +48,7 @@
 _DATA_CENTRES: typing.Final = 3
 _MOST_SEEDS: typing.Final = 3
 _MAX_DESCRIPTORS: typing.Final = 3075
+_READY_S: typing.Final = 30.0
 
 
 class FleetSize(typing.NamedTuple):
@@ -241,6 +250,26 @@
             target.note_end()
 
 
+async def start_configured(
+    nursery: trio.Nursery, parts: Fleet
+) -> callers.Balancer:
+    """Run a fleet with its first configuration until all entries are ready.
+
+    Raises :class:`trio.TooSlowError` if that takes too long.
+    """
+    await nursery.start(parts.run)
+    balancer = callers.Balancer(parts.entries, dialects.PlatformDialect())
+    nursery.start_soon(balancer.run)
+    await parts.log.append(
+        platform_log.CONFIGURATION,
+        "config",
+        configurations.make_configuration(1),
+    )
+    with trio.fail_after(_READY_S):
+        await balancer.wait_all_ready()
+    return balancer
+
+
 async def open_relay(
     nursery: trio.Nursery, item: relay.Relay, address: str
 ) -> None:
--- a/bench/soak/playing.py
+++ b/bench/soak/playing.py
@@ -62,7 +62,7 @@
         balancer = callers.Balancer(parts.entries, dialect)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(end_when_told)
-            await nursery.start(_run_parts, parts)
+            await nursery.start(parts.run)
             nursery.start_soon(balancer.run)
             await player.change()
             with trio.move_on_after(_MOST_WARM_UP_S):
@@ -129,12 +129,6 @@
             raise SystemExit(128 + number)
 
 
-async def _run_parts(
-    parts: players.Parts, task_status: typing.Any = trio.TASK_STATUS_IGNORED
-) -> None:
-    await parts.run(task_status)
-
-
 async def _carry_all_out(
     options: SoakOptions,
     player: players.Player,
