Give calls whose answers can't be told apart a connection each

Cause: requests and calls of the engine's interface share a pool of connections, and decided differently what an answer belongs to. Requests skip answers with another identifier. Copies of memory and their release took whatever came first. The late second answer was taken for that to a copy, the connection went back into the pool although the true answer was still to come, and each call on it then got the answer to the one before, and with it the name of another generation's copy.

Change: an exchange for which nothing tells which answers are its own gets a connection that carries no other request.

Why it works: bytes that a target sends late are on connections that it has served before. A connection that has carried nothing else can only bring the answer to its one call, and is closed after it.

--- a/packages/gentianpoint-core/features/connection_pools.feature
+++ b/packages/gentianpoint-core/features/connection_pools.feature
@@ -26,6 +26,15 @@
       | answer 1 saying timeout of 400 digits, answer 2 | 1 |
       | answer 1 saying timeout of 5000 digits, answer 2 | 1 |
 
+  Scenario: a call whose response bears no identifier
+    Guards against a response that is taken for the one to another call, when a
+    second one comes late on a connection that is in use again.
+    Given a target that on its first connection sends: answer 1, late answer 1, answer 2
+    And that on its second connection sends: answer 2
+    When request 1 is sent, and 2 as a call that its response can't identify
+    Then the responses belong to requests 1 and 2
+    And 2 connections were opened
+
   Scenario Outline: a request that fails
     Given a target that on its first connection sends: <first>
     When request 1 is sent
--- a/packages/gentianpoint-core/features/steps/answer_bodies_steps.py
+++ b/packages/gentianpoint-core/features/steps/answer_bodies_steps.py
@@ -118,7 +118,7 @@
 
     async with (
         trio.open_nursery() as nursery,
-        pool.exchange(request) as exchange,
+        pool.exchange(request, connection_pools.accept_next) as exchange,
     ):
         nursery.start_soon(read, exchange)
         await trio.testing.wait_all_tasks_blocked(0.05)
@@ -134,7 +134,9 @@
         b"GET", b"/", ((b"Host", b"a"),), b""
     )
     try:
-        async with pool.exchange(request) as exchange:
+        async with pool.exchange(
+            request, connection_pools.accept_next
+        ) as exchange:
             chunks = answer_bodies.receive_complete(
                 exchange.receive_body(),
                 is_delimited=exchange.is_delimited,
--- a/packages/gentianpoint-core/features/steps/connection_pools_steps.py
+++ b/packages/gentianpoint-core/features/steps/connection_pools_steps.py
@@ -29,18 +29,19 @@
 )
 
 
-async def send(pool, number, parts, request):
+async def send(pool, number, parts, request, *, is_identified=True):
     expected = str(number).encode()
 
     def is_answer(exchange):
         return exchange.find_header(b"x-request") == expected
 
-    async with pool.exchange(request, is_answer) as exchange:
+    options = (is_answer,) if is_identified else ()
+    async with pool.exchange(request, *options) as exchange:
         parts[:] = [part async for part in exchange.receive_body()]
         return b"".join(parts)
 
 
-def run_requests(context, numbers, request=_PLAIN):
+def run_requests(context, numbers, request=_PLAIN, unidentified=()):
     context.bodies = []
     context.parts = []
     context.error = None
@@ -59,7 +60,13 @@
             for number in numbers:
                 try:
                     context.bodies.append(
-                        await send(pool, number, context.parts, request)
+                        await send(
+                            pool,
+                            number,
+                            context.parts,
+                            request,
+                            is_identified=number not in unidentified,
+                        )
                     )
                 except ports.PortError as error:
                     context.error = error
@@ -100,6 +107,13 @@
     run_requests(context, (1, 2))
 
 
+@behave.when(
+    "request 1 is sent, and 2 as a call that its response can't identify"
+)
+def send_unidentified(context):
+    run_requests(context, (1, 2), unidentified=(2,))
+
+
 @behave.when("request 1 is sent")
 def send_one(context):
     run_requests(context, (1,))
--- a/packages/gentianpoint-core/features/steps/connection_shares_steps.py
+++ b/packages/gentianpoint-core/features/steps/connection_shares_steps.py
@@ -82,7 +82,9 @@
         request = connection_pools.ExchangeRequest(
             b"GET", b"/", ((b"Host", b"a"),), b""
         )
-        async with pool.exchange(request) as exchange:
+        async with pool.exchange(
+            request, connection_pools.accept_next
+        ) as exchange:
             async for _ in exchange.receive_body():
                 pass
 
--- a/packages/gentianpoint-core/src/gentianpoint_core/connection_pools.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/connection_pools.py
@@ -26,7 +26,7 @@
 from gentianpoint_core import ports
 from gentianpoint_core.decisions import answer_ends
 
-__all__ = ("ConnectionPool", "Exchange", "ExchangeRequest")
+__all__ = ("ConnectionPool", "Exchange", "ExchangeRequest", "accept_next")
 
 _CONTROL_CHARACTER: typing.Final = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 _CONTINUED_LINE: typing.Final = re.compile(rb"\n[ \t]")
@@ -380,6 +380,14 @@
         )
 
 
+def accept_next(exchange: Exchange) -> bool:
+    """Take the next response for the answer, whatever it is.
+
+    For peers that send one response to each request.
+    """
+    return True
+
+
 class ConnectionPool:
     """Connections to one address; idle ones are reused."""
 
@@ -415,15 +423,22 @@
     async def exchange(
         self,
         request: ExchangeRequest,
-        is_answer: abc.Callable[[Exchange], bool] = lambda _: True,
+        is_answer: typing.Optional[abc.Callable[[Exchange], bool]] = None,
     ) -> abc.AsyncIterator[Exchange]:
         """Send a request and yield the exchange once the head has arrived.
 
+        ``is_answer`` tells whether a response belongs to this request. On a
+        connection that has carried another request, a second response to that
+        one may come first. Without ``is_answer`` nothing tells them apart, so
+        the request gets a connection that carries no other one, before or
+        after.
+
         Raises :class:`ports.PortError`, whose ``took_effect`` is False only
         if no byte was sent. Leaving the context early closes the connection,
         which tells the server to stop.
         """
-        connection = self._take_idle()
+        may_share = is_answer is not None
+        connection = self._take_idle() if may_share else None
         if connection is None:
             connection = await self._connect()
         stream = connection.stream
@@ -449,9 +464,9 @@
                     took_effect=True,
                     disconnected=True,
                 ) from error
-            await exchange.receive_head(is_answer)
+            await exchange.receive_head(is_answer or accept_next)
             yield exchange
-            expires_at = exchange.find_expiry()
+            expires_at = exchange.find_expiry() if may_share else None
         finally:
             self.open_count -= 1
             if expires_at is None:
