Give each call of the own interface a connection to its target

Callers of the own interface could get the answer to another caller's call, where a target sends an answer a second time, late.

Nothing in the answer of a plain service or an engine tells to which call it belongs. The client library looks whether an idle connection can be read before it uses it; what comes after that is taken for the answer.

Change: the adapters of plain services and engines send "Connection: close" with each call. The log and the weight store, which answer each call once, go on to share connections of the same client.

Why it works: a connection that carries one call has no answer to another one.

What the connections cost was not measured.

--- a/packages/gentianpoint-core/src/gentianpoint_core/http_clients.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/http_clients.py
@@ -7,8 +7,14 @@
 import httpx
 import trio
 
-__all__ = ("make_client",)
+__all__ = ("CLOSE_AFTERWARDS", "make_client")
 
+CLOSE_AFTERWARDS: typing.Final = (b"Connection", b"close")
+"""Header of calls to targets, which lets each have a connection of its own.
+
+A target may send a second answer late, and nothing in an answer tells to which
+call it belongs.
+"""
 _MAX_WHOLE_BODY_BYTES: typing.Final = 16 << 20
 """Longest body, in bytes, that is held in memory as a whole."""
 _MAX_WHOLE_BODY_S: typing.Final = 10.0
--- a/packages/gentianpoint-core/src/gentianpoint_core/http_engine.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/http_engine.py
@@ -8,6 +8,7 @@
 import msgspec
 import trio
 
+from gentianpoint_core import http_clients
 from gentianpoint_core import named_limits
 from gentianpoint_core import ports
 
@@ -162,6 +163,7 @@
             self._client.build_request(
                 "POST",
                 f"{self._url}/streams",
+                headers=[http_clients.CLOSE_AFTERWARDS],
                 json=body,
                 timeout=self._stream_timeout,
             ),
@@ -177,6 +179,7 @@
             self._client.build_request(
                 "GET",
                 f"{self._url}/streams/{identifier}",
+                headers=[http_clients.CLOSE_AFTERWARDS],
                 params={"after": after},
                 timeout=self._stream_timeout,
             ),
@@ -192,6 +195,7 @@
             response = await self._client.request(
                 method,
                 self._url + path,
+                headers=[http_clients.CLOSE_AFTERWARDS],
                 timeout=options.pop("timeout", _TIMEOUT_S),
                 **options,
             )
--- a/packages/gentianpoint-core/src/gentianpoint_core/http_plain_service.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/http_plain_service.py
@@ -9,6 +9,7 @@
 
 from gentianpoint_core import answer_bodies
 from gentianpoint_core import connection_resets
+from gentianpoint_core import http_clients
 from gentianpoint_core import named_limits
 from gentianpoint_core import ports
 from gentianpoint_core.decisions import answer_ends
@@ -99,8 +100,11 @@
                 method,
                 self._url + path,
                 headers=[
-                    (name.encode("latin-1"), value.encode("latin-1"))
-                    for name, value in headers
+                    *(
+                        (name.encode("latin-1"), value.encode("latin-1"))
+                        for name, value in headers
+                    ),
+                    http_clients.CLOSE_AFTERWARDS,
                 ],
                 content=body,
                 timeout=self._timeout,
