Let agents keep where streams began while all entries are down

Cause: which version began a stream was known to the entry that began it and to four others. What nobody knows is refused, since a target of another version would join two texts.

Change: three agents are told where a stream began, under the condition under which entries are told, and five are asked, chosen from the list of targets by consistent hashing. As the list changes, the new holders of streams under way are told. An agent's answer without a record is no vote on which version served. The table and the decoding of records moved to gentianpoint_core, as agents use them too.

Why it works: agents stand beside targets and aren't killed with entries, and an entry knows them by the list, which it reads before it is ready. What they tell is what the entry that began the stream had told; where a stream goes on is decided where it was.

--- a/packages/gentianpoint-agent/features/state_answers.feature
+++ b/packages/gentianpoint-agent/features/state_answers.feature
@@ -35,3 +35,19 @@
     When 300 random datagrams arrive
     And 1 entries ask it at the same moment
     Then 1 answers say that 3 requests run
+
+  Scenario: where a stream began
+    Guards against streams that are refused after an end of all entries, and
+    against records that another customer's caller, or nobody, has told.
+    Given an agent whose engine runs 3 requests
+    When an entry tells it that stream s-1 began at version v1
+    And an entry asks it for the streams s-1 and s-2
+    Then it knows that s-1 began at v1, and nothing of s-2
+
+  Scenario: two entries tell it different things of one stream
+    Guards against a stream that goes on at one of two versions by chance.
+    Given an agent whose engine runs 3 requests
+    When an entry tells it that stream s-1 began at version v1
+    And an entry tells it that stream s-1 began at version v2
+    And an entry asks it for the streams s-1 and s-2
+    Then it knows no version of s-1
--- a/packages/gentianpoint-agent/features/steps/state_answers_steps.py
+++ b/packages/gentianpoint-agent/features/steps/state_answers_steps.py
@@ -120,8 +120,65 @@
     context.actions.append(act)
 
 
-@behave.then("{count:d} answers say that {running:d} requests run")
-def check_answers(context, count, running):
+@behave.when("an entry tells it that stream {key} began at version {software}")
+def tell_origin(context, key, software):
+    async def act(address):
+        row = {
+            "key": key,
+            "service": "s",
+            "start": software,
+            "software": software,
+            "left_ms": 10_000,
+        }
+        message = {"type": "origins_told", "rows": [row]}
+        with trio.socket.socket(type=trio.socket.SOCK_DGRAM) as socket:
+            await socket.sendto(codec.encode_message(message), address)
+
+    context.actions.append(act)
+
+
+@behave.when("an entry asks it for the streams {first} and {second}")
+def ask_origins(context, first, second):
+    async def act(address):
+        with trio.socket.socket(type=trio.socket.SOCK_DGRAM) as socket:
+            await socket.bind(("127.0.0.1", 0))
+            for number, key in enumerate((first, second)):
+                message = {
+                    "type": "origin_wanted",
+                    "question": number,
+                    "member": "entry-1",
+                    "key": key,
+                    "service": "s",
+                    "window_ms": 1000,
+                }
+                await socket.sendto(codec.encode_message(message), address)
+                with trio.move_on_after(ANSWERED_S):
+                    data, _ = await socket.recvfrom(4096)
+                    context.answers.append(codec.decode_message(data, "a").ok)
+
+    context.actions.append(act)
+
+
+@behave.then("it knows that {key} began at {software}, and nothing of {other}")
+def check_origins(context, key, software, other):
+    run_agent(context)
+    known, unknown = context.answers
+    assert known["origin"]["software"] == software, known
+    assert "origin" not in unknown, unknown
+    assert not known["sole_software"]
+    assert not unknown["sole_software"]
+
+
+@behave.then("it knows no version of {key}")
+def check_no_version(context, key):
+    run_agent(context)
+    origin = context.answers[0]["origin"]
+    assert not origin["software"], origin
+    assert not origin["start"], origin
+
+
+def run_agent(context):
+    """Run an agent, and let entries do what they do."""
     context.answers = []
 
     async def run():
@@ -145,6 +202,11 @@
             nursery.cancel_scope.cancel()
 
     trio.run(run)
+
+
+@behave.then("{count:d} answers say that {running:d} requests run")
+def check_answers(context, count, running):
+    run_agent(context)
     found = [answer["state"]["running"] for answer in context.answers]
     assert found == [running] * count, found
 
--- a/packages/gentianpoint-agent/src/gentianpoint_agent/state_answers.py
+++ b/packages/gentianpoint-agent/src/gentianpoint_agent/state_answers.py
@@ -1,4 +1,7 @@
-"""Answers entries that ask for the engine's present status, or claim room.
+"""Answers what entries ask by datagrams.
+
+They ask for the engine's present status, claim room, and let the agent keep
+where streams began.
 
 An entry asks a few agents before it sends a generation, and chooses by their
 answers; where room is controlled it claims room at the one that it chose. It
@@ -12,6 +15,7 @@
 
 import trio
 
+from gentianpoint_agent import kept_origins
 from gentianpoint_agent import room_claims
 from gentianpoint_core import codec
 from gentianpoint_core import datagram_socket
@@ -22,8 +26,8 @@
 
 __all__ = ("RoomSource", "StateAnswers")
 
-_MAX_DATAGRAM_BYTES: typing.Final = 1024
-"""Longest request that is read."""
+_MAX_DATAGRAM_BYTES: typing.Final = 2048
+"""Longest request that is read. The longest ones tell of several streams."""
 _MAX_PENDING: typing.Final = 64
 """Requests that are answered at the same time; others are dropped. That many
 come only from a faulty sender."""
@@ -71,6 +75,7 @@
         # The port is the one that was bound, once that was done.
         self.address: tuple[str, int] = option_types.split_address(address)
         self._read_state: typing.Final = read_state
+        self._origins: typing.Final = kept_origins.KeptOrigins(address)
         self._pending = 0
 
     async def run(self) -> None:
@@ -140,4 +145,8 @@
                 )
             case "room_returned":
                 self._rooms.give_room_back(message["request"])
+            case "origins_told":
+                self._origins.keep(message)
+            case "origin_wanted":
+                return self._origins.answer(message)
         return None
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/origin_table.py
+++ b/packages/gentianpoint-core/src/gentianpoint_core/origin_table.py
@@ -10,7 +10,20 @@
 
 from gentianpoint_core.decisions import stream_origins
 
-__all__ = ("OriginRecord", "OriginTable", "make_key")
+__all__ = (
+    "MAX_KEPT_S",
+    "OriginRecord",
+    "OriginTable",
+    "make_key",
+    "pack_record",
+    "unpack_records",
+)
+
+_Row = abc.Mapping[str, typing.Any]
+MAX_KEPT_S: typing.Final = 600.0
+"""Seconds, at most, for which a record is kept."""
+_MAX_TEXT: typing.Final = 300
+"""Longest text in a record that another process tells."""
 
 _OWNER_DIGITS: typing.Final = 8
 """First hex digits of a key, which stand for the customer."""
@@ -46,6 +59,28 @@
     return hashlib.blake2b(raw, digest_size=_KEY_DIGITS // 2).hexdigest()
 
 
+def pack_record(record: OriginRecord, now: float) -> _Row:
+    """Return a record as it is told to other processes at ``now``."""
+    return {
+        "key": record.key,
+        **record.origin._asdict(),
+        "left_ms": round((record.expires_at - now) * 1000),
+    }
+
+
+def unpack_records(
+    rows: abc.Iterable[_Row], now: float
+) -> abc.Iterator[OriginRecord]:
+    """Yield the usable records of those that were told at ``now``."""
+    for row in rows:
+        texts = (row["key"], row["service"], row["start"], row["software"])
+        if max(map(len, texts)) > _MAX_TEXT:
+            continue
+        left_s = min(max(0, row["left_ms"]), MAX_KEPT_S * 1000) / 1000
+        origin = stream_origins.StreamOrigin(*texts[1:])
+        yield OriginRecord(row["key"], origin, now + left_s)
+
+
 class OriginTable:
     """Records of streams, up to a number that is shared by customers."""
 
--- a/packages/gentianpoint-entry/features/forwarding/steps/stream_versions_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/stream_versions_steps.py
@@ -13,6 +13,7 @@
 
 _SETTLED_S = 4.0
 _SHARE_OF_KILLED = 3
+_SHARE_OF_AGENTS = 3
 WINDOW_S = 60.0
 
 
@@ -84,6 +85,58 @@
     context.changes.append((0.0, outdate))
 
 
+@behave.given("an agent beside each target")
+def add_agents(context):
+    def add(fleet, names):
+        fleet.has_agents = True
+
+    context.changes.append((0.0, add))
+
+
+@behave.given("an agent of an earlier release beside each target")
+def add_older_agents(context):
+    def add(fleet, names):
+        fleet.has_agents = True
+        for entry in fleet.entries:
+            for target in entry.registry.list_all():
+                fleet.agents[fleet.find_agent(target)].is_older = True
+
+    context.changes.append((0.0, add))
+
+
+def list_some_agents(fleet):
+    """Return a third of the agents, the same ones each time."""
+    agents = [fleet.agents[name] for name in sorted(fleet.agents)]
+    return agents[: len(agents) // _SHARE_OF_AGENTS]
+
+
+@behave.when("after {after:g} s a third of the agents starts again")
+def restart_agents(context, after):
+    def restart(fleet, names):
+        for agent in list_some_agents(fleet):
+            agent.start_again()
+
+    context.changes.append((after, restart))
+
+
+@behave.when("after {after:g} s a third of the agents is cut off")
+def cut_off_agents(context, after):
+    def cut(fleet, names):
+        for agent in list_some_agents(fleet):
+            agent.is_cut_off = True
+
+    context.changes.append((after, cut))
+
+
+@behave.when("after {after:g} s {count:d} targets of v1 end")
+def end_some_targets(context, after, count):
+    def end(fleet, names):
+        for name in names[:count]:
+            fleet.end_target(name)
+
+    context.changes.append((after, end))
+
+
 @behave.given("one datagram in ten is lost")
 def lose_datagrams(context):
     def lose(fleet, names):
--- a/packages/gentianpoint-entry/features/forwarding/version_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/version_builders.py
@@ -17,6 +17,7 @@
 import topic_builders
 import trio
 
+from gentianpoint_agent import kept_origins
 from gentianpoint_core import codec
 from gentianpoint_core import option_types
 from gentianpoint_core import ports
@@ -41,6 +42,8 @@
 _COME_BACK_S: typing.Final = 0.05
 """Seconds from a break until its caller comes back, usually."""
 _RETRY_SLACK: typing.Final = 1e6
+_AGENT_PORTS: typing.Final = 5000
+"""Difference between the ports of an agent and of its target."""
 _EVENT_PATTERN: typing.Final = re.compile(rb"id: (\d+)\ndata: (\S+)\n\n")
 
 
@@ -150,6 +153,7 @@
             self.mail,
             option_types.split_address,
             _list_windows_s,
+            fleet.find_agent,
         )
         self.origins.get_list_confirmed_at = self._confirm_list
         if fleet.topic is not None:
@@ -198,6 +202,35 @@
         return trio.current_time() - self.list_age_s
 
 
+class _Agent:
+    """The agent beside one target, which keeps where streams began."""
+
+    def __init__(self, fleet: "VersionFleet", address: str) -> None:
+        self.mail: typing.Final = mail_builders.FleetMail(
+            fleet.deliver, address
+        )
+        self._address: typing.Final = address
+        # True for an agent that ignores the messages, as an older one does.
+        self.is_older = False
+        self.is_cut_off = False
+        self.start_again()
+
+    def start_again(self) -> None:
+        """Lose what it has kept."""
+        self._origins = kept_origins.KeptOrigins(self._address)
+
+    async def handle(
+        self, message: codec.MessageMap, sender: tuple[str, int]
+    ) -> None:
+        """Handle a datagram of an entry."""
+        if self.is_older or self.is_cut_off:
+            return
+        if message["type"] == "origins_told":
+            self._origins.keep(message)
+        else:
+            await self.mail.send(sender, self._origins.answer(message))
+
+
 class _EntryTopic(ports.WritableTopic):
     """The topic as one entry reaches it."""
 
@@ -260,6 +293,9 @@
         self._by_address: typing.Final[
             dict[tuple[str, int], _VersionEntry]
         ] = {}
+        self.agents: typing.Final[dict[str, _Agent]] = {}
+        # True if targets that start have an agent beside them.
+        self.has_agents = False
         self.lost_share = 0.0
         # Seconds from a break until its caller comes back.
         self.come_back_s = _COME_BACK_S
@@ -298,20 +334,37 @@
         self, address: tuple[str, int], data: bytes, sender: tuple[str, int]
     ) -> None:
         """Deliver a datagram, unless it is lost or its entry is gone."""
+        agent = self.agents.get(f"{address[0]}:{address[1]}")
+        if agent is not None:
+            self._nursery.start_soon(self._receive, agent, data, sender)
+            return
         entry = self._by_address[address]
         is_lost = self._rng.random() < self.lost_share
-        is_lost |= entry.is_cut_off or self._by_address[sender].is_cut_off
+        is_lost |= entry.is_cut_off
+        if sender in self._by_address:
+            is_lost |= self._by_address[sender].is_cut_off
         if entry in self.entries and not is_lost:
-            self._nursery.start_soon(self._receive, entry, data, sender)
+            self._nursery.start_soon(self._receive, entry.mail, data, sender)
 
     @staticmethod
     async def _receive(
-        entry: _VersionEntry, data: bytes, sender: tuple[str, int]
+        receiver: typing.Union[mail_builders.FleetMail, _Agent],
+        data: bytes,
+        sender: tuple[str, int],
     ) -> None:
         await trio.sleep(_TRANSIT_S)
         message = codec.decode_message(data, sender[0])
         assert message.is_ok(), message
-        await entry.mail.handle(message.ok, sender)
+        await receiver.handle(message.ok, sender)
+
+    def find_agent(self, target: targets.Target) -> typing.Optional[str]:
+        """Return the address of the agent beside a target."""
+        if not self.has_agents:
+            return None
+        address = _name_agent(target.entry)
+        if address not in self.agents:
+            self.agents[address] = _Agent(self, address)
+        return address
 
     def send_bad_datagrams(self) -> None:
         """Send every entry messages of the right form with odd values."""
@@ -528,6 +581,11 @@
         await super().send(data)
 
 
+def _name_agent(entry: targets.TargetEntry) -> str:
+    ip, port = option_types.split_address(entry.address)
+    return f"{ip}:{port + _AGENT_PORTS}"
+
+
 def _name_try(content: str, number: int) -> str:
     return f"{content}-{number}"
 
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_records.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_records.py
@@ -4,20 +4,26 @@
 hashing, as long as several software versions serve. An entry to which the
 caller comes back asks the same ones. While one version serves, and did when
 the stream began, neither is needed.
+
+Some of the agents beside the targets are told and asked as well, as they
+outlive an end of all entries. Agents have no list of targets, so an agent
+without a record says nothing about the versions that served.
 """
 
 from collections import abc
 import itertools
+import math
 import typing
 
 import trio
 
 from gentianpoint_core import deadlines
 from gentianpoint_core import logs
+from gentianpoint_core import option_types
+from gentianpoint_core import origin_table
 from gentianpoint_core.decisions import member_ring
 from gentianpoint_core.decisions import stream_origins
 from gentianpoint_core.generated import events
-from gentianpoint_entry.forwarding import origin_table
 from gentianpoint_entry.forwarding import peer_datagrams
 from gentianpoint_entry.forwarding import requests
 from gentianpoint_entry.forwarding import software_history
@@ -30,6 +36,13 @@
 _ASKED: typing.Final = 6
 """Entries that are asked. Some of them may have started after the stream
 began, and some of those that were told may be gone."""
+_AGENT_HOLDERS: typing.Final = 3
+"""Agents that are told where a stream began."""
+_AGENTS_ASKED: typing.Final = 5
+"""Agents that are asked. Some targets may have come or gone since."""
+_AGENTS_CHECK_S: typing.Final = 5.0
+"""Seconds after which the agents are listed again although no target has come
+or gone. Which targets have one depends on the configuration."""
 _ASK_AGAIN_S: typing.Final = 0.1
 """Seconds after which entries that have not answered are asked once more."""
 _ASK_ROUNDS: typing.Final = 3
@@ -38,17 +51,16 @@
 """Seconds between checks of which versions serve."""
 _KEPT_SLACK_S: typing.Final = 5.0
 """Seconds for which a record outlasts its caller's deadline."""
-_MAX_KEPT_S: typing.Final = 600.0
-"""Seconds, at most, for which a record is kept."""
 _MAX_WINDOW_MS: typing.Final = 10**9
 """Longest time that another entry may ask for, in milliseconds; no history
 goes back as far."""
-_MAX_TEXT: typing.Final = 300
-"""Longest text in a record that another entry tells."""
 _ROWS_AT_ONCE: typing.Final = 6
 """Records in one datagram, which has to fit into a packet."""
 _Message = abc.Mapping[str, typing.Any]
 
+FindAgent = abc.Callable[[targets.Target], typing.Optional[str]]
+"""Returns the address of the agent beside a target, None if it has none."""
+
 
 class FoundOrigin(typing.NamedTuple):
     """What another entry knows of a stream."""
@@ -85,12 +97,32 @@
 
 
 class _Question:
-    """A question to some entries, and their answers."""
+    """A question to some entries and agents, and their answers."""
 
-    def __init__(self, asked: abc.Iterable[str]) -> None:
-        self.missing: typing.Final = set(asked)
+    def __init__(
+        self, entries: abc.Collection[str], agents: abc.Collection[str]
+    ) -> None:
+        self.missing: typing.Final = {*entries, *agents}
         self.found: typing.Final[list[FoundOrigin]] = []
         self.answered: typing.Final = trio.Event()
+        # True once an agent has answered with a record.
+        self.is_told_by_agent = False
+        self._agents: typing.Final = frozenset(agents)
+
+    def take_answer(self, name: str, answer: FoundOrigin) -> None:
+        """Take the answer of the entry or agent ``name``."""
+        if name not in self.missing:
+            return
+        self.missing.discard(name)
+        has_origin = answer.origin is not None
+        if name not in self._agents:
+            self.found.append(answer)
+        elif has_origin:
+            self.is_told_by_agent = True
+            # An agent knows nothing of the versions that serve.
+            self.found.append(FoundOrigin(answer.origin, "", False))
+        if has_origin or not self.missing:
+            self.answered.set()
 
 
 class StreamRecords:
@@ -105,10 +137,12 @@
         datagrams: peer_datagrams.PeerDatagrams,
         find_address: abc.Callable[[str], tuple[str, int]],
         list_windows_s: abc.Callable[[], abc.Mapping[str, float]],
+        find_agent: FindAgent,
     ) -> None:
         """Be the entry ``address`` among ``list_members()``.
 
-        ``find_address`` returns the address for datagrams of a member.
+        ``find_address`` returns the address for datagrams of a member, and
+        ``find_agent`` that of the agent beside a target.
         ``list_windows_s`` returns the configured services whose streams may
         be taken up, and for how many seconds. The list of targets may name
         any others, for which nothing is kept.
@@ -132,6 +166,13 @@
         self._numbers: typing.Final = itertools.count(1)
         self._ring_members: abc.Collection[str] = ()
         self._ring = member_ring.MemberRing(())
+        self._find_agent: typing.Final = find_agent
+        self._agents: frozenset[str] = frozenset()
+        self._agent_ring = member_ring.MemberRing(())
+        # The ring by which records of streams under way were told last.
+        self._told_ring = self._agent_ring
+        self._list_agents_at = -math.inf
+        registry.handle_membership = self._note_membership
         # Stays true for an entry that is cut off from all others.
         self._has_known_others = False
         datagrams.add_handler("origins_told", self._handle_told)
@@ -150,7 +191,7 @@
         record = origin_table.OriginRecord(
             _make_key(request, request.request_id),
             request.origin,
-            now + min(kept_s, _MAX_KEPT_S),
+            now + min(kept_s, origin_table.MAX_KEPT_S),
         )
         self._table.put(record)
         self._begun.put(record)
@@ -185,6 +226,7 @@
                 self._was_sole[service] = is_sole
             for service in self._was_sole.keys() - windows_s.keys():
                 del self._was_sole[service]
+            await self._tell_new_agents()
             self._history.prune(now)
             await trio.sleep(_CHECK_S)
 
@@ -216,23 +258,61 @@
     async def _tell(
         self, records: abc.Sequence[origin_table.OriginRecord]
     ) -> None:
-        now = trio.current_time()
-        rows: dict[str, list[_Message]] = {}
+        self._update_agents()
+        holders = [self._list_holders(record.key) for record in records]
+        await self._send_records(records, holders)
+
+    def _list_holders(self, key: str) -> abc.Collection[tuple[str, int]]:
+        """Return the addresses of those that keep the record with a key."""
+        entries = self._list_others(key, _HOLDERS)
+        agents = self._agent_ring.list_members(key, _AGENT_HOLDERS)
+        return [
+            *map(self._find_address, entries),
+            *map(option_types.split_address, agents),
+        ]
+
+    async def _tell_new_agents(self) -> None:
+        """Tell agents of streams under way whose records they keep from now.
+
+        These are other agents than before where targets have come or gone.
+        """
+        self._update_agents()
+        before, self._told_ring = self._told_ring, self._agent_ring
+        if before is self._told_ring:
+            return
+        records = [
+            record
+            for service, was_sole in self._was_sole.items()
+            if not was_sole
+            for record in self._begun.list_by_service(service)
+        ]
+        holders = []
         for record in records:
-            row = {
-                "key": record.key,
-                **record.origin._asdict(),
-                "left_ms": round((record.expires_at - now) * 1000),
-            }
-            for member in self._list_others(record.key, _HOLDERS):
-                rows.setdefault(member, []).append(row)
-        for member, told in rows.items():
+            present = self._agent_ring.list_members(record.key, _AGENT_HOLDERS)
+            known = before.list_members(record.key, _AGENT_HOLDERS)
+            new = [agent for agent in present if agent not in known]
+            holders.append([*map(option_types.split_address, new)])
+        await self._send_records(records, holders)
+
+    async def _send_records(
+        self,
+        records: abc.Sequence[origin_table.OriginRecord],
+        holders: abc.Iterable[abc.Collection[tuple[str, int]]],
+    ) -> None:
+        """Send each record to those of ``holders`` at the same place."""
+        now = trio.current_time()
+        rows: dict[tuple[str, int], list[_Message]] = {}
+        for record, addresses in zip(records, holders, strict=True):
+            row = origin_table.pack_record(record, now)
+            for address in addresses:
+                rows.setdefault(address, []).append(row)
+        for address, told in rows.items():
             for first in range(0, len(told), _ROWS_AT_ONCE):
                 message = {
                     "type": "origins_told",
                     "rows": told[first : first + _ROWS_AT_ONCE],
                 }
-                await self._datagrams.send(self._find_address(member), message)
+                await self._datagrams.send(address, message)
 
     def _list_others(self, key: str, count: int) -> abc.Sequence[str]:
         """Return the other entries that keep the record with a key."""
@@ -247,19 +327,27 @@
             self._has_known_others |= bool(others)
             self._ring = member_ring.MemberRing(others)
 
+    def _note_membership(self) -> None:
+        self._list_agents_at = -math.inf
+
+    def _update_agents(self) -> None:
+        """Bring the ring of agents up to date."""
+        now = trio.current_time()
+        if self._agents and now < self._list_agents_at:
+            return
+        self._list_agents_at = now + _AGENTS_CHECK_S
+        found = map(self._find_agent, self._registry.list_all())
+        agents = frozenset(agent for agent in found if agent is not None)
+        if agents != self._agents:
+            self._agents = agents
+            self._agent_ring = member_ring.MemberRing(agents)
+
     async def _handle_told(
         self, message: _Message, sender: tuple[str, int]
     ) -> None:
         now = trio.current_time()
-        for row in message["rows"]:
-            texts = (row["key"], row["service"], row["start"], row["software"])
-            if max(map(len, texts)) > _MAX_TEXT:
-                continue
-            left_s = min(max(0, row["left_ms"]), _MAX_KEPT_S * 1000) / 1000
-            origin = stream_origins.StreamOrigin(*texts[1:])
-            self._table.put(
-                origin_table.OriginRecord(row["key"], origin, now + left_s)
-            )
+        for record in origin_table.unpack_records(message["rows"], now):
+            self._table.put(record)
 
     # Asking.
 
@@ -285,9 +373,10 @@
         if sole and (self._is_current(now) or not self._has_known_others):
             origin = stream_origins.StreamOrigin(service, "", sole)
             return self._log_found(request, origin, "one version", now)
-        found = await self._ask(request, key, others)
-        origin = choose_origin(service, found, len(others))
-        return self._log_found(request, origin, "asked", now)
+        question = await self._ask(request, key, others)
+        origin = choose_origin(service, question.found, len(others))
+        way = "agent" if question.is_told_by_agent else "asked"
+        return self._log_found(request, origin, way, now)
 
     def _log_found(
         self,
@@ -354,8 +443,16 @@
         request: requests.CallerRequest,
         key: str,
         others: abc.Sequence[str],
-    ) -> abc.Sequence[FoundOrigin]:
-        question = _Question(others)
+    ) -> _Question:
+        """Ask other entries and, where the key is known, agents."""
+        self._update_agents()
+        agents = (
+            self._agent_ring.list_members(key, _AGENTS_ASKED) if key else ()
+        )
+        addresses = {name: self._find_address(name) for name in others}
+        for agent in agents:
+            addresses[agent] = option_types.split_address(agent)
+        question = _Question(others, agents)
         number = next(self._numbers)
         self._questions[number] = question
         message = {
@@ -368,16 +465,14 @@
         }
         try:
             for _ in range(_ASK_ROUNDS):
-                for member in sorted(question.missing):
-                    await self._datagrams.send(
-                        self._find_address(member), message
-                    )
+                for name in sorted(question.missing):
+                    await self._datagrams.send(addresses[name], message)
                 with trio.move_on_after(_ASK_AGAIN_S):
                     await question.answered.wait()
                     break
         finally:
             del self._questions[number]
-        return question.found
+        return question
 
     async def _handle_wanted(
         self, message: _Message, sender: tuple[str, int]
@@ -403,9 +498,8 @@
         self, message: _Message, sender: tuple[str, int]
     ) -> None:
         question = self._questions.get(message["question"])
-        if question is None or message["member"] not in question.missing:
+        if question is None:
             return
-        question.missing.discard(message["member"])
         row = message.get("origin")
         found = FoundOrigin(
             None
@@ -416,9 +510,7 @@
             message["sole_software"],
             message["current"],
         )
-        question.found.append(found)
-        if not question.missing or found.origin is not None:
-            question.answered.set()
+        question.take_answer(message["member"], found)
 
 
 def _make_key(request: requests.CallerRequest, request_id: str) -> str:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
@@ -309,6 +309,8 @@
         self.find_streams_from: abc.Callable[[Target, float], float] = (
             lambda target, now: -math.inf
         )
+        # Called when a target was added or dropped.
+        self.handle_membership: abc.Callable[[], None] = lambda: None
         # Called with each target that has a new report.
         self.handle_report: abc.Callable[[Target], None] = lambda target: None
         self._evacuated: frozenset[str] = frozenset()
@@ -381,6 +383,7 @@
         target.is_evacuated = entry.data_centre in self._evacuated
         target.streams_from = self.find_streams_from(target, now)
         self._targets[entry.target_id] = target
+        self.handle_membership()
         self._by_service.setdefault(entry.service, []).append(target)
         self._list_at_address(target).append(target)
         _mark_replaced(self._list_at_address(target))
@@ -390,6 +393,7 @@
         """Remove a target; open requests see that it is gone."""
         target = self._targets.pop(target_id, None)
         if target is not None:
+            self.handle_membership()
             target.is_gone = True
             of_service = self._by_service[target.entry.service]
             of_service.remove(target)
