Stop a run at its target once the stream goes on at another one

Cause: a closed connection was taken for a stop. A planned move stops a run by the last copy; a handover to a backup, a run after a break and one after a silence only closed the connection.

Change: a stream keeps the targets to which it was sent and whose run isn't known to have ended. As a run is open at another target, each of them is told to stop by the call with which a move stops a run, 0.1 s after the close, up to three times; a copy that comes of it is freed. Targets are noted and stopped where all runs are opened. A copy of a generation that the target doesn't know is an error of its own, told from a target that is busy. The event run_left (1845) says which targets were still at work.

--- a/bench/replay/playing.py
+++ b/bench/replay/playing.py
@@ -181,6 +181,7 @@
     )
     nursery.start_soon(ends.run)
     nursery.start_soon(shared.release_unused_copies)
+    nursery.start_soon(shared.run_stopper.run)
     return request_handling.RequestHandler(shared, callers.send_refusal)
 
 
--- a/packages/gentianpoint-entry/features/forwarding/backup_builders.py
+++ b/packages/gentianpoint-entry/features/forwarding/backup_builders.py
@@ -8,6 +8,7 @@
 import forwarding_builders
 import trio
 
+from gentianpoint_core import deadlines
 from gentianpoint_core import ports
 from gentianpoint_entry.forwarding import requests
 from gentianpoint_entry.forwarding import target_calls
@@ -77,6 +78,13 @@
         self.reacted_at = math.nan
         # When the connection to a target was closed.
         self.closed_at: typing.Final[dict[str, float]] = {}
+        # True if a works on without a connection until it is told to stop.
+        self.works_on = False
+        # Answers of a to calls that stop the run, before it does so.
+        self.stop_answers: typing.Final[list[str]] = []
+        self.stops = 0
+        # When a was told to stop what it worked on.
+        self.stopped_at = math.nan
 
     @contextlib.asynccontextmanager
     async def send_request(
@@ -90,7 +98,7 @@
         self.sends.append((name, options))
         self.open.add(name)
         try:
-            if options.copy is None:
+            if options.copy is None and name == "a":
                 await trio.sleep(0.01)
                 yield _NumberedAnswer(self, name, 1, self._last)
                 return
@@ -111,3 +119,31 @@
         finally:
             self.open.discard(name)
             self.closed_at[name] = trio.current_time()
+
+    async def copy_memory(
+        self,
+        source: targets.Target,
+        destination: targets.Target,
+        request_id: str,
+        *,
+        stops_first: bool,
+        deadline: deadlines.Deadline,
+    ) -> target_calls.CopyResult:
+        """Stop the run of a, if it still works on it."""
+        assert stops_first
+        assert (source.target_id, destination.target_id) == ("a", "b")
+        self.stops += 1
+        await trio.sleep(0.002)
+        answer = self.stop_answers.pop(0) if self.stop_answers else ""
+        if answer == "is busy":
+            raise ports.PortError(
+                "move memory", "a", "status 409", took_effect=False
+            )
+        if answer == "is not reached":
+            raise ports.PortError("connect", "a", "cut", took_effect=False)
+        if not self.works_on:
+            raise target_calls.UnknownRunError(
+                "move memory", "a", "status 404", took_effect=False
+            )
+        self.stopped_at = trio.current_time()
+        return target_calls.CopyResult("handle-1", answer != "has no room")
--- a/packages/gentianpoint-entry/features/forwarding/steps/stream_backups_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/stream_backups_steps.py
@@ -42,6 +42,29 @@
     context.reacts_after_s = float(seconds)
     context.last = backup_builders.EVENTS
     context.answer = SlowAnswer()
+    context.works_on = False
+    context.can_move = False
+    context.stop_answers = []
+    context.route = {}
+
+
+@behave.given("a generation that may run again, whose target works on")
+def make_resumable(context):
+    make_generation(context, "takes over", "0.02")
+    context.route = {"may_resume": True, "max_attempts": 2}
+    context.works_on = context.can_move = True
+
+
+@behave.given("its target drops a request whose connection closes")
+def set_drops(context):
+    context.can_move = True
+
+
+@behave.given("its target works on without a connection, and {answers} first")
+def set_works_on(context, answers):
+    context.works_on = context.can_move = True
+    if answers != "stops when told":
+        context.stop_answers = [answers]
 
 
 @behave.given("its target ends after event {last:d}")
@@ -63,16 +86,21 @@
         context.calls = backup_builders.BackupCalls(
             context.reaction, context.reacts_after_s, context.last
         )
+        context.calls.works_on = context.works_on
+        context.calls.stop_answers.extend(context.stop_answers)
         shared = forwarding_builders.make_forwarder(("a", "b"), context.calls)
         request = forwarding_builders.make_request(
-            forwarding_builders.make_route(routes.RouteKind.STREAM),
-            forwarding_builders.ENGINE._replace(can_move=False),
+            forwarding_builders.make_route(
+                routes.RouteKind.STREAM, **context.route
+            ),
+            forwarding_builders.ENGINE._replace(can_move=context.can_move),
         )
         handler = request_handling.RequestHandler(
             shared, forwarding_builders.send_refusal
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(shared.release_unused_copies)
+            nursery.start_soon(shared.run_stopper.run)
             nursery.start_soon(
                 forwarding_builders.give_notice,
                 context.answer,
@@ -132,3 +160,20 @@
 def check_overlap(context, limit_ms):
     overlap_s = context.calls.closed_at["a"] - context.calls.reacted_at
     assert 0 <= overlap_s <= limit_ms / 1000, overlap_s
+
+
+@behave.then("its target was told to stop within {limit_ms:d} ms")
+def check_stopped(context, limit_ms):
+    overlap_s = context.calls.stopped_at - context.calls.reacted_at
+    assert 0 <= overlap_s <= limit_ms / 1000, overlap_s
+
+
+@behave.then("the copy that the stop has made was freed")
+def check_freed(context):
+    assert ("a", "handle-1") in context.calls.freed_copies
+
+
+@behave.then("its target was asked once, and had dropped the request")
+def check_asked_once(context):
+    assert context.calls.stops == 1, context.calls.stops
+    assert not any(line["event"] == "run_left" for line in context.lines)
--- a/packages/gentianpoint-entry/features/forwarding/stream_backups.feature
+++ b/packages/gentianpoint-entry/features/forwarding/stream_backups.feature
@@ -67,3 +67,50 @@
     When it is served, and its target gets notice after event 20
     Then the run of its target was closed within 20 ms of the backup's answer
     And the caller has the whole report, each event once
+
+  Scenario Outline: the target works on after its connection was closed
+    Guards against two targets that work on one generation, as the one before
+    does not drop a request whose connection closes.
+    Given a generation that may run once, whose backup takes over after <seconds> s
+    And its target works on without a connection, and <answers> first
+    When it is served, and its target gets notice after event 20
+    Then the caller has the whole report, each event once
+    And its target was told to stop within 400 ms
+    And the copy that the stop has made was freed
+    And no connection is left open
+
+    Examples:
+      | seconds | answers         |
+      | 0.01    | stops when told |
+      | 1.3     | stops when told |
+      | 0.4     | is busy         |
+      | 0.4     | is not reached  |
+      | 0.4     | has no room     |
+
+  Scenario: the connection to the target breaks off on the way
+    Guards against a target that works on beside the backup since only the
+    entry has seen the break.
+    Given a generation that may run once, whose backup takes over after 0.02 s
+    And its target ends after event 38
+    And its target works on without a connection, and stops when told first
+    When it is served, and its target gets notice after event 100
+    Then the caller has the whole report, each event once
+    And its target was told to stop within 400 ms
+
+  Scenario: a stream that may be taken up is run again
+    Guards against a target that works on beside the one at which a stream was
+    taken up after a break.
+    Given a generation that may run again, whose target works on
+    And its target ends after event 38
+    When it is served, and its target gets notice after event 100
+    Then the caller has the whole report, each event once
+    And its target was told to stop within 400 ms
+
+  Scenario: the target drops the request
+    Guards against a stop that is repeated, or copies memory, although the
+    target has noticed that its connection was closed.
+    Given a generation that may run once, whose backup takes over after 0.4 s
+    And its target drops a request whose connection closes
+    When it is served, and its target gets notice after event 20
+    Then the caller has the whole report, each event once
+    And its target was asked once, and had dropped the request
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarder.py
@@ -21,6 +21,7 @@
 from gentianpoint_entry.forwarding import engine_probes
 from gentianpoint_entry.forwarding import entry_metrics
 from gentianpoint_entry.forwarding import leaving_notices
+from gentianpoint_entry.forwarding import left_runs
 from gentianpoint_entry.forwarding import request_permits
 from gentianpoint_entry.forwarding import requests
 from gentianpoint_entry.forwarding import retry_limits
@@ -128,6 +129,8 @@
         send, receive = trio.open_memory_channel[_UnusedCopy](math.inf)
         self._unused_sender: typing.Final = send
         self._unused_receiver: typing.Final = receive
+        # Stops runs at targets that their streams have left.
+        self.run_stopper: typing.Final = left_runs.RunStopper(calls)
         # Called when the other entries should be told of an outage.
         self.notify_outages: abc.Callable[[], None] = lambda: None
         # What callers may use of this process.
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
@@ -25,6 +25,7 @@
 from gentianpoint_entry.forwarding import caller_calls
 from gentianpoint_entry.forwarding import forwarder
 from gentianpoint_entry.forwarding import generation_moves
+from gentianpoint_entry.forwarding import left_runs
 from gentianpoint_entry.forwarding import refusals
 from gentianpoint_entry.forwarding import requests
 from gentianpoint_entry.forwarding import routes
@@ -111,6 +112,9 @@
         self._move_retry_at = 0.0
         self._handover: typing.Optional[stream_handovers.StreamHandover] = None
         self._run: typing.Optional[stream_runs.StreamRun] = None
+        self._left_runs: typing.Final = left_runs.LeftRuns(
+            request.request_id, shared.run_stopper.schedule
+        )
         self._had_no_room_after_stop = False
         self._handover_lead_ms: typing.Final = (
             _HANDOVER_LEAD_MS + shared.rng.random() * _HANDOVER_JITTER_MS
@@ -259,14 +263,19 @@
         """Start a run; return None if the target did not accept it."""
         self.attempts.tried.add(plan.target.target_id)
         is_same_run = plan.options.copy is not None
+        self._left_runs.note_sent(plan.target)
         run = stream_runs.StreamRun(self._shared, self._request, plan)
         try:
             await run.open()
         except ports.PortError as error:
+            if not error.took_effect:
+                self._left_runs.note_ended(plan.target)
             self.attempts.note_error(
                 plan.target, error, is_same_run=is_same_run
             )
             return None
+        if run.answer.is_refusal() or run.answer.status >= 300:
+            self._left_runs.note_ended(plan.target)
         if run.answer.is_refusal():
             self.attempts.note_refusal(run.target, run.answer)
             await run.close()
@@ -280,6 +289,9 @@
             await run.close()
             return None
         self.attempts.note_run(is_same_run=is_same_run)
+        engine = self._request.service.engine
+        if engine is not None and engine.can_move:
+            self._left_runs.stop_others(plan.target)
         return run
 
     async def _forward_runs(
@@ -671,6 +683,8 @@
                     run.target, stopped.copy.name
                 )
                 return None
+            if stopped.is_certain:
+                self._left_runs.note_ended(run.target)
             is_at_destination = stopped.is_at_destination
         finally:
             if not is_at_destination:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_calls.py
@@ -7,11 +7,12 @@
 from gentianpoint_core import answer_bodies
 from gentianpoint_core import deadlines
 from gentianpoint_core import named_limits
+from gentianpoint_core import ports
 from gentianpoint_core.decisions import answer_ends
 from gentianpoint_entry.forwarding import requests
 from gentianpoint_entry.forwarding import targets
 
-__all__ = ("CopyResult", "TargetAnswer", "TargetCalls")
+__all__ = ("CopyResult", "TargetAnswer", "TargetCalls", "UnknownRunError")
 
 _NOT_EXECUTED_STATUSES: typing.Final = frozenset((408, 421, 429, 503))
 """Statuses that tell callers that a request was not executed and never will
@@ -86,6 +87,10 @@
     memory."""
 
 
+class UnknownRunError(ports.PortError):
+    """The target does not work on the generation that a call names."""
+
+
 class TargetCalls(abc.ABC):
     """Calls to targets."""
 
@@ -118,7 +123,8 @@
         the generation is stopped before the copy, and its stream ends
         incomplete; otherwise the generation continues. Raises
         ``ports.PortError``, with ``took_effect`` False only if the generation
-        was certainly not stopped.
+        was certainly not stopped, and :class:`UnknownRunError` if the source
+        does not work on it.
         """
 
     @abc.abstractmethod
