Order entries of a target by its own numbers at all times

Cause: the order in which the log has two entries was taken for the order in which they were made. A target's numbers were compared for 2.2 s after the log came back from a copy, and at no other time. Entries that come after their target was dropped, the whole list that is read again, and reports of agents led by that comparison too.

A notice holds for as long as its start lasts, whether the entry, an earlier entry that comes late, or the agent has given it. A target that was dropped comes back by a later start, or by two entries that were made later, or if it is still listed after 5 s; one that had been given notice doesn't.

Why it works: a target counts its own entries, so a write that is executed late has a lower number than what it has said since, whenever it comes. The last write before the end may have a higher one, but no second one follows.

--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_listing.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_listing.py
@@ -1,8 +1,10 @@
 """Keeps the registry of targets up to date with the platform's list.
 
-When the log comes back from an older copy, the list names targets as they were
-then: some have been given notice since, some have ended, and some that have
-started are missing. What is known of a start holds against such an entry.
+The list may name a target as it was before: a write may be executed seconds
+after a later one, and a log that comes back from a copy lacks what was written
+last. Some targets have been given notice since, some have ended, and some that
+have started are missing. What is known of a start holds against such an entry,
+and a target that was dropped comes back only by a sign of life.
 """
 
 from collections import abc
@@ -13,6 +15,7 @@
 from gentianpoint_core import logs
 from gentianpoint_core import ports
 from gentianpoint_core.generated import events
+from gentianpoint_entry.forwarding import entry_order
 from gentianpoint_entry.forwarding import targets
 from gentianpoint_entry.forwarding import topic_follower
 
@@ -35,9 +38,10 @@
 """Most recently used addresses that are remembered. They take about 1 MB, and
 are three times the targets that a deployment is designed for."""
 _LAPSED_WITHIN_S: typing.Final = 5.0
-"""Seconds after the log's return within which entries of targets that have
-ended expire. One that is still listed then belongs to a target that is well.
-Entries expire after some seconds without a sign of their target."""
+"""Seconds after the log's return, or after an entry was written, within which
+entries of targets that have ended expire. One that is still listed then
+belongs to a target that is well. Entries expire after some seconds without a
+sign of their target."""
 
 
 class _Dropped(typing.NamedTuple):
@@ -45,6 +49,8 @@
 
     entry: typing.Optional[targets.TargetEntry]
     """Its last entry; None if it had none."""
+    was_leaving: bool
+    """True if it had been given notice, by whatever way."""
     era: int
     """Era of the log in which it was dropped."""
 
@@ -54,6 +60,8 @@
 
     entry: targets.TargetEntry
     position: ports.LogPosition
+    lapses_at: float
+    """From then on, that of a target that has ended has expired."""
 
 
 class TargetListing(topic_follower.RecordConsumer):
@@ -170,17 +178,22 @@
 
         One that had been given notice takes no more work in this start.
         """
+        now = trio.current_time()
         for name, held in list(self._held.items()):
-            dropped = self._dropped.get(name)
-            was_leaving = (
-                dropped is not None
-                and dropped.entry is not None
-                and dropped.entry.is_leaving
-            )
-            if not was_leaving:
+            if now >= held.lapses_at and not self._was_leaving(held.entry):
                 del self._held[name]
                 self._apply_entry(held.entry, held.position)
 
+    def _was_leaving(self, entry: targets.TargetEntry) -> bool:
+        """Tell whether the start of an entry was dropped after a notice."""
+        dropped = self._dropped.get(entry.target_id)
+        return (
+            dropped is not None
+            and dropped.was_leaving
+            and dropped.entry is not None
+            and targets.is_same_start(dropped.entry, entry)
+        )
+
     def _put(self, record: ports.KeyedRecord, *, is_new: bool = False) -> bool:
         """Apply an entry; False if the record has none.
 
@@ -195,16 +208,13 @@
         if known is not None and self._is_outdated(entry, known.entry):
             self._missing.discard(entry.target_id)
             _log_outdated(record, entry)
+            self._take_notice(entry, known)
             return True
-        dropped = self._dropped.get(entry.target_id)
-        if (
-            known is None
-            and not is_new
-            and dropped is not None
-            and dropped.era < record.era
-            and _is_not_newer(entry, dropped.entry)
-        ):
-            self._held[entry.target_id] = _HeldEntry(entry, record.position)
+        if known is None and not self._may_return(entry, record, is_new):
+            lapses_at = trio.current_time() + _LAPSED_WITHIN_S
+            self._held[entry.target_id] = _HeldEntry(
+                entry, record.position, lapses_at
+            )
             _log_outdated(record, entry)
             return True
         self._held.pop(entry.target_id, None)
@@ -214,15 +224,65 @@
     def _is_outdated(
         self, entry: targets.TargetEntry, known: targets.TargetEntry
     ) -> bool:
-        """Tell whether an entry that was read is older than the known one.
+        """Tell whether an entry was made before the known one.
+
+        What only an agent has announced gives way to the list.
+        """
+        if entry.target_id in self._announced:
+            return False
+        order = entry_order.compare_entries(entry, known)
+        if order is entry_order.EntryOrder.SAME:
+            # While targets write again what the log has lost, it is read from
+            # the copy. At other times another writer may have changed it.
+            return trio.current_time() < self._copied_until
+        return order is entry_order.EntryOrder.EARLIER
+
+    def _take_notice(
+        self, entry: targets.TargetEntry, known: targets.Target
+    ) -> None:
+        """Apply a notice in an entry that is outdated otherwise."""
+        if (
+            entry.is_leaving
+            and not known.entry.is_leaving
+            and targets.is_same_start(known.entry, entry)
+        ):
+            self._apply_entry(
+                known.entry._replace(is_leaving=True), known.position
+            )
+
+    def _may_return(
+        self,
+        entry: targets.TargetEntry,
+        record: ports.KeyedRecord,
+        is_new: bool,
+    ) -> bool:
+        """Tell whether an entry shows that a target that was dropped is there.
 
-        That can only be while targets write again what the log has lost.
+        A later start does. An entry that was made later than the last one may
+        still have been written late, so a second one has to follow.
         """
-        if trio.current_time() >= self._copied_until or entry.is_leaving:
+        dropped = self._dropped.get(entry.target_id)
+        if dropped is None:
+            return True
+        order = (
+            entry_order.EntryOrder.UNKNOWN
+            if dropped.entry is None
+            else entry_order.compare_entries(entry, dropped.entry)
+        )
+        if order is entry_order.EntryOrder.UNKNOWN:
+            return is_new or dropped.era >= record.era
+        assert dropped.entry is not None
+        if order is not entry_order.EntryOrder.LATER:
             return False
-        if not targets.is_same_start(known, entry):
-            return 0 < entry.started_ms < known.started_ms
-        return entry.sequence_number <= known.sequence_number
+        if not targets.is_same_start(dropped.entry, entry):
+            return True
+        held = self._held.get(entry.target_id)
+        return (
+            not dropped.was_leaving
+            and held is not None
+            and entry_order.compare_entries(held.entry, dropped.entry) is order
+            and entry_order.compare_entries(entry, held.entry) is order
+        )
 
     def _apply_entry(
         self, entry: targets.TargetEntry, position: ports.LogPosition
@@ -274,20 +334,16 @@
             logs.log_event(events.TARGET_UNLISTED, target=target_id)
         known = self._dropped.pop(target_id, None)
         entry = target.entry if target is not None else known and known.entry
-        self._dropped[target_id] = _Dropped(entry, self._era)
+        was_leaving = (
+            target.has_notice()
+            if target is not None
+            else known is not None and known.was_leaving
+        )
+        self._dropped[target_id] = _Dropped(entry, was_leaving, self._era)
         if len(self._dropped) > _MAX_DROPPED:
             del self._dropped[next(iter(self._dropped))]
 
 
-def _is_not_newer(
-    entry: targets.TargetEntry, known: typing.Optional[targets.TargetEntry]
-) -> bool:
-    """Tell whether an entry says nothing that was written after another."""
-    if known is None or not targets.is_same_start(known, entry):
-        return known is None or entry.started_ms < known.started_ms
-    return entry.sequence_number <= known.sequence_number
-
-
 def _log_outdated(
     record: ports.KeyedRecord, entry: targets.TargetEntry
 ) -> None:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
@@ -132,6 +132,8 @@
         self.leaves_at: typing.Optional[deadlines.Deadline] = None
         # True while its data centre is evacuated.
         self.is_evacuated = False
+        # True once its agent has said that this start leaves.
+        self._is_reported_leaving = False
         # True once it has said so in an answer to this or another entry.
         self.is_said_to_leave = False
         # Until when it is cold by its own entry.
@@ -200,9 +202,16 @@
         """Tell whether new work may be sent here."""
         if self.is_gone or self.is_replaced or self.is_evacuated:
             return False
-        if self.entry.is_leaving or self.is_said_to_leave:
-            return False
-        return self.report is None or not self.report.is_leaving
+        return not (self.has_notice() or self.is_said_to_leave)
+
+    def has_notice(self) -> bool:
+        """Tell whether its entry or its agent has said that it leaves.
+
+        A start that has said so does not take it back.
+        """
+        if self.entry.is_leaving or self._is_reported_leaving:
+            return True
+        return self.report is not None and self.report.is_leaving
 
     def is_succeeded(self) -> bool:
         """Tell whether another start is known to be at its address."""
@@ -285,6 +294,12 @@
         and does not include what has been sent since.
         """
         self.report = report
+        # A late report that names no start may be of the one before.
+        if (
+            report.is_leaving
+            and 0 < report.started_ms == self.entry.started_ms
+        ):
+            self._is_reported_leaving = True
         self.last_report_at = report.sampled_at
         self._sent[:] = [
             item for item in self._sent if item.at > report.sampled_at
@@ -362,7 +377,10 @@
         if known is not None and is_same_start(known.entry, entry):
             # Another writer may have left the version out.
             software = entry.software or known.entry.software
-            known.entry = entry._replace(software=software)
+            known.entry = entry._replace(
+                software=software,
+                is_leaving=entry.is_leaving or known.entry.is_leaving,
+            )
             known.cold_until = max(
                 known.cold_until, now + entry.cold_left_ms / 1000
             )
