Ask before every send whether a target may still be sent requests

Cause: each way to a target asked for itself whether it takes work. The way after a break asked only whether the backup is listed, and the last check before a send knew of evacuations and limits.

Change: claim_permit, through which every send goes, asks whether the target may be sent a request: after a notice of its entry or its agent for as long as the platform sets, less the time on the way, and not at all after a notice in an answer. The plan after a break asks the same.

Why it works: no request is sent by another way, and the time runs from the first word of the notice, with the age that an entry of the list may have.

--- a/packages/gentianpoint-entry/features/forwarding/steps/stream_backups_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/stream_backups_steps.py
@@ -1,9 +1,11 @@
 """Steps for generations that go on at their backup."""
 
+import math
 import re
 
 import backup_builders
 import behave
+import fleet_builders
 import forwarding_builders
 from structlog import testing
 import topic_builders
@@ -67,6 +69,38 @@
         context.stop_answers = [answers]
 
 
+@behave.given(
+    "its backup may be sent requests for {seconds:g} s after a notice"
+)
+def set_drain(context, seconds):
+    context.drain_s = seconds
+
+
+@behave.when(
+    "it is served, and its backup gives notice {by} after event {number:d}"
+)
+def serve_with_leaving_backup(context, by, number):
+    async def give_notice(shared):
+        wanted = forwarding_builders.make_event(number)
+        while wanted not in context.answer.data:
+            await trio.sleep(0.01)
+        backup = shared.registry.find("b")
+        now = trio.current_time()
+        if by == "its entry":
+            entry = backup.entry._replace(is_leaving=True)
+            shared.registry.put_entry(entry, now)
+        elif by == "its report":
+            report = fleet_builders.make_report(
+                number=1, made_at=now, is_leaving=True
+            )
+            backup.take_report(report)
+        else:
+            backup.is_said_to_leave = True
+
+    context.give_notice = give_notice
+    serve(context, 1000)
+
+
 @behave.given("its target ends after event {last:d}")
 def set_end(context, last):
     context.last = last
@@ -89,6 +123,7 @@
         context.calls.works_on = context.works_on
         context.calls.stop_answers.extend(context.stop_answers)
         shared = forwarding_builders.make_forwarder(("a", "b"), context.calls)
+        shared.registry.drain_s = getattr(context, "drain_s", math.inf)
         request = forwarding_builders.make_request(
             forwarding_builders.make_route(
                 routes.RouteKind.STREAM, **context.route
@@ -108,6 +143,8 @@
                 number,
                 NOTICE_MS,
             )
+            if hasattr(context, "give_notice"):
+                nursery.start_soon(context.give_notice, shared)
             with trio.move_on_after(seconds):
                 await handler.serve(request, context.answer)
             nursery.cancel_scope.cancel()
--- a/packages/gentianpoint-entry/features/forwarding/stream_backups.feature
+++ b/packages/gentianpoint-entry/features/forwarding/stream_backups.feature
@@ -114,3 +114,21 @@
     When it is served, and its target gets notice after event 20
     Then the caller has the whole report, each event once
     And its target was asked once, and had dropped the request
+
+  Scenario Outline: the backup has said that it leaves before the target ends
+    Guards against a request that reaches a target after the time in which it
+    may be sent any, and against a generation that is lost within that time.
+    Given a generation that may run once, whose backup takes over after 0.02 s
+    And its target ends after event 38
+    And its backup may be sent requests for 1.8 s after a notice
+    When it is served, and its backup gives notice <by> after event <number>
+    Then the caller has <events>
+    And no connection is left open
+
+    Examples:
+      | by         | number | events                            |
+      | its report | 30     | the whole report, each event once |
+      | its report | 10     | events 1 to 38, and then a cut    |
+      | its entry  | 34     | the whole report, each event once |
+      | its entry  | 10     | events 1 to 38, and then a cut    |
+      | an answer  | 34     | events 1 to 38, and then a cut    |
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/stream_calls.py
@@ -218,7 +218,11 @@
     ) -> typing.Optional[stream_runs.RunPlan]:
         """Plan how the stream continues after its target broke off."""
         backup = run.backup
-        if backup is not None and not backup.is_gone:
+        if (
+            backup is not None
+            and not backup.is_gone
+            and self._shared.may_be_sent(backup)
+        ):
             self._log_move(run.target, backup, "backup after a break")
             return self._plan_from_backup(backup)
         return await self._plan_retry()
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_choice.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_choice.py
@@ -766,6 +766,10 @@
             avoided,
         )
 
+    def may_be_sent(self, target: targets.Target) -> bool:
+        """Tell whether a request that has to go to a target may be sent."""
+        return target.may_be_sent(trio.current_time(), self.registry.drain_s)
+
     async def claim_permit(
         self, target: targets.Target, request: requests.CallerRequest
     ) -> request_permits.Permit:
@@ -773,7 +777,7 @@
 
         Only a request that has to go to this target waits, such as one whose
         memory was copied there. Raises ``ports.PortError`` if there is no
-        permit before its deadline, or if the data centre is evacuated.
+        permit before its deadline, or if the target takes no request any more.
         """
         key = (request.request_id, target.target_id)
         while key not in self._reserved:
@@ -787,10 +791,15 @@
             await trio.sleep_until(permitted_at)
             self.reserve(target, request)
         permit, _ = self._reserved.pop(key)
+        reason = ""
         if target.is_evacuated:
+            reason = "the data centre is evacuated"
+        elif not self.may_be_sent(target):
+            reason = "it has said that it leaves"
+        if reason:
             self._permits.give_back(permit)
             self.give_back(target, request)
-            raise make_send_error(target, "the data centre is evacuated")
+            raise make_send_error(target, reason)
         return permit
 
     def forget_unused_permits(self) -> None:
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
@@ -34,6 +34,8 @@
 still in use."""
 
 
+_LIST_AGE_S: typing.Final = 1.0
+"""Age, in seconds, that an entry of the list may have when it is read."""
 _MAX_REST_S: typing.Final = 60.0
 """Longest rest that a target is given, in seconds. It may ask for more by
 mistake, and only an answer tells that it takes requests again."""
@@ -134,6 +136,8 @@
         self.is_evacuated = False
         # True once its agent has said that this start leaves.
         self._is_reported_leaving = False
+        # When it has said so, at the earliest.
+        self.notice_at = -math.inf if entry.is_leaving else math.inf
         # True once it has said so in an answer to this or another entry.
         self.is_said_to_leave = False
         # Until when it is cold by its own entry.
@@ -213,6 +217,24 @@
             return True
         return self.report is not None and self.report.is_leaving
 
+    def note_notice(self, at: float) -> None:
+        """Record that it said that it leaves, at ``at`` at the earliest.
+
+        The first word of it counts.
+        """
+        if math.isinf(self.notice_at):
+            self.notice_at = min(self.notice_at, at)
+
+    def may_be_sent(self, now: float, drain_s: float) -> bool:
+        """Tell whether a request that has to go here may still be sent.
+
+        One that goes on from a copy of its memory has few places to go to, so
+        it may for ``drain_s`` seconds after a notice.
+        """
+        if self.is_said_to_leave:
+            return False
+        return now <= self.notice_at + drain_s
+
     def is_succeeded(self) -> bool:
         """Tell whether another start is known to be at its address."""
         if self.is_replaced:
@@ -294,6 +316,8 @@
         and does not include what has been sent since.
         """
         self.report = report
+        if report.is_leaving:
+            self.note_notice(report.sampled_at)
         # A late report that names no start may be of the one before.
         if (
             report.is_leaving
@@ -315,6 +339,8 @@
     def __init__(self) -> None:
         """Start without targets."""
         self.last_leaving_notice_at = -math.inf
+        # Seconds after its notice in which a target may be sent requests.
+        self.drain_s = math.inf
         # Tells whether a target that is added has said that it leaves.
         self.is_said_to_leave: abc.Callable[[Target], bool] = lambda target: (
             False
@@ -381,6 +407,8 @@
                 software=software,
                 is_leaving=entry.is_leaving or known.entry.is_leaving,
             )
+            if known.entry.is_leaving:
+                known.note_notice(now - _LIST_AGE_S)
             known.cold_until = max(
                 known.cold_until, now + entry.cold_left_ms / 1000
             )
