--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarding_entry.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/forwarding_entry.py
@@ -29,6 +29,8 @@
     sends final answers to the requests that are still open at its end.
     """
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
+        # A signal that came before has not been handled.
+        reload_settings()
         async with trio.open_nursery() as nursery:
             for follower in followers:
                 nursery.start_soon(follower.run)
