Use a target that writes on while its entries are held back

A target that was dropped, and then wrote entries with numbers that are not higher than before, would have stayed unused for as long as it wrote: as one that counts anew under its identifier, or whose entries all have one number.

Cause: each entry that is held back began the 5 s anew after which one that is still listed belongs to a target that is well.

Evidence: late_entries.feature, "a target that counts its entries anew", fails on the code before, 1 of 29.

Change: the time runs from the first entry that is held.

Why it works: the entry of a target that has gone is removed within that time, which ends the hold; one that is there writes on.

Measured: 29 of 29 scenarios of late_entries.feature pass.

--- a/packages/gentianpoint-entry/features/forwarding/late_entries.feature
+++ b/packages/gentianpoint-entry/features/forwarding/late_entries.feature
@@ -82,6 +82,14 @@
     And a writes number 5 and serves
     Then a gets work within 6 s
 
+  Scenario: a target that counts its entries anew
+    Guards against a target that stays unused for as long as it writes, as each
+    of its entries is held back anew.
+    Given a list in which a has number 50 and serves
+    When the entry of a is removed
+    And a counts its entries from 1 to 8, one each 1.2 s
+    Then a gets work within 0 s
+
   Scenario: a later start under the same identifier
     Guards against a start that is taken for the one before.
     Given a list in which a has number 5 and leaves
--- a/packages/gentianpoint-entry/features/forwarding/steps/late_entries_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/late_entries_steps.py
@@ -110,6 +110,19 @@
     plan(context, act)
 
 
+@behave.when(
+    "a counts its entries from {first:d} to {last:d}, one each {seconds:g} s"
+)
+def write_some(context, first, last, seconds):
+    async def act(read):
+        for number in range(first, last + 1):
+            read.write(make_fields(f"number {number} and serves"))
+            await trio.sleep(seconds)
+            read.listing.note_log_availability(is_available=True)
+
+    plan(context, act)
+
+
 @behave.when("a later start of a writes {words}")
 def write_later_start(context, words):
     async def act(read):
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_listing.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/target_listing.py
@@ -211,16 +211,28 @@
             self._take_notice(entry, known)
             return True
         if known is None and not self._may_return(entry, record, is_new):
-            lapses_at = trio.current_time() + _LAPSED_WITHIN_S
-            self._held[entry.target_id] = _HeldEntry(
-                entry, record.position, lapses_at
-            )
+            self._hold(entry, record.position)
             _log_outdated(record, entry)
             return True
         self._held.pop(entry.target_id, None)
         self._apply_entry(entry, record.position)
         return True
 
+    def _hold(
+        self, entry: targets.TargetEntry, position: ports.LogPosition
+    ) -> None:
+        """Hold an entry back until it has expired if its target has gone.
+
+        One that is written again and again does not expire.
+        """
+        held = self._held.get(entry.target_id)
+        lapses_at = (
+            trio.current_time() + _LAPSED_WITHIN_S
+            if held is None
+            else held.lapses_at
+        )
+        self._held[entry.target_id] = _HeldEntry(entry, position, lapses_at)
+
     def _is_outdated(
         self, entry: targets.TargetEntry, known: targets.TargetEntry
     ) -> bool:
