Let a notice that names no start hold until the next report

A target that accepts work was sent nothing any more that has to go there, such as a generation that goes on from the copy of its memory: found in reading, and played in late_entries.feature, "a late report of the start before", which failed on the code before with a notice_at of .2 s.

Cause: a report that says that its engine leaves set the time of the notice whether it named its start or not. One that names none may be a late one of the start before at that address, and the time was never taken back. The lasting notice, in the same method, has the check of the start that this one lacked.

Change: the time of a notice that names no start goes as the next report says that the engine serves and nothing else says that it leaves.

Why it works: a current notice that names no start is repeated by each report, so it counts from the first one as before ("a notice in a report", both rows passed before and after). Notices that name their start last.

--- a/packages/gentianpoint-entry/features/forwarding/late_entries.feature
+++ b/packages/gentianpoint-entry/features/forwarding/late_entries.feature
@@ -124,3 +124,22 @@
       | then                    |
       | is written with number 6 |
       | is removed and written with numbers 6 and 7 |
+
+  Scenario: a late report of the start before
+    Guards against a target that is sent nothing that has to go there for as
+    long as it runs.
+    Given a list in which a has number 5 and serves
+    When an agent that names no start reports that a leaves
+    And an agent that names no start reports that a serves
+    Then a may be sent what has to go there 10 s later
+
+  Scenario Outline: a notice in a report
+    Guards against requests to a target once the time after its notice is over.
+    Given a list in which a has number 5 and serves
+    When <agent> reports that <it> leaves
+    Then a may not be sent what has to go there 10 s later
+
+    Examples:
+      | agent                         | it |
+      | the agent of a                | it |
+      | an agent that names no start  | a  |
--- a/packages/gentianpoint-entry/features/forwarding/steps/late_entries_steps.py
+++ b/packages/gentianpoint-entry/features/forwarding/steps/late_entries_steps.py
@@ -14,6 +14,7 @@
 from gentianpoint_entry.forwarding import targets
 
 START_MS = 5
+DRAIN_S = 2.0
 
 
 @behave.given("an entry of start {start:d} with number {number:d}")
@@ -177,8 +178,13 @@
     plan(context, act)
 
 
+@behave.when("an agent that names no start reports that a {state}")
+def report_unnamed(context, state):
+    report(context, state, started_ms=0)
+
+
 @behave.when("the agent of a reports that it {state}")
-def report(context, state):
+def report(context, state, started_ms=START_MS):
     async def act(read):
         target = read.registry.find("a")
         target.take_report(
@@ -186,7 +192,7 @@
                 number=len(context.actions),
                 made_at=trio.current_time(),
                 is_leaving=state == "leaves",
-            )._replace(started_ms=START_MS)
+            )._replace(started_ms=started_ms)
         )
 
     plan(context, act)
@@ -208,6 +214,7 @@
             got_work.append(read.accepts_work())
             await trio.sleep(0.1)
         context.registry = read.registry
+        context.ended_at = trio.current_time()
 
     topic_builders.run_on_mock_clock(run)
     return got_work
@@ -235,3 +242,11 @@
     play(context, 0)
     target = context.registry.find("a")
     assert target.entry.slots == slots, target.entry
+
+
+@behave.then("a {may} be sent what has to go there {seconds:g} s later")
+def check_may_be_sent(context, may, seconds):
+    play(context, seconds)
+    target = context.registry.find("a")
+    may_be_sent = target.may_be_sent(context.ended_at, DRAIN_S)
+    assert may_be_sent == (may == "may"), target.notice_at
--- a/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
+++ b/packages/gentianpoint-entry/src/gentianpoint_entry/forwarding/targets.py
@@ -136,7 +136,7 @@
         self.is_evacuated = False
         # True once its agent has said that this start leaves.
         self._is_reported_leaving = False
-        # When it has said so, at the earliest.
+        # When it has said that it leaves, at the earliest.
         self.notice_at = -math.inf if entry.is_leaving else math.inf
         # True once it has said so in an answer to this or another entry.
         self.is_said_to_leave = False
@@ -316,14 +316,17 @@
         and does not include what has been sent since.
         """
         self.report = report
-        if report.is_leaving:
-            self.note_notice(report.sampled_at)
-        # A late report that names no start may be of the one before.
+        # A report that names no start may be a late one of the start before,
+        # so what it says holds until the next report only.
         if (
             report.is_leaving
             and 0 < report.started_ms == self.entry.started_ms
         ):
             self._is_reported_leaving = True
+        if report.is_leaving:
+            self.note_notice(report.sampled_at)
+        elif not self.has_notice():
+            self.notice_at = math.inf
         self.last_report_at = report.sampled_at
         self._sent[:] = [
             item for item in self._sent if item.at > report.sampled_at
