Let a caller that goes elsewhere take no more from before

Cause: the test's caller. The check then counted that token as the caller's although the caller had gone. The entries did as they were asked.

Change: a caller that resumes leaves its first answer at a token, asks for what follows that one and takes no more there, as a caller does whose connection is lost. The check asks for each of 60 tokens once, as before.

--- a/features/steps/streams_steps.py
+++ b/features/steps/streams_steps.py
@@ -84,7 +84,7 @@
         context.fixture.entries[-1],
         "",
         resume=context.reader.generation,
-        after=len(context.reader.texts),
+        after=context.reader.leave(),
     )
 
 
--- a/features/stream_readers.py
+++ b/features/stream_readers.py
@@ -34,6 +34,7 @@
         self.done = False
         self.error: dict[str, typing.Any] = {}
         self.broken = ""
+        self._has_left = False
         self._changed: typing.Final = threading.Condition()
         self._method = "GET" if resume else "POST"
         self._url = f"{entry.url}/v1/completions"
@@ -82,6 +83,8 @@
 
     def _take_line(self, line: str) -> None:
         with self._changed:
+            if self._has_left:
+                return
             if line.startswith("id: "):
                 self.numbers.append(int(line[4:]))
             elif line == "data: [DONE]":
@@ -107,6 +110,15 @@
             )
         assert reached and len(self.texts) >= count, self.describe()
 
+    def leave(self) -> int:
+        """Take no more tokens, as a caller that goes elsewhere.
+
+        Returns how many have come; those on the way are lost to the caller.
+        """
+        with self._changed:
+            self._has_left = True
+            return len(self.texts)
+
     def wait_for_end(self) -> None:
         """Wait until the answer is at its end, whatever it is."""
         self._thread.join(_WITHIN_S)
